--- /dev/null
+++ b/packages/admin/src/mod.ts
@@ -0,0 +1,3 @@
+/** The admin listener and its commands. */
+export * from "./commands.ts";
+export * from "./server.ts";
--- /dev/null
+++ b/packages/bench/src/deployment.ts
@@ -0,0 +1,536 @@
+/** A whole small deployment of real processes and stand-ins on the loopback address. */
+import * as crypto from "node:crypto";
+import * as bundle from "@jackdawbank/bundle";
+import type * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
+import * as ctl from "@jackdawbank/jackdawctl";
+import * as platform from "@jackdawbank/platform";
+import * as undici from "undici";
+import * as processes from "./processes.ts";
+
+/** One upstream of a deployment. */
+export interface UpstreamPlan {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly engine?: Partial<fakes.EngineSettings>;
+  readonly orders?: Partial<fakes.OrderSettings>;
+  /** Uses the second port of the store, which can be cut off apart. */
+  readonly usesSecondStorePort?: boolean;
+}
+
+/** One entry of a deployment. */
+export interface EntryPlan {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly usesSecondStorePort?: boolean;
+}
+
+/** What a deployment consists of. */
+export interface DeploymentPlan {
+  readonly entries: readonly EntryPlan[];
+  readonly upstreams: readonly UpstreamPlan[];
+  readonly bundle: bundle.Bundle;
+  readonly listLagMs?: number;
+}
+
+/** Bearer keys of the standard accounts. */
+export const ACCOUNT_KEYS = {
+  counter: "key-of-the-counter-account",
+  hr: "key-of-the-hr-account",
+  narrow: "key-of-the-narrow-account",
+} as const;
+
+const MESH_SECRET = "a-secret-for-tests-only";
+const ORDER_SERVICE = "orders";
+
+/** The standard bundle: two models, one with two versions, and an order service. */
+export function buildStandardBundle(
+  changes: Partial<bundle.Bundle> = {},
+): bundle.Bundle {
+  const verse = {
+    promptPriceMilliPerMillion: 100_000,
+    completionPriceMilliPerMillion: 400_000,
+  };
+  return bundle.bundleSchema.parse({
+    format: 1,
+    revision: 1,
+    baseRevision: 0,
+    limits: { defaultDeadlineMs: 20_000, freshnessBoundMs: 10_000 },
+    models: [
+      {
+        name: "verse-small",
+        ...verse,
+        versions: [{ version: "v1", state: "serving" }],
+        rollout: [{ sinceRevision: 1, sharesPercent: { v1: 100 } }],
+      },
+      {
+        name: "verse-large",
+        ...verse,
+        versions: [
+          { version: "v1", state: "serving" },
+          { version: "v2", state: "rolling" },
+        ],
+        rollout: [{ sinceRevision: 1, sharesPercent: { v1: 50, v2: 50 } }],
+      },
+    ],
+    cascades: [{
+      name: "verse",
+      cheap: "verse-small",
+      large: "verse-large",
+      cheapMaxPromptChars: 200,
+    }],
+    services: [{
+      name: ORDER_SERVICE,
+      repeats: "claim",
+      partitions: 4,
+      pricePerCallMilli: 50,
+    }],
+    accounts: [
+      {
+        name: "counter",
+        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.counter)],
+        models: [{ model: "verse-small" }, { model: "verse-large" }],
+        services: [ORDER_SERVICE],
+      },
+      {
+        name: "hr",
+        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.hr)],
+        models: [{ model: "verse-small" }, { model: "verse-large" }],
+        services: [ORDER_SERVICE],
+      },
+      {
+        name: "narrow",
+        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.narrow)],
+        models: [{ model: "verse-small" }],
+      },
+    ],
+    ...changes,
+  });
+}
+
+/** The standard plan: two entries, three model replicas, two order replicas. */
+export function buildStandardPlan(
+  changes: Partial<DeploymentPlan> = {},
+): DeploymentPlan {
+  const large = { serves: ["verse-large@v1", "verse-large@v2"] };
+  return {
+    entries: [
+      { id: "entry-a", dataCentre: "bkk-a" },
+      { id: "entry-b", dataCentre: "bkk-b" },
+    ],
+    upstreams: [
+      {
+        id: "model-a",
+        dataCentre: "bkk-a",
+        engine: { serves: ["verse-small@v1"] },
+      },
+      { id: "model-b", dataCentre: "bkk-b", engine: large },
+      { id: "model-c", dataCentre: "bkk-c", engine: large },
+      { id: "order-a", dataCentre: "bkk-a", orders: {} },
+      { id: "order-b", dataCentre: "bkk-b", orders: {} },
+    ],
+    bundle: buildStandardBundle(),
+    ...changes,
+  };
+}
+
+/** One upstream with the process beside it. */
+export interface RunningUpstream {
+  readonly plan: UpstreamPlan;
+  readonly backend: processes.TestProcess;
+  process: processes.TestProcess;
+}
+
+/** A running deployment. */
+export class Deployment {
+  readonly plan: DeploymentPlan;
+  readonly entries = new Map<string, processes.TestProcess>();
+  readonly upstreams = new Map<string, RunningUpstream>();
+  readonly #started: processes.TestProcess[] = [];
+  readonly #keys = crypto.generateKeyPairSync("ed25519");
+  readonly #clock = new kernel.SystemClock();
+  #storeProcess: processes.TestProcess | undefined;
+  #platformProcess: processes.TestProcess | undefined;
+  #leaving: ReadonlySet<string> = new Set();
+
+  private constructor(plan: DeploymentPlan) {
+    this.plan = plan;
+  }
+
+  /** Starts everything, rolls the plan's bundle and waits until it serves. */
+  static async start(
+    plan: DeploymentPlan = buildStandardPlan(),
+  ): Promise<Deployment> {
+    const deployment = new Deployment(plan);
+    try {
+      await deployment.#startStandIns();
+      const rolled = await deployment.roll(plan.bundle);
+      if (rolled.isErr()) throw new Error(rolled.error.message);
+      await Promise.all([
+        ...plan.upstreams.map((upstream) => deployment.startUpstream(upstream)),
+        ...plan.entries.map((entry) => deployment.startEntry(entry)),
+      ]);
+      await deployment.publishVms();
+      await deployment.waitReady();
+      return deployment;
+    } catch (thrown) {
+      await deployment.close();
+      throw thrown;
+    }
+  }
+
+  get signerKey(): string {
+    return this.#keys.publicKey.export({ format: "der", type: "spki" })
+      .toString("base64");
+  }
+
+  get privateKeyPem(): string {
+    return this.#keys.privateKey.export({ format: "pem", type: "pkcs8" })
+      .toString();
+  }
+
+  get signers(): bundle.Signers {
+    const signer = bundle.readSigner(this.signerKey)._unsafeUnwrap();
+    return new Map([[signer.signerId, signer]]);
+  }
+
+  get meshSecret(): string {
+    return MESH_SECRET;
+  }
+
+  get storeUrl(): string {
+    return `http://127.0.0.1:${this.#storeProcess?.port("port")}`;
+  }
+
+  get secondStoreUrl(): string {
+    return `http://127.0.0.1:${this.#storeProcess?.port("secondPort")}`;
+  }
+
+  get vmListUrl(): string {
+    return `http://127.0.0.1:${this.#platformProcess?.port("port")}`;
+  }
+
+  entryUrl(id: string): string {
+    return `http://127.0.0.1:${this.entry(id).port("port")}`;
+  }
+
+  entry(id: string): processes.TestProcess {
+    const entry = this.entries.get(id);
+    if (entry === undefined) throw new Error(`no entry ${id}`);
+    return entry;
+  }
+
+  upstream(id: string): RunningUpstream {
+    const upstream = this.upstreams.get(id);
+    if (upstream === undefined) throw new Error(`no upstream ${id}`);
+    return upstream;
+  }
+
+  sign(content: bundle.Bundle): bundle.SignedBundle {
+    return bundle.signBundle(content, this.#keys.privateKey);
+  }
+
+  /** Signs and rolls a bundle, and hands it to the processes as the client does. */
+  async roll(
+    content: bundle.Bundle,
+    options: { readonly isPushed?: boolean } = {},
+  ): Promise<kernel.Outcome<ctl.RollResult>> {
+    const store = new platform.EtcdStore(this.storeUrl);
+    try {
+      const verified = bundle.verifyBundle(this.sign(content), this.signers);
+      if (verified.isErr()) throw new Error(verified.error.message);
+      const clock = this.#clock;
+      const signers = this.signers;
+      const rolled = await ctl.rollBundle(verified.value, {
+        store,
+        signers,
+        timeoutMs: 10_000,
+        clock,
+      });
+      if (rolled.isOk() && options.isPushed === true) {
+        await ctl.pushBundle(this.listVms(), verified.value.signed);
+      }
+      return rolled;
+    } finally {
+      await store.close();
+    }
+  }
+
+  /** The next bundle after the one in force, with changes. */
+  async next(
+    change: (content: bundle.Bundle) => bundle.Bundle,
+  ): Promise<bundle.Bundle> {
+    const store = new platform.EtcdStore(this.storeUrl);
+    const current = await ctl.readCurrent(store, this.signers);
+    await store.close();
+    const stored = current._unsafeUnwrap();
+    if (stored === undefined) throw new Error("no bundle is in force");
+    return change(bundle.createNextBundle(stored.verified));
+  }
+
+  /** The VM list as the platform would show it. */
+  listVms(): readonly platform.Vm[] {
+    const state = (id: string) =>
+      this.#leaving.has(id) ? "leaving" as const : "live" as const;
+    const entries = [...this.entries].map(([id, entry]) => ({
+      id,
+      role: "entry" as const,
+      dataCentre:
+        this.plan.entries.find((other) => other.id === id)?.dataCentre ?? "",
+      adminAddress: `127.0.0.1:${entry.port("adminPort")}`,
+      state: state(id),
+    }));
+    const upstreams = [...this.upstreams].map(([id, upstream]) => ({
+      id,
+      role: "upstream" as const,
+      dataCentre: upstream.plan.dataCentre,
+      meshAddress: `127.0.0.1:${upstream.process.port("meshPort")}`,
+      adminAddress: `127.0.0.1:${upstream.process.port("adminPort")}`,
+      state: state(id),
+    }));
+    return [...entries, ...upstreams];
+  }
+
+  async publishVms(
+    leaving: ReadonlySet<string> = this.#leaving,
+  ): Promise<void> {
+    this.#leaving = leaving;
+    await putJson(`${this.vmListUrl}/vms`, { vms: this.listVms() });
+  }
+
+  async startEntry(plan: EntryPlan): Promise<processes.TestProcess> {
+    const entry = await this.#start(plan.id, "jackdawd", [
+      "entry",
+      ...this.#commonArgs(plan),
+      "--listen",
+      "127.0.0.1:0",
+      "--vm-list",
+      this.vmListUrl,
+    ]);
+    this.entries.set(plan.id, entry);
+    return entry;
+  }
+
+  async startUpstream(plan: UpstreamPlan): Promise<RunningUpstream> {
+    const backend = this.upstreams.get(plan.id)?.backend ??
+      await this.#startBackend(plan);
+    const type = plan.orders === undefined ? "model" : "service";
+    const process = await this.#start(plan.id, "jackdawd", [
+      "upstream",
+      ...this.#commonArgs(plan),
+      "--upstream-url",
+      `http://127.0.0.1:${backend.port("port")}`,
+      "--type",
+      type,
+      ...(type === "service" ? ["--service", ORDER_SERVICE] : []),
+    ]);
+    const running = { plan, backend, process };
+    this.upstreams.set(plan.id, running);
+    return running;
+  }
+
+  /** Waits until every entry reaches every upstream process and holds the bundle. */
+  async waitReady(): Promise<void> {
+    for (const id of this.entries.keys()) {
+      await processes.waitFor(`${id} is ready`, async () => {
+        const status = await this.readStatus(id) as {
+          readonly entry?: {
+            readonly upstreams: number;
+            readonly served: Record<string, number>;
+          };
+          readonly bundle?: { readonly revision: number };
+        };
+        const served = Object.values(status.entry?.served ?? {});
+        const wanted = this.plan.upstreams.flatMap((plan) =>
+          plan.engine?.serves ?? [ORDER_SERVICE]
+        );
+        return (status.bundle?.revision ?? 0) > 0 &&
+          served.reduce((sum, count) => sum + count, 0) === wanted.length;
+      });
+    }
+    await this.waitForRevision(this.plan.bundle.revision);
+  }
+
+  /** Waits until every process holds a revision; resolves with the time it took. */
+  async waitForRevision(
+    revision: number,
+    ids: readonly string[] = [...this.entries.keys(), ...this.upstreams.keys()],
+  ): Promise<number> {
+    const startedAtMs = performance.now();
+    await processes.waitFor(`revision ${revision} everywhere`, async () => {
+      const held = await Promise.all(ids.map((id) => this.readRevision(id)));
+      return held.every((other) => other >= revision);
+    });
+    return performance.now() - startedAtMs;
+  }
+
+  async readRevision(id: string): Promise<number> {
+    const status = await this.readStatus(id) as {
+      readonly bundle?: { readonly revision: number };
+    };
+    return status.bundle?.revision ?? 0;
+  }
+
+  /** Admin status of a process; an empty object when it does not answer. */
+  readStatus(id: string): Promise<unknown> {
+    return getJson(`http://127.0.0.1:${this.#adminPort(id)}/status`);
+  }
+
+  async readTimeline(): Promise<readonly kernel.TimelineEvent[]> {
+    return await ctl.readTimeline(this.listVms());
+  }
+
+  async readUsage(): Promise<readonly ctl.UsageRow[]> {
+    const store = new platform.EtcdStore(this.storeUrl);
+    const rows = await ctl.readUsage(store);
+    await store.close();
+    return rows.unwrapOr([]);
+  }
+
+  /** Requests billed in the store. */
+  async countBilled(): Promise<number> {
+    const rows = await this.readUsage();
+    return rows.reduce((sum, row) => sum + row.requests, 0);
+  }
+
+  /** Changes what a stand-in does. */
+  async control(target: processes.TestProcess, change: object): Promise<void> {
+    await postJson(`http://127.0.0.1:${target.port("port")}/control`, change);
+  }
+
+  async controlStore(change: Partial<fakes.StoreFaults>): Promise<void> {
+    await postJson(`${this.storeUrl}/control`, change);
+  }
+
+  async controlSecondStorePort(
+    change: Partial<fakes.StoreFaults>,
+  ): Promise<void> {
+    await postJson(`${this.secondStoreUrl}/control`, change);
+  }
+
+  /** Runs of all engines. */
+  async listEngineRuns(): Promise<readonly fakes.EngineRun[]> {
+    const runs = await Promise.all(
+      [...this.upstreams.values()]
+        .filter((upstream) => upstream.plan.orders === undefined)
+        .map((upstream) =>
+          getJson(
+            `http://127.0.0.1:${upstream.backend.port("port")}/control/runs`,
+          )
+        ),
+    );
+    return runs.flatMap((part) =>
+      (part as { runs: readonly fakes.EngineRun[] }).runs
+    );
+  }
+
+  /** Runs by order id over all order services. */
+  async countOrderRuns(): Promise<ReadonlyMap<string, number>> {
+    const counts = new Map<string, number>();
+    for (const upstream of this.upstreams.values()) {
+      if (upstream.plan.orders === undefined) continue;
+      const data = await getJson(
+        `http://127.0.0.1:${upstream.backend.port("port")}/control/runs`,
+      );
+      for (
+        const [id, runs] of Object.entries(
+          (data as { runs: Record<string, number> }).runs,
+        )
+      ) {
+        counts.set(id, (counts.get(id) ?? 0) + runs);
+      }
+    }
+    return counts;
+  }
+
+  /** Ends every process that was started, by its pid. */
+  async close(): Promise<void> {
+    await Promise.all(this.#started.map((started) => started.kill()));
+  }
+
+  async #start(
+    name: string,
+    program: processes.ProgramName,
+    args: readonly string[],
+  ): Promise<processes.TestProcess> {
+    const started = await processes.TestProcess.start(name, program, args);
+    this.#started.push(started);
+    return started;
+  }
+
+  async #startStandIns(): Promise<void> {
+    this.#storeProcess = await this.#start("store", "fakes", ["store"]);
+    const lag = String(this.plan.listLagMs ?? 200);
+    this.#platformProcess = await this.#start("platform", "fakes", [
+      "platform",
+      "--lag-ms",
+      lag,
+    ]);
+  }
+
+  #startBackend(plan: UpstreamPlan): Promise<processes.TestProcess> {
+    const kind = plan.orders === undefined ? "engine" : "orders";
+    const settings = JSON.stringify(plan.orders ?? plan.engine ?? {});
+    return this.#start(`${plan.id}-backend`, "fakes", [
+      kind,
+      "--settings",
+      settings,
+    ]);
+  }
+
+  #commonArgs(plan: EntryPlan): readonly string[] {
+    return [
+      "--process-id",
+      plan.id,
+      "--data-centre",
+      plan.dataCentre,
+      "--store",
+      plan.usesSecondStorePort === true ? this.secondStoreUrl : this.storeUrl,
+      "--signers",
+      this.signerKey,
+      "--mesh-secret",
+      MESH_SECRET,
+    ];
+  }
+
+  #adminPort(id: string): number {
+    const process = this.entries.get(id) ?? this.upstreams.get(id)?.process;
+    if (process === undefined) throw new Error(`no process ${id}`);
+    return process.port("adminPort");
+  }
+}
+
+const CONTROL_TIMEOUT_MS = 2_000;
+
+async function getJson(url: string): Promise<unknown> {
+  try {
+    const response = await undici.request(url, {
+      signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+    });
+    return await response.body.json();
+  } catch {
+    return {};
+  }
+}
+
+async function sendJson(
+  method: "PUT" | "POST",
+  url: string,
+  body: object,
+): Promise<void> {
+  const response = await undici.request(url, {
+    method,
+    body: JSON.stringify(body),
+    headers: { "content-type": "application/json" },
+    signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+  });
+  await response.body.dump();
+}
+
+function putJson(url: string, body: object): Promise<void> {
+  return sendJson("PUT", url, body);
+}
+
+function postJson(url: string, body: object): Promise<void> {
+  return sendJson("POST", url, body);
+}
--- /dev/null
+++ b/packages/billing/src/store_bills.ts
@@ -0,0 +1,89 @@
+/** Merges bills into their cells in the store; doing it twice counts them once. */
+import * as decisions from "@jackdawbank/decisions";
+import type * as mesh from "@jackdawbank/mesh";
+import * as platform from "@jackdawbank/platform";
+
+const KEYED_CELLS = 8;
+const KEYED_RETENTION_MS = 3_600_000;
+
+function parseCell<T>(text: string | undefined, empty: T): T {
+  return text === undefined ? empty : JSON.parse(text) as T;
+}
+
+function groupBills(
+  bills: readonly mesh.WireBill[],
+  nameGroup: (bill: mesh.WireBill) => string,
+): ReadonlyMap<string, readonly mesh.WireBill[]> {
+  const groups = new Map<string, mesh.WireBill[]>();
+  for (const bill of bills) {
+    const name = nameGroup(bill);
+    const group = groups.get(name) ?? [];
+    group.push(bill);
+    groups.set(name, group);
+  }
+  return groups;
+}
+
+function nameKeyedCell(bill: mesh.WireBill): string {
+  const partition = decisions.hashText(bill.keyDigest ?? "") % KEYED_CELLS;
+  return platform.nameKeyedBillCellKey(partition);
+}
+
+async function storeKeyedBills(
+  store: platform.Store,
+  key: string,
+  options: { readonly bills: readonly mesh.WireBill[]; readonly nowMs: number },
+): Promise<boolean> {
+  const bills = options.bills.map((bill) => ({
+    ...bill,
+    keyDigest: bill.keyDigest ?? "",
+  }));
+  const stored = await platform.mergeValue<decisions.KeyedCell>(store, key, {
+    parse: (text) => parseCell(text, decisions.EMPTY_KEYED_CELL),
+    merge: (held) =>
+      decisions.mergeKeyedBills(held, bills, {
+        nowMs: options.nowMs,
+        retentionMs: KEYED_RETENTION_MS,
+      }),
+  });
+  return stored.isOk();
+}
+
+async function storeCell(
+  store: platform.Store,
+  cell: string,
+  bills: readonly mesh.WireBill[],
+): Promise<boolean> {
+  const plain = bills.filter((bill) => bill.keyDigest === undefined);
+  const keyedNumbers = bills
+    .filter((bill) => bill.keyDigest !== undefined)
+    .map((bill) => bill.number);
+  const stored = await platform.mergeValue<decisions.BillCell>(
+    store,
+    platform.nameBillCellKey(cell),
+    {
+      parse: (text) => parseCell(text, decisions.EMPTY_CELL),
+      merge: (held) =>
+        decisions.skipNumbers(decisions.mergeBills(held, plain), keyedNumbers),
+    },
+  );
+  return stored.isOk();
+}
+
+/** Stores bills; tells whether all of them are stored. */
+export async function storeBills(
+  store: platform.Store,
+  bills: readonly mesh.WireBill[],
+  nowMs: number,
+): Promise<boolean> {
+  const keyed = bills.filter((bill) => bill.keyDigest !== undefined);
+  for (const [key, group] of groupBills(keyed, nameKeyedCell)) {
+    if (!await storeKeyedBills(store, key, { bills: group, nowMs })) {
+      return false;
+    }
+  }
+  for (const [cell, group] of groupBills(bills, (bill) => bill.cell)) {
+    if (!await storeCell(store, cell, group)) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/decisions/src/hash.ts
@@ -0,0 +1,83 @@
+/** Stable hashing: the same input gives the same choice on every process. */
+import xxhash from "xxhash-wasm";
+
+const hasher = await xxhash();
+const HASH_RANGE = 2 ** 32;
+
+/** 32-bit hash of a text. */
+export function hashText(text: string): number {
+  return hasher.h32(text);
+}
+
+/** Hash of a text as a fraction in [0, 1). */
+export function hashFraction(text: string): number {
+  return hasher.h32(text) / HASH_RANGE;
+}
+
+/** The ids in rendezvous order for a key: the first is its home. */
+export function rankByRendezvous(
+  ids: readonly string[],
+  key: string,
+): readonly string[] {
+  return ids
+    .map((id) => ({ id, weight: hasher.h32(`${key}\u0000${id}`) }))
+    .toSorted((a, b) => b.weight - a.weight || a.id.localeCompare(b.id))
+    .map((ranked) => ranked.id);
+}
+
+/** A point of the consistent-hash ring. */
+interface RingPoint {
+  readonly hash: number;
+  readonly index: number;
+}
+
+/** Ring over a list of members; rebuilt when the members change. */
+export interface HashRing {
+  readonly points: readonly RingPoint[];
+  readonly memberCount: number;
+}
+
+const POINTS_PER_MEMBER = 32;
+
+/** Builds a ring; member positions refer to the given list. */
+export function buildRing(ids: readonly string[]): HashRing {
+  const points = ids.flatMap((id, index) =>
+    Array.from({ length: POINTS_PER_MEMBER }, (_, point) => ({
+      hash: hasher.h32(`${id}#${point}`),
+      index,
+    }))
+  );
+  return {
+    points: points.toSorted((a, b) => a.hash - b.hash || a.index - b.index),
+    memberCount: ids.length,
+  };
+}
+
+function findFirstPoint(ring: HashRing, hash: number): number {
+  let low = 0;
+  let high = ring.points.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if ((ring.points[middle] as RingPoint).hash < hash) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+/** Walks the ring from a key on until `accept` takes a member's position. */
+export function walkRing(
+  ring: HashRing,
+  key: string,
+  accept: (index: number) => boolean,
+): number | undefined {
+  const start = findFirstPoint(ring, hasher.h32(key));
+  const seen = new Set<number>();
+  for (let step = 0; step < ring.points.length; step += 1) {
+    const point = ring.points[(start + step) % ring.points.length] as RingPoint;
+    if (seen.has(point.index)) continue;
+    seen.add(point.index);
+    if (accept(point.index)) return point.index;
+    if (seen.size === ring.memberCount) return undefined;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/decisions/src/mod.ts
@@ -0,0 +1,12 @@
+/** The decision rules. Time, randomness and views of others are arguments. */
+export * from "./access.ts";
+export * from "./admission.ts";
+export * from "./adoption.ts";
+export * from "./answers.ts";
+export * from "./billing.ts";
+export * from "./claims.ts";
+export * from "./fair_queue.ts";
+export * from "./hash.ts";
+export * from "./retries.ts";
+export * from "./routing.ts";
+export * from "./versions.ts";
--- /dev/null
+++ b/packages/entry/src/tokens.ts
@@ -0,0 +1,67 @@
+/** Session tokens: signed by the deployment, so that any entry can read any token. */
+import * as crypto from "node:crypto";
+import type * as decisions from "@jackdawbank/decisions";
+import * as kernel from "@jackdawbank/kernel";
+import * as neverthrow from "neverthrow";
+import * as z from "zod";
+
+const TOKEN_PREFIX = "jds1.";
+const MAX_TOKEN_CHARS = 4_096;
+const KEY_BYTES = 32;
+
+const pinSchema = z.strictObject({
+  sessionId: z.string().min(1).max(256),
+  birthRevision: z.int().min(0),
+  excluded: z.array(z.string()).max(64).readonly(),
+});
+
+/** Mints and reads session tokens. */
+export class SessionTokens {
+  readonly #key: Uint8Array;
+
+  constructor(meshSecret: string) {
+    this.#key = new Uint8Array(
+      crypto.hkdfSync(
+        "sha256",
+        meshSecret,
+        "",
+        "jackdawbank session token",
+        KEY_BYTES,
+      ),
+    );
+  }
+
+  /** Whether a text claims to be one of our tokens. */
+  isToken(text: string): boolean {
+    return text.startsWith(TOKEN_PREFIX);
+  }
+
+  mint(pin: decisions.SessionPin): string {
+    const payload = Buffer.from(JSON.stringify(pin)).toString("base64url");
+    return `${TOKEN_PREFIX}${payload}.${this.#sign(payload)}`;
+  }
+
+  read(token: string): kernel.Outcome<decisions.SessionPin> {
+    const [, payload = "", signature = ""] = token.slice(0, MAX_TOKEN_CHARS)
+      .split(".");
+    const expected = Buffer.from(this.#sign(payload));
+    const given = Buffer.from(signature);
+    const isGenuine = expected.length === given.length &&
+      crypto.timingSafeEqual(expected, given);
+    if (!isGenuine) {
+      return kernel.fail("bad-request", "the session token is not valid");
+    }
+    const data: unknown = JSON.parse(
+      Buffer.from(payload, "base64url").toString(),
+    );
+    const parsed = pinSchema.safeParse(data);
+    if (parsed.success) return neverthrow.ok(parsed.data);
+    return kernel.fail("bad-request", "the session token is of another format");
+  }
+
+  #sign(payload: string): string {
+    return crypto.createHmac("sha256", this.#key).update(payload).digest(
+      "base64url",
+    );
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/main.ts
@@ -0,0 +1,46 @@
+/** Runs one stand-in as a process; its first line on standard output names its ports. */
+import * as commander from "commander";
+import * as engines from "./engine.ts";
+import * as orders from "./orders.ts";
+import * as platforms from "./platform.ts";
+import * as stores from "./store.ts";
+
+function report(ports: Readonly<Record<string, number>>): void {
+  process.stdout.write(`${JSON.stringify({ isReady: true, ...ports })}\n`);
+}
+
+const program = new commander.Command("jackdaw-fakes");
+
+program.command("store").action(async () => {
+  const store = await stores.startStore();
+  report({ port: store.first.port, secondPort: store.second.port });
+});
+
+program.command("engine")
+  .requiredOption("--settings <json>")
+  .action(async (options: { settings: string }) => {
+    const settings = JSON.parse(options.settings) as Partial<
+      engines.EngineSettings
+    >;
+    report({ port: (await engines.startEngine(settings)).port });
+  });
+
+program.command("orders")
+  .requiredOption("--settings <json>")
+  .action(async (options: { settings: string }) => {
+    const settings = JSON.parse(options.settings) as Partial<
+      orders.OrderSettings
+    >;
+    report({ port: (await orders.startOrders(settings)).port });
+  });
+
+program.command("platform")
+  .option("--lag-ms <number>", "lag of the VM list in milliseconds", "200")
+  .action(async (options: { lagMs: string }) => {
+    report({
+      port:
+        (await platforms.startPlatform({ lagMs: Number(options.lagMs) })).port,
+    });
+  });
+
+await program.parseAsync();
--- /dev/null
+++ b/packages/fakes/src/mod.ts
@@ -0,0 +1,6 @@
+/** Private stand-ins for the systems around jackdawbank. */
+export * from "./engine.ts";
+export * from "./listen.ts";
+export * from "./orders.ts";
+export * from "./platform.ts";
+export * from "./store.ts";
--- /dev/null
+++ b/packages/fakes/src/store.ts
@@ -0,0 +1,285 @@
+/**
+ * Stand-in for the platform's key-value service, in the published form of
+ * etcd's v3 HTTP/JSON gateway. Faults come on order, for each of its ports
+ * apart, so that some processes can be cut off while others are not.
+ */
+import * as hono from "hono";
+import * as listening from "./listen.ts";
+
+/** What the store does to calls. */
+export interface StoreFaults {
+  /** `down` breaks connections, `nonsense` answers with what is no reply. */
+  readonly mode: "up" | "down" | "nonsense";
+  readonly delayMs: number;
+  /** Writes that take effect while their replies are lost. */
+  readonly loseReplies: number;
+}
+
+const NO_FAULTS: StoreFaults = { mode: "up", delayMs: 0, loseReplies: 0 };
+
+interface StoredValue {
+  readonly value: string;
+  readonly createRevision: number;
+  readonly modRevision: number;
+}
+
+interface Compare {
+  readonly key: string;
+  readonly target?: string;
+  readonly create_revision?: string;
+  readonly mod_revision?: string;
+}
+
+interface RequestOp {
+  readonly request_put?: { readonly key: string; readonly value: string };
+  readonly request_range?: { readonly key: string };
+}
+
+interface Waiter {
+  readonly key: string;
+  readonly afterRevision: number;
+  readonly notify: (value: StoredValue) => void;
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+/** The data, shared by all ports of one stand-in. */
+export class FakeStore {
+  readonly #values = new Map<string, StoredValue>();
+  readonly #waiters = new Set<Waiter>();
+  readonly counters = { reads: 0, writes: 0, watches: 0 };
+  #revision = 0;
+
+  /** Serves one port with faults of its own. */
+  buildApp(): hono.Hono {
+    let faults = NO_FAULTS;
+    const app = new hono.Hono();
+    app.post("/control", async (context) => {
+      faults = {
+        ...faults,
+        ...await context.req.json() as Partial<StoreFaults>,
+      };
+      if (faults.mode === "down") this.#dropWaiters();
+      return context.json(faults);
+    });
+    app.get(
+      "/control/counters",
+      (context) =>
+        context.json({ ...this.counters, waiting: this.#waiters.size }),
+    );
+    app.use("/v3/*", async (context, next) => {
+      if (faults.mode === "down") return breakConnection(context);
+      if (faults.mode === "nonsense") {
+        return context.text("<html>not a store</html>");
+      }
+      if (faults.delayMs > 0) await sleep(faults.delayMs);
+      await next();
+      const isWrite = context.res.headers.get("x-write") === "1";
+      if (isWrite && faults.loseReplies > 0) {
+        faults = { ...faults, loseReplies: faults.loseReplies - 1 };
+        return breakConnection(context);
+      }
+      return undefined;
+    });
+    app.post("/v3/kv/range", async (context) => {
+      this.counters.reads += 1;
+      return context.json(this.#range(await context.req.json()));
+    });
+    app.post("/v3/kv/put", async (context) => {
+      const { key, value } = await context.req.json() as {
+        key: string;
+        value: string;
+      };
+      this.#put(key, value);
+      context.header("x-write", "1");
+      return context.json({ header: this.#header() });
+    });
+    app.post("/v3/kv/txn", async (context) => {
+      const reply = this.#transact(await context.req.json());
+      if (reply.succeeded) context.header("x-write", "1");
+      return context.json(reply);
+    });
+    app.post("/v3/kv/deleterange", async (context) => {
+      const { key } = await context.req.json() as { key: string };
+      this.counters.writes += 1;
+      const isDeleted = this.#values.delete(key);
+      context.header("x-write", "1");
+      return context.json({
+        header: this.#header(),
+        deleted: isDeleted ? "1" : "0",
+      });
+    });
+    app.post("/v3/watch", async (context) => {
+      const body = await context.req.json() as {
+        create_request: { key: string; start_revision?: string };
+      };
+      return this.#watch(body.create_request, () => faults.mode === "down");
+    });
+    return app;
+  }
+
+  #header(): { readonly revision: string } {
+    return { revision: String(this.#revision) };
+  }
+
+  #dropWaiters(): void {
+    // Waiters of other ports ask again at once; those of this port find it down.
+    for (const waiter of [...this.#waiters]) this.#waiters.delete(waiter);
+  }
+
+  #put(key: string, value: string): void {
+    this.counters.writes += 1;
+    this.#revision += 1;
+    const createRevision = this.#values.get(key)?.createRevision ??
+      this.#revision;
+    const stored = { value, createRevision, modRevision: this.#revision };
+    this.#values.set(key, stored);
+    for (const waiter of [...this.#waiters]) {
+      if (waiter.key !== key || stored.modRevision <= waiter.afterRevision) {
+        continue;
+      }
+      this.#waiters.delete(waiter);
+      waiter.notify(stored);
+    }
+  }
+
+  #render(key: string, stored: StoredValue): Readonly<Record<string, string>> {
+    return {
+      key,
+      value: stored.value,
+      create_revision: String(stored.createRevision),
+      mod_revision: String(stored.modRevision),
+    };
+  }
+
+  #range(
+    request: { readonly key: string; readonly range_end?: string },
+  ): unknown {
+    const from = Buffer.from(request.key, "base64");
+    const end = request.range_end === undefined
+      ? undefined
+      : Buffer.from(request.range_end, "base64");
+    const kvs = [...this.#values]
+      .filter(([key]) => {
+        if (end === undefined) return key === request.key;
+        const bytes = Buffer.from(key, "base64");
+        return Buffer.compare(bytes, from) >= 0 &&
+          Buffer.compare(bytes, end) < 0;
+      })
+      .map(([key, stored]) => this.#render(key, stored));
+    return {
+      header: this.#header(),
+      ...(kvs.length > 0 ? { kvs, count: String(kvs.length) } : {}),
+    };
+  }
+
+  #transact(request: {
+    readonly compare?: readonly Compare[];
+    readonly success?: readonly RequestOp[];
+    readonly failure?: readonly RequestOp[];
+  }): {
+    readonly succeeded?: true;
+    readonly header: unknown;
+    readonly responses: unknown;
+  } {
+    const isMet = (request.compare ?? []).every((compare) =>
+      this.#isMet(compare)
+    );
+    const operations = isMet ? request.success ?? [] : request.failure ?? [];
+    if (!isMet) this.counters.reads += 1;
+    const responses = operations.map((operation) => {
+      if (operation.request_put !== undefined) {
+        this.#put(operation.request_put.key, operation.request_put.value);
+        return { response_put: {} };
+      }
+      return {
+        response_range: this.#range(operation.request_range ?? { key: "" }),
+      };
+    });
+    return {
+      header: this.#header(),
+      ...(isMet ? { succeeded: true } : {}),
+      responses,
+    };
+  }
+
+  #isMet(compare: Compare): boolean {
+    const stored = this.#values.get(compare.key);
+    if (compare.target === "CREATE") {
+      return String(stored?.createRevision ?? 0) ===
+        (compare.create_revision ?? "0");
+    }
+    return String(stored?.modRevision ?? 0) === (compare.mod_revision ?? "0");
+  }
+
+  #watch(
+    request: { readonly key: string; readonly start_revision?: string },
+    isDown: () => boolean,
+  ): Response {
+    this.counters.watches += 1;
+    const afterRevision = Number(request.start_revision ?? 1) - 1;
+    const encoder = new TextEncoder();
+    let waiter: Waiter | undefined;
+    let timer: NodeJS.Timeout | undefined;
+    const stream = new ReadableStream<Uint8Array>({
+      start: (controller) => {
+        const send = (value: unknown) =>
+          controller.enqueue(
+            encoder.encode(`${JSON.stringify({ result: value })}\n`),
+          );
+        const notify = (stored: StoredValue) => {
+          if (isDown()) return;
+          send({
+            header: this.#header(),
+            events: [{ kv: this.#render(request.key, stored) }],
+          });
+        };
+        send({ header: this.#header(), created: true });
+        const held = this.#values.get(request.key);
+        if (held !== undefined && held.modRevision > afterRevision) {
+          notify(held);
+          return;
+        }
+        waiter = { key: request.key, afterRevision, notify };
+        this.#waiters.add(waiter);
+        timer = setInterval(() => {
+          if (waiter !== undefined && this.#waiters.has(waiter)) return;
+          clearInterval(timer);
+          controller.close();
+        }, 100);
+      },
+      cancel: () => {
+        clearInterval(timer);
+        if (waiter !== undefined) this.#waiters.delete(waiter);
+      },
+    });
+    return new Response(stream, {
+      headers: { "content-type": "application/json" },
+    });
+  }
+}
+
+/** Ends the connection without a reply, as a dead server does. */
+function breakConnection(context: hono.Context): Response {
+  const { incoming } = context.env as {
+    incoming: { socket: { destroy: () => void } };
+  };
+  incoming.socket.destroy();
+  return new Response(null, { status: 503 });
+}
+
+/** A store on two ports with the same data. */
+export interface RunningStore {
+  readonly first: listening.FakeServer;
+  readonly second: listening.FakeServer;
+}
+
+/** Starts the stand-in. */
+export async function startStore(port = 0): Promise<RunningStore> {
+  const store = new FakeStore();
+  const first = await listening.listen(store.buildApp(), port);
+  const second = await listening.listen(store.buildApp());
+  return { first, second };
+}
--- /dev/null
+++ b/packages/kernel/src/errors.ts
@@ -0,0 +1,103 @@
+/**
+ * The closed list of error kinds and the table from kind to answer.
+ *
+ * `notRun` is a promise to the caller: `true` says that no upstream was given
+ * the request, `unknown` says that it may have run.
+ */
+import * as neverthrow from "neverthrow";
+
+/** One row of the table: what a caller is told for an error kind. */
+export interface ErrorAnswer {
+  readonly status: number;
+  readonly notRun: true | "unknown";
+  readonly retry: "never" | "later" | "same-key";
+}
+
+/** The table from error kind to answer; the kinds are its keys. */
+export const ERROR_ANSWERS = {
+  "bad-request": { status: 400, notRun: true, retry: "never" },
+  "unauthenticated": { status: 401, notRun: true, retry: "never" },
+  "model-not-allowed": { status: 403, notRun: true, retry: "never" },
+  "service-not-allowed": { status: 403, notRun: true, retry: "never" },
+  "unknown-model": { status: 404, notRun: true, retry: "never" },
+  "unknown-service": { status: 404, notRun: true, retry: "never" },
+  "not-found": { status: 404, notRun: true, retry: "never" },
+  "body-too-large": { status: 413, notRun: true, retry: "never" },
+  "key-reused": { status: 422, notRun: true, retry: "never" },
+  "key-in-flight": { status: 409, notRun: "unknown", retry: "same-key" },
+  "already-run": { status: 409, notRun: "unknown", retry: "never" },
+  "account-over-share": { status: 429, notRun: true, retry: "later" },
+  "version-withdrawn": { status: 410, notRun: true, retry: "never" },
+  "no-bundle": { status: 503, notRun: true, retry: "later" },
+  "no-upstream": { status: 503, notRun: true, retry: "later" },
+  "overloaded": { status: 503, notRun: true, retry: "later" },
+  "stale-configuration": { status: 503, notRun: true, retry: "later" },
+  "leaving": { status: 503, notRun: true, retry: "later" },
+  "claim-unavailable": { status: 503, notRun: true, retry: "same-key" },
+  "claim-moved": { status: 503, notRun: true, retry: "same-key" },
+  "deadline-before-run": { status: 504, notRun: true, retry: "later" },
+  "deadline-after-run": { status: 504, notRun: "unknown", retry: "same-key" },
+  "upstream-failed": { status: 502, notRun: "unknown", retry: "same-key" },
+  "upstream-unreachable": { status: 502, notRun: true, retry: "later" },
+  "outcome-unknown": { status: 502, notRun: "unknown", retry: "same-key" },
+  "answer-incomplete": { status: 502, notRun: "unknown", retry: "same-key" },
+  "cancelled": { status: 499, notRun: "unknown", retry: "never" },
+  "bundle-invalid": { status: 422, notRun: true, retry: "never" },
+  "bundle-unsigned": { status: 422, notRun: true, retry: "never" },
+  "bundle-conflict": { status: 409, notRun: true, retry: "never" },
+  "bundle-stale": { status: 409, notRun: true, retry: "never" },
+  "store-unavailable": { status: 503, notRun: "unknown", retry: "later" },
+  "store-nonsense": { status: 502, notRun: "unknown", retry: "later" },
+  "mesh-malformed": { status: 502, notRun: "unknown", retry: "never" },
+  "settings-invalid": { status: 500, notRun: true, retry: "never" },
+  "internal": { status: 500, notRun: "unknown", retry: "later" },
+} as const satisfies Record<string, ErrorAnswer>;
+
+/** A member of the closed list of error kinds. */
+export type ErrorKind = keyof typeof ERROR_ANSWERS;
+
+/** A typed error: its kind decides the answer, the message tells a person why. */
+export interface AppError {
+  readonly kind: ErrorKind;
+  readonly message: string;
+}
+
+/** The result type used across the packages. */
+export type Outcome<T> = neverthrow.Result<T, AppError>;
+
+/** Builds an error of a kind. */
+export function makeError(kind: ErrorKind, message: string): AppError {
+  return { kind, message };
+}
+
+/** Builds a failed result of a kind. */
+export function fail<T = never>(kind: ErrorKind, message: string): Outcome<T> {
+  return neverthrow.err(makeError(kind, message));
+}
+
+/** Looks up the answer for a kind. */
+export function findAnswer(kind: ErrorKind): ErrorAnswer {
+  return ERROR_ANSWERS[kind];
+}
+
+/** Tells whether a string from the wire is a known error kind. */
+export function isErrorKind(value: string): value is ErrorKind {
+  return Object.hasOwn(ERROR_ANSWERS, value);
+}
+
+/** The message of anything thrown. */
+export function describeThrown(thrown: unknown): string {
+  if (!(thrown instanceof Error)) return String(thrown);
+  const cause = thrown.cause instanceof Error
+    ? ` (${thrown.cause.message})`
+    : "";
+  return `${thrown.message}${cause}`;
+}
+
+/** Throws when an invariant does not hold; the message names the invariant. */
+export function invariant(
+  condition: boolean,
+  message: string,
+): asserts condition {
+  if (!condition) throw new Error(`Invariant violated: ${message}`);
+}
--- /dev/null
+++ b/packages/kernel/src/log.ts
@@ -0,0 +1,49 @@
+/** Structured logs by consola: one line an event, JSON on request, to standard error. */
+import * as consola from "consola";
+
+export type Logger = consola.ConsolaInstance;
+
+/** How the log of a process is set up. */
+export interface LogOptions {
+  readonly processId: string;
+  readonly isJson: boolean;
+  /** consola's level: 0 errors, 1 warnings, 3 information, 4 debug. */
+  readonly level: number;
+}
+
+/** Field names whose values never reach a log. */
+const SECRET_FIELDS = new Set([
+  "authorization",
+  "key",
+  "apiKey",
+  "secret",
+  "meshSecret",
+  "token",
+]);
+
+function redactSecrets(name: string, value: unknown): unknown {
+  return SECRET_FIELDS.has(name) ? "[redacted]" : value;
+}
+
+function formatPart(part: unknown): string {
+  return typeof part === "string" ? part : JSON.stringify(part, redactSecrets);
+}
+
+/** Creates the log of a process. */
+export function createLogger(options: LogOptions): Logger {
+  const reporter: consola.ConsolaReporter = {
+    log(entry) {
+      const message = entry.args.map(formatPart).join(" ");
+      const line = options.isJson
+        ? JSON.stringify({
+          time: entry.date.toISOString(),
+          level: entry.type,
+          processId: options.processId,
+          message,
+        })
+        : `${entry.date.toISOString()} ${entry.type} ${options.processId} ${message}`;
+      process.stderr.write(`${line.replaceAll("\n", " ")}\n`);
+    },
+  };
+  return consola.createConsola({ level: options.level, reporters: [reporter] });
+}
--- /dev/null
+++ b/packages/kernel/src/mod.ts
@@ -0,0 +1,9 @@
+/** The kernel: what every process and plug-in of the system builds on. */
+export * from "./clock.ts";
+export * from "./errors.ts";
+export * from "./kernel.ts";
+export * from "./log.ts";
+export * from "./mailbox.ts";
+export * from "./metrics.ts";
+export * from "./state.ts";
+export * from "./timeline.ts";
--- /dev/null
+++ b/packages/kernel/src/state.ts
@@ -0,0 +1,33 @@
+/** Immutable state that is replaced whole; listeners are told after the change. */
+import type { Teardown } from "./kernel.ts";
+
+/** Called with the new and the previous value. */
+export type StateListener<T> = (next: T, previous: T) => void;
+
+/** Holder of one immutable value. */
+export class StateCell<T> {
+  #value: T;
+  readonly #listeners = new Set<StateListener<T>>();
+
+  constructor(initial: T) {
+    this.#value = initial;
+  }
+
+  read(): T {
+    return this.#value;
+  }
+
+  /** Replaces the value, then tells the listeners. */
+  replace(next: T): void {
+    const previous = this.#value;
+    this.#value = next;
+    for (const listener of this.#listeners) listener(next, previous);
+  }
+
+  listen(listener: StateListener<T>): Teardown {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/connection.ts
@@ -0,0 +1,103 @@
+/** One authenticated connection: owns its socket, hands frames to its listener. */
+import * as msgpackr from "msgpackr";
+import type * as ws from "ws";
+import * as frames from "./frames.ts";
+
+/** Identity that the other end has proved. */
+export interface Peer {
+  readonly processId: string;
+  readonly incarnation: string;
+  readonly dataCentre: string;
+}
+
+/** Takes what happens on connections. */
+export interface ConnectionListener {
+  onOpen(connection: MeshConnection): void;
+  onFrame(connection: MeshConnection, frame: frames.Frame): void;
+  onClose(connection: MeshConnection, reason: string): void;
+}
+
+const CLOSE_POLICY = 1008;
+const packer = new msgpackr.Packr({ useRecords: false });
+
+/** Encodes a frame. */
+export function encodeFrame(frame: frames.Frame): Uint8Array {
+  return packer.pack(frame);
+}
+
+/** Decodes and checks a frame; `undefined` when it is none. */
+export function decodeFrame(data: Uint8Array): frames.Frame | undefined {
+  try {
+    return frames.parseFrame(packer.unpack(data));
+  } catch {
+    return undefined;
+  }
+}
+
+/** Normalises what ws delivers. */
+export function toBytes(data: ws.RawData): Uint8Array {
+  if (Array.isArray(data)) return Buffer.concat(data);
+  return data instanceof ArrayBuffer ? new Uint8Array(data) : data;
+}
+
+/** A connection after the handshake. */
+export class MeshConnection {
+  readonly peer: Peer;
+  readonly #socket: ws.WebSocket;
+  #sentBytes = 0;
+  #receivedBytes = 0;
+
+  constructor(socket: ws.WebSocket, peer: Peer, listener: ConnectionListener) {
+    this.#socket = socket;
+    this.peer = peer;
+    socket.on("message", (data) => {
+      const bytes = toBytes(data);
+      this.#receivedBytes += bytes.byteLength;
+      const frame = decodeFrame(bytes);
+      if (frame === undefined) {
+        socket.close(CLOSE_POLICY, "malformed frame");
+        return;
+      }
+      listener.onFrame(this, frame);
+    });
+    socket.on(
+      "close",
+      (_code, reason) => listener.onClose(this, reason.toString()),
+    );
+  }
+
+  get isOpen(): boolean {
+    return this.#socket.readyState === this.#socket.OPEN;
+  }
+
+  /** Bytes that wait in the socket's send buffer. */
+  get bufferedBytes(): number {
+    return this.#socket.bufferedAmount;
+  }
+
+  get sentBytes(): number {
+    return this.#sentBytes;
+  }
+
+  get receivedBytes(): number {
+    return this.#receivedBytes;
+  }
+
+  /** Sends a frame; tells whether the connection was open. */
+  send(frame: frames.Frame): boolean {
+    if (!this.isOpen) return false;
+    const bytes = encodeFrame(frame);
+    this.#sentBytes += bytes.byteLength;
+    this.#socket.send(bytes);
+    return true;
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+
+  /** Drops the connection without waiting for the other end. */
+  terminate(): void {
+    this.#socket.terminate();
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/mod.ts
@@ -0,0 +1,7 @@
+/** The channel between the system's processes: ws with msgpackr, authenticated. */
+export * from "./connection.ts";
+export * from "./dialer.ts";
+export * from "./frames.ts";
+export * from "./handshake.ts";
+export * from "./identity.ts";
+export * from "./server.ts";
--- /dev/null
+++ b/packages/mesh/src/server.ts
@@ -0,0 +1,154 @@
+/** Accepts mesh connections from entries. */
+import type * as http from "node:http";
+import * as kernel from "@jackdawbank/kernel";
+import * as neverthrow from "neverthrow";
+import * as ws from "ws";
+import * as connections from "./connection.ts";
+import * as frames from "./frames.ts";
+import * as handshake from "./handshake.ts";
+import * as identities from "./identity.ts";
+
+const CLOSE_POLICY = 1008;
+
+/** Listens on one address. */
+export class MeshServer {
+  readonly #server: ws.WebSocketServer;
+  readonly #identity: identities.MeshIdentity;
+  readonly #listener: connections.ConnectionListener;
+  readonly #connections = new Set<connections.MeshConnection>();
+  readonly #log: kernel.Logger;
+
+  private constructor(
+    server: ws.WebSocketServer,
+    identity: identities.MeshIdentity,
+    options: {
+      readonly listener: connections.ConnectionListener;
+      readonly log: kernel.Logger;
+    },
+  ) {
+    this.#server = server;
+    this.#identity = identity;
+    this.#listener = options.listener;
+    this.#log = options.log;
+    server.on("connection", (socket, request) => this.#accept(socket, request));
+    server.on(
+      "error",
+      (error) => this.#log.error(`mesh server: ${error.message}`),
+    );
+  }
+
+  /** Binds the address; fails when it is taken. */
+  static listen(
+    address: { readonly host: string; readonly port: number },
+    identity: identities.MeshIdentity,
+    options: {
+      readonly listener: connections.ConnectionListener;
+      readonly log: kernel.Logger;
+    },
+  ): Promise<kernel.Outcome<MeshServer>> {
+    return new Promise((resolve) => {
+      const server = new ws.WebSocketServer({
+        ...address,
+        maxPayload: frames.MAX_FRAME_BYTES,
+        perMessageDeflate: false,
+      });
+      server.once("error", (error) => {
+        resolve(
+          kernel.fail("settings-invalid", `mesh address: ${error.message}`),
+        );
+      });
+      server.once("listening", () => {
+        server.removeAllListeners("error");
+        resolve(neverthrow.ok(new MeshServer(server, identity, options)));
+      });
+    });
+  }
+
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address !== null ? address.port : 0;
+  }
+
+  get connections(): ReadonlySet<connections.MeshConnection> {
+    return this.#connections;
+  }
+
+  /** Closes the listener, then every connection. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      for (const client of this.#server.clients) client.terminate();
+    });
+  }
+
+  #accept(socket: ws.WebSocket, request: http.IncomingMessage): void {
+    const serverNonce = handshake.createNonce();
+    const timer = setTimeout(
+      () => socket.terminate(),
+      identities.HANDSHAKE_TIMEOUT_MS,
+    );
+    socket.on("error", (error) => {
+      this.#log.warn(
+        `mesh connection from ${request.socket.remoteAddress}: ${error.message}`,
+      );
+    });
+    socket.send(
+      connections.encodeFrame({ type: "challenge", nonce: serverNonce }),
+    );
+    socket.once("message", (data) => {
+      clearTimeout(timer);
+      const frame = connections.decodeFrame(connections.toBytes(data));
+      if (frame?.type !== "hello" || !this.#isGenuine(frame, serverNonce)) {
+        this.#log.warn(
+          `mesh: refused a peer at ${request.socket.remoteAddress}: no valid proof`,
+        );
+        socket.close(CLOSE_POLICY, "not authenticated");
+        return;
+      }
+      this.#welcome(socket, frame, serverNonce);
+    });
+  }
+
+  #isGenuine(hello: frames.FrameOf<"hello">, serverNonce: string): boolean {
+    return hello.protocol === frames.PROTOCOL_VERSION &&
+      handshake.isProofValid(hello.proof, {
+        secret: this.#identity.secret,
+        side: "client",
+        clientNonce: hello.nonce,
+        serverNonce,
+        processId: hello.processId,
+      });
+  }
+
+  #welcome(
+    socket: ws.WebSocket,
+    hello: frames.FrameOf<"hello">,
+    serverNonce: string,
+  ): void {
+    const { processId, incarnation, dataCentre, secret } = this.#identity;
+    const proof = handshake.computeProof({
+      secret,
+      side: "server",
+      clientNonce: hello.nonce,
+      serverNonce,
+      processId,
+    });
+    socket.send(
+      connections.encodeFrame({
+        type: "welcome",
+        processId,
+        incarnation,
+        dataCentre,
+        proof,
+      }),
+    );
+    const connection = new connections.MeshConnection(
+      socket,
+      hello,
+      this.#listener,
+    );
+    this.#connections.add(connection);
+    socket.on("close", () => this.#connections.delete(connection));
+    this.#listener.onOpen(connection);
+  }
+}
--- /dev/null
+++ b/packages/platform/src/keys.ts
@@ -0,0 +1,31 @@
+/** The keys that the system uses in the store. */
+const ROOT = "jackdawbank/";
+
+export const BUNDLE_KEY = `${ROOT}bundle`;
+export const BILL_CELL_PREFIX = `${ROOT}bills/`;
+export const KEYED_BILL_CELL_PREFIX = `${ROOT}keyed-bills/`;
+
+const NUMBER_DIGITS = 12;
+
+/** Where a claim journal keeps its segments and snapshot. */
+export interface JournalName {
+  readonly service: string;
+  readonly partition: number;
+}
+
+export function nameSegmentKey(journal: JournalName, number: number): string {
+  const digits = String(number).padStart(NUMBER_DIGITS, "0");
+  return `${ROOT}claims/${journal.service}/${journal.partition}/${digits}`;
+}
+
+export function nameSnapshotKey(journal: JournalName): string {
+  return `${ROOT}claims/${journal.service}/${journal.partition}/snapshot`;
+}
+
+export function nameBillCellKey(cell: string): string {
+  return `${BILL_CELL_PREFIX}${cell}`;
+}
+
+export function nameKeyedBillCellKey(partition: number): string {
+  return `${KEYED_BILL_CELL_PREFIX}${partition}`;
+}
--- /dev/null
+++ b/packages/platform/src/mod.ts
@@ -0,0 +1,6 @@
+/** Clients for the platform's services. */
+export * from "./etcd_store.ts";
+export * from "./keys.ts";
+export * from "./merge.ts";
+export * from "./store.ts";
+export * from "./vm_list.ts";
--- /dev/null
+++ b/packages/upstream/src/http_backends.ts
@@ -0,0 +1,289 @@
+/** Upstreams over HTTP: model engines with the OpenAI-style API, and plain services. */
+import * as kernel from "@jackdawbank/kernel";
+import * as mesh from "@jackdawbank/mesh";
+import * as eventsourceParser from "eventsource-parser";
+import * as neverthrow from "neverthrow";
+import * as undici from "undici";
+import * as z from "zod";
+import type * as backends from "./backend.ts";
+
+const STATE_TIMEOUT_MS = 1_000;
+const MAX_WHOLE_ANSWER_BYTES = 32 * 1_048_576;
+const SUCCESS_FROM = 200;
+const SUCCESS_TO = 299;
+const NO_USAGE: mesh.Usage = { promptTokens: 0, completionTokens: 0 };
+
+const stateSchema = z.object({
+  serves: z.array(z.string()).readonly(),
+  capacity: z.int().min(0),
+});
+const usageSchema = z.object({
+  usage: z.object({
+    prompt_tokens: z.int().min(0),
+    completion_tokens: z.int().min(0),
+  }).nullish(),
+  choices: z.array(z.unknown()).optional(),
+});
+
+function isSuccess(status: number): boolean {
+  return status >= SUCCESS_FROM && status <= SUCCESS_TO;
+}
+
+function readUsage(data: unknown): mesh.Usage | undefined {
+  const parsed = usageSchema.safeParse(data);
+  const usage = parsed.success ? parsed.data.usage : undefined;
+  if (usage === undefined || usage === null) return undefined;
+  return {
+    promptTokens: usage.prompt_tokens,
+    completionTokens: usage.completion_tokens,
+  };
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Tells a connection that was never made from one that broke. */
+function describeFailure(
+  thrown: unknown,
+  signal: AbortSignal,
+): kernel.AppError {
+  if (signal.aborted) {
+    return kernel.makeError("cancelled", "the work was cancelled");
+  }
+  const code = thrown instanceof Error && "code" in thrown
+    ? String(thrown.code)
+    : "";
+  const isUnreached = code === "ECONNREFUSED" ||
+    code === "UND_ERR_CONNECT_TIMEOUT";
+  const kind = isUnreached ? "upstream-unreachable" : "upstream-failed";
+  return kernel.makeError(kind, kernel.describeThrown(thrown));
+}
+
+async function sendInChunks(
+  data: Uint8Array,
+  sink: backends.AnswerSink,
+): Promise<void> {
+  for (let from = 0; from < data.byteLength; from += mesh.MAX_CHUNK_BYTES) {
+    await sink.onChunk(data.subarray(from, from + mesh.MAX_CHUNK_BYTES));
+  }
+}
+
+async function readState(
+  client: undici.Pool,
+): Promise<kernel.Outcome<backends.BackendState>> {
+  try {
+    const response = await client.request({
+      method: "GET",
+      path: "/state",
+      signal: AbortSignal.timeout(STATE_TIMEOUT_MS),
+    });
+    const parsed = stateSchema.safeParse(await response.body.json());
+    if (parsed.success) return neverthrow.ok(parsed.data);
+    return kernel.fail(
+      "upstream-failed",
+      "the upstream's state does not have the expected form",
+    );
+  } catch (thrown) {
+    return kernel.fail("upstream-unreachable", kernel.describeThrown(thrown));
+  }
+}
+
+/** A model engine. */
+export class ModelEngine implements backends.Backend {
+  readonly #client: undici.Pool;
+
+  constructor(url: string) {
+    this.#client = new undici.Pool(url, { connections: null, pipelining: 1 });
+  }
+
+  readState(): Promise<kernel.Outcome<backends.BackendState>> {
+    return readState(this.#client);
+  }
+
+  async run(
+    work: backends.BackendWork,
+    sink: backends.AnswerSink,
+  ): Promise<kernel.Outcome<mesh.Usage>> {
+    const { call } = work;
+    kernel.invariant(
+      call.type === "model",
+      "a model engine runs model calls only",
+    );
+    const body = this.#prepareBody(call, work.body);
+    if (body === undefined) {
+      return kernel.fail("bad-request", "the body is not a JSON object");
+    }
+    try {
+      const response = await this.#client.request({
+        method: "POST",
+        path: "/v1/chat/completions",
+        body,
+        headers: {
+          "content-type": "application/json",
+          "x-request-id": work.requestId,
+          "x-priority": String(work.priority),
+        },
+        signal: work.signal,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      const contentType = String(
+        response.headers["content-type"] ?? "application/json",
+      );
+      sink.onHead(response.statusCode, { "content-type": contentType });
+      const isStream = call.isStreamed && isSuccess(response.statusCode);
+      return isStream
+        ? await this.#forwardStream(response.body, call, sink)
+        : await this.#forwardWhole(response.body, sink);
+    } catch (thrown) {
+      return neverthrow.err(describeFailure(thrown, work.signal));
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.#client.destroy();
+  }
+
+  #prepareBody(
+    call: Extract<mesh.WorkCall, { type: "model" }>,
+    body: Uint8Array,
+  ): string | undefined {
+    const request = parseJson(Buffer.from(body).toString());
+    if (typeof request !== "object" || request === null) return undefined;
+    const options = call.isStreamed
+      ? { stream_options: { include_usage: true } }
+      : {};
+    return JSON.stringify({
+      ...request,
+      ...options,
+      model: `${call.model}@${call.version}`,
+    });
+  }
+
+  async #forwardWhole(
+    body: undici.Dispatcher.ResponseData["body"],
+    sink: backends.AnswerSink,
+  ): Promise<kernel.Outcome<mesh.Usage>> {
+    const data = await body.bytes();
+    if (data.byteLength > MAX_WHOLE_ANSWER_BYTES) {
+      return kernel.fail("upstream-failed", "the answer is too large");
+    }
+    await sendInChunks(data, sink);
+    return neverthrow.ok(
+      readUsage(parseJson(Buffer.from(data).toString())) ?? NO_USAGE,
+    );
+  }
+
+  /** Forwards events one by one; the end marker is left to the final frame. */
+  async #forwardStream(
+    body: undici.Dispatcher.ResponseData["body"],
+    call: Extract<mesh.WorkCall, { type: "model" }>,
+    sink: backends.AnswerSink,
+  ): Promise<kernel.Outcome<mesh.Usage>> {
+    const events: string[] = [];
+    const parser = eventsourceParser.createParser({
+      onEvent: (event) => events.push(event.data),
+    });
+    const decoder = new TextDecoder();
+    let usage = NO_USAGE;
+    for await (const chunk of body) {
+      parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+      for (const data of events.splice(0)) {
+        if (data === "[DONE]") return neverthrow.ok(usage);
+        const parsed = data.includes('"usage"') ? parseJson(data) : undefined;
+        usage = readUsage(parsed) ?? usage;
+        if (isUsageOnly(parsed) && !call.wantsUsage) continue;
+        await sendInChunks(Buffer.from(`data: ${data}\n\n`), sink);
+      }
+    }
+    return kernel.fail(
+      "answer-incomplete",
+      "the stream ended without its end marker",
+    );
+  }
+}
+
+/** The extra event that carries nothing but the usage. */
+function isUsageOnly(data: unknown): boolean {
+  const parsed = usageSchema.safeParse(data);
+  return parsed.success && parsed.data.choices?.length === 0;
+}
+
+const HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "transfer-encoding",
+  "content-length",
+  "host",
+  "upgrade",
+  "te",
+  "trailer",
+  "proxy-connection",
+]);
+
+function pickHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Readonly<Record<string, string>> {
+  const entries = Object.entries(headers).flatMap(([name, value]) =>
+    value === undefined || HOP_HEADERS.has(name)
+      ? []
+      : [[name, String(value)] as const]
+  );
+  return Object.fromEntries(entries);
+}
+
+/** A plain service, such as ordering. */
+export class PlainService implements backends.Backend {
+  readonly #client: undici.Pool;
+  readonly #name: string;
+
+  constructor(url: string, name: string) {
+    this.#client = new undici.Pool(url, { connections: null, pipelining: 1 });
+    this.#name = name;
+  }
+
+  async readState(): Promise<kernel.Outcome<backends.BackendState>> {
+    const state = await readState(this.#client);
+    return state.map((read) => ({ ...read, serves: [this.#name] }));
+  }
+
+  async run(
+    work: backends.BackendWork,
+    sink: backends.AnswerSink,
+  ): Promise<kernel.Outcome<mesh.Usage>> {
+    const { call } = work;
+    kernel.invariant(
+      call.type === "service",
+      "a plain service runs service calls only",
+    );
+    try {
+      const response = await this.#client.request({
+        method: call.method as undici.Dispatcher.HttpMethod,
+        path: call.path,
+        body: work.body.byteLength === 0 ? null : work.body,
+        headers: { ...call.headers, "x-request-id": work.requestId },
+        signal: work.signal,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        // A call that may not be repeated is not repeated by the client either.
+        idempotent: false,
+      });
+      sink.onHead(response.statusCode, pickHeaders(response.headers));
+      for await (const chunk of response.body) {
+        await sendInChunks(chunk as Uint8Array, sink);
+      }
+      return neverthrow.ok(NO_USAGE);
+    } catch (thrown) {
+      return neverthrow.err(describeFailure(thrown, work.signal));
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.#client.destroy();
+  }
+}
--- /dev/null
+++ b/packages/upstream/src/mod.ts
@@ -0,0 +1,236 @@
+/** The upstream role: one process beside one upstream, and the only one that speaks to it. */
+import * as admin from "@jackdawbank/admin";
+import * as billing from "@jackdawbank/billing";
+import type * as config from "@jackdawbank/config";
+import * as kernel from "@jackdawbank/kernel";
+import * as mesh from "@jackdawbank/mesh";
+import * as neverthrow from "neverthrow";
+import type * as platform from "@jackdawbank/platform";
+import type * as backends from "./backend.ts";
+import * as gates from "./gate.ts";
+import * as peerTasks from "./peers.ts";
+import * as pinTables from "./pins.ts";
+
+export * from "./backend.ts";
+export * from "./claim_task.ts";
+export * from "./gate.ts";
+export * from "./http_backends.ts";
+export * from "./peers.ts";
+export * from "./pins.ts";
+
+const STATE_INTERVAL_MS = 250;
+const FIRST_SETTLE_TIMEOUT_MS = 3_000;
+
+/** What the role needs from its process. */
+export interface UpstreamOptions {
+  readonly holder: config.BundleHolder;
+  readonly store: platform.Store;
+  readonly backend: backends.Backend;
+  readonly type: "model" | "service";
+  readonly identity: mesh.MeshIdentity;
+  readonly listen: { readonly host: string; readonly port: number };
+  readonly drainTimeoutMs: number;
+}
+
+/** The running role. */
+export interface UpstreamRole {
+  readonly meshPort: number;
+  readonly gate: gates.Gate;
+}
+
+/** Starts the role on a kernel; its tear-down is kept there. */
+export async function registerUpstream(
+  host: kernel.Kernel,
+  options: UpstreamOptions,
+): Promise<kernel.Outcome<UpstreamRole>> {
+  const { services } = host;
+  const { holder, store, backend, identity } = options;
+  const pins = new pinTables.PinTable();
+  const witness = new billing.BillWitness(services, store);
+  const bound: { server?: mesh.MeshServer } = {};
+  const none: ReadonlySet<mesh.MeshConnection> = new Set();
+  const peers: peerTasks.Peers = new peerTasks.Peers(services, {
+    holder,
+    connections: () => bound.server?.connections ?? none,
+    readStatus: () => gate.buildStatus(identity.dataCentre),
+  });
+  const gate: gates.Gate = new gates.Gate(services, {
+    holder,
+    peers,
+    backend,
+    store,
+    type: options.type,
+  });
+  const listener = createListener(services, {
+    gate,
+    peers,
+    pins,
+    witness,
+    holder,
+  });
+  const listened = await mesh.MeshServer.listen(options.listen, identity, {
+    listener,
+    log: services.log,
+  });
+  if (listened.isErr()) return neverthrow.err(listened.error);
+  const server = listened.value;
+  bound.server = server;
+  const poll = startStatePoll({ backend, gate, peers, log: services.log });
+  host.addTeardown(kernel.composeTeardowns(
+    () => server.close(),
+    () => backend.close(),
+    () => witness.close(),
+    () => gate.close(),
+    () => peers.close(),
+    poll,
+    registerCommands(host, {
+      gate,
+      peers,
+      witness,
+      drainTimeoutMs: options.drainTimeoutMs,
+    }),
+  ));
+  return neverthrow.ok({ meshPort: server.port, gate });
+}
+
+function startStatePoll(parts: {
+  readonly backend: backends.Backend;
+  readonly gate: gates.Gate;
+  readonly peers: peerTasks.Peers;
+  readonly log: kernel.Logger;
+}): kernel.Teardown {
+  const abort = new AbortController();
+  const poll = async () => {
+    while (!abort.signal.aborted) {
+      const state = await parts.backend.readState();
+      const next = state.unwrapOr({ serves: [], capacity: 0 });
+      if (parts.gate.replaceState(next)) parts.peers.notify();
+      await kernel.sleep(STATE_INTERVAL_MS, abort.signal);
+    }
+  };
+  void poll();
+  return () => abort.abort();
+}
+
+interface ListenerParts {
+  readonly gate: gates.Gate;
+  readonly peers: peerTasks.Peers;
+  readonly pins: pinTables.PinTable;
+  readonly witness: billing.BillWitness;
+  readonly holder: config.BundleHolder;
+}
+
+function createListener(
+  services: kernel.KernelServices,
+  parts: ListenerParts,
+): mesh.ConnectionListener {
+  const { gate, peers, witness } = parts;
+  return {
+    onOpen(connection) {
+      services.timeline.record("mesh.opened", {
+        target: connection.peer.processId,
+      });
+      witness.noteOpen(connection.peer.incarnation);
+      connection.send({ type: "notice", view: peers.buildView() });
+    },
+    onFrame(connection, frame) {
+      takeFrame({ connection, frame, parts });
+    },
+    onClose(connection) {
+      services.timeline.record("mesh.closed", {
+        target: connection.peer.processId,
+      });
+      gate.dropConnection(connection);
+      witness.noteGone(connection.peer.incarnation);
+    },
+  };
+}
+
+function takeFrame(input: {
+  readonly connection: mesh.MeshConnection;
+  readonly frame: mesh.Frame;
+  readonly parts: ListenerParts;
+}): void {
+  const { connection, frame, parts } = input;
+  const { gate, peers, pins, witness, holder } = parts;
+  switch (frame.type) {
+    case "ping":
+      return peers.takePing(connection, frame);
+    case "pong":
+      return peers.takePong(connection, frame);
+    case "notice":
+      return peers.compareRevision(connection, frame.view.revision);
+    case "bundle":
+      holder.offer(frame.signed, "peer");
+      return;
+    case "pull":
+      return peers.sendBundle(connection);
+    case "marked":
+      gate.startLeaving("marked by the VM list");
+      return peers.notify();
+    case "work":
+      void gate.takeWork(connection, frame);
+      return;
+    case "commit":
+      return gate.takeCommit(frame.attemptId);
+    case "cancel":
+      return gate.cancel(frame.attemptId);
+    case "credit":
+      return gate.takeCredit(frame.attemptId, frame.frames);
+    case "bill":
+      return witness.keep(frame.bill);
+    case "stored":
+      return witness.drop(frame);
+    case "pin": {
+      const held = pins.register(frame.sessionId, frame);
+      const { birthRevision, excluded } = held;
+      connection.send({
+        type: "pinned",
+        nonce: frame.nonce,
+        birthRevision,
+        excluded,
+      });
+      return;
+    }
+    default:
+      return;
+  }
+}
+
+function registerCommands(
+  host: kernel.Kernel,
+  parts: {
+    readonly gate: gates.Gate;
+    readonly peers: peerTasks.Peers;
+    readonly witness: billing.BillWitness;
+    readonly drainTimeoutMs: number;
+  },
+): kernel.Teardown {
+  const { gate, peers, witness } = parts;
+  const drain = async () => {
+    await gate.waitIdle(parts.drainTimeoutMs);
+    const settled = witness.settle((cell) => cell.goneAtMs !== undefined);
+    await Promise.race([settled, kernel.sleep(FIRST_SETTLE_TIMEOUT_MS)]);
+  };
+  return kernel.composeTeardowns(
+    host.registerCommand(admin.DRAIN, (command) => {
+      gate.startLeaving(command.reason);
+      peers.notify();
+      command.wait(drain());
+      return false;
+    }),
+    host.registerCommand(admin.COLLECT_STATUS, (command) => {
+      command.add("gate", {
+        ...gate.buildStatus(""),
+        handOvers: gate.handOvers,
+        claimWrites: gate.claimWrites,
+        heldBills: witness.size,
+      });
+      return false;
+    }),
+    host.registerCommand(admin.COLLECT_READINESS, (command) => {
+      if (gate.isLeaving) command.block("leaving");
+      return false;
+    }),
+  );
+}
