--- a/packages/decisions/src/claims.ts
+++ b/packages/decisions/src/claims.ts
@@ -28,16 +28,18 @@
     readonly bodyHash: string;
     readonly atMs: number;
     readonly claimId: string;
+    /** A claim that was never committed, which this one takes the place of. */
+    readonly replaces?: string | undefined;
   }
   | {
     readonly type: "release";
     readonly key: string;
-    readonly claimant: string;
+    readonly claimId: string;
   }
   | {
     readonly type: "done";
     readonly key: string;
-    readonly claimant: string;
+    readonly claimId: string;
     readonly answer: KeptAnswer;
   };
 
@@ -54,7 +56,6 @@
 export interface ClaimEntry {
   readonly key: string;
   readonly bodyHash: string;
-  readonly claimant: string;
   readonly claimId: string;
   readonly atMs: number;
   readonly state: "claimed" | "done" | "released";
@@ -243,13 +244,8 @@
     const key = this.#running.get(claimId);
     if (key === undefined) return [];
     this.#running.delete(claimId);
-    const record: ClaimRecord = {
-      type: "done",
-      key,
-      claimant: this.#options.ownerId,
-      answer,
-    };
-    this.#apply(record, this.#options.ownerId);
+    const record: ClaimRecord = { type: "done", key, claimId, answer };
+    this.#apply(record);
     this.#queued.push(record);
     const replays = this.#takeWaiters(key).map((waiter): ClaimEffect =>
       waiter.bodyHash === this.#entries.get(key)?.bodyHash
@@ -281,12 +277,8 @@
     nowMs: number,
   ): readonly ClaimEffect[] {
     this.#running.delete(claimId);
-    const record: ClaimRecord = {
-      type: "release",
-      key,
-      claimant: this.#options.ownerId,
-    };
-    this.#apply(record, this.#options.ownerId);
+    const record: ClaimRecord = { type: "release", key, claimId };
+    this.#apply(record);
     this.#queued.push(record);
     this.#pending.push(...this.#takeWaiters(key));
     return this.#advance(nowMs);
@@ -404,6 +396,9 @@
         bodyHash: claim.bodyHash,
         atMs: nowMs,
         claimId: claim.claimId,
+        replaces: claim.voided.find((voided) =>
+          voided === this.#entries.get(claim.key)?.claimId
+        ),
       })),
     ];
     const segment = {
@@ -595,19 +590,13 @@
     this.#phase = "snapshotting";
     const snapshot = {
       number: this.#next - 1,
-      entries: this.#listDurableEntries(),
+      entries: [...this.#entries.values()],
+    };
+    return {
+      type: "store-snapshot",
+      snapshot,
+      removable: [...this.#removable],
     };
-    return { type: "store-snapshot", snapshot, removable: this.#removable };
-  }
-
-  /** Facts that wait to be appended may not be in a snapshot of what is stored. */
-  #listDurableEntries(): readonly ClaimEntry[] {
-    const undone = new Set(this.#queued.map((record) => record.key));
-    return [...this.#entries.values()].map((entry) =>
-      undone.has(entry.key)
-        ? { ...entry, state: "claimed" as const, answer: undefined }
-        : entry
-    );
   }
 
   #continueSnapshotStore(
@@ -624,7 +613,7 @@
   }
 
   #applySegment(segment: Segment): void {
-    for (const record of segment.records) this.#apply(record, segment.ownerId);
+    for (const record of segment.records) this.#apply(record);
     if (this.#voidedBatches.has(segment.batchId)) this.#releaseVoided(segment);
     const isOwnAppend = this.#isOwner && !segment.isOpening &&
       segment.ownerId === this.#options.ownerId;
@@ -636,32 +625,31 @@
   #releaseVoided(segment: Segment): void {
     for (const record of segment.records) {
       if (record.type !== "claim") continue;
-      const release: ClaimRecord = {
-        type: "release",
-        key: record.key,
-        claimant: this.#options.ownerId,
-      };
-      this.#apply(release, this.#options.ownerId);
+      if (this.#entries.get(record.key)?.claimId !== record.claimId) continue;
+      const { key, claimId } = record;
+      const release: ClaimRecord = { type: "release", key, claimId };
+      this.#apply(release);
       this.#queued.push(release);
     }
   }
 
-  #apply(record: ClaimRecord, ownerId: string): void {
+  #apply(record: ClaimRecord): void {
+    const entry = this.#entries.get(record.key);
     if (record.type === "claim") {
       const { key, bodyHash, atMs, claimId } = record;
+      // A void opening may hold claims that were made without knowing earlier ones.
+      if (entry !== undefined && !this.#isReplaceable(entry, record)) return;
       this.#entries.set(key, {
         key,
         bodyHash,
         atMs,
         claimId,
-        claimant: ownerId,
         state: "claimed",
         answer: undefined,
       });
       return;
     }
-    const entry = this.#entries.get(record.key);
-    if (entry === undefined || entry.claimant !== record.claimant) return;
+    if (entry === undefined || entry.claimId !== record.claimId) return;
     if (entry.state !== "claimed") return;
     this.#entries.set(
       record.key,
@@ -670,4 +658,13 @@
         : { ...entry, state: "released" },
     );
   }
+
+  #isReplaceable(
+    entry: ClaimEntry,
+    claim: Extract<ClaimRecord, { type: "claim" }>,
+  ): boolean {
+    if (entry.state === "released") return true;
+    if (entry.state === "done") return this.#isExpired(entry, claim.atMs);
+    return claim.replaces === entry.claimId;
+  }
 }
--- a/packages/upstream/src/claim_task.ts
+++ b/packages/upstream/src/claim_task.ts
@@ -21,16 +21,17 @@
     bodyHash: z.string(),
     atMs: z.number(),
     claimId: z.string(),
+    replaces: z.string().optional(),
   }),
   z.object({
     type: z.literal("release"),
     key: z.string(),
-    claimant: z.string(),
+    claimId: z.string(),
   }),
   z.object({
     type: z.literal("done"),
     key: z.string(),
-    claimant: z.string(),
+    claimId: z.string(),
     answer: answerSchema,
   }),
 ]);
@@ -45,7 +46,6 @@
   entries: z.array(z.object({
     key: z.string(),
     bodyHash: z.string(),
-    claimant: z.string(),
     claimId: z.string(),
     atMs: z.number(),
     state: z.enum(["claimed", "done", "released"]),
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -139,7 +139,7 @@
   ): Promise<void> {
     const work = this.#openWork(connection, frame);
     if (!await this.#alignRevision(work)) return;
-    const refusal = this.#check(work);
+    const refusal = await this.#checkFresh(work);
     if (refusal !== undefined) {
       this.#refuse(work, refusal);
       return;
@@ -206,6 +206,14 @@
     return false;
   }
 
+  /** Before a stale view refuses work, the entries are asked once. */
+  async #checkFresh(work: ActiveWork): Promise<kernel.ErrorKind | undefined> {
+    const refusal = this.#check(work);
+    if (refusal !== "stale-configuration") return refusal;
+    await this.#options.peers.confirmNow(CONFIRM_TIMEOUT_MS);
+    return this.#check(work);
+  }
+
   #check(work: ActiveWork): kernel.ErrorKind | undefined {
     const { call, account } = work.frame;
     const { deadlineAtMs } = work;
