--- /dev/null
+++ b/packages/bench/src/ctl_test.ts
@@ -0,0 +1,198 @@
+/** The operators' client as a program: output, exit codes, key files. */
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as ava from "ava";
+import type * as deployments from "./deployment.ts";
+import * as fixtures from "./fixture.ts";
+import * as processes from "./processes.ts";
+
+const test = ava.default;
+
+function makeFolder(t: fixtures.TearDownContext): string {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "jackdaw-ctl-"));
+  t.teardown(() => Promise.resolve(fs.rmSync(folder, { recursive: true })));
+  return folder;
+}
+
+function run(...args: readonly string[]): Promise<processes.ProgramOutput> {
+  return processes.runProgram("jackdawctl", args);
+}
+
+function storeArgs(deployment: deployments.Deployment): readonly string[] {
+  return ["--store", deployment.storeUrl, "--signers", deployment.signerKey];
+}
+
+function writeKey(deployment: deployments.Deployment, folder: string): string {
+  const file = path.join(folder, "key.pem");
+  fs.writeFileSync(file, deployment.privateKeyPem, { mode: 0o600 });
+  return file;
+}
+
+test("keys are written with mode 600, never over another file, and refused when others may read them", async (t) => {
+  const folder = makeFolder(t);
+  const file = path.join(folder, "key.pem");
+  const created = await run("key", "new", file, "--json");
+  t.is(created.code, 0);
+  const { publicKey } = JSON.parse(created.stdout) as { publicKey: string };
+  t.true(publicKey.length > 40);
+  t.is(fs.statSync(file).mode & 0o777, 0o600);
+  t.is((await run("key", "new", file)).code, 2);
+  const bundleFile = path.join(folder, "bundle.yaml");
+  fs.writeFileSync(bundleFile, "format: 1\nrevision: 1\nbaseRevision: 0\n");
+  fs.chmodSync(file, 0o644);
+  const refused = await run("bundle", "sign", bundleFile, "--key", file);
+  t.is(refused.code, 2);
+  t.regex(refused.stderr, /mode to 600/);
+  fs.chmodSync(file, 0o600);
+  t.is((await run("bundle", "sign", bundleFile, "--key", file)).code, 0);
+});
+
+test("bundle check names the place and the reason of every fault", async (t) => {
+  const file = path.join(makeFolder(t), "bundle.yaml");
+  fs.writeFileSync(
+    file,
+    [
+      "format: 1",
+      "revision: 5",
+      "baseRevision: 1",
+      "models:",
+      "  - name: small",
+      "    versions:",
+      "      - { version: v1, state: serving }",
+      "    rollout:",
+      "      - { sinceRevision: 1, sharesPercent: { v1: 40, v9: 20 } }",
+      "accounts:",
+      "  - name: lodge",
+      `    keysSha256: [${"a".repeat(64)}]`,
+      "    models: [{ model: other }]",
+    ].join("\n"),
+  );
+  const checked = await run("bundle", "check", file);
+  t.is(checked.code, 2);
+  const faults = checked.stderr.trim().split("\n").map((line) =>
+    line.replace(/.*bundle\.yaml:/, "")
+  );
+  t.deepEqual(faults, [
+    "2:11 revision: must be baseRevision + 1, which is 2",
+    "1:1 baseDigest: is needed when baseRevision is above 0",
+    "9:58 models.0.rollout.0.sharesPercent.v9: unknown version 'v9'",
+    "9:44 models.0.rollout.0.sharesPercent: shares sum to 60, not to 100",
+    "13:23 accounts.0.models.0.model: unknown model 'other'",
+  ]);
+  fs.writeFileSync(file, "format: [1\nrevision: x");
+  t.is((await run("bundle", "check", file)).code, 2);
+  t.is((await run("bundle", "check", path.join(file, "none"))).code, 2);
+});
+
+test("new, diff, sign, roll, status, withdraw, timeline and usage work as programs", async (t) => {
+  const deployment = await fixtures.startFor(
+    t,
+    fixtures.buildSmallPlan({
+      upstreams: [{
+        id: "model-b",
+        dataCentre: "bkk-b",
+        engine: { serves: ["verse-large@v1", "verse-large@v2"] },
+      }],
+    }),
+  );
+  const folder = makeFolder(t);
+  const key = writeKey(deployment, folder);
+  const store = storeArgs(deployment);
+  const file = path.join(folder, "bundle.yaml");
+  const signed = path.join(folder, "signed.json");
+  t.is((await run("bundle", "new", ...store, "--out", file)).code, 0);
+  fs.appendFileSync(file, "comment: by hand\n");
+  const diff = await run("bundle", "diff", file, ...store, "--json");
+  const changes = JSON.parse(diff.stdout) as readonly { path: string }[];
+  t.true(changes.some((change) => change.path === "comment"));
+  t.is(
+    (await run("bundle", "sign", file, "--key", key, "--out", signed)).code,
+    0,
+  );
+  const vmList = ["--vm-list", deployment.vmListUrl];
+  const rolled = await run(
+    "bundle",
+    "roll",
+    signed,
+    ...store,
+    ...vmList,
+    "--json",
+  );
+  t.is(rolled.code, 0);
+  t.is((JSON.parse(rolled.stdout) as { revision: number }).revision, 2);
+  t.is(
+    (await run("bundle", "roll", signed, ...store)).code,
+    0,
+    "rolling it again changes nothing",
+  );
+  const withdrawn = await run(
+    "version",
+    "withdraw",
+    "verse-large",
+    "v2",
+    "--key",
+    key,
+    ...store,
+    ...vmList,
+  );
+  t.is(withdrawn.code, 0);
+  const late = await run("bundle", "roll", signed, ...store);
+  t.is(
+    late.code,
+    0,
+    "it was accepted, and replaced by one that names it as its base",
+  );
+  await deployment.waitForRevision(3);
+  const status = await run("bundle", "status", ...vmList, "--json");
+  const rows = JSON.parse(status.stdout) as readonly { revision: number }[];
+  t.deepEqual(rows.map((row) => row.revision), [3, 3]);
+  const caller = fixtures.callFor(t, deployment);
+  const answer = await caller.chat({ model: "verse-large" });
+  t.is(answer.headers["x-jackdaw-version"], "verse-large@v1");
+  const requestId = answer.headers["x-jackdaw-request-id"] ?? "";
+  const timeline = await run("timeline", ...vmList, "--request", requestId);
+  t.is(timeline.stdout.trim().split("\n").length, 4);
+  await processes.waitFor(
+    "it is billed",
+    async () => await deployment.countBilled() === 1,
+  );
+  const usage = await run("usage", "--store", deployment.storeUrl, "--json");
+  t.is((JSON.parse(usage.stdout) as readonly unknown[]).length, 1);
+});
+
+test("conflicts exit with 3 and name the winner, an unreachable store with 4", async (t) => {
+  const deployment = await fixtures.startFor(t, fixtures.buildSmallPlan());
+  const folder = makeFolder(t);
+  const store = storeArgs(deployment);
+  const loser = await deployment.next((content) => ({
+    ...content,
+    comment: "loser",
+  }));
+  const winner = await deployment.next((content) => ({
+    ...content,
+    comment: "winner",
+  }));
+  (await deployment.roll(winner))._unsafeUnwrap();
+  const signed = path.join(folder, "loser.json");
+  fs.writeFileSync(signed, JSON.stringify(deployment.sign(loser)));
+  const conflict = await run("bundle", "roll", signed, ...store);
+  t.is(conflict.code, 3);
+  t.regex(conflict.stderr, /in force is revision 2, signed by/);
+  await deployment.controlStore({ mode: "down" });
+  const down = await run(
+    "bundle",
+    "roll",
+    signed,
+    ...store,
+    "--timeout-ms",
+    "700",
+  );
+  t.is(down.code, 4);
+  t.regex(down.stderr, /nothing was written/);
+  t.is((await run("usage", "--store", deployment.storeUrl)).code, 4);
+  t.is(
+    (await run("bundle", "status", "--vm-list", "http://127.0.0.1:9")).code,
+    4,
+  );
+});
--- a/packages/bench/src/session_test.ts
+++ b/packages/bench/src/session_test.ts
@@ -1,7 +1,9 @@
 /** The whole path through separate processes. */
 import * as ava from "ava";
+import * as openai from "openai";
 import * as callers from "./caller.ts";
 import * as deployments from "./deployment.ts";
+import * as fixtures from "./fixture.ts";
 
 const test = ava.default;
 
@@ -28,3 +30,42 @@
   t.is(await deployment.countBilled(), 3);
   t.deepEqual([...await deployment.countOrderRuns()], [["order-1", 1]]);
 });
+
+test("an unmodified OpenAI client lists models and chats, whole and streamed", async (t) => {
+  const deployment = await fixtures.startFor(t);
+  const client = new openai.OpenAI({
+    baseURL: `${deployment.entryUrl("entry-a")}/v1`,
+    apiKey: deployments.ACCOUNT_KEYS.counter,
+    maxRetries: 0,
+  });
+  const models = (await client.models.list()).data.map((model) => model.id);
+  t.deepEqual(models, ["verse-small", "verse-large", "verse"]);
+  const messages = [{ role: "user" as const, content: "a verse" }];
+  const whole = await client.chat.completions.create({
+    model: "verse-small",
+    messages,
+  });
+  t.true(
+    whole.choices[0]?.message.content?.startsWith("a verse:verse-small@v1"),
+  );
+  t.is(whole.usage?.completion_tokens, 8);
+  const stream = await client.chat.completions.create({
+    model: "verse-large",
+    messages,
+    stream: true,
+    stream_options: { include_usage: true },
+  });
+  let text = "";
+  let completionTokens = 0;
+  for await (const chunk of stream) {
+    text += chunk.choices[0]?.delta.content ?? "";
+    completionTokens = chunk.usage?.completion_tokens ?? completionTokens;
+  }
+  t.true(text.startsWith("a verse:verse-large@"));
+  t.is(completionTokens, 8);
+  const error = await t.throwsAsync(
+    client.chat.completions.create({ model: "none", messages }),
+    { instanceOf: openai.NotFoundError },
+  );
+  t.is(error.code, "unknown-model");
+});
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -160,21 +160,20 @@
       member.endedWork += 1;
     });
     const revision = this.#options.holder.revision;
-    const isSent = member.connection.send({
-      type: "work",
-      attemptId,
-      revision,
-      ...work,
-    });
-    if (!isSent) return undefined;
-    member.sentWork += 1;
-    this.#attempts.set(attemptId, attempt);
+    // Recorded first, so that the receiver's events come after it.
     this.#services.timeline.record("attempt.sent", {
       requestId: work.requestId,
       attemptId,
       target: processId,
       revision,
     });
+    if (
+      !member.connection.send({ type: "work", attemptId, revision, ...work })
+    ) {
+      return undefined;
+    }
+    member.sentWork += 1;
+    this.#attempts.set(attemptId, attempt);
     return attempt;
   }
 
@@ -306,6 +305,7 @@
   #createDialer(address: string): mesh.MeshDialer {
     return new mesh.MeshDialer(address, this.#options.identity, {
       log: this.#services.log,
+      timeline: this.#services.timeline,
       random: this.#options.random,
       listener: {
         onOpen: (connection) => {
--- a/packages/mesh/src/connection.ts
+++ b/packages/mesh/src/connection.ts
@@ -1,4 +1,5 @@
 /** One authenticated connection: owns its socket, hands frames to its listener. */
+import type * as kernel from "@jackdawbank/kernel";
 import * as msgpackr from "msgpackr";
 import type * as ws from "ws";
 import * as frames from "./frames.ts";
@@ -17,6 +18,12 @@
   onClose(connection: MeshConnection, reason: string): void;
 }
 
+/** What a connection needs from its process. */
+export interface ConnectionOptions {
+  readonly listener: ConnectionListener;
+  readonly timeline: kernel.Timeline;
+}
+
 const CLOSE_POLICY = 1008;
 const packer = new msgpackr.Packr({ useRecords: false });
 
@@ -44,10 +51,17 @@
 export class MeshConnection {
   readonly peer: Peer;
   readonly #socket: ws.WebSocket;
+  readonly #timeline: kernel.Timeline;
   #sentBytes = 0;
   #receivedBytes = 0;
 
-  constructor(socket: ws.WebSocket, peer: Peer, listener: ConnectionListener) {
+  constructor(
+    socket: ws.WebSocket,
+    peer: Peer,
+    options: ConnectionOptions,
+  ) {
+    const { listener, timeline } = options;
+    this.#timeline = timeline;
     this.#socket = socket;
     this.peer = peer;
     socket.on("message", (data) => {
@@ -58,6 +72,9 @@
         socket.close(CLOSE_POLICY, "malformed frame");
         return;
       }
+      if ("time" in frame && frame.time !== undefined) {
+        timeline.observe(frame.time);
+      }
       listener.onFrame(this, frame);
     });
     socket.on(
@@ -86,7 +103,12 @@
   /** Sends a frame; tells whether the connection was open. */
   send(frame: frames.Frame): boolean {
     if (!this.isOpen) return false;
-    const bytes = encodeFrame(frame);
+    const isStamped = frames.STAMPED_TYPES.has(frame.type);
+    const bytes = encodeFrame(
+      isStamped
+        ? { ...frame, time: this.#timeline.tick() } as frames.Frame
+        : frame,
+    );
     this.#sentBytes += bytes.byteLength;
     this.#socket.send(bytes);
     return true;
--- a/packages/mesh/src/dialer.ts
+++ b/packages/mesh/src/dialer.ts
@@ -11,8 +11,7 @@
 const CLOSE_POLICY = 1008;
 
 /** Settings of a dialer. */
-export interface DialerOptions {
-  readonly listener: connections.ConnectionListener;
+export interface DialerOptions extends connections.ConnectionOptions {
   readonly log: kernel.Logger;
   /** Uniform in [0, 1), for jitter. */
   readonly random: () => number;
@@ -88,7 +87,9 @@
       }
       this.#delayMs = FIRST_DELAY_MS;
       const { listener } = this.#options;
-      listener.onOpen(new connections.MeshConnection(socket, frame, listener));
+      listener.onOpen(
+        new connections.MeshConnection(socket, frame, this.#options),
+      );
     };
     socket.on("message", onMessage);
   }
--- a/packages/mesh/src/frames.ts
+++ b/packages/mesh/src/frames.ts
@@ -91,6 +91,11 @@
   isRepeatable: z.boolean(),
 }).readonly();
 
+const timeSchema = z.strictObject({ wallMs: z.number(), count: z.number() })
+  .readonly();
+/** Hybrid time of frames that cause events on the other side; set when they are sent. */
+const stamp = { time: timeSchema.optional() };
+
 /** Every frame by its type. */
 export const frameSchemas = {
   challenge: z.strictObject({ type: z.literal("challenge"), nonce: idSchema }),
@@ -133,6 +138,7 @@
   /** The platform's VM list marks the receiver as leaving. */
   marked: z.strictObject({ type: z.literal("marked") }),
   work: z.strictObject({
+    ...stamp,
     type: z.literal("work"),
     attemptId: idSchema,
     requestId: idSchema,
@@ -147,11 +153,17 @@
     call: z.discriminatedUnion("type", [modelWorkSchema, serviceWorkSchema]),
   }),
   reserved: z.strictObject({
+    ...stamp,
     type: z.literal("reserved"),
     attemptId: idSchema,
   }),
-  commit: z.strictObject({ type: z.literal("commit"), attemptId: idSchema }),
+  commit: z.strictObject({
+    ...stamp,
+    type: z.literal("commit"),
+    attemptId: idSchema,
+  }),
   head: z.strictObject({
+    ...stamp,
     type: z.literal("head"),
     attemptId: idSchema,
     status: z.int().min(100).max(599),
@@ -165,6 +177,7 @@
     data: bytesSchema,
   }),
   final: z.strictObject({
+    ...stamp,
     type: z.literal("final"),
     attemptId: idSchema,
     count: z.int().min(0),
@@ -172,6 +185,7 @@
     usage: usageSchema,
   }),
   refused: z.strictObject({
+    ...stamp,
     type: z.literal("refused"),
     attemptId: idSchema,
     kind: kindSchema,
@@ -208,6 +222,13 @@
   }),
 } as const;
 
+/** Types of the frames that carry a hybrid time. */
+export const STAMPED_TYPES: ReadonlySet<string> = new Set(
+  Object.entries(frameSchemas)
+    .filter(([, schema]) => "time" in schema.shape)
+    .map(([type]) => type),
+);
+
 export type FrameType = keyof typeof frameSchemas;
 
 /** A frame of one type. */
--- a/packages/mesh/src/server.ts
+++ b/packages/mesh/src/server.ts
@@ -10,30 +10,30 @@
 
 const CLOSE_POLICY = 1008;
 
+/** What a server needs from its process. */
+export interface ServerOptions extends connections.ConnectionOptions {
+  readonly log: kernel.Logger;
+}
+
 /** Listens on one address. */
 export class MeshServer {
   readonly #server: ws.WebSocketServer;
   readonly #identity: identities.MeshIdentity;
-  readonly #listener: connections.ConnectionListener;
+  readonly #options: ServerOptions;
   readonly #connections = new Set<connections.MeshConnection>();
-  readonly #log: kernel.Logger;
 
   private constructor(
     server: ws.WebSocketServer,
     identity: identities.MeshIdentity,
-    options: {
-      readonly listener: connections.ConnectionListener;
-      readonly log: kernel.Logger;
-    },
+    options: ServerOptions,
   ) {
     this.#server = server;
     this.#identity = identity;
-    this.#listener = options.listener;
-    this.#log = options.log;
+    this.#options = options;
     server.on("connection", (socket, request) => this.#accept(socket, request));
     server.on(
       "error",
-      (error) => this.#log.error(`mesh server: ${error.message}`),
+      (error) => this.#options.log.error(`mesh server: ${error.message}`),
     );
   }
 
@@ -41,10 +41,7 @@
   static listen(
     address: { readonly host: string; readonly port: number },
     identity: identities.MeshIdentity,
-    options: {
-      readonly listener: connections.ConnectionListener;
-      readonly log: kernel.Logger;
-    },
+    options: ServerOptions,
   ): Promise<kernel.Outcome<MeshServer>> {
     return new Promise((resolve) => {
       const server = new ws.WebSocketServer({
@@ -88,7 +85,7 @@
       identities.HANDSHAKE_TIMEOUT_MS,
     );
     socket.on("error", (error) => {
-      this.#log.warn(
+      this.#options.log.warn(
         `mesh connection from ${request.socket.remoteAddress}: ${error.message}`,
       );
     });
@@ -99,7 +96,7 @@
       clearTimeout(timer);
       const frame = connections.decodeFrame(connections.toBytes(data));
       if (frame?.type !== "hello" || !this.#isGenuine(frame, serverNonce)) {
-        this.#log.warn(
+        this.#options.log.warn(
           `mesh: refused a peer at ${request.socket.remoteAddress}: no valid proof`,
         );
         socket.close(CLOSE_POLICY, "not authenticated");
@@ -145,10 +142,10 @@
     const connection = new connections.MeshConnection(
       socket,
       hello,
-      this.#listener,
+      this.#options,
     );
     this.#connections.add(connection);
     socket.on("close", () => this.#connections.delete(connection));
-    this.#listener.onOpen(connection);
+    this.#options.listener.onOpen(connection);
   }
 }
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -290,6 +290,7 @@
       return;
     }
     const { body } = answer;
+    this.#record("gate.replayed", work);
     this.#end(work);
     work.sink.onHead(
       answer.status,
@@ -302,7 +303,6 @@
     void sent.then(() =>
       work.sink.sendFinal({ promptTokens: 0, completionTokens: 0 })
     );
-    this.#record("gate.replayed", work);
   }
 
   #enqueue(work: ActiveWork): void {
@@ -443,8 +443,8 @@
 
   #complete(work: ActiveWork, usage: mesh.Usage): void {
     work.claimTask?.finish(work.frame.attemptId, work.sink.buildKeptAnswer());
-    work.sink.sendFinal(usage);
     this.#record("gate.completed", work);
+    work.sink.sendFinal(usage);
     this.#end(work);
   }
 
@@ -456,13 +456,13 @@
     else claimTask?.lose(attemptId);
     const isLost = work.frame.isTwoPhase && !isUnreached;
     const kind = isLost ? "outcome-unknown" : error.kind;
+    this.#record("gate.failed", work, error.kind);
     work.connection.send({
       type: "refused",
       attemptId,
       kind,
       message: error.message,
     });
-    this.#record("gate.failed", work, error.kind);
     this.#end(work);
   }
 
@@ -470,13 +470,13 @@
     if (work.phase === "ended") return;
     const { attemptId } = work.frame;
     work.claimTask?.abandon(attemptId);
+    this.#record("gate.refused", work, kind);
     work.connection.send({
       type: "refused",
       attemptId,
       kind,
       message: REFUSAL_MESSAGE,
     });
-    this.#record("gate.refused", work, kind);
     this.#services.metrics.increment("gate.refused", { kind });
     this.#end(work);
   }
--- a/packages/upstream/src/mod.ts
+++ b/packages/upstream/src/mod.ts
@@ -73,6 +73,7 @@
   const listened = await mesh.MeshServer.listen(options.listen, identity, {
     listener,
     log: services.log,
+    timeline: services.timeline,
   });
   if (listened.isErr()) return neverthrow.err(listened.error);
   const server = listened.value;
