--- a/packages/bench/src/bundle_fault_test.ts
+++ b/packages/bench/src/bundle_fault_test.ts
@@ -21,6 +21,29 @@
   });
 }
 
+/** One gate with one slot, and a bundle that puts every session on the rolling version. */
+function buildFreezePlan(): deployments.DeploymentPlan {
+  const standard = deployments.buildStandardBundle();
+  return {
+    ...buildLargePlan(),
+    bundle: {
+      ...standard,
+      models: standard.models.map((model) =>
+        model.name !== "verse-large" ? model : {
+          ...model,
+          rollout: [{ sinceRevision: 1, sharesPercent: { v2: 100 } }],
+        }
+      ),
+    },
+    entries: [{ id: "entry-a", dataCentre: "bkk-a" }],
+    upstreams: [{
+      id: "model-b",
+      dataCentre: "bkk-b",
+      engine: { serves: LARGE, capacity: 1, firstTokenMs: 150 },
+    }],
+  };
+}
+
 /** Sends chats until told to stop; resolves with how many were answered. */
 function keepCalling(
   callers: readonly {
@@ -55,24 +78,26 @@
 }
 
 test("a withdrawal is in force everywhere although the store fails right after it", async (t) => {
-  const deployment = await fixtures.startFor(t, buildLargePlan());
+  const plan = buildLargePlan();
+  const deployment = await fixtures.startFor(t, {
+    ...plan,
+    entries: plan.entries.map((entry) => ({
+      ...entry,
+      usesSecondStorePort: true,
+    })),
+  });
   const load = keepCalling([
     fixtures.callFor(t, deployment),
     fixtures.callFor(t, deployment, { entry: "entry-b" }),
   ]);
+  // The daemons' port of the store fails first: only the client sees the acceptance.
+  await deployment.controlSecondStorePort({ mode: "down" });
   const next = await deployment.next((content) =>
     fixtures.markWithdrawn(content, WITHDRAWAL)
   );
-  // The daemons are cut off first: nobody but the client sees the acceptance.
-  const deafened = deployment.plan.entries.map((entry) =>
-    deployment.entry(entry.id)
-  );
-  for (const entry of deafened) entry.freeze();
-  (await deployment.roll(next, { isPushed: false }))._unsafeUnwrap();
-  await deployment.controlStore({ mode: "down" });
-  for (const entry of deafened) entry.wake();
+  (await deployment.roll(next, { isPushed: true }))._unsafeUnwrap();
   const acceptedAtMs = Date.now();
-  await deployment.push(next);
+  await deployment.controlStore({ mode: "down" });
   t.true(await deployment.waitForRevision(2) < IN_FORCE_MS);
   await new Promise((resolve) => setTimeout(resolve, IN_FORCE_MS + 500));
   t.true(await load.stop() > 0);
@@ -99,16 +124,7 @@
 });
 
 test("a gate that was frozen over a withdrawal hands over nothing withdrawn", async (t) => {
-  const plan = buildLargePlan();
-  const deployment = await fixtures.startFor(t, {
-    ...plan,
-    entries: plan.entries.slice(0, 1),
-    upstreams: [{
-      id: "model-b",
-      dataCentre: "bkk-b",
-      engine: { serves: LARGE, capacity: 1, firstTokenMs: 150 },
-    }],
-  });
+  const deployment = await fixtures.startFor(t, buildFreezePlan());
   const caller = fixtures.callFor(t, deployment);
   const calls = Array.from(
     { length: 8 },
@@ -133,15 +149,7 @@
 });
 
 test("an allow-list narrowed while the gate is frozen lets nothing through", async (t) => {
-  const deployment = await fixtures.startFor(t, {
-    ...buildLargePlan(),
-    entries: [{ id: "entry-a", dataCentre: "bkk-a" }],
-    upstreams: [{
-      id: "model-b",
-      dataCentre: "bkk-b",
-      engine: { serves: LARGE, capacity: 1, firstTokenMs: 150 },
-    }],
-  });
+  const deployment = await fixtures.startFor(t, buildFreezePlan());
   const caller = fixtures.callFor(t, deployment);
   const calls = Array.from(
     { length: 6 },
@@ -281,8 +289,16 @@
       limits: { ...standard.limits, freshnessBoundMs: 1_500 },
     },
   });
-  await deployment.controlStore({ mode: "down" });
   const caller = fixtures.callFor(t, deployment);
+  const sessions = await Promise.all(
+    Array.from({ length: 8 }, () => caller.chat({ model: "verse-large" })),
+  );
+  const pinned = sessions.find((result) =>
+    result.headers["x-jackdaw-version"] === "verse-large@v2"
+  );
+  const session = pinned?.headers["x-jackdaw-session"] ?? "";
+  t.not(session, "");
+  await deployment.controlStore({ mode: "down" });
   await new Promise((resolve) => setTimeout(resolve, 3_500));
   const sinceMs = Date.now();
   const results = await Promise.all(
@@ -293,4 +309,7 @@
   );
   t.is(runs.filter((run) => run.model === "verse-large@v2").length, 0);
   t.is(results.filter((result) => result.status === 200).length, 30);
+  const held = await caller.chat({ model: "verse-large", session });
+  t.is(held.errorKind, "stale-configuration");
+  t.is(held.notRun, true);
 });
--- a/packages/decisions/src/fair_queue.ts
+++ b/packages/decisions/src/fair_queue.ts
@@ -122,8 +122,9 @@
     let next: AccountQueue<T> | undefined;
     for (const queue of this.#accounts.values()) {
       if (queue.items.length === 0) continue;
-      const start = Math.max(queue.virtualTime, 0);
-      if (next === undefined || start < next.virtualTime) next = queue;
+      if (next === undefined || queue.virtualTime < next.virtualTime) {
+        next = queue;
+      }
     }
     return next;
   }
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -9,4 +9,5 @@
 export * from "./hash.ts";
 export * from "./retries.ts";
 export * from "./routing.ts";
+export * from "./shares.ts";
 export * from "./versions.ts";
--- a/packages/entry/src/dispatch.ts
+++ b/packages/entry/src/dispatch.ts
@@ -65,6 +65,7 @@
   readonly #services: kernel.KernelServices;
   readonly #options: DispatcherOptions;
   readonly #budgets = new Map<string, decisions.RetryBudget>();
+  readonly #shares = new decisions.ShareLedger();
 
   constructor(services: kernel.KernelServices, options: DispatcherOptions) {
     this.#services = services;
@@ -211,9 +212,6 @@
     skip: ReadonlySet<string>,
   ): Promise<TryOutcome> {
     const { fleet } = this.#options;
-    if (fleet.isSaturated(choice.name, SATURATION_LOAD)) {
-      return refuse("overloaded", `every replica of '${choice.name}' is full`);
-    }
     const replica = fleet.pick(choice.name, {
       affinityKey: request.hasSession
         ? request.pin.sessionId
@@ -223,6 +221,12 @@
     if (replica === undefined) {
       return refuse("no-upstream", `no replica serves '${choice.name}'`);
     }
+    if (this.#isHopeless(choice.name, replica, request)) {
+      return refuse(
+        "overloaded",
+        `'${choice.name}' is full and this account is over its share`,
+      );
+    }
     const attempt = fleet.startAttempt(replica.id, {
       ...this.#buildWork(request),
       isTwoPhase: false,
@@ -233,8 +237,9 @@
         isStreamed: request.isStreamed,
         wantsUsage: request.wantsUsage,
       },
-    });
+    }, this.#openShare(choice.name, request));
     if (attempt === undefined) {
+      this.#shares.close(choice.name, request.account.name);
       return refuse(
         "upstream-unreachable",
         "the connection is closed",
@@ -264,6 +269,25 @@
     };
   }
 
+  /** Refused early: what could start only after its deadline, or would not even be queued. */
+  #isHopeless(
+    name: string,
+    replica: decisions.Replica,
+    request: requests.CallerRequest,
+  ): boolean {
+    if (!this.#shares.isOverShare(name, request.account.name)) return false;
+    const leftMs = request.deadlineAtMs - this.#services.clock.monotonicMs();
+    return decisions.predictLoad(replica) >= SATURATION_LOAD ||
+      decisions.predictStartMs(replica) > leftMs;
+  }
+
+  /** Counts work in flight for the account; the result ends the count. */
+  #openShare(name: string, request: requests.CallerRequest): () => void {
+    const { name: account, shareWeight } = request.account;
+    this.#shares.open(name, account, shareWeight);
+    return () => this.#shares.close(name, account);
+  }
+
   #pickServiceReplica(
     name: string,
     request: requests.ServiceRequest,
@@ -299,8 +323,12 @@
           ? {}
           : { claim: { ...claim, voided: [...voided] } }),
       },
-    });
+    }, this.#openShare(`service:${request.service.name}`, request));
     if (attempt === undefined) {
+      this.#shares.close(
+        `service:${request.service.name}`,
+        request.account.name,
+      );
       const error = kernel.makeError(
         "upstream-unreachable",
         "the connection is closed",
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -138,18 +138,11 @@
     return usable.find((replica) => replica.id === home);
   }
 
-  /** Whether every usable replica is full, with what waits there. */
-  isSaturated(name: string, limit: number): boolean {
-    const pool = this.#buildPool(name, new Set());
-    const usable = pool?.replicas.filter((replica) => replica.isUsable) ?? [];
-    return usable.length > 0 &&
-      usable.every((replica) => decisions.predictLoad(replica) >= limit);
-  }
-
   /** Sends work to a replica. */
   startAttempt(
     processId: string,
     work: WorkRequest,
+    onEnd: () => void,
   ): attempts.Attempt | undefined {
     const member = this.#findMember(processId);
     if (member === undefined) return undefined;
@@ -158,6 +151,7 @@
     const attempt = new attempts.Attempt(attemptId, member.connection, () => {
       this.#attempts.delete(attemptId);
       member.endedWork += 1;
+      onEnd();
     });
     const revision = this.#options.holder.revision;
     // Recorded first, so that the receiver's events come after it.
