--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./claims.ts";
 export * from "./fair_queue.ts";
 export * from "./hash.ts";
+export * from "./replicas.ts";
 export * from "./retries.ts";
 export * from "./routing.ts";
 export * from "./shares.ts";
--- a/packages/decisions/src/routing.ts
+++ b/packages/decisions/src/routing.ts
@@ -52,40 +52,42 @@
     (difference === 0 && predictLoad(a) < predictLoad(b));
 }
 
+/** Replicas that serve the same thing, looked at one by one. */
+export interface ReplicaPool {
+  readonly size: number;
+  readonly ring: hash.HashRing;
+  /** Mean predicted load of the usable replicas. */
+  readonly meanLoad: number;
+  at(index: number): Replica;
+}
+
 function findFrom(
-  replicas: readonly Replica[],
+  pool: ReplicaPool,
   start: number,
-  skip: number | undefined,
-): number | undefined {
-  for (let step = 0; step < replicas.length; step += 1) {
-    const at = (start + step) % replicas.length;
-    if (at !== skip && replicas[at]?.isUsable === true) return at;
+  skip: Replica | undefined,
+): Replica | undefined {
+  for (let step = 0; step < pool.size; step += 1) {
+    const replica = pool.at((start + step) % pool.size);
+    if (replica.isUsable && replica.id !== skip?.id) return replica;
   }
   return undefined;
 }
 
 /** Picks the better of two usable replicas drawn at random. */
 export function pickOfTwo(
-  replicas: readonly Replica[],
+  pool: ReplicaPool,
   random: RandomSource,
 ): Replica | undefined {
-  const draw = () => Math.floor(random() * replicas.length);
-  const first = findFrom(replicas, draw(), undefined);
+  const draw = () => Math.floor(random() * pool.size);
+  const first = findFrom(pool, draw(), undefined);
   if (first === undefined) return undefined;
-  const second = findFrom(replicas, draw(), first);
-  const a = replicas[first] as Replica;
-  if (second === undefined) return a;
-  const b = replicas[second] as Replica;
-  return isBetter(b, a) ? b : a;
+  const second = findFrom(pool, draw(), first);
+  if (second === undefined) return first;
+  return isBetter(second, first) ? second : first;
 }
 
-/** Pool of replicas that serve the same thing. */
-export interface ReplicaPool {
-  readonly replicas: readonly Replica[];
-  readonly ring: hash.HashRing;
-  /** Mean predicted load of the usable replicas. */
-  readonly meanLoad: number;
-}
+/** Load above the mean that affinity always tolerates, in shares of the slots. */
+const MIN_AFFINITY_SLACK = 0.1;
 
 /** Picks the replica for a key while its load stays within the bound. */
 export function pickByAffinity(
@@ -96,17 +98,16 @@
     pool.meanLoad * AFFINITY_LOAD_BOUND,
     pool.meanLoad + MIN_AFFINITY_SLACK,
   );
-  const at = walkRing(pool.ring, key, (index) => {
-    const replica = pool.replicas[index];
-    return replica !== undefined && replica.isUsable &&
-      predictLoad(replica) <= bound;
+  let picked: Replica | undefined;
+  walkRing(pool.ring, key, (index) => {
+    const replica = pool.at(index);
+    if (!replica.isUsable || predictLoad(replica) > bound) return false;
+    picked = replica;
+    return true;
   });
-  return at === undefined ? undefined : pool.replicas[at];
+  return picked;
 }
 
-/** Load above the mean that affinity always tolerates, in shares of the slots. */
-const MIN_AFFINITY_SLACK = 0.1;
-
 /** Picks a replica; the affinity key may be absent. */
 export function pickReplica(
   pool: ReplicaPool,
@@ -119,5 +120,5 @@
     const near = pickByAffinity(pool, options.affinityKey);
     if (near !== undefined) return near;
   }
-  return pickOfTwo(pool.replicas, options.random);
+  return pickOfTwo(pool, options.random);
 }
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -29,28 +29,17 @@
   readonly onStopped: (names: readonly string[]) => void;
 }
 
-/** What is known of one connected upstream process. */
-interface Member {
-  readonly connection: mesh.MeshConnection;
-  readonly pings: Map<
-    number,
-    { readonly sentAtMs: number; readonly sentWork: number }
-  >;
-  status: mesh.UpstreamStatus | undefined;
-  heardAtMs: number;
-  delayMs: number;
-  /** Attempts sent, and ended, since the connection opened. */
-  sentWork: number;
-  endedWork: number;
-  /** Value of the counters that the last report contains. */
-  reportedSent: number;
-  reportedEnded: number;
+/** A ping that has not been answered, with the work sent before it. */
+interface OpenPing {
+  readonly sentAtMs: number;
+  readonly sentWork: number;
 }
 
-/** Pools by what they serve, with the members in the same order as their replicas. */
-interface Pool {
-  readonly members: readonly Member[];
-  readonly ring: decisions.HashRing;
+/** One connected upstream process. */
+interface Member {
+  readonly connection: mesh.MeshConnection;
+  readonly address: string;
+  readonly pings: Map<number, OpenPing>;
 }
 
 /** Work to be sent. */
@@ -66,12 +55,15 @@
   readonly #dialers = new Map<string, mesh.MeshDialer>();
   readonly #members = new Map<mesh.MeshConnection, Member>();
   readonly #attempts = new Map<string, attempts.Attempt>();
-  readonly #addressOf = new WeakMap<mesh.MeshConnection, string>();
+  /** The newest connection of each process, which the table's entry stands for. */
+  readonly #current = new Map<string, Member>();
+  readonly #table = new decisions.ReplicaTable({
+    maxSilenceMs: MAX_SILENCE_MS,
+  });
   readonly #pinWaits = new Map<number, (pin: mesh.FrameOf<"pinned">) => void>();
   readonly #abort = new AbortController();
   readonly #timer: NodeJS.Timeout;
   readonly #teardown: kernel.Teardown;
-  #pools = new Map<string, Pool>();
   #marked: ReadonlySet<string> = new Set();
   #vms: readonly platform.Vm[] = [];
   #nonce = 0;
@@ -100,13 +92,7 @@
 
   /** What can be served now, with the number of usable upstream processes. */
   listServed(): Readonly<Record<string, number>> {
-    const nowMs = this.#services.clock.monotonicMs();
-    return Object.fromEntries(
-      [...this.#pools].map(([name, pool]) => [
-        name,
-        pool.members.filter((member) => this.#isUsable(member, nowMs)).length,
-      ]),
-    );
+    return this.#table.countUsable(this.#services.clock.monotonicMs());
   }
 
   /** Picks a replica for what is to be served. */
@@ -117,12 +103,9 @@
       readonly excluded: ReadonlySet<string>;
     },
   ): decisions.Replica | undefined {
-    const pool = this.#buildPool(name, options.excluded);
-    if (pool === undefined) return undefined;
-    return decisions.pickReplica(pool, {
-      affinityKey: options.affinityKey,
-      random: this.#options.random,
-    });
+    const nowMs = this.#services.clock.monotonicMs();
+    const { random } = this.#options;
+    return this.#table.pick(name, { ...options, nowMs, random });
   }
 
   /** The home of a key among the usable replicas of a service. */
@@ -131,11 +114,8 @@
     key: string,
     excluded: ReadonlySet<string>,
   ): decisions.Replica | undefined {
-    const pool = this.#buildPool(name, excluded);
-    const usable = pool?.replicas.filter((replica) => replica.isUsable) ?? [];
-    const home =
-      decisions.rankByRendezvous(usable.map((replica) => replica.id), key)[0];
-    return usable.find((replica) => replica.id === home);
+    const nowMs = this.#services.clock.monotonicMs();
+    return this.#table.pickHome(name, key, { nowMs, excluded });
   }
 
   /** Sends work to a replica. */
@@ -144,13 +124,13 @@
     work: WorkRequest,
     onEnd: () => void,
   ): attempts.Attempt | undefined {
-    const member = this.#findMember(processId);
+    const member = this.#current.get(processId);
     if (member === undefined) return undefined;
     this.#attemptCount += 1;
     const attemptId = `${this.#services.incarnation}.${this.#attemptCount}`;
     const attempt = new attempts.Attempt(attemptId, member.connection, () => {
       this.#attempts.delete(attemptId);
-      member.endedWork += 1;
+      this.#table.noteEnded(processId);
       onEnd();
     });
     const revision = this.#options.holder.revision;
@@ -166,7 +146,7 @@
     ) {
       return undefined;
     }
-    member.sentWork += 1;
+    this.#table.noteSent(processId);
     this.#attempts.set(attemptId, attempt);
     return attempt;
   }
@@ -180,15 +160,12 @@
       readonly timeoutMs: number;
     },
   ): Promise<readonly mesh.FrameOf<"pinned">[]> {
-    const members = [...this.#members.values()].filter((member) =>
-      member.connection.isOpen
-    );
     const ranked = decisions.rankByRendezvous(
-      members.map((member) => member.connection.peer.processId),
+      [...this.#current.keys()],
       pin.sessionId,
     ).slice(0, options.homes);
     const asked = ranked.map((processId) => {
-      const member = this.#findMember(processId) as Member;
+      const member = this.#current.get(processId) as Member;
       return this.#askPin(member, pin, options);
     });
     const answers = await Promise.all(asked);
@@ -272,13 +249,9 @@
 
   /** A VM that the list no longer names is kept while it answers work of ours. */
   #dropDialer(address: string, dialer: mesh.MeshDialer): void {
-    const member = [...this.#members.values()].find((other) =>
-      this.#addressOf.get(other.connection) === address
+    const isBusy = [...this.#attempts.values()].some((attempt) =>
+      this.#members.get(attempt.connection)?.address === address
     );
-    const isBusy = member !== undefined &&
-      [...this.#attempts.values()].some((attempt) =>
-        attempt.connection === member.connection
-      );
     if (isBusy) return;
     dialer.close();
     this.#dialers.delete(address);
@@ -294,6 +267,7 @@
       member.connection.send({ type: "marked" });
     }
     this.#marked = marked;
+    this.#table.mark(marked);
   }
 
   #createDialer(address: string): mesh.MeshDialer {
@@ -303,8 +277,7 @@
       random: this.#options.random,
       listener: {
         onOpen: (connection) => {
-          this.#addressOf.set(connection, address);
-          this.#openMember(connection);
+          this.#openMember(connection, address);
         },
         onFrame: (connection, frame) => this.#takeFrame(connection, frame),
         onClose: (connection) => this.#closeMember(connection),
@@ -312,36 +285,28 @@
     });
   }
 
-  #openMember(connection: mesh.MeshConnection): void {
-    const member: Member = {
-      connection,
-      pings: new Map(),
-      status: undefined,
-      heardAtMs: Number.NEGATIVE_INFINITY,
-      delayMs: connection.peer.dataCentre === this.#options.identity.dataCentre
-        ? LOCAL_DELAY_MS
-        : REMOTE_DELAY_MS,
-      sentWork: 0,
-      endedWork: 0,
-      reportedSent: 0,
-      reportedEnded: 0,
-    };
+  #openMember(connection: mesh.MeshConnection, address: string): void {
+    const { processId, dataCentre } = connection.peer;
+    const member: Member = { connection, address, pings: new Map() };
     this.#members.set(connection, member);
-    this.#services.timeline.record("mesh.opened", {
-      target: connection.peer.processId,
-    });
-    if (this.#marked.has(connection.peer.processId)) {
-      connection.send({ type: "marked" });
-    }
+    this.#current.set(processId, member);
+    const isLocal = dataCentre === this.#options.identity.dataCentre;
+    this.#table.add(processId, isLocal ? LOCAL_DELAY_MS : REMOTE_DELAY_MS);
+    this.#table.mark(this.#marked);
+    this.#services.timeline.record("mesh.opened", { target: processId });
+    if (this.#marked.has(processId)) connection.send({ type: "marked" });
     this.#ping(member);
   }
 
   #closeMember(connection: mesh.MeshConnection): void {
+    const member = this.#members.get(connection);
+    const { processId } = connection.peer;
     this.#members.delete(connection);
-    this.#services.timeline.record("mesh.closed", {
-      target: connection.peer.processId,
-    });
-    this.#rebuildPools();
+    this.#services.timeline.record("mesh.closed", { target: processId });
+    if (this.#current.get(processId) === member) {
+      this.#current.delete(processId);
+      this.#table.remove(processId);
+    }
     for (const attempt of [...this.#attempts.values()]) {
       if (attempt.connection === connection) attempt.lose();
     }
@@ -396,17 +361,14 @@
     const ping = member.pings.get(pong.nonce);
     if (ping === undefined) return;
     member.pings.delete(pong.nonce);
-    const nowMs = this.#services.clock.monotonicMs();
-    member.heardAtMs = Math.max(member.heardAtMs, ping.sentAtMs);
-    member.reportedSent = ping.sentWork;
-    member.reportedEnded = member.endedWork;
+    if (this.#isCurrent(member)) {
+      this.#table.takeAnswer(member.connection.peer.processId, ping);
+    }
     this.#takeView(member, pong.view);
     const { confirmedAgeMs, revision } = pong.view;
     if (confirmedAgeMs < 0) return;
-    this.#options.holder.confirm(
-      revision,
-      confirmedAgeMs + nowMs - ping.sentAtMs,
-    );
+    const elapsedMs = this.#services.clock.monotonicMs() - ping.sentAtMs;
+    this.#options.holder.confirm(revision, confirmedAgeMs + elapsedMs);
   }
 
   #takeView(member: Member, view: mesh.PeerView): void {
@@ -417,11 +379,15 @@
       member.connection.send({ type: "pull", heldRevision: ours });
     }
     if (view.revision < ours) this.#sendBundle(member.connection);
-    const previous = member.status;
-    member.status = view.status;
-    const isChanged = previous?.serves.join() !== view.status?.serves.join() ||
-      previous?.capacity !== view.status?.capacity;
-    if (isChanged) this.#rebuildPools();
+    if (view.status === undefined || !this.#isCurrent(member)) return;
+    this.#table.takeReport(
+      member.connection.peer.processId,
+      toReport(view.status),
+    );
+  }
+
+  #isCurrent(member: Member): boolean {
+    return this.#current.get(member.connection.peer.processId) === member;
   }
 
   #buildView(): mesh.PeerView {
@@ -440,13 +406,16 @@
 
   #ping(member: Member): void {
     this.#nonce += 1;
-    const sentAtMs = this.#services.clock.monotonicMs();
-    member.pings.set(this.#nonce, { sentAtMs, sentWork: member.sentWork });
-    const [oldest] = member.pings.keys();
-    if (member.pings.size > MAX_OPEN_PINGS && oldest !== undefined) {
-      member.pings.delete(oldest);
+    const { connection, pings } = member;
+    pings.set(this.#nonce, {
+      sentAtMs: this.#services.clock.monotonicMs(),
+      sentWork: this.#table.countSent(connection.peer.processId),
+    });
+    const [oldest] = pings.keys();
+    if (pings.size > MAX_OPEN_PINGS && oldest !== undefined) {
+      pings.delete(oldest);
     }
-    member.connection.send({
+    connection.send({
       type: "ping",
       nonce: this.#nonce,
       view: this.#buildView(),
@@ -465,78 +434,12 @@
       connection.send({ type: "bundle", signed: held.verified.signed });
     }
   }
+}
 
-  #rebuildPools(): void {
-    const byName = new Map<string, Member[]>();
-    for (const member of this.#members.values()) {
-      for (const name of member.status?.serves ?? []) {
-        const key = member.status?.type === "service"
-          ? `service:${name}`
-          : name;
-        byName.set(key, [...byName.get(key) ?? [], member]);
-      }
-    }
-    this.#pools = new Map(
-      [...byName].map(([name, members]) => [name, {
-        members,
-        ring: decisions.buildRing(
-          members.map((member) => member.connection.peer.processId),
-        ),
-      }]),
-    );
-  }
-
-  #buildPool(
-    name: string,
-    excluded: ReadonlySet<string>,
-  ): decisions.ReplicaPool | undefined {
-    const pool = this.#pools.get(name);
-    if (pool === undefined) return undefined;
-    const nowMs = this.#services.clock.monotonicMs();
-    const replicas = pool.members.map((member) =>
-      this.#toReplica(member, { nowMs, excluded })
-    );
-    const usable = replicas.filter((replica) => replica.isUsable);
-    const load = usable.reduce(
-      (sum, replica) => sum + decisions.predictLoad(replica),
-      0,
-    );
-    return {
-      replicas,
-      ring: pool.ring,
-      meanLoad: load / Math.max(1, usable.length),
-    };
-  }
-
-  #toReplica(
-    member: Member,
-    view: { readonly nowMs: number; readonly excluded: ReadonlySet<string> },
-  ): decisions.Replica {
-    const { status } = member;
-    const id = member.connection.peer.processId;
-    const sent = member.sentWork - member.reportedSent;
-    const ended = member.endedWork - member.reportedEnded;
-    return {
-      id,
-      capacity: status?.capacity ?? 0,
-      reportedLoad: (status?.running ?? 0) + (status?.queued ?? 0),
-      sentSinceReport: sent - ended,
-      delayMs: member.delayMs,
-      serviceMs: status?.serviceMs ?? 0,
-      isUsable: this.#isUsable(member, view.nowMs) && !view.excluded.has(id),
-    };
-  }
-
-  #isUsable(member: Member, nowMs: number): boolean {
-    const { status } = member;
-    return status !== undefined && !status.isLeaving && status.capacity > 0 &&
-      nowMs - member.heardAtMs <= MAX_SILENCE_MS &&
-      !this.#marked.has(member.connection.peer.processId);
-  }
-
-  #findMember(processId: string): Member | undefined {
-    return [...this.#members.values()].find((member) =>
-      member.connection.peer.processId === processId && member.connection.isOpen
-    );
-  }
+/** Services and models do not share names. */
+function toReport(status: mesh.UpstreamStatus): decisions.ReplicaReport {
+  const serves = status.type === "service"
+    ? status.serves.map((name) => `service:${name}`)
+    : status.serves;
+  return { ...status, serves };
 }
