--- a/packages/bench/src/bundle_fault_test.ts
+++ b/packages/bench/src/bundle_fault_test.ts
@@ -10,6 +10,8 @@
 /** Target of the brief's letter for a change to be in force everywhere. */
 const IN_FORCE_MS = 4_000;
 const LARGE = ["verse-large@v1", "verse-large@v2"];
+/** As many as one slot of an account that is alone takes. */
+const QUEUED_CALLS = 4;
 const WITHDRAWAL = { model: "verse-large", version: "v2", successor: "v1" };
 
 function buildLargePlan(): deployments.DeploymentPlan {
@@ -44,6 +46,19 @@
   };
 }
 
+/** Waits until all work but the one that runs is queued at the gate. */
+async function waitQueued(
+  deployment: deployments.Deployment,
+  count: number,
+): Promise<void> {
+  await processes.waitFor("work is queued", async () => {
+    const status = await deployment.readStatus("model-b") as {
+      readonly gate?: { readonly queued: number };
+    };
+    return status.gate?.queued === count;
+  });
+}
+
 /** Sends chats until told to stop; resolves with how many were answered. */
 function keepCalling(
   callers: readonly {
@@ -127,13 +142,10 @@
   const deployment = await fixtures.startFor(t, buildFreezePlan());
   const caller = fixtures.callFor(t, deployment);
   const calls = Array.from(
-    { length: 8 },
+    { length: QUEUED_CALLS },
     () => caller.chat({ model: "verse-large" }),
   );
-  await processes.waitFor(
-    "work is queued",
-    async () => (await deployment.listEngineRuns()).length >= 1,
-  );
+  await waitQueued(deployment, calls.length - 1);
   const gate = deployment.upstream("model-b").process;
   gate.freeze();
   const next = await deployment.next((content) =>
@@ -148,17 +160,47 @@
   t.is(await countLate(deployment, acceptedAtMs), 0);
 });
 
+test("work of an entry that is frozen over a withdrawal is not handed over", async (t) => {
+  const plan = buildFreezePlan();
+  const deployment = await fixtures.startFor(t, {
+    ...plan,
+    upstreams: plan.upstreams.map((upstream) => ({
+      ...upstream,
+      engine: { ...upstream.engine, firstTokenMs: 1_800 },
+    })),
+  });
+  const caller = fixtures.callFor(t, deployment);
+  const calls = Array.from(
+    { length: QUEUED_CALLS },
+    () => caller.chat({ model: "verse-large" }),
+  );
+  await waitQueued(deployment, calls.length - 1);
+  const next = await deployment.next((content) =>
+    fixtures.markWithdrawn(content, WITHDRAWAL)
+  );
+  // The only entry cannot pass the withdrawal on, and cannot take answers either.
+  deployment.entry("entry-a").freeze();
+  (await deployment.roll(next))._unsafeUnwrap();
+  const acceptedAtMs = Date.now();
+  await new Promise((resolve) => setTimeout(resolve, IN_FORCE_MS + 2_000));
+  deployment.entry("entry-a").wake();
+  const results = await Promise.all(calls);
+  t.is(await countLate(deployment, acceptedAtMs), 0);
+  t.true(
+    results.some((result) =>
+      result.headers["x-jackdaw-version"] === "verse-large@v1"
+    ),
+  );
+});
+
 test("an allow-list narrowed while the gate is frozen lets nothing through", async (t) => {
   const deployment = await fixtures.startFor(t, buildFreezePlan());
   const caller = fixtures.callFor(t, deployment);
   const calls = Array.from(
-    { length: 6 },
+    { length: QUEUED_CALLS },
     () => caller.chat({ model: "verse-large" }),
   );
-  await processes.waitFor(
-    "work is queued",
-    async () => (await deployment.listEngineRuns()).length >= 1,
-  );
+  await waitQueued(deployment, calls.length - 1);
   const gate = deployment.upstream("model-b").process;
   gate.freeze();
   const next = await deployment.next((content) => ({
--- /dev/null
+++ b/packages/decisions/src/cascade.ts
@@ -0,0 +1,286 @@
+/**
+ * Where requests of a cascade start. For each class of requests the learner
+ * estimates quality and cost on both models from ratings that arrive late. A
+ * plan then starts those classes cheap that save the most for each point of
+ * quality lost, as far as the mean quality stays at its target.
+ */
+
+/** The two models of a cascade. */
+export type Tier = "cheap" | "large";
+
+/** Settings of a learner. */
+export interface CascadeSettings {
+  /** Mean rating to reach, from 0 to 1. */
+  readonly qualityTarget: number;
+  /** Weights of cost and latency in what a cheap start saves. */
+  readonly costWeight: number;
+  readonly latencyWeight: number;
+}
+
+/** What a finished request cost. */
+export interface TierCost {
+  readonly cost: number;
+  readonly latencyMs: number;
+}
+
+/** Age of the newest rating after which the static rule takes over. */
+const RATINGS_STALE_MS = 1_800_000;
+/** Quality above the target that the plan aims at, against noise in the ratings. */
+const QUALITY_MARGIN = 0.006;
+/** Share of requests that try the tier that the plan does not choose. */
+const EXPLORATION = 0.01;
+/** Ratings of a class and tier before its own mean counts fully. */
+const PRIOR_RATINGS = 10;
+/** Ratings after which older ones fade. */
+const RATING_WINDOW = 400;
+const COST_WINDOW = 500;
+const TRAFFIC_WINDOW = 4_000;
+/** Step of the correction by which observed quality moves the plan's aim. */
+const CORRECTION_STEP = 0.000_5;
+const MAX_CORRECTION = 0.05;
+const PRIOR_QUALITY: Readonly<Record<Tier, number>> = {
+  cheap: 0.5,
+  large: 0.95,
+};
+/** Ratings of a tier over all classes before any class starts cheap by plan. */
+const MIN_RATINGS = 50;
+
+/** Mean that forgets: recent values count as much as a window of them. */
+class FadingMean {
+  #mean = 0;
+  #count = 0;
+  readonly #window: number;
+
+  constructor(window: number) {
+    this.#window = window;
+  }
+
+  get mean(): number {
+    return this.#mean;
+  }
+
+  get count(): number {
+    return this.#count;
+  }
+
+  add(value: number): void {
+    this.#count += 1;
+    this.#mean += (value - this.#mean) / Math.min(this.#count, this.#window);
+  }
+}
+
+interface TierEstimate {
+  readonly quality: FadingMean;
+  readonly cost: FadingMean;
+  readonly latencyMs: FadingMean;
+}
+
+interface ClassEstimate {
+  readonly tiers: Readonly<Record<Tier, TierEstimate>>;
+  /** Fading count of requests. */
+  traffic: number;
+}
+
+/** Share of a class that starts cheap, and what it does to quality and cost. */
+interface PlanOption {
+  readonly classKey: string;
+  readonly share: number;
+  readonly qualityLoss: number;
+  readonly saving: number;
+}
+
+function createTier(): TierEstimate {
+  return {
+    quality: new FadingMean(RATING_WINDOW),
+    cost: new FadingMean(COST_WINDOW),
+    latencyMs: new FadingMean(COST_WINDOW),
+  };
+}
+
+/** Learns where requests of one cascade and client account start. */
+export class CascadeLearner {
+  readonly #settings: CascadeSettings;
+  readonly #classes = new Map<string, ClassEstimate>();
+  readonly #overall: Readonly<Record<Tier, TierEstimate>> = {
+    cheap: createTier(),
+    large: createTier(),
+  };
+  #plan: ReadonlyMap<string, number> = new Map();
+  #traffic = 0;
+  #correction = 0;
+  #ratedAtMs = Number.NEGATIVE_INFINITY;
+  #isPlanned = false;
+
+  constructor(settings: CascadeSettings) {
+    this.#settings = settings;
+  }
+
+  /** Chooses a tier; `staticTier` is the bundle's rule for the request. */
+  chooseTier(
+    classKey: string,
+    options: {
+      readonly staticTier: Tier;
+      readonly nowMs: number;
+      readonly random: () => number;
+    },
+  ): Tier {
+    this.#countTraffic(classKey);
+    const isFresh = options.nowMs - this.#ratedAtMs <= RATINGS_STALE_MS;
+    if (!this.#isPlanned || !isFresh) {
+      // Without ratings of the other tier nothing could be learnt.
+      if (options.random() >= EXPLORATION * 5) return options.staticTier;
+      return options.staticTier === "cheap" ? "large" : "cheap";
+    }
+    const cheapShare = this.#plan.get(classKey) ?? 0;
+    const isCheap = options.random() < cheapShare;
+    if (options.random() < EXPLORATION) return isCheap ? "large" : "cheap";
+    return isCheap ? "cheap" : "large";
+  }
+
+  recordCost(classKey: string, tier: Tier, cost: TierCost): void {
+    for (
+      const estimate of [
+        this.#openClass(classKey).tiers[tier],
+        this.#overall[tier],
+      ]
+    ) {
+      estimate.cost.add(cost.cost);
+      estimate.latencyMs.add(cost.latencyMs);
+    }
+  }
+
+  /** Takes a rating from 0 to 1 for a request of a class on a tier. */
+  recordRating(
+    classKey: string,
+    tier: Tier,
+    rating: { readonly score: number; readonly nowMs: number },
+  ): void {
+    this.#openClass(classKey).tiers[tier].quality.add(rating.score);
+    this.#overall[tier].quality.add(rating.score);
+    this.#ratedAtMs = rating.nowMs;
+    if (!this.#isPlanned) return;
+    const miss = this.#settings.qualityTarget + QUALITY_MARGIN - rating.score;
+    const corrected = this.#correction + CORRECTION_STEP * miss;
+    this.#correction = Math.max(
+      -QUALITY_MARGIN,
+      Math.min(MAX_CORRECTION, corrected),
+    );
+  }
+
+  /** Makes the plan anew; called every few seconds. */
+  replan(): void {
+    const isRated = this.#overall.cheap.quality.count >= MIN_RATINGS &&
+      this.#overall.large.quality.count >= MIN_RATINGS;
+    if (!isRated || this.#traffic === 0) return;
+    const options = [...this.#classes].map(([classKey, estimate]) =>
+      this.#buildOption(classKey, estimate)
+    );
+    const largeQuality = [...this.#classes.values()].reduce(
+      (sum, estimate) =>
+        sum +
+        estimate.traffic / this.#traffic *
+          this.#estimateQuality(estimate, "large"),
+      0,
+    );
+    const aim = this.#settings.qualityTarget + QUALITY_MARGIN +
+      this.#correction;
+    this.#plan = fillPlan(options, largeQuality - aim);
+    this.#isPlanned = true;
+  }
+
+  /** Share of a class that starts cheap by the present plan. */
+  readShare(classKey: string): number {
+    return this.#plan.get(classKey) ?? 0;
+  }
+
+  #buildOption(classKey: string, estimate: ClassEstimate): PlanOption {
+    const share = estimate.traffic / this.#traffic;
+    const lost = this.#estimateQuality(estimate, "large") -
+      this.#estimateQuality(estimate, "cheap");
+    return {
+      classKey,
+      share,
+      qualityLoss: lost,
+      saving: this.#estimateSaving(estimate),
+    };
+  }
+
+  /** A class with few ratings leans on the mean of all classes. */
+  #estimateQuality(estimate: ClassEstimate, tier: Tier): number {
+    const overall = this.#overall[tier].quality;
+    const prior = overall.count >= MIN_RATINGS
+      ? overall.mean
+      : PRIOR_QUALITY[tier];
+    const own = estimate.tiers[tier].quality;
+    const count = Math.min(own.count, RATING_WINDOW);
+    return (own.mean * count + prior * PRIOR_RATINGS) / (count + PRIOR_RATINGS);
+  }
+
+  #estimateSaving(estimate: ClassEstimate): number {
+    const { costWeight, latencyWeight } = this.#settings;
+    const cost = this.#compareTiers(estimate, "cost");
+    const latency = this.#compareTiers(estimate, "latencyMs");
+    return costWeight * cost + latencyWeight * latency;
+  }
+
+  /** What the cheap tier saves, in units of the large tier's overall mean. */
+  #compareTiers(estimate: ClassEstimate, field: "cost" | "latencyMs"): number {
+    const read = (tier: Tier) => {
+      const own = estimate.tiers[tier][field];
+      return own.count > 0 ? own.mean : this.#overall[tier][field].mean;
+    };
+    const unit = this.#overall.large[field].mean;
+    return unit === 0 ? 0 : (read("large") - read("cheap")) / unit;
+  }
+
+  #countTraffic(classKey: string): void {
+    if (this.#traffic >= TRAFFIC_WINDOW) {
+      for (const estimate of this.#classes.values()) estimate.traffic /= 2;
+      this.#traffic /= 2;
+    }
+    this.#openClass(classKey).traffic += 1;
+    this.#traffic += 1;
+  }
+
+  #openClass(classKey: string): ClassEstimate {
+    const held = this.#classes.get(classKey);
+    if (held !== undefined) return held;
+    const estimate = {
+      tiers: { cheap: createTier(), large: createTier() },
+      traffic: 0,
+    };
+    this.#classes.set(classKey, estimate);
+    return estimate;
+  }
+}
+
+/**
+ * Gives cheap starts to the classes that save the most for each point of
+ * quality, until the slack is used up; the last class gets a part.
+ */
+function fillPlan(
+  options: readonly PlanOption[],
+  slack: number,
+): ReadonlyMap<string, number> {
+  const plan = new Map<string, number>();
+  let left = slack;
+  const gainful = options.filter((option) =>
+    option.saving > 0 && option.share > 0
+  );
+  const free = gainful.filter((option) => option.qualityLoss <= 0);
+  for (const option of free) {
+    plan.set(option.classKey, 1);
+    left -= option.share * option.qualityLoss;
+  }
+  const ranked = gainful
+    .filter((option) => option.qualityLoss > 0)
+    .toSorted((a, b) => b.saving / b.qualityLoss - a.saving / a.qualityLoss);
+  for (const option of ranked) {
+    if (left <= 0) break;
+    const need = option.share * option.qualityLoss;
+    const part = Math.min(1, left / need);
+    plan.set(option.classKey, part);
+    left -= part * need;
+  }
+  return plan;
+}
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -17,7 +17,7 @@
 const CLAIM_TIMEOUT_MS = 3_000;
 const COMMIT_TIMEOUT_MS = 2_000;
 const REVISION_WAIT_MS = 1_000;
-/** Without an answer from an entry for so long, the gate asks before it hands over. */
+/** Work of an entry that has not answered for so long waits until it does. */
 const MAX_HEARD_AGE_MS = 1_500;
 const CONFIRM_TIMEOUT_MS = 400;
 const SERVICE_TIME_WEIGHT = 0.1;
@@ -49,6 +49,8 @@
   readonly #services: kernel.KernelServices;
   readonly #options: GateOptions;
   readonly #active = new Map<string, ActiveWork>();
+  /** Work that waits for its entry to answer a ping. */
+  readonly #held = new Map<mesh.MeshConnection, ActiveWork[]>();
   readonly #claimTasks = new Map<string, claimTasks.ClaimTask>();
   #queue = new decisions.FairQueue<ActiveWork>(MIN_QUEUE_ITEMS);
   #state: backends.BackendState = { serves: [], capacity: 0 };
@@ -56,7 +58,6 @@
   #serviceMs = FIRST_SERVICE_MS;
   #isLeaving = false;
   #handOvers = 0;
-  #isConfirming = false;
 
   constructor(services: kernel.KernelServices, options: GateOptions) {
     this.#services = services;
@@ -113,6 +114,10 @@
     for (const item of this.#queue.remove(() => true)) {
       this.#refuse(item.value, "leaving");
     }
+    for (const works of this.#held.values()) {
+      for (const work of works) this.#refuse(work, "leaving");
+    }
+    this.#held.clear();
   }
 
   /** Waits until nothing runs, or the time is over. */
@@ -172,6 +177,7 @@
 
   /** An entry's connection closed. */
   dropConnection(connection: mesh.MeshConnection): void {
+    this.#held.delete(connection);
     for (const work of [...this.#active.values()]) {
       if (work.connection === connection) this.cancel(work.frame.attemptId);
     }
@@ -335,32 +341,26 @@
     this.#queue = queue;
   }
 
-  /** Hands work over while slots are free, after asking the entries if need be. */
-  #pump(): void {
-    if (this.#isConfirming) return;
-    if (
-      this.#queue.length > 0 &&
-      this.#options.peers.heardAgeMs > MAX_HEARD_AGE_MS
-    ) {
-      void this.#confirmThenPump();
-      return;
+  /** An entry has answered: what waited for it goes back to the queue. */
+  noteHeard(connection: mesh.MeshConnection): void {
+    const works = this.#held.get(connection);
+    if (works === undefined) return;
+    this.#held.delete(connection);
+    for (const work of works) {
+      if (work.phase !== "ended") this.#enqueue(work);
     }
-    this.#fillSlots();
   }
 
-  /** After a pause the gate may have missed a bundle: it asks before it hands over. */
-  async #confirmThenPump(): Promise<void> {
-    this.#isConfirming = true;
-    const { peers, holder } = this.#options;
-    await peers.confirmNow(CONFIRM_TIMEOUT_MS);
-    this.#isConfirming = false;
-    this.#services.timeline.record("gate.confirmed", {
-      revision: holder.revision,
-    });
-    this.#fillSlots();
+  /** Whether work of a connection waits or runs here. */
+  isBusy(connection: mesh.MeshConnection): boolean {
+    for (const work of this.#active.values()) {
+      if (work.connection === connection) return true;
+    }
+    return false;
   }
 
-  #fillSlots(): void {
+  /** Hands work over while slots are free. */
+  #pump(): void {
     while (this.#running < this.#state.capacity) {
       const { item, expired } = this.#queue.pop(
         this.#services.clock.monotonicMs(),
@@ -369,8 +369,30 @@
         this.#refuse(late.value, "deadline-before-run");
       }
       if (item === undefined) return;
-      void this.#serve(item.value);
+      if (this.#isEntryHeard(item.value.connection)) {
+        void this.#serve(item.value);
+      } else this.#hold(item.value);
+    }
+  }
+
+  /**
+   * After a pause, or behind a partition, the gate may have missed a bundle, and
+   * nobody may be left to take the answer: the entry has to answer first.
+   */
+  #isEntryHeard(connection: mesh.MeshConnection): boolean {
+    return this.#options.peers.readHeardAgeMs(connection) <= MAX_HEARD_AGE_MS;
+  }
+
+  #hold(work: ActiveWork): void {
+    const { connection } = work;
+    const works = this.#held.get(connection);
+    if (works !== undefined) {
+      works.push(work);
+      return;
     }
+    this.#held.set(connection, [work]);
+    this.#options.peers.ping(connection);
+    this.#record("gate.held", work);
   }
 
   async #serve(work: ActiveWork): Promise<void> {
--- a/packages/upstream/src/mod.ts
+++ b/packages/upstream/src/mod.ts
@@ -55,6 +55,7 @@
     holder,
     connections: () => bound.server?.connections ?? none,
     readStatus: () => gate.buildStatus(identity.dataCentre),
+    isBusy: (connection) => gate.isBusy(connection),
   });
   const gate: gates.Gate = new gates.Gate(services, {
     holder,
@@ -159,7 +160,8 @@
       witness.noteHeard(connection.peer.incarnation);
       return peers.takePing(connection, frame);
     case "pong":
-      return peers.takePong(connection, frame);
+      peers.takePong(connection, frame);
+      return gate.noteHeard(connection);
     case "notice":
       return peers.compareRevision(connection, frame.view.revision);
     case "bundle":
--- a/packages/upstream/src/peers.ts
+++ b/packages/upstream/src/peers.ts
@@ -8,12 +8,22 @@
 
 const PING_INTERVAL_MS = 500;
 const REVISION_WAIT_STEP_MS = 5;
+/** An entry that has left its pings unanswered for so long is cut off. */
+const MAX_SILENCE_MS = 30_000;
+const MAX_OPEN_PINGS = 1_024;
+/** A ping that may still be answered. */
+interface OpenPing {
+  readonly connection: mesh.MeshConnection;
+  readonly sentAtMs: number;
+}
 
 /** What the peers task needs from its process. */
 export interface PeersOptions {
   readonly holder: config.BundleHolder;
   readonly connections: () => ReadonlySet<mesh.MeshConnection>;
   readonly readStatus: () => mesh.UpstreamStatus;
+  /** Whether work of a connection waits or runs here. */
+  readonly isBusy: (connection: mesh.MeshConnection) => boolean;
 }
 
 /** Task that owns what is known of the connected entries. */
@@ -22,22 +32,29 @@
   readonly #options: PeersOptions;
   readonly #timer: NodeJS.Timeout;
   readonly #teardown: kernel.Teardown;
-  readonly #sentAtByNonce = new Map<number, number>();
+  readonly #openPings = new Map<number, OpenPing>();
+  /** When the newest answered ping of each entry was sent. */
+  readonly #heardAtMs = new WeakMap<mesh.MeshConnection, number>();
   #nonce = 0;
   #turn = 0;
-  #heardAtMs = Number.NEGATIVE_INFINITY;
   #answered = 0;
 
   constructor(services: kernel.KernelServices, options: PeersOptions) {
     this.#services = services;
     this.#options = options;
-    this.#timer = setInterval(() => this.#pingNext(), PING_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#pingDue(), PING_INTERVAL_MS);
     this.#teardown = options.holder.listen(() => this.#passBundleOn());
   }
 
-  /** Age of the newest ping that an entry has answered. */
-  get heardAgeMs(): number {
-    return this.#services.clock.monotonicMs() - this.#heardAtMs;
+  /**
+   * Age of the newest ping that an entry has answered. Only answers count: what
+   * an entry sent by itself may have waited in a socket while this process was
+   * paused.
+   */
+  readHeardAgeMs(connection: mesh.MeshConnection): number {
+    const heardAtMs = this.#heardAtMs.get(connection) ??
+      Number.NEGATIVE_INFINITY;
+    return this.#services.clock.monotonicMs() - heardAtMs;
   }
 
   close(): void {
@@ -74,15 +91,18 @@
   }
 
   takePong(connection: mesh.MeshConnection, pong: mesh.FrameOf<"pong">): void {
-    const sentAtMs = this.#sentAtByNonce.get(pong.nonce);
-    if (sentAtMs === undefined) return;
+    const ping = this.#openPings.get(pong.nonce);
+    if (ping === undefined || ping.connection !== connection) return;
+    this.#openPings.delete(pong.nonce);
     this.#services.timeline.observe(pong.view.time);
     this.compareRevision(connection, pong.view.revision);
-    this.#heardAtMs = Math.max(this.#heardAtMs, sentAtMs);
+    const heardAtMs = this.#heardAtMs.get(connection) ??
+      Number.NEGATIVE_INFINITY;
+    this.#heardAtMs.set(connection, Math.max(heardAtMs, ping.sentAtMs));
     this.#answered += 1;
     const { confirmedAgeMs, revision } = pong.view;
     if (confirmedAgeMs < 0) return;
-    const elapsedMs = this.#services.clock.monotonicMs() - sentAtMs;
+    const elapsedMs = this.#services.clock.monotonicMs() - ping.sentAtMs;
     this.#options.holder.confirm(revision, confirmedAgeMs + elapsedMs);
   }
 
@@ -104,7 +124,7 @@
   async confirmNow(timeoutMs: number): Promise<void> {
     const connections = this.#options.connections();
     const wanted = this.#answered + connections.size;
-    for (const connection of connections) this.#ping(connection);
+    for (const connection of connections) this.ping(connection);
     await this.#waitUntil(() => this.#answered >= wanted, timeoutMs);
   }
 
@@ -130,24 +150,38 @@
     }
   }
 
-  #pingNext(): void {
-    const connections = [...this.#options.connections()];
-    if (connections.length === 0) return;
-    this.#turn = (this.#turn + 1) % connections.length;
-    this.#ping(connections[this.#turn] as mesh.MeshConnection);
-  }
-
-  #ping(connection: mesh.MeshConnection): void {
+  /** Asks an entry for its view. */
+  ping(connection: mesh.MeshConnection): void {
     this.#nonce += 1;
-    const nowMs = this.#services.clock.monotonicMs();
-    this.#sentAtByNonce.set(this.#nonce, nowMs);
-    this.#sentAtByNonce.delete(this.#nonce - MAX_OPEN_PINGS);
+    const sentAtMs = this.#services.clock.monotonicMs();
+    this.#openPings.set(this.#nonce, { connection, sentAtMs });
+    const [oldest] = this.#openPings.keys();
+    if (this.#openPings.size > MAX_OPEN_PINGS && oldest !== undefined) {
+      this.#openPings.delete(oldest);
+    }
     connection.send({
       type: "ping",
       nonce: this.#nonce,
       view: this.buildView(),
     });
   }
-}
 
-const MAX_OPEN_PINGS = 1_024;
+  /** One entry in turn, for the bundle's freshness, and all that have work here. */
+  #pingDue(): void {
+    const connections = [...this.#options.connections()];
+    this.#turn = (this.#turn + 1) % Math.max(1, connections.length);
+    connections.forEach((connection, at) => {
+      if (at !== this.#turn && !this.#options.isBusy(connection)) return;
+      if (this.#isSilent(connection)) connection.terminate();
+      else this.ping(connection);
+    });
+  }
+
+  #isSilent(connection: mesh.MeshConnection): boolean {
+    const heardAtMs = this.#heardAtMs.get(connection);
+    if (heardAtMs === undefined || !this.#options.isBusy(connection)) {
+      return false;
+    }
+    return this.#services.clock.monotonicMs() - heardAtMs > MAX_SILENCE_MS;
+  }
+}
