Hand-over asks how old the entry's knowledge of the store is

On waking, the entry answered pings that had waited in its socket before it had read the store again, so the gate took it for current. Ruled out: the gate's own pause (only the entry was frozen) and the 1.5 s bound on silence (the answered pings were young). Change: views carry the age of the last check of the store, made or tried in vain; the gate counts from there and holds work beyond 3.5 s, which keeps the 4 s of a withdrawal. A failing store is asked at most every 1.5 s.

--- a/packages/config/src/holder.ts
+++ b/packages/config/src/holder.ts
@@ -22,6 +22,7 @@
   readonly #signers: bundle.Signers;
   readonly #state = new kernel.StateCell<HeldBundle | undefined>(undefined);
   #confirmedAtMs: number | undefined;
+  #triedAtMs: number | undefined;
 
   constructor(services: kernel.KernelServices, signers: bundle.Signers) {
     this.#services = services;
@@ -56,6 +57,24 @@
     return ageMs === NEVER_CONFIRMED_MS ? Number.POSITIVE_INFINITY : ageMs;
   }
 
+  /**
+   * Age of the last time that this process learnt, or tried in vain to learn,
+   * what the store holds; `NEVER_CONFIRMED_MS` when it never did. A process that
+   * was paused has a high age until it has tried again.
+   */
+  get checkedAgeMs(): number {
+    const times = [this.#confirmedAtMs, this.#triedAtMs].filter((time) =>
+      time !== undefined
+    );
+    if (times.length === 0) return NEVER_CONFIRMED_MS;
+    return Math.max(0, this.#services.clock.monotonicMs() - Math.max(...times));
+  }
+
+  /** Records that the store was asked in vain just now. */
+  noteFailedCheck(): void {
+    this.#triedAtMs = this.#services.clock.monotonicMs();
+  }
+
   /** Tells listeners after each change. */
   listen(
     listener: kernel.StateListener<HeldBundle | undefined>,
--- a/packages/config/src/watcher.ts
+++ b/packages/config/src/watcher.ts
@@ -10,9 +10,9 @@
 
 const CONFIRM_INTERVAL_MS = 1_000;
 const WATCH_RETRY_MS = 200;
-const MAX_RETRY_MS = 3_000;
+const MAX_RETRY_MS = 1_500;
 /** Without a confirmation for so long, a process reads for itself. */
-const SELF_HELP_AGE_MS = 3_000;
+const SELF_HELP_AGE_MS = 2_000;
 const JITTER = 0.4;
 
 /** Settings of the watcher. */
@@ -85,6 +85,7 @@
     const read = await this.#options.store.get(platformKeys.BUNDLE_KEY);
     if (this.#abort.signal.aborted) return;
     if (read.isErr()) {
+      this.#options.holder.noteFailedCheck();
       this.#noteFailure(read.error);
       return;
     }
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -395,6 +395,7 @@
     return {
       revision: holder.revision,
       confirmedAgeMs: holder.confirmedAgeMs,
+      checkedAgeMs: holder.checkedAgeMs,
       time: this.#services.timeline.tick(),
       stopped: [...this.#options.listStopped()],
     };
--- a/packages/mesh/src/frames.ts
+++ b/packages/mesh/src/frames.ts
@@ -43,6 +43,8 @@
   revision: z.int().min(0),
   /** Age of the store's last confirmation of that revision; -1 for never. */
   confirmedAgeMs: z.number().min(-1),
+  /** Age of the last try to learn what the store holds; -1 for never. */
+  checkedAgeMs: z.number().min(-1),
   time: z.strictObject({ wallMs: z.number(), count: z.number() }).readonly(),
   status: statusSchema.optional(),
   /** `model@version` names whose roll-out the sender's guard has stopped. */
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -17,8 +17,11 @@
 const CLAIM_TIMEOUT_MS = 3_000;
 const COMMIT_TIMEOUT_MS = 2_000;
 const REVISION_WAIT_MS = 1_000;
-/** Work of an entry that has not answered for so long waits until it does. */
-const MAX_HEARD_AGE_MS = 1_500;
+/**
+ * Work waits while what its entry knew of the store is older than this, so that
+ * a withdrawal keeps its bound of 4 s also for whoever was paused or cut off.
+ */
+const MAX_KNOWLEDGE_AGE_MS = 3_500;
 const CONFIRM_TIMEOUT_MS = 400;
 const SERVICE_TIME_WEIGHT = 0.1;
 const FIRST_SERVICE_MS = 100;
@@ -344,7 +347,7 @@
   /** An entry has answered: what waited for it goes back to the queue. */
   noteHeard(connection: mesh.MeshConnection): void {
     const works = this.#held.get(connection);
-    if (works === undefined) return;
+    if (works === undefined || !this.#isEntryCurrent(connection)) return;
     this.#held.delete(connection);
     for (const work of works) {
       if (work.phase !== "ended") this.#enqueue(work);
@@ -369,18 +372,19 @@
         this.#refuse(late.value, "deadline-before-run");
       }
       if (item === undefined) return;
-      if (this.#isEntryHeard(item.value.connection)) {
+      if (this.#isEntryCurrent(item.value.connection)) {
         void this.#serve(item.value);
       } else this.#hold(item.value);
     }
   }
 
   /**
-   * After a pause, or behind a partition, the gate may have missed a bundle, and
-   * nobody may be left to take the answer: the entry has to answer first.
+   * After a pause, or behind a partition, a bundle may have been missed here or
+   * at the entry, and nobody may be left to take the answer.
    */
-  #isEntryHeard(connection: mesh.MeshConnection): boolean {
-    return this.#options.peers.readHeardAgeMs(connection) <= MAX_HEARD_AGE_MS;
+  #isEntryCurrent(connection: mesh.MeshConnection): boolean {
+    return this.#options.peers.readKnowledgeAgeMs(connection) <=
+      MAX_KNOWLEDGE_AGE_MS;
   }
 
   #hold(work: ActiveWork): void {
--- a/packages/upstream/src/peers.ts
+++ b/packages/upstream/src/peers.ts
@@ -33,8 +33,8 @@
   readonly #timer: NodeJS.Timeout;
   readonly #teardown: kernel.Teardown;
   readonly #openPings = new Map<number, OpenPing>();
-  /** When the newest answered ping of each entry was sent. */
-  readonly #heardAtMs = new WeakMap<mesh.MeshConnection, number>();
+  /** When each entry last knew what the store held, or had tried to. */
+  readonly #knownAtMs = new WeakMap<mesh.MeshConnection, number>();
   #nonce = 0;
   #turn = 0;
   #answered = 0;
@@ -47,14 +47,14 @@
   }
 
   /**
-   * Age of the newest ping that an entry has answered. Only answers count: what
-   * an entry sent by itself may have waited in a socket while this process was
-   * paused.
+   * Age of what an entry knew of the store when it answered the newest ping.
+   * Only answers count: what an entry sent by itself may have waited in a socket
+   * while this process was paused.
    */
-  readHeardAgeMs(connection: mesh.MeshConnection): number {
-    const heardAtMs = this.#heardAtMs.get(connection) ??
+  readKnowledgeAgeMs(connection: mesh.MeshConnection): number {
+    const knownAtMs = this.#knownAtMs.get(connection) ??
       Number.NEGATIVE_INFINITY;
-    return this.#services.clock.monotonicMs() - heardAtMs;
+    return this.#services.clock.monotonicMs() - knownAtMs;
   }
 
   close(): void {
@@ -67,6 +67,7 @@
     return {
       revision: holder.revision,
       confirmedAgeMs: holder.confirmedAgeMs,
+      checkedAgeMs: holder.checkedAgeMs,
       time: this.#services.timeline.tick(),
       status: this.#options.readStatus(),
     };
@@ -96,9 +97,7 @@
     this.#openPings.delete(pong.nonce);
     this.#services.timeline.observe(pong.view.time);
     this.compareRevision(connection, pong.view.revision);
-    const heardAtMs = this.#heardAtMs.get(connection) ??
-      Number.NEGATIVE_INFINITY;
-    this.#heardAtMs.set(connection, Math.max(heardAtMs, ping.sentAtMs));
+    this.#noteKnowledge(connection, ping, pong.view.checkedAgeMs);
     this.#answered += 1;
     const { confirmedAgeMs, revision } = pong.view;
     if (confirmedAgeMs < 0) return;
@@ -106,6 +105,20 @@
     this.#options.holder.confirm(revision, confirmedAgeMs + elapsedMs);
   }
 
+  #noteKnowledge(
+    connection: mesh.MeshConnection,
+    ping: OpenPing,
+    checkedAgeMs: number,
+  ): void {
+    if (checkedAgeMs < 0) return;
+    const knownAtMs = this.#knownAtMs.get(connection) ??
+      Number.NEGATIVE_INFINITY;
+    this.#knownAtMs.set(
+      connection,
+      Math.max(knownAtMs, ping.sentAtMs - checkedAgeMs),
+    );
+  }
+
   /** Whoever is behind gets the newer bundle. */
   compareRevision(connection: mesh.MeshConnection, theirs: number): void {
     const ours = this.#options.holder.revision;
@@ -178,10 +191,10 @@
   }
 
   #isSilent(connection: mesh.MeshConnection): boolean {
-    const heardAtMs = this.#heardAtMs.get(connection);
-    if (heardAtMs === undefined || !this.#options.isBusy(connection)) {
+    const knownAtMs = this.#knownAtMs.get(connection);
+    if (knownAtMs === undefined || !this.#options.isBusy(connection)) {
       return false;
     }
-    return this.#services.clock.monotonicMs() - heardAtMs > MAX_SILENCE_MS;
+    return this.#services.clock.monotonicMs() - knownAtMs > MAX_SILENCE_MS;
   }
 }
