--- a/packages/decisions/src/cascade.ts
+++ b/packages/decisions/src/cascade.ts
@@ -8,6 +8,13 @@
 /** The two models of a cascade. */
 export type Tier = "cheap" | "large";
 
+/** A class of requests: those of one kind of one client account. */
+export interface RequestClass {
+  readonly account: string;
+  /** What can be seen of a request: its prompt's beginning and length, say. */
+  readonly kind: string;
+}
+
 /** Settings of a learner. */
 export interface CascadeSettings {
   /** Mean rating to reach, from 0 to 1. */
@@ -76,6 +83,8 @@
 }
 
 interface ClassEstimate {
+  /** The kind of request, whose estimate over all accounts is this one's prior. */
+  readonly kind: Readonly<Record<Tier, TierEstimate>>;
   readonly tiers: Readonly<Record<Tier, TierEstimate>>;
   /** Fading count of requests. */
   traffic: number;
@@ -97,14 +106,12 @@
   };
 }
 
-/** Learns where requests of one cascade and client account start. */
+/** Learns where the requests of one cascade start. */
 export class CascadeLearner {
   readonly #settings: CascadeSettings;
   readonly #classes = new Map<string, ClassEstimate>();
-  readonly #overall: Readonly<Record<Tier, TierEstimate>> = {
-    cheap: createTier(),
-    large: createTier(),
-  };
+  readonly #kinds = new Map<string, Readonly<Record<Tier, TierEstimate>>>();
+  readonly #overall = createTiers();
   #plan: ReadonlyMap<string, number> = new Map();
   #traffic = 0;
   #correction = 0;
@@ -117,33 +124,29 @@
 
   /** Chooses a tier; `staticTier` is the bundle's rule for the request. */
   chooseTier(
-    classKey: string,
+    requestClass: RequestClass,
     options: {
       readonly staticTier: Tier;
       readonly nowMs: number;
       readonly random: () => number;
     },
   ): Tier {
-    this.#countTraffic(classKey);
+    this.#countTraffic(requestClass);
     const isFresh = options.nowMs - this.#ratedAtMs <= RATINGS_STALE_MS;
     if (!this.#isPlanned || !isFresh) {
       // Without ratings of the other tier nothing could be learnt.
       if (options.random() >= EXPLORATION * 5) return options.staticTier;
       return options.staticTier === "cheap" ? "large" : "cheap";
     }
-    const cheapShare = this.#plan.get(classKey) ?? 0;
+    const cheapShare = this.#plan.get(nameClass(requestClass)) ?? 0;
     const isCheap = options.random() < cheapShare;
     if (options.random() < EXPLORATION) return isCheap ? "large" : "cheap";
     return isCheap ? "cheap" : "large";
   }
 
-  recordCost(classKey: string, tier: Tier, cost: TierCost): void {
-    for (
-      const estimate of [
-        this.#openClass(classKey).tiers[tier],
-        this.#overall[tier],
-      ]
-    ) {
+  recordCost(requestClass: RequestClass, tier: Tier, cost: TierCost): void {
+    const { tiers, kind } = this.#openClass(requestClass);
+    for (const estimate of [tiers[tier], kind[tier], this.#overall[tier]]) {
       estimate.cost.add(cost.cost);
       estimate.latencyMs.add(cost.latencyMs);
     }
@@ -151,12 +154,14 @@
 
   /** Takes a rating from 0 to 1 for a request of a class on a tier. */
   recordRating(
-    classKey: string,
+    requestClass: RequestClass,
     tier: Tier,
     rating: { readonly score: number; readonly nowMs: number },
   ): void {
-    this.#openClass(classKey).tiers[tier].quality.add(rating.score);
-    this.#overall[tier].quality.add(rating.score);
+    const { tiers, kind } = this.#openClass(requestClass);
+    for (const estimate of [tiers[tier], kind[tier], this.#overall[tier]]) {
+      estimate.quality.add(rating.score);
+    }
     this.#ratedAtMs = rating.nowMs;
     if (!this.#isPlanned) return;
     const miss = this.#settings.qualityTarget + QUALITY_MARGIN - rating.score;
@@ -189,8 +194,8 @@
   }
 
   /** Share of a class that starts cheap by the present plan. */
-  readShare(classKey: string): number {
-    return this.#plan.get(classKey) ?? 0;
+  readShare(requestClass: RequestClass): number {
+    return this.#plan.get(nameClass(requestClass)) ?? 0;
   }
 
   #buildOption(classKey: string, estimate: ClassEstimate): PlanOption {
@@ -205,15 +210,14 @@
     };
   }
 
-  /** A class with few ratings leans on the mean of all classes. */
+  /** A class with few ratings leans on its kind, and a kind on all classes. */
   #estimateQuality(estimate: ClassEstimate, tier: Tier): number {
     const overall = this.#overall[tier].quality;
     const prior = overall.count >= MIN_RATINGS
       ? overall.mean
       : PRIOR_QUALITY[tier];
-    const own = estimate.tiers[tier].quality;
-    const count = Math.min(own.count, RATING_WINDOW);
-    return (own.mean * count + prior * PRIOR_RATINGS) / (count + PRIOR_RATINGS);
+    const ofKind = blend(estimate.kind[tier].quality, prior);
+    return blend(estimate.tiers[tier].quality, ofKind);
   }
 
   #estimateSaving(estimate: ClassEstimate): number {
@@ -233,27 +237,41 @@
     return unit === 0 ? 0 : (read("large") - read("cheap")) / unit;
   }
 
-  #countTraffic(classKey: string): void {
+  #countTraffic(requestClass: RequestClass): void {
     if (this.#traffic >= TRAFFIC_WINDOW) {
       for (const estimate of this.#classes.values()) estimate.traffic /= 2;
       this.#traffic /= 2;
     }
-    this.#openClass(classKey).traffic += 1;
+    this.#openClass(requestClass).traffic += 1;
     this.#traffic += 1;
   }
 
-  #openClass(classKey: string): ClassEstimate {
-    const held = this.#classes.get(classKey);
+  #openClass(requestClass: RequestClass): ClassEstimate {
+    const name = nameClass(requestClass);
+    const held = this.#classes.get(name);
     if (held !== undefined) return held;
-    const estimate = {
-      tiers: { cheap: createTier(), large: createTier() },
-      traffic: 0,
-    };
-    this.#classes.set(classKey, estimate);
+    const kind = this.#kinds.get(requestClass.kind) ?? createTiers();
+    this.#kinds.set(requestClass.kind, kind);
+    const estimate = { kind, tiers: createTiers(), traffic: 0 };
+    this.#classes.set(name, estimate);
     return estimate;
   }
 }
 
+function nameClass(requestClass: RequestClass): string {
+  return `${requestClass.account}/${requestClass.kind}`;
+}
+
+function createTiers(): Readonly<Record<Tier, TierEstimate>> {
+  return { cheap: createTier(), large: createTier() };
+}
+
+/** Mean of a fading mean and what stands in while it has few values. */
+function blend(own: FadingMean, prior: number): number {
+  const count = Math.min(own.count, RATING_WINDOW);
+  return (own.mean * count + prior * PRIOR_RATINGS) / (count + PRIOR_RATINGS);
+}
+
 /**
  * Gives cheap starts to the classes that save the most for each point of
  * quality, until the slack is used up; the last class gets a part.
