--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -293,8 +293,17 @@
   } ${verdict}`;
 }
 
-function main(): void {
-  const costVsOracle = measureSteadyCascade();
+/** `--only <part>` runs one part of the measurement while a rule is worked on. */
+function readOnly(): string | undefined {
+  const at = process.argv.indexOf("--only");
+  return at < 0 ? undefined : process.argv[at + 1];
+}
+
+function measureAllCascades(): {
+  readonly steady: number;
+  readonly disturbed: number;
+} {
+  const steady = measureSteadyCascade();
   const drift = measureDisturbedCascade("drift", {
     driftFromMs: WARM_UP_MS + 5 * MINUTE_MS,
     ratingsStopMs: NEVER,
@@ -303,20 +312,28 @@
     driftFromMs: Number.POSITIVE_INFINITY,
     ratingsStopMs: [WARM_UP_MS + 5 * MINUTE_MS, WARM_UP_MS + 15 * MINUTE_MS],
   });
-  const routing = measureRouting();
-  const guard = measureGuard();
-  const timing = measureTiming();
+  return { steady, disturbed: Math.max(drift, silent) };
+}
+
+function main(): void {
+  const only = readOnly();
+  const run = <T>(part: string, measure: () => T): T | undefined =>
+    only === undefined || only === part ? measure() : undefined;
+  const cascade = run("cascade", measureAllCascades);
+  const routing = run("routing", measureRouting);
+  const guard = run("guard", measureGuard);
+  const timing = run("timing", measureTiming);
   if (process.argv.includes("--json")) {
     process.stdout.write(`${
       JSON.stringify({
-        costVsOracle,
-        costVsOracleDrift: Math.max(drift, silent),
-        firstTokenP95VsRoundRobin: routing.firstToken,
-        prefixHitsVsAffinity: routing.prefixHits,
-        badVersionExposureRatio: guard.exposure,
-        falseStopsPerHundred: guard.falseStops,
-        decisionMicros750: timing.target,
-        decisionMicros13: timing.today,
+        costVsOracle: cascade?.steady,
+        costVsOracleDrift: cascade?.disturbed,
+        firstTokenP95VsRoundRobin: routing?.firstToken,
+        prefixHitsVsAffinity: routing?.prefixHits,
+        badVersionExposureRatio: guard?.exposure,
+        falseStopsPerHundred: guard?.falseStops,
+        decisionMicros750: timing?.target,
+        decisionMicros13: timing?.today,
       })
     }\n`);
     return;
--- a/packages/bench/src/measure/cascade_run.ts
+++ b/packages/bench/src/measure/cascade_run.ts
@@ -76,10 +76,8 @@
     tier: decisions.Tier,
     nowMs: number,
   ): void {
-    const score = Math.max(
-      0,
-      Math.min(1, request.quality[tier] + (request.rating?.noise ?? 0)),
-    );
+    // Not clipped: a clipped rating would lie below the quality that is judged.
+    const score = request.quality[tier] + (request.rating?.noise ?? 0);
     this.#learner.recordRating(request.requestClass, tier, { score, nowMs });
   }
 }
--- a/packages/bench/src/measure/routing_run.ts
+++ b/packages/bench/src/measure/routing_run.ts
@@ -155,7 +155,7 @@
     const table = this.#tables[entry] as decisions.ReplicaTable;
     const sentAtMs = this.#nowMs;
     for (const replica of this.#replicas) {
-      const sentWork = table.countSent(replica.id);
+      const ping = table.startPing(replica.id, sentAtMs);
       const report: decisions.ReplicaReport = {
         serves: [POOL],
         capacity: SLOTS,
@@ -166,7 +166,7 @@
       };
       this.#schedule(sentAtMs === 0 ? 0 : REPORT_LAG_MS, () => {
         table.takeReport(replica.id, report);
-        table.takeAnswer(replica.id, { sentAtMs, sentWork });
+        table.takeAnswer(replica.id, ping);
       });
     }
     this.#schedule(REPORT_INTERVAL_MS, () => this.#report(entry));
@@ -249,12 +249,11 @@
       if (job.prefix !== undefined) this.#prefixed += 1;
       if (isHit) this.#hits += 1;
     }
-    this.#schedule(job.serviceMs, () => this.#end(replica, job));
+    this.#schedule(job.serviceMs, () => this.#end(replica));
   }
 
-  #end(replica: SimulatedReplica, job: Job): void {
+  #end(replica: SimulatedReplica): void {
     replica.running -= 1;
-    (this.#tables[job.entry] as decisions.ReplicaTable).noteEnded(replica.id);
     const next = replica.queue.shift();
     if (next !== undefined) this.#start(replica, next);
   }
--- a/packages/bench/src/measure/timing.ts
+++ b/packages/bench/src/measure/timing.ts
@@ -51,7 +51,7 @@
       serviceMs: 1_000,
       isLeaving: false,
     });
-    table.takeAnswer(id, { sentAtMs: 0, sentWork: 0 });
+    table.takeAnswer(id, table.startPing(id, 0));
   }
   return table;
 }
@@ -86,7 +86,6 @@
       });
       if (picked !== undefined) {
         table.noteSent(picked.id);
-        table.noteEnded(picked.id);
       }
     }
     return (performance.now() - startedAtMs) * 1_000 / DECISIONS;
--- a/packages/decisions/src/cascade.ts
+++ b/packages/decisions/src/cascade.ts
@@ -34,8 +34,12 @@
 const RATINGS_STALE_MS = 1_800_000;
 /** Quality above the target that the plan aims at, against noise in the ratings. */
 const QUALITY_MARGIN = 0.006;
-/** Share of requests that try the tier that the plan does not choose. */
-const EXPLORATION = 0.01;
+/** Share of requests that try the tier that the plan does not choose, at the least. */
+const EXPLORATION = 0.005;
+/** More of them while a kind has few ratings on that tier. */
+const MAX_EXPLORATION = 0.15;
+/** Ratings of a kind on a tier at which exploration has halved. */
+const EXPLORATION_RATINGS = 15;
 /** Ratings of a class and tier before its own mean counts fully. */
 const PRIOR_RATINGS = 10;
 /** Ratings after which older ones fade. */
@@ -45,6 +49,7 @@
 /** Step of the correction by which observed quality moves the plan's aim. */
 const CORRECTION_STEP = 0.000_5;
 const MAX_CORRECTION = 0.05;
+const MIN_CORRECTION = -0.02;
 const PRIOR_QUALITY: Readonly<Record<Tier, number>> = {
   cheap: 0.5,
   large: 0.95,
@@ -133,15 +138,25 @@
   ): Tier {
     this.#countTraffic(requestClass);
     const isFresh = options.nowMs - this.#ratedAtMs <= RATINGS_STALE_MS;
-    if (!this.#isPlanned || !isFresh) {
-      // Without ratings of the other tier nothing could be learnt.
-      if (options.random() >= EXPLORATION * 5) return options.staticTier;
-      return options.staticTier === "cheap" ? "large" : "cheap";
-    }
+    const planned = this.#isPlanned && isFresh
+      ? this.#drawPlanned(requestClass, options.random)
+      : options.staticTier;
+    const other = planned === "cheap" ? "large" : "cheap";
+    return options.random() < this.#exploration(requestClass, other)
+      ? other
+      : planned;
+  }
+
+  #drawPlanned(requestClass: RequestClass, random: () => number): Tier {
     const cheapShare = this.#plan.get(nameClass(requestClass)) ?? 0;
-    const isCheap = options.random() < cheapShare;
-    if (options.random() < EXPLORATION) return isCheap ? "large" : "cheap";
-    return isCheap ? "cheap" : "large";
+    return random() < cheapShare ? "cheap" : "large";
+  }
+
+  /** Without ratings of the other tier nothing could be learnt. */
+  #exploration(requestClass: RequestClass, tier: Tier): number {
+    const { count } = this.#openClass(requestClass).kind[tier].quality;
+    const extra = EXPLORATION_RATINGS / (EXPLORATION_RATINGS + count);
+    return Math.max(EXPLORATION, MAX_EXPLORATION * extra);
   }
 
   recordCost(requestClass: RequestClass, tier: Tier, cost: TierCost): void {
@@ -167,7 +182,7 @@
     const miss = this.#settings.qualityTarget + QUALITY_MARGIN - rating.score;
     const corrected = this.#correction + CORRECTION_STEP * miss;
     this.#correction = Math.max(
-      -QUALITY_MARGIN,
+      MIN_CORRECTION,
       Math.min(MAX_CORRECTION, corrected),
     );
   }
--- a/packages/decisions/src/guard.ts
+++ b/packages/decisions/src/guard.ts
@@ -16,11 +16,16 @@
 export type GuardVerdict = "errors" | "ratings";
 
 /** Bound of a sum of log-likelihood ratios: false alarms become rare as its exponential. */
-const STOP_BOUND = 7;
-const SUM_FLOOR = -1;
-const MIN_ERROR_RATE = 0.005;
+const STOP_BOUND = 6.2;
+/** Low enough that a healthy version seldom climbs from it to the bound. */
+const SUM_FLOOR = -4;
+/** Errors and requests that the stable version's rate starts from, against early chance. */
+const PRIOR_ERRORS = 2;
+const PRIOR_REQUESTS = 100;
+/** Ratings of the stable version before ratings are compared. */
+const MIN_STABLE_RATINGS = 50;
 const MIN_RATING_VARIANCE = 0.000_4;
-const MAX_LIKELIHOOD_STEP = 3;
+const MAX_LIKELIHOOD_STEP = 2;
 const WINDOW = 5_000;
 
 /** Running mean and variance of the stable version, with a prior. */
@@ -85,7 +90,7 @@
     if (this.#stableErrors.count < this.#limits.minSamples) {
       return this.#verdict;
     }
-    const base = Math.max(MIN_ERROR_RATE, this.#stableErrors.mean);
+    const base = this.#estimateBase();
     const raised = Math.min(0.99, base + this.#limits.maxErrorIncrease);
     const step = isError
       ? Math.log(raised / base)
@@ -96,7 +101,7 @@
 
   /** Takes a rating of a request on the rolling version. */
   recordRollingRating(score: number): GuardVerdict | undefined {
-    if (this.#stableRatings.count < this.#limits.minSamples) {
+    if (this.#stableRatings.count < MIN_STABLE_RATINGS) {
       return this.#verdict;
     }
     const { mean } = this.#stableRatings;
@@ -116,6 +121,12 @@
     return this.#decide("ratings", this.#ratingSum);
   }
 
+  /** Error rate of the stable version, leaning on a prior while it is young. */
+  #estimateBase(): number {
+    const { mean, count } = this.#stableErrors;
+    return (mean * count + PRIOR_ERRORS) / (count + PRIOR_REQUESTS);
+  }
+
   #decide(reason: GuardVerdict, sum: number): GuardVerdict | undefined {
     const isEnough = this.#samples >= this.#limits.minSamples;
     if (this.#verdict === undefined && isEnough && sum >= STOP_BOUND) {
--- a/packages/decisions/src/replicas.ts
+++ b/packages/decisions/src/replicas.ts
@@ -16,6 +16,12 @@
   readonly isLeaving: boolean;
 }
 
+/** A ping, with the work sent before it: its answer reports just that. */
+export interface ReplicaPing {
+  readonly sentAtMs: number;
+  readonly sentWork: number;
+}
+
 /** Settings of a table. */
 export interface ReplicaTableOptions {
   /** A replica that has not answered for so long is not used. */
@@ -39,19 +45,49 @@
   report: ReplicaReport | undefined;
   heardAtMs: number;
   isMarked: boolean;
-  /** Work sent, and ended, since the replica is known. */
+  /** Work sent since the replica is known. */
   sent: number;
-  ended: number;
-  /** Values of the counters that the last report contains. */
+  /** Value of the counter that the last report contains. */
   reportedSent: number;
-  reportedEnded: number;
 }
 
 interface Pool {
   readonly members: readonly Member[];
   readonly ring: hash.HashRing;
-  meanLoad: number;
-  meanLoadAtMs: number;
+  /** Means over the usable members, worked out at intervals. */
+  means: PoolMeans;
+  meansAtMs: number;
+}
+
+/** What a member's prediction leans on. */
+interface PoolMeans {
+  readonly load: number;
+  /** Work in a report for each slot. */
+  readonly reported: number;
+  /** Work that this entry sent since the reports, for each slot. */
+  readonly sent: number;
+}
+
+const NO_MEANS: PoolMeans = { load: 0, reported: 0, sent: 0 };
+const MIN_SERVICE_MS = 1;
+
+/**
+ * Work at a replica now. What a report said fades towards the mean as work ends
+ * and other entries send more; what this entry sent beyond its own mean is added.
+ */
+function predictWork(
+  member: Member,
+  report: ReplicaReport,
+  context: { readonly means: PoolMeans; readonly nowMs: number },
+): number {
+  const { means, nowMs } = context;
+  const ageMs = Math.max(0, nowMs - member.heardAtMs);
+  const kept = Math.exp(-ageMs / Math.max(MIN_SERVICE_MS, report.serviceMs));
+  const usual = means.reported * report.capacity;
+  const reported = report.running + report.queued;
+  const sent = member.sent - member.reportedSent;
+  const beyondMean = sent - means.sent * report.capacity;
+  return Math.max(0, usual + (reported - usual) * kept + beyondMean);
 }
 
 function isSameService(
@@ -87,9 +123,7 @@
       heardAtMs: Number.NEGATIVE_INFINITY,
       isMarked: false,
       sent: 0,
-      ended: 0,
       reportedSent: 0,
-      reportedEnded: 0,
     });
   }
 
@@ -111,16 +145,12 @@
     if (!isSame) this.#isChanged = true;
   }
 
-  /** Takes the answer to a ping that was sent when `sentWork` units had been sent. */
-  takeAnswer(
-    id: string,
-    ping: { readonly sentAtMs: number; readonly sentWork: number },
-  ): void {
+  /** Takes the answer to a ping, with the counters as they stood when it was sent. */
+  takeAnswer(id: string, ping: ReplicaPing): void {
     const member = this.#members.get(id);
     if (member === undefined) return;
     member.heardAtMs = Math.max(member.heardAtMs, ping.sentAtMs);
     member.reportedSent = ping.sentWork;
-    member.reportedEnded = member.ended;
   }
 
   noteSent(id: string): void {
@@ -128,13 +158,10 @@
     if (member !== undefined) member.sent += 1;
   }
 
-  noteEnded(id: string): void {
+  /** What to keep with a ping that is sent now. */
+  startPing(id: string, sentAtMs: number): ReplicaPing {
     const member = this.#members.get(id);
-    if (member !== undefined) member.ended += 1;
-  }
-
-  countSent(id: string): number {
-    return this.#members.get(id)?.sent ?? 0;
+    return { sentAtMs, sentWork: member?.sent ?? 0 };
   }
 
   /** Marks the replicas that the VM list shows as leaving. */
@@ -185,40 +212,48 @@
 
   #view(pool: Pool, options: PickOptions): routing.ReplicaPool {
     const { nowMs } = options;
-    if (nowMs - pool.meanLoadAtMs > MEAN_LOAD_TTL_MS) {
-      this.#refreshMeanLoad(pool, nowMs);
+    if (nowMs - pool.meansAtMs > MEAN_LOAD_TTL_MS) {
+      this.#refreshMeans(pool, nowMs);
     }
     return {
       size: pool.members.length,
       ring: pool.ring,
-      meanLoad: pool.meanLoad,
-      at: (index) => this.#toReplica(pool.members[index] as Member, options),
+      meanLoad: pool.means.load,
+      at: (index) =>
+        this.#toReplica(pool.members[index] as Member, pool.means, options),
     };
   }
 
-  #refreshMeanLoad(pool: Pool, nowMs: number): void {
-    let load = 0;
-    let count = 0;
+  #refreshMeans(pool: Pool, nowMs: number): void {
+    let reported = 0;
+    let sent = 0;
+    let slots = 0;
     for (const member of pool.members) {
-      if (!this.#isUsable(member, nowMs)) continue;
-      load += routing.predictLoad(
-        this.#toReplica(member, { nowMs, excluded: NONE }),
-      );
-      count += 1;
+      if (!this.#isUsable(member, nowMs) || member.report === undefined) {
+        continue;
+      }
+      reported += member.report.running + member.report.queued;
+      sent += member.sent - member.reportedSent;
+      slots += member.report.capacity;
     }
-    pool.meanLoad = load / Math.max(1, count);
-    pool.meanLoadAtMs = nowMs;
+    const perSlot = 1 / Math.max(1, slots);
+    const load = reported * perSlot;
+    pool.means = { load, reported: load, sent: sent * perSlot };
+    pool.meansAtMs = nowMs;
   }
 
-  #toReplica(member: Member, options: PickOptions): routing.Replica {
+  #toReplica(
+    member: Member,
+    means: PoolMeans,
+    options: PickOptions,
+  ): routing.Replica {
     const { report } = member;
-    const sent = member.sent - member.reportedSent;
-    const ended = member.ended - member.reportedEnded;
     return {
       id: member.id,
       capacity: report?.capacity ?? 0,
-      reportedLoad: (report?.running ?? 0) + (report?.queued ?? 0),
-      sentSinceReport: sent - ended,
+      work: report === undefined
+        ? 0
+        : predictWork(member, report, { means, nowMs: options.nowMs }),
       delayMs: member.delayMs,
       serviceMs: report?.serviceMs ?? 0,
       isUsable: this.#isUsable(member, options.nowMs) &&
@@ -256,10 +291,8 @@
     [...byName].map(([name, members]) => [name, {
       members,
       ring: hash.buildRing(members.map((member) => member.id)),
-      meanLoad: 0,
-      meanLoadAtMs: Number.NEGATIVE_INFINITY,
+      means: NO_MEANS,
+      meansAtMs: Number.NEGATIVE_INFINITY,
     }]),
   );
 }
-
-const NONE: ReadonlySet<string> = new Set();
--- a/packages/decisions/src/routing.ts
+++ b/packages/decisions/src/routing.ts
@@ -1,7 +1,6 @@
 /**
  * Picks a replica: bounded-load affinity for sessions and prompt prefixes,
- * otherwise the better of two by predicted load. A report that lags is
- * corrected with what this entry has sent since.
+ * otherwise the best of a few by predicted load.
  */
 import type * as hash from "./hash.ts";
 import { walkRing } from "./hash.ts";
@@ -10,10 +9,8 @@
 export interface Replica {
   readonly id: string;
   readonly capacity: number;
-  /** Running and queued work in the last report. */
-  readonly reportedLoad: number;
-  /** Work this entry sent that the last report cannot contain yet. */
-  readonly sentSinceReport: number;
+  /** Predicted running and queued work. */
+  readonly work: number;
   /** Estimated one-way delay to the replica. */
   readonly delayMs: number;
   /** Estimated time that one unit of work holds a slot. */
@@ -29,8 +26,7 @@
 
 /** Predicted share of a replica's slots in use. */
 export function predictLoad(replica: Replica): number {
-  return (replica.reportedLoad + replica.sentSinceReport) /
-    Math.max(1, replica.capacity);
+  return replica.work / Math.max(1, replica.capacity);
 }
 
 /** Predicted time until work sent now would start, plus the way there. */
@@ -61,31 +57,38 @@
   at(index: number): Replica;
 }
 
-function findFrom(
-  pool: ReplicaPool,
-  start: number,
-  skip: Replica | undefined,
-): Replica | undefined {
+function findFrom(pool: ReplicaPool, start: number): Replica | undefined {
   for (let step = 0; step < pool.size; step += 1) {
     const replica = pool.at((start + step) % pool.size);
-    if (replica.isUsable && replica.id !== skip?.id) return replica;
+    if (replica.isUsable) return replica;
   }
   return undefined;
 }
 
-/** Picks the better of two usable replicas drawn at random. */
-export function pickOfTwo(
+/** Replicas that one choice looks at; smaller pools are looked through whole. */
+const CANDIDATES = 16;
+
+/** Picks the best of a few usable replicas, from a random start on. */
+export function pickOfFew(
   pool: ReplicaPool,
   random: RandomSource,
 ): Replica | undefined {
-  const draw = () => Math.floor(random() * pool.size);
-  const first = findFrom(pool, draw(), undefined);
-  if (first === undefined) return undefined;
-  const second = findFrom(pool, draw(), first);
-  if (second === undefined) return first;
-  return isBetter(second, first) ? second : first;
+  const isWhole = pool.size <= CANDIDATES;
+  const first = Math.floor(random() * pool.size);
+  let best: Replica | undefined;
+  for (let step = 0; step < Math.min(CANDIDATES, pool.size); step += 1) {
+    const at = isWhole ? first + step : Math.floor(random() * pool.size);
+    const replica = pool.at(at % pool.size);
+    if (!replica.isUsable) continue;
+    if (best === undefined || isBetter(replica, best)) best = replica;
+  }
+  // All that were drawn may be gone while others are left.
+  return best ?? findFrom(pool, first);
 }
 
+/** A replica beyond this has no slot free: a cached prefix does not make up for the wait. */
+const FREE_SLOT_LOAD = 1;
+
 /** Load above the mean that affinity always tolerates, in shares of the slots. */
 const MIN_AFFINITY_SLACK = 0.1;
 
@@ -94,9 +97,12 @@
   pool: ReplicaPool,
   key: string,
 ): Replica | undefined {
-  const bound = Math.max(
-    pool.meanLoad * AFFINITY_LOAD_BOUND,
-    pool.meanLoad + MIN_AFFINITY_SLACK,
+  const bound = Math.min(
+    FREE_SLOT_LOAD,
+    Math.max(
+      pool.meanLoad * AFFINITY_LOAD_BOUND,
+      pool.meanLoad + MIN_AFFINITY_SLACK,
+    ),
   );
   let picked: Replica | undefined;
   walkRing(pool.ring, key, (index) => {
@@ -120,5 +126,5 @@
     const near = pickByAffinity(pool, options.affinityKey);
     if (near !== undefined) return near;
   }
-  return pickOfTwo(pool, options.random);
+  return pickOfFew(pool, options.random);
 }
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -29,17 +29,11 @@
   readonly onStopped: (names: readonly string[]) => void;
 }
 
-/** A ping that has not been answered, with the work sent before it. */
-interface OpenPing {
-  readonly sentAtMs: number;
-  readonly sentWork: number;
-}
-
 /** One connected upstream process. */
 interface Member {
   readonly connection: mesh.MeshConnection;
   readonly address: string;
-  readonly pings: Map<number, OpenPing>;
+  readonly pings: Map<number, decisions.ReplicaPing>;
 }
 
 /** Work to be sent. */
@@ -130,7 +124,6 @@
     const attemptId = `${this.#services.incarnation}.${this.#attemptCount}`;
     const attempt = new attempts.Attempt(attemptId, member.connection, () => {
       this.#attempts.delete(attemptId);
-      this.#table.noteEnded(processId);
       onEnd();
     });
     const revision = this.#options.holder.revision;
@@ -408,10 +401,11 @@
   #ping(member: Member): void {
     this.#nonce += 1;
     const { connection, pings } = member;
-    pings.set(this.#nonce, {
-      sentAtMs: this.#services.clock.monotonicMs(),
-      sentWork: this.#table.countSent(connection.peer.processId),
-    });
+    const sentAtMs = this.#services.clock.monotonicMs();
+    pings.set(
+      this.#nonce,
+      this.#table.startPing(connection.peer.processId, sentAtMs),
+    );
     const [oldest] = pings.keys();
     if (pings.size > MAX_OPEN_PINGS && oldest !== undefined) {
       pings.delete(oldest);
