--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -309,6 +309,8 @@
       "127.0.0.1:0",
       "--vm-list",
       this.vmListUrl,
+      "--ratings",
+      this.vmListUrl,
     ]);
     this.entries.set(plan.id, entry);
     return entry;
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -13,4 +13,5 @@
 export * from "./retries.ts";
 export * from "./routing.ts";
 export * from "./shares.ts";
+export * from "./stops.ts";
 export * from "./versions.ts";
--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -6,7 +6,8 @@
 import * as neverthrow from "neverthrow";
 import type * as dispatchers from "./dispatch.ts";
 import * as keys from "./idempotency.ts";
-import type * as requests from "./requests.ts";
+import type * as learnings from "./learning.ts";
+import * as requests from "./requests.ts";
 
 const SUCCESS_FROM = 200;
 const SUCCESS_TO = 299;
@@ -20,8 +21,12 @@
   readonly holder: config.BundleHolder;
   readonly ledger: billing.BillLedger;
   readonly dispatcher: dispatchers.Dispatcher;
+  readonly learning: learnings.Learning;
 }
 
+/** An answer whose final frame has arrived. */
+type CompletedAnswer = requests.StartedAnswer & { readonly usage: mesh.Usage };
+
 /** Carries answers and bills them. */
 export class AnswerCarrier {
   readonly #services: kernel.KernelServices;
@@ -73,10 +78,10 @@
   ): ReadableStream<Uint8Array> {
     let hasEnded = false;
     // A caller that goes away ends the stream from both sides.
-    const end = (name: string, detail: string) => {
+    const end = (record: () => void) => {
       if (hasEnded) return;
       hasEnded = true;
-      if (name !== "request.answered") this.#recordEnd(name, request, detail);
+      record();
       onEnd();
     };
     return new ReadableStream<Uint8Array>({
@@ -87,18 +92,19 @@
             controller.enqueue(piece.data);
             return;
           case "final":
-            this.#bill(request, { ...answer, usage: piece.usage });
+            end(() =>
+              this.#complete(request, { ...answer, usage: piece.usage })
+            );
             controller.enqueue(END_OF_STREAM);
             controller.close();
-            end("request.answered", answer.item);
             return;
           case "failed":
             controller.error(new Error(piece.message));
-            end("request.broken", piece.kind);
+            end(() => this.#recordBroken(request, answer, piece.kind));
         }
       },
       cancel: () => {
-        end("request.cancelled", answer.item);
+        end(() => this.#recordEnd("request.cancelled", request, answer.item));
         answer.attempt.cancel();
       },
     }, { highWaterMark: 1 });
@@ -116,11 +122,12 @@
       for (;;) {
         const piece = await answer.attempt.readPiece(this.#timeLeftMs(request));
         if (piece.type === "failed") {
+          this.#recordBroken(request, answer, piece.kind);
           return kernel.fail(piece.kind, piece.message);
         }
         if (piece.type === "final") {
           if (request.signal.aborted) return neverthrow.err(CANCELLED);
-          this.#bill(request, { ...answer, usage: piece.usage });
+          this.#complete(request, { ...answer, usage: piece.usage });
           return neverthrow.ok({
             ...answer,
             body: Buffer.concat(pieces),
@@ -134,39 +141,47 @@
     }
   }
 
-  /** A copy goes to the upstream process before the caller gets the last bytes. */
-  #bill(
-    request: requests.CallerRequest,
-    answer: requests.StartedAnswer & { readonly usage: mesh.Usage },
-  ): void {
-    const isSuccess = answer.status >= SUCCESS_FROM &&
-      answer.status <= SUCCESS_TO;
-    this.#recordEnd(
-      "request.answered",
-      request,
-      `${answer.item} ${answer.status}`,
-    );
-    if (!isSuccess) return;
+  /** Bills a whole answer. A copy goes to its upstream process before the caller gets the end. */
+  #complete(request: requests.CallerRequest, answer: CompletedAnswer): void {
+    const { item, status, usage } = answer;
+    this.#recordEnd("request.answered", request, `${item} ${status}`);
+    if (status < SUCCESS_FROM || status > SUCCESS_TO) return;
     const account = request.account.name;
-    const keyDigest = keys.buildBillKey(
-      account,
-      answer.item,
-      request.idempotencyKey,
-    );
+    const priceMicros = this.#priceMicros(answer);
+    const keyDigest = keys.buildBillKey(account, item, request.idempotencyKey);
     const bill = this.#options.ledger.add({
       account,
-      item: answer.item,
-      promptTokens: answer.usage.promptTokens,
-      completionTokens: answer.usage.completionTokens,
-      priceMicros: this.#priceMicros(answer),
+      item,
+      ...usage,
+      priceMicros,
       ...(keyDigest === undefined ? {} : { keyDigest }),
     });
     answer.attempt.connection.send({ type: "bill", bill });
+    if (requests.isModelRequest(request)) {
+      const latencyMs = this.#services.clock.monotonicMs() -
+        request.arrivedAtMs;
+      const { learning } = this.#options;
+      learning.recordResult({
+        request,
+        item,
+        isError: false,
+        priceMicros,
+        latencyMs,
+      });
+    }
+  }
+
+  #recordBroken(
+    request: requests.CallerRequest,
+    answer: requests.StartedAnswer,
+    kind: kernel.ErrorKind,
+  ): void {
+    this.#recordEnd("request.broken", request, kind);
+    if (kind === "cancelled" || !requests.isModelRequest(request)) return;
+    this.#options.learning.recordFailure(request, answer.item);
   }
 
-  #priceMicros(
-    answer: requests.StartedAnswer & { readonly usage: mesh.Usage },
-  ): number {
+  #priceMicros(answer: CompletedAnswer): number {
     const index = this.#options.holder.index;
     const [name = ""] = answer.item.split("@");
     const model = index?.modelByName.get(name);
--- a/packages/entry/src/dispatch.ts
+++ b/packages/entry/src/dispatch.ts
@@ -28,6 +28,12 @@
   "upstream-failed",
   "answer-incomplete",
 ]);
+/** Failures that speak against the version that ran. */
+const UPSTREAM_FAULT_KINDS: ReadonlySet<kernel.ErrorKind> = new Set([
+  "upstream-failed",
+  "answer-incomplete",
+  "deadline-after-run",
+]);
 /** Refusals that a newer bundle explains. */
 const BUNDLE_KINDS: ReadonlySet<kernel.ErrorKind> = new Set([
   "version-withdrawn",
@@ -50,6 +56,8 @@
     cascade: bundle.Cascade,
     index: decisions.BundleIndex,
   ): string;
+  /** An attempt on `model@version` failed at its upstream. */
+  recordFailure(request: requests.ModelRequest, item: string): void;
 }
 
 /** A chosen version, with the replica to try. */
@@ -165,6 +173,9 @@
         if (isNewer && redirects < MAX_REDIRECTS) continue;
         return neverthrow.err(last);
       }
+      if (UPSTREAM_FAULT_KINDS.has(last.kind)) {
+        this.#options.policy.recordFailure(request, name);
+      }
       if (outcome.replicaId === undefined) return neverthrow.err(last);
       skip.add(outcome.replicaId);
       if (!this.#mayRetry(name, last.kind, skip.size)) {
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -80,6 +80,11 @@
     return this.#attempts.size;
   }
 
+  /** Bytes over all open connections to upstream processes. */
+  countBytes(): { readonly sentBytes: number; readonly receivedBytes: number } {
+    return mesh.sumBytes(this.#members.keys());
+  }
+
   get vms(): readonly platform.Vm[] {
     return this.#vms;
   }
--- a/packages/entry/src/http_app.ts
+++ b/packages/entry/src/http_app.ts
@@ -162,10 +162,10 @@
     : JSON.stringify(content).length;
 }
 
-function buildPrefixKey(account: string, body: ChatBody): string {
+function readPromptStart(body: ChatBody): string {
   const first = body.messages[0]?.content;
   const text = typeof first === "string" ? first : JSON.stringify(first ?? "");
-  return `${account}/${body.model}/${text.slice(0, PREFIX_KEY_CHARS)}`;
+  return text.slice(0, PREFIX_KEY_CHARS);
 }
 
 /** Builds the callers' routes. */
@@ -330,7 +330,9 @@
       isStreamed: body.stream === true,
       wantsUsage: body.stream_options?.include_usage === true,
       promptChars: countPromptChars(body),
-      prefixKey: buildPrefixKey(account.name, body),
+      promptStart: readPromptStart(body),
+      prefixKey: `${account.name}/${body.model}/${readPromptStart(body)}`,
+      arrivedAtMs: this.#options.services.clock.monotonicMs(),
       pin,
       hasSession: isNamed,
     }));
--- a/packages/entry/src/idempotency.ts
+++ b/packages/entry/src/idempotency.ts
@@ -71,7 +71,8 @@
   item: string,
   idempotencyKey: string | undefined,
 ): string | undefined {
-  return idempotencyKey === undefined
-    ? undefined
-    : digest(account, item, idempotencyKey);
+  if (idempotencyKey === undefined) return undefined;
+  // A repeat of a chat request may be served by another model or version.
+  const scope = item.startsWith("service:") ? item : "chat";
+  return digest(account, scope, idempotencyKey);
 }
--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -10,7 +10,7 @@
 import * as dispatchers from "./dispatch.ts";
 import * as fleets from "./fleet.ts";
 import * as httpApps from "./http_app.ts";
-import * as policies from "./policy.ts";
+import * as learnings from "./learning.ts";
 import * as sessionTables from "./sessions.ts";
 import * as tokens from "./tokens.ts";
 import * as trackers from "./tracker.ts";
@@ -30,6 +30,8 @@
   readonly holder: config.BundleHolder;
   readonly store: platform.Store;
   readonly vmList: platform.VmList;
+  /** Absent where answers are not rated: the bundle's static rule decides. */
+  readonly ratings: platform.Ratings | undefined;
   readonly identity: mesh.MeshIdentity;
   readonly listen: admin.ListenAddress;
   readonly drainTimeoutMs: number;
@@ -50,11 +52,11 @@
 ): Promise<kernel.Outcome<EntryRole>> {
   const { services } = host;
   const { holder } = options;
-  const stopped = new Set<string>();
+  const learning = new learnings.Learning(services, options);
   const fleet = new fleets.Fleet(services, {
     ...options,
-    listStopped: () => [...stopped],
-    onStopped: (names) => names.forEach((name) => stopped.add(name)),
+    listStopped: () => learning.listStops(),
+    onStopped: (stops) => learning.takeStops(stops),
   });
   const ledger = new billing.BillLedger(services, {
     store: options.store,
@@ -63,19 +65,20 @@
   const dispatcher = new dispatchers.Dispatcher(services, {
     holder,
     fleet,
-    policy: new policies.StaticCascade(),
+    policy: learning,
   });
   const carrier = new carriers.AnswerCarrier(services, {
     holder,
     ledger,
     dispatcher,
+    learning,
   });
   const sessionTokens = new tokens.SessionTokens(options.identity.secret);
   const sessions = new sessionTables.Sessions({
     holder,
     fleet,
     tokens: sessionTokens,
-    listStopped: () => stopped,
+    listStopped: () => learning.listStoppedVersions(),
   });
   const tracker = new trackers.DrainTracker(services.clock);
   const app = new httpApps.CallerApp({
@@ -92,6 +95,7 @@
   });
   if (listener.isErr()) {
     await fleet.close();
+    await learning.close();
     return neverthrow.err(listener.error);
   }
   const drain = async () => {
@@ -101,7 +105,8 @@
   };
   host.addTeardown(kernel.composeTeardowns(
     () => fleet.close(),
-    registerCommands(host, { fleet, ledger, tracker, drain }),
+    () => learning.close(),
+    registerCommands(host, { fleet, ledger, tracker, learning, drain }),
   ));
   return neverthrow.ok({ port: listener.value.port, fleet, ledger });
 }
@@ -112,6 +117,7 @@
     readonly fleet: fleets.Fleet;
     readonly ledger: billing.BillLedger;
     readonly tracker: trackers.DrainTracker;
+    readonly learning: learnings.Learning;
     readonly drain: () => Promise<void>;
   },
 ): kernel.Teardown {
@@ -129,6 +135,8 @@
         attemptsInFlight: fleet.attemptsInFlight,
         billed: ledger.billedCount,
         unstoredBills: ledger.unstoredCount,
+        ...fleet.countBytes(),
+        stoppedRollouts: parts.learning.listStops(),
       });
       return false;
     }),
--- a/packages/entry/src/requests.ts
+++ b/packages/entry/src/requests.ts
@@ -1,7 +1,6 @@
 /** What the rest of an entry needs of a caller's request, and how it is answered. */
 import type * as bundle from "@jackdawbank/bundle";
 import type * as decisions from "@jackdawbank/decisions";
-import type * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
 import type * as attempts from "./attempt.ts";
 
@@ -23,12 +22,22 @@
   readonly isStreamed: boolean;
   readonly wantsUsage: boolean;
   readonly promptChars: number;
+  /** How the first message begins. */
+  readonly promptStart: string;
+  readonly arrivedAtMs: number;
   /** Start of the prompt, for prefix affinity. */
   readonly prefixKey: string;
   readonly pin: decisions.SessionPin;
   readonly hasSession: boolean;
 }
 
+/** Tells a chat request from a call of a service. */
+export function isModelRequest(
+  request: CallerRequest,
+): request is ModelRequest {
+  return "model" in request;
+}
+
 /** A call of a plain service. */
 export interface ServiceRequest extends CallerRequest {
   readonly service: bundle.Service;
@@ -55,6 +64,3 @@
   readonly body: Uint8Array;
   readonly usage: mesh.Usage;
 }
-
-/** A failure with what is known of the request's run. */
-export type RequestOutcome<T> = kernel.Outcome<T>;
--- a/packages/jackdawd/src/daemon.ts
+++ b/packages/jackdawd/src/daemon.ts
@@ -51,6 +51,7 @@
   host.addTeardown(() => metrics.close());
   host.addTeardown(() => store.close());
   host.addTeardown(config.registerConfig(host, holder));
+  host.addTeardown(registerProcessStatus(host));
   const identity = {
     processId,
     incarnation,
@@ -60,6 +61,21 @@
   return { host, holder, store, identity };
 }
 
+/** What the process itself costs, for operators and for the capacity page. */
+function registerProcessStatus(host: kernel.Kernel): kernel.Teardown {
+  return host.registerCommand(admin.COLLECT_STATUS, (command) => {
+    const { user, system } = process.cpuUsage();
+    const { rss, heapUsed } = process.memoryUsage();
+    command.add("process", {
+      incarnation: host.services.incarnation,
+      cpuMicros: user + system,
+      residentBytes: rss,
+      heapBytes: heapUsed,
+    });
+    return false;
+  });
+}
+
 async function listenAdmin(
   parts: Parts,
   settings: settingTypes.CommonSettings,
@@ -98,6 +114,9 @@
   const role = await entry.registerEntry(parts.host, {
     ...parts,
     vmList,
+    ratings: settings.ratings === undefined
+      ? undefined
+      : new platform.HttpRatings(settings.ratings),
     listen: settings.listen,
     drainTimeoutMs: settings.drainTimeoutMs,
     random: Math.random,
--- a/packages/jackdawd/src/settings.ts
+++ b/packages/jackdawd/src/settings.ts
@@ -75,6 +75,7 @@
   ...commonShape,
   listen: addressSchema,
   vmList: urlSchema,
+  ratings: urlSchema.optional(),
 });
 const upstreamSchema = z.object({
   ...commonShape,
@@ -189,6 +190,13 @@
     )
     .addOption(
       option("--vm-list <url>", "JACKDAW_VM_LIST", "the platform's VM list"),
+    )
+    .addOption(
+      option(
+        "--ratings <url>",
+        "JACKDAW_RATINGS",
+        "the platform's ratings; without it the bundle's static rules decide",
+      ),
     );
 }
 
--- a/packages/mesh/src/connection.ts
+++ b/packages/mesh/src/connection.ts
@@ -123,3 +123,16 @@
     this.#socket.terminate();
   }
 }
+
+/** Bytes sent and received over connections. */
+export function sumBytes(
+  connections: Iterable<MeshConnection>,
+): { readonly sentBytes: number; readonly receivedBytes: number } {
+  let sentBytes = 0;
+  let receivedBytes = 0;
+  for (const connection of connections) {
+    sentBytes += connection.sentBytes;
+    receivedBytes += connection.receivedBytes;
+  }
+  return { sentBytes, receivedBytes };
+}
--- a/packages/mesh/src/frames.ts
+++ b/packages/mesh/src/frames.ts
@@ -35,7 +35,6 @@
   /** Mean time that a unit of work held a slot lately. */
   serviceMs: z.number().min(0),
   isLeaving: z.boolean(),
-  /** Versions that this process's guard evidence speaks against. */
   dataCentre: z.string(),
 }).readonly();
 
@@ -47,7 +46,7 @@
   checkedAgeMs: z.number().min(-1),
   time: z.strictObject({ wallMs: z.number(), count: z.number() }).readonly(),
   status: statusSchema.optional(),
-  /** `model@version` names whose roll-out the sender's guard has stopped. */
+  /** Roll-outs that a guard has stopped, as `model@version#step`. */
   stopped: z.array(z.string()).readonly().optional(),
 }).readonly();
 
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -12,7 +12,7 @@
 import type * as peerTasks from "./peers.ts";
 import * as sinks from "./sink.ts";
 
-const QUEUE_PER_SLOT = 4;
+const QUEUE_PER_SLOT = 8;
 const MIN_QUEUE_ITEMS = 8;
 const CLAIM_TIMEOUT_MS = 3_000;
 const COMMIT_TIMEOUT_MS = 2_000;
--- a/packages/upstream/src/mod.ts
+++ b/packages/upstream/src/mod.ts
@@ -91,6 +91,7 @@
       gate,
       peers,
       witness,
+      listConnections: () => server.connections,
       drainTimeoutMs: options.drainTimeoutMs,
     }),
   ));
@@ -207,6 +208,7 @@
     readonly gate: gates.Gate;
     readonly peers: peerTasks.Peers;
     readonly witness: billing.BillWitness;
+    readonly listConnections: () => ReadonlySet<mesh.MeshConnection>;
     readonly drainTimeoutMs: number;
   },
 ): kernel.Teardown {
@@ -229,6 +231,7 @@
         handOvers: gate.handOvers,
         claimWrites: gate.claimWrites,
         heldBills: witness.size,
+        ...mesh.sumBytes(parts.listConnections()),
       });
       return false;
     }),
--- a/packages/upstream/src/peers.ts
+++ b/packages/upstream/src/peers.ts
@@ -3,6 +3,7 @@
  * and tells how long ago an entry was last heard.
  */
 import type * as config from "@jackdawbank/config";
+import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
 
@@ -36,6 +37,8 @@
   /** When each entry last knew what the store held, or had tried to. */
   readonly #knownAtMs = new WeakMap<mesh.MeshConnection, number>();
   #nonce = 0;
+  /** Stopped roll-outs that entries have told of; passed on to the others. */
+  #stops: ReadonlySet<string> = new Set();
   #turn = 0;
   #answered = 0;
 
@@ -70,6 +73,7 @@
       checkedAgeMs: holder.checkedAgeMs,
       time: this.#services.timeline.tick(),
       status: this.#options.readStatus(),
+      stopped: this.#listStops(),
     };
   }
 
@@ -81,8 +85,20 @@
     }
   }
 
+  #listStops(): readonly string[] {
+    const content = this.#options.holder.index?.bundle;
+    if (content === undefined) return [];
+    return [...decisions.listCurrentStops(content, this.#stops).keys()];
+  }
+
+  #takeStops(view: mesh.PeerView): void {
+    const news = (view.stopped ?? []).filter((stop) => !this.#stops.has(stop));
+    if (news.length > 0) this.#stops = new Set([...this.#stops, ...news]);
+  }
+
   takePing(connection: mesh.MeshConnection, ping: mesh.FrameOf<"ping">): void {
     this.#services.timeline.observe(ping.view.time);
+    this.#takeStops(ping.view);
     this.compareRevision(connection, ping.view.revision);
     connection.send({
       type: "pong",
@@ -96,6 +112,7 @@
     if (ping === undefined || ping.connection !== connection) return;
     this.#openPings.delete(pong.nonce);
     this.#services.timeline.observe(pong.view.time);
+    this.#takeStops(pong.view);
     this.compareRevision(connection, pong.view.revision);
     this.#noteKnowledge(connection, ping, pong.view.checkedAgeMs);
     this.#answered += 1;
