--- a/packages/decisions/src/claims.ts
+++ b/packages/decisions/src/claims.ts
@@ -98,6 +98,8 @@
   | { readonly type: "abandon"; readonly claimId: string }
   /** The call started and its outcome is not known: the claim stays. */
   | { readonly type: "lose"; readonly claimId: string }
+  /** Facts that wait for the next claim's batch are to be stored now. */
+  | { readonly type: "flush" }
   | { readonly type: "stored"; readonly outcome: StoreOutcome };
 
 /** Output of the state machine. */
@@ -179,6 +181,7 @@
   #removable: number[] = [];
   #segmentsSinceSnapshot = 0;
   #batchCount = 0;
+  #isFlushDue = false;
   #loadedSnapshotNumber = 0;
   /** Batches whose claims were never granted although they may be stored. */
   readonly #voidedBatches = new Set<string>();
@@ -197,6 +200,11 @@
     return this.#next;
   }
 
+  /** Whether facts wait to be stored. */
+  get hasQueued(): boolean {
+    return this.#queued.length > 0;
+  }
+
   /** Keys that are remembered. */
   get size(): number {
     return this.#entries.size;
@@ -220,6 +228,9 @@
         return this.#abandon(event.claimId, nowMs);
       case "lose":
         return this.#lose(event.claimId);
+      case "flush":
+        this.#isFlushDue = true;
+        return this.#advance(nowMs);
       case "stored":
         return this.#continue(event.outcome, nowMs);
     }
@@ -337,7 +348,8 @@
   /** Starts the next store call if none is outstanding and there is a reason. */
   #advance(nowMs: number): readonly ClaimEffect[] {
     if (this.#phase !== "idle") return [];
-    if (this.#pending.length === 0 && this.#queued.length === 0) return [];
+    const isFlushing = this.#isFlushDue && this.#queued.length > 0;
+    if (this.#pending.length === 0 && !isFlushing) return [];
     if (!this.#hasRead) {
       this.#phase = "reading-snapshot";
       return [{ type: "read-snapshot" }];
@@ -355,6 +367,7 @@
     const later: PendingClaim[] = [];
     const queuedRecords = this.#queued.slice(0, MAX_BATCH_RECORDS);
     this.#queued = this.#queued.slice(queuedRecords.length);
+    this.#isFlushDue = this.#queued.length > 0;
     // A key's claim may not be stored before the key's earlier records.
     for (const record of this.#queued) keys.add(record.key);
     for (const claim of this.#pending) {
--- a/packages/decisions/src/claims_test.ts
+++ b/packages/decisions/src/claims_test.ts
@@ -94,7 +94,8 @@
     if (action < 8) return this.#claim(process, detail);
     if (action < 14) return this.#startRun(process);
     if (action < 20) return this.#finishRun(process);
-    if (action < 23) return this.#abandon(process, detail);
+    if (action < 22) return this.#abandon(process, detail);
+    if (action < 23) return this.#handle(process, { type: "flush" });
     if (action < 24) return this.#restart(at);
     if (action < 28) return this.#loseReply(detail);
     if (action < 32) return this.#applyRemoval(detail);
@@ -410,6 +411,7 @@
   const first = createJournal("first");
   t.true(listTypes(drive(first, store, claimEvent("a"))).includes("grant"));
   drive(first, store, { type: "finish", claimId: "a", answer: ANSWER });
+  drive(first, store, { type: "flush" });
   const effects = drive(createJournal("second"), store, claimEvent("b"));
   t.deepEqual(effects.filter((effect) => effect.type === "replay"), [
     { type: "replay", claimId: "b", answer: ANSWER },
@@ -473,6 +475,7 @@
   const first = createJournal("first");
   drive(first, store, claimEvent("a"));
   drive(first, store, { type: "abandon", claimId: "a" });
+  drive(first, store, { type: "flush" });
   const effects = drive(createJournal("second"), store, claimEvent("b"));
   t.true(listTypes(effects).includes("grant"));
 });
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -2,7 +2,7 @@
  * The upstream processes as this entry sees them: who is there, what they
  * serve, how loaded they are; and the attempts under way at each.
  */
-import type * as config from "@jackdawbank/config";
+import * as config from "@jackdawbank/config";
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as mesh from "@jackdawbank/mesh";
@@ -55,6 +55,7 @@
     maxSilenceMs: MAX_SILENCE_MS,
   });
   readonly #pinWaits = new Map<number, (pin: mesh.FrameOf<"pinned">) => void>();
+  readonly #spreader: config.BundleSpreader;
   readonly #abort = new AbortController();
   readonly #timer: NodeJS.Timeout;
   readonly #teardown: kernel.Teardown;
@@ -66,8 +67,11 @@
   constructor(services: kernel.KernelServices, options: FleetOptions) {
     this.#services = services;
     this.#options = options;
+    this.#spreader = new config.BundleSpreader(options.holder);
     this.#timer = setInterval(() => this.#pingAll(), PING_INTERVAL_MS);
-    this.#teardown = options.holder.listen(() => this.#passBundleOn());
+    this.#teardown = options.holder.listen(() =>
+      this.#spreader.sendToAll(this.#members.keys())
+    );
     void this.#listLoop();
   }
 
@@ -331,10 +335,10 @@
       case "notice":
         return this.#takeView(member, frame.view);
       case "bundle":
-        this.#options.holder.offer(frame.signed, "peer");
+        this.#spreader.take(connection, frame);
         return;
       case "pull":
-        return this.#sendBundle(connection);
+        return this.#spreader.answerPull(connection, frame.heldRevision);
       case "pinned":
         this.#pinWaits.get(frame.nonce)?.(frame);
         return;
@@ -372,11 +376,7 @@
   #takeView(member: Member, view: mesh.PeerView): void {
     this.#services.timeline.observe(view.time);
     this.#options.onStopped(view.stopped ?? []);
-    const ours = this.#options.holder.revision;
-    if (view.revision > ours) {
-      member.connection.send({ type: "pull", heldRevision: ours });
-    }
-    if (view.revision < ours) this.#sendBundle(member.connection);
+    this.#spreader.compare(member.connection, view.revision);
     if (view.status === undefined || !this.#isCurrent(member)) return;
     this.#table.takeReport(
       member.connection.peer.processId,
@@ -421,19 +421,6 @@
       view: this.#buildView(),
     });
   }
-
-  #passBundleOn(): void {
-    for (const member of this.#members.values()) {
-      this.#sendBundle(member.connection);
-    }
-  }
-
-  #sendBundle(connection: mesh.MeshConnection): void {
-    const held = this.#options.holder.held;
-    if (held !== undefined) {
-      connection.send({ type: "bundle", signed: held.verified.signed });
-    }
-  }
 }
 
 /** Services and models do not share names. */
--- a/packages/fakes/src/store.ts
+++ b/packages/fakes/src/store.ts
@@ -30,6 +30,11 @@
   readonly mod_revision?: string;
 }
 
+interface KeyRange {
+  readonly key: string;
+  readonly range_end?: string;
+}
+
 interface RequestOp {
   readonly request_put?: { readonly key: string; readonly value: string };
   readonly request_range?: { readonly key: string };
@@ -102,14 +107,9 @@
       return context.json(reply);
     });
     app.post("/v3/kv/deleterange", async (context) => {
-      const { key } = await context.req.json() as { key: string };
-      this.counters.writes += 1;
-      const isDeleted = this.#values.delete(key);
+      const deleted = this.#deleteRange(await context.req.json());
       context.header("x-write", "1");
-      return context.json({
-        header: this.#header(),
-        deleted: isDeleted ? "1" : "0",
-      });
+      return context.json({ header: this.#header(), deleted: String(deleted) });
     });
     app.post("/v3/watch", async (context) => {
       const body = await context.req.json() as {
@@ -154,25 +154,31 @@
     };
   }
 
-  #range(
-    request: { readonly key: string; readonly range_end?: string },
-  ): unknown {
+  /** Keys of a request: one, or those from `key` up to but without `range_end`. */
+  #listKeys(request: KeyRange): readonly string[] {
+    if (request.range_end === undefined) {
+      return this.#values.has(request.key) ? [request.key] : [];
+    }
     const from = Buffer.from(request.key, "base64");
-    const end = request.range_end === undefined
-      ? undefined
-      : Buffer.from(request.range_end, "base64");
-    const kvs = [...this.#values]
-      .filter(([key]) => {
-        if (end === undefined) return key === request.key;
-        const bytes = Buffer.from(key, "base64");
-        return Buffer.compare(bytes, from) >= 0 &&
-          Buffer.compare(bytes, end) < 0;
-      })
-      .map(([key, stored]) => this.#render(key, stored));
-    return {
-      header: this.#header(),
-      ...(kvs.length > 0 ? { kvs, count: String(kvs.length) } : {}),
-    };
+    const end = Buffer.from(request.range_end, "base64");
+    return [...this.#values.keys()].filter((key) => {
+      const bytes = Buffer.from(key, "base64");
+      return Buffer.compare(bytes, from) >= 0 && Buffer.compare(bytes, end) < 0;
+    });
+  }
+
+  #deleteRange(request: KeyRange): number {
+    this.counters.writes += 1;
+    const keys = this.#listKeys(request);
+    for (const key of keys) this.#values.delete(key);
+    return keys.length;
+  }
+
+  #range(request: KeyRange): unknown {
+    const kvs = this.#listKeys(request)
+      .map((key) => this.#render(key, this.#values.get(key) as StoredValue));
+    const found = kvs.length > 0 ? { kvs, count: String(kvs.length) } : {};
+    return { header: this.#header(), ...found };
   }
 
   #transact(request: {
--- a/packages/platform/src/etcd_store.ts
+++ b/packages/platform/src/etcd_store.ts
@@ -121,12 +121,9 @@
     );
   }
 
-  async remove(key: string): Promise<kernel.Outcome<void>> {
-    const result = await this.#post(
-      "/v3/kv/deleterange",
-      { key: encode(key) },
-      anySchema,
-    );
+  async removeRange(first: string, end: string): Promise<kernel.Outcome<void>> {
+    const body = { key: encode(first), range_end: encode(end) };
+    const result = await this.#post("/v3/kv/deleterange", body, anySchema);
     return result.map(() => undefined);
   }
 
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -31,7 +31,8 @@
     entry: StoreEntry,
     value: string,
   ): Promise<kernel.Outcome<ReplaceResult>>;
-  remove(key: string): Promise<kernel.Outcome<void>>;
+  /** Removes the keys from the first on, up to but without the last. */
+  removeRange(first: string, end: string): Promise<kernel.Outcome<void>>;
   /** Resolves with the next change of a key, or `undefined` when the wait ended. */
   watchOnce(
     key: string,
--- a/packages/upstream/src/claim_task.ts
+++ b/packages/upstream/src/claim_task.ts
@@ -7,6 +7,8 @@
 const SNAPSHOT_EVERY_SEGMENTS = 128;
 const RETRY_DELAY_MS = 100;
 const FLUSH_CHECK_MS = 10;
+/** Longest that an answer waits for the next claim's batch before it is stored. */
+const FLUSH_DELAY_MS = 100;
 
 const answerSchema = z.object({
   status: z.int(),
@@ -149,6 +151,7 @@
   readonly #abort = new AbortController();
   #writes = 0;
   #callsInProgress = 0;
+  #flushTimer: NodeJS.Timeout | undefined;
 
   constructor(services: kernel.KernelServices, options: ClaimTaskOptions) {
     this.#services = services;
@@ -200,6 +203,7 @@
 
   /** Waits until what was queued is stored, or the time is over. */
   async flush(timeoutMs: number): Promise<void> {
+    this.#flushNow();
     const endAtMs = this.#services.clock.monotonicMs() + timeoutMs;
     while (
       this.#callsInProgress > 0 && this.#services.clock.monotonicMs() < endAtMs
@@ -210,6 +214,7 @@
 
   close(): void {
     this.#abort.abort();
+    clearTimeout(this.#flushTimer);
     for (const settle of [...this.#waiting.values()]) {
       settle({ type: "refused", kind: "leaving" });
     }
@@ -229,6 +234,14 @@
     if (this.#abort.signal.aborted) return;
     const effects = this.#journal.handle(event, this.#services.clock.wallMs());
     for (const effect of effects) this.#perform(effect);
+    if (!this.#journal.hasQueued) return;
+    this.#flushTimer ??= setTimeout(() => this.#flushNow(), FLUSH_DELAY_MS);
+  }
+
+  #flushNow(): void {
+    clearTimeout(this.#flushTimer);
+    this.#flushTimer = undefined;
+    this.#handle({ type: "flush" });
   }
 
   #perform(effect: decisions.ClaimEffect): void {
@@ -364,9 +377,26 @@
       return { type: "unknown" };
     }
     this.#record("claims.snapshot", `through segment ${snapshot.number}`);
-    for (const number of removable) {
-      await store.remove(platform.nameSegmentKey(journal, number));
+    for (const [first, last] of findRuns(removable)) {
+      this.#writes += 1;
+      await store.removeRange(
+        platform.nameSegmentKey(journal, first),
+        platform.nameSegmentKey(journal, last + 1),
+      );
     }
     return { type: "snapshot-stored" };
   }
 }
+
+/** Joins consecutive numbers, so that each run is removed by one call. */
+function findRuns(
+  numbers: readonly number[],
+): readonly (readonly [number, number])[] {
+  const runs: [number, number][] = [];
+  for (const number of numbers.toSorted((a, b) => a - b)) {
+    const run = runs.at(-1);
+    if (run !== undefined && run[1] === number - 1) run[1] = number;
+    else runs.push([number, number]);
+  }
+  return runs;
+}
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -208,7 +208,7 @@
   async #alignRevision(work: ActiveWork): Promise<boolean> {
     const { holder, peers } = this.#options;
     const theirs = work.frame.revision;
-    peers.compareRevision(work.connection, theirs);
+    peers.spreader.compare(work.connection, theirs);
     if (theirs <= holder.revision) return true;
     if (await peers.waitForRevision(theirs, REVISION_WAIT_MS)) return true;
     this.#refuse(work, "stale-configuration");
--- a/packages/upstream/src/mod.ts
+++ b/packages/upstream/src/mod.ts
@@ -64,13 +64,7 @@
     store,
     type: options.type,
   });
-  const listener = createListener(services, {
-    gate,
-    peers,
-    pins,
-    witness,
-    holder,
-  });
+  const listener = createListener(services, { gate, peers, pins, witness });
   const listened = await mesh.MeshServer.listen(options.listen, identity, {
     listener,
     log: services.log,
@@ -122,7 +116,6 @@
   readonly peers: peerTasks.Peers;
   readonly pins: pinTables.PinTable;
   readonly witness: billing.BillWitness;
-  readonly holder: config.BundleHolder;
 }
 
 function createListener(
@@ -155,7 +148,7 @@
   readonly parts: ListenerParts;
 }): void {
   const { connection, frame, parts } = input;
-  const { gate, peers, pins, witness, holder } = parts;
+  const { gate, peers, pins, witness } = parts;
   switch (frame.type) {
     case "ping":
       witness.noteHeard(connection.peer.incarnation);
@@ -164,12 +157,11 @@
       peers.takePong(connection, frame);
       return gate.noteHeard(connection);
     case "notice":
-      return peers.compareRevision(connection, frame.view.revision);
+      return peers.spreader.compare(connection, frame.view.revision);
     case "bundle":
-      holder.offer(frame.signed, "peer");
-      return;
+      return peers.spreader.take(connection, frame);
     case "pull":
-      return peers.sendBundle(connection);
+      return peers.spreader.answerPull(connection, frame.heldRevision);
     case "marked":
       gate.startLeaving("marked by the VM list");
       return peers.notify();
--- a/packages/upstream/src/peers.ts
+++ b/packages/upstream/src/peers.ts
@@ -2,7 +2,7 @@
  * The entries connected to this process: exchanges views, passes bundles on,
  * and tells how long ago an entry was last heard.
  */
-import type * as config from "@jackdawbank/config";
+import * as config from "@jackdawbank/config";
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
@@ -31,6 +31,7 @@
 export class Peers {
   readonly #services: kernel.KernelServices;
   readonly #options: PeersOptions;
+  readonly #spreader: config.BundleSpreader;
   readonly #timer: NodeJS.Timeout;
   readonly #teardown: kernel.Teardown;
   readonly #openPings = new Map<number, OpenPing>();
@@ -45,8 +46,11 @@
   constructor(services: kernel.KernelServices, options: PeersOptions) {
     this.#services = services;
     this.#options = options;
+    this.#spreader = new config.BundleSpreader(options.holder);
     this.#timer = setInterval(() => this.#pingDue(), PING_INTERVAL_MS);
-    this.#teardown = options.holder.listen(() => this.#passBundleOn());
+    this.#teardown = options.holder.listen(() =>
+      this.#spreader.sendToAll(options.connections())
+    );
   }
 
   /**
@@ -99,7 +103,7 @@
   takePing(connection: mesh.MeshConnection, ping: mesh.FrameOf<"ping">): void {
     this.#services.timeline.observe(ping.view.time);
     this.#takeStops(ping.view);
-    this.compareRevision(connection, ping.view.revision);
+    this.#spreader.compare(connection, ping.view.revision);
     connection.send({
       type: "pong",
       nonce: ping.nonce,
@@ -113,7 +117,7 @@
     this.#openPings.delete(pong.nonce);
     this.#services.timeline.observe(pong.view.time);
     this.#takeStops(pong.view);
-    this.compareRevision(connection, pong.view.revision);
+    this.#spreader.compare(connection, pong.view.revision);
     this.#noteKnowledge(connection, ping, pong.view.checkedAgeMs);
     this.#answered += 1;
     const { confirmedAgeMs, revision } = pong.view;
@@ -136,18 +140,9 @@
     );
   }
 
-  /** Whoever is behind gets the newer bundle. */
-  compareRevision(connection: mesh.MeshConnection, theirs: number): void {
-    const ours = this.#options.holder.revision;
-    if (theirs > ours) connection.send({ type: "pull", heldRevision: ours });
-    if (theirs < ours) this.sendBundle(connection);
-  }
-
-  sendBundle(connection: mesh.MeshConnection): void {
-    const held = this.#options.holder.held;
-    if (held !== undefined) {
-      connection.send({ type: "bundle", signed: held.verified.signed });
-    }
+  /** Spreads bundles over the entries' connections. */
+  get spreader(): config.BundleSpreader {
+    return this.#spreader;
   }
 
   /** Pings every entry and waits until all have answered or the time is over. */
@@ -174,12 +169,6 @@
     }
   }
 
-  #passBundleOn(): void {
-    for (const connection of this.#options.connections()) {
-      this.sendBundle(connection);
-    }
-  }
-
   /** Asks an entry for its view. */
   ping(connection: mesh.MeshConnection): void {
     this.#nonce += 1;
