--- a/packages/entry/src/sessions.ts
+++ b/packages/entry/src/sessions.ts
@@ -10,6 +10,7 @@
 
 /** Upstream processes that hold the pin of a caller's own session id. */
 const PIN_HOMES = 2;
+const MAX_ID_CHARS = 128;
 const PIN_TIMEOUT_MS = 200;
 const MAX_KNOWN_PINS = 20_000;
 
@@ -97,5 +98,3 @@
     return { sessionId, birthRevision: holder.revision, excluded };
   }
 }
-
-const MAX_ID_CHARS = 128;
--- /dev/null
+++ b/packages/jackdawctl/src/actions.ts
@@ -0,0 +1,312 @@
+/** What the commands of the operators' client do. */
+import * as fs from "node:fs";
+import * as bundle from "@jackdawbank/bundle";
+import * as kernel from "@jackdawbank/kernel";
+import * as neverthrow from "neverthrow";
+import * as platform from "@jackdawbank/platform";
+import * as flags from "./flags.ts";
+import * as fleets from "./fleet.ts";
+import * as keyFiles from "./key_files.ts";
+import * as output from "./output.ts";
+import * as rolls from "./roll.ts";
+import * as usages from "./usage.ts";
+
+function readSigners(
+  options: flags.CommandOptions,
+): kernel.Outcome<bundle.Signers> {
+  const texts = (options.signers ?? "").split(",").filter((text) =>
+    text.trim() !== ""
+  );
+  if (texts.length === 0) {
+    return kernel.fail("settings-invalid", "--signers names no signer");
+  }
+  const signers = new Map<string, bundle.Signer>();
+  for (const text of texts) {
+    const signer = bundle.readSigner(text.trim());
+    if (signer.isErr()) return neverthrow.err(signer.error);
+    signers.set(signer.value.signerId, signer.value);
+  }
+  return neverthrow.ok(signers);
+}
+
+/** Runs a command that uses the store, and closes the store after it. */
+async function useStore<T>(
+  options: flags.CommandOptions,
+  run: (
+    store: platform.Store,
+    signers: bundle.Signers,
+  ) => Promise<kernel.Outcome<T>>,
+): Promise<kernel.Outcome<T>> {
+  const signers = readSigners(options);
+  if (signers.isErr()) return neverthrow.err(signers.error);
+  const store = new platform.EtcdStore(options.store ?? "");
+  try {
+    return await run(store, signers.value);
+  } finally {
+    await store.close();
+  }
+}
+
+async function readVms(
+  options: flags.CommandOptions,
+): Promise<kernel.Outcome<readonly platform.Vm[]>> {
+  const list = new platform.HttpVmList(options.vmList ?? "");
+  try {
+    return await list.read();
+  } finally {
+    await list.close();
+  }
+}
+
+function readBundleFile(path: string): kernel.Outcome<bundle.Bundle> {
+  let text: string;
+  try {
+    text = fs.readFileSync(path, "utf8");
+  } catch (thrown) {
+    return kernel.fail("bad-request", kernel.describeThrown(thrown));
+  }
+  const parsed = bundle.parseBundleText(text);
+  if (parsed.isOk()) return neverthrow.ok(parsed.value);
+  const faults = parsed.error.map((fault) =>
+    `${path}:${bundle.renderFault(fault)}`
+  );
+  return kernel.fail("bundle-invalid", faults.join("\n"));
+}
+
+function writeOut(
+  path: string | undefined,
+  text: string,
+): kernel.Outcome<void> {
+  if (path === undefined) {
+    process.stdout.write(text);
+    return neverthrow.ok(undefined);
+  }
+  try {
+    fs.writeFileSync(path, text);
+    return neverthrow.ok(undefined);
+  } catch (thrown) {
+    return kernel.fail("bad-request", kernel.describeThrown(thrown));
+  }
+}
+
+/** Writes a new signing key. */
+export function createKey(path: string, options: flags.CommandOptions): void {
+  const created = keyFiles.createKeyFile(path);
+  if (created.isErr()) return output.failWith(created.error);
+  output.printData(
+    created.value,
+    options,
+    (key) => `signer ${key.signerId}\npublic key ${key.publicKey}`,
+  );
+}
+
+/** Writes the next bundle to edit. */
+export async function createBundle(
+  options: flags.CommandOptions,
+): Promise<void> {
+  const next = await useStore(options, async (store, signers) => {
+    const current = await rolls.readCurrent(store, signers);
+    return current.map((stored) =>
+      stored === undefined
+        ? bundle.createFirstBundle()
+        : bundle.createNextBundle(stored.verified)
+    );
+  });
+  if (next.isErr()) return output.failWith(next.error);
+  const written = writeOut(options.out, bundle.renderBundle(next.value));
+  if (written.isErr()) output.failWith(written.error);
+}
+
+/** Checks a bundle file and names every fault. */
+export function checkBundle(path: string, options: flags.CommandOptions): void {
+  const checked = readBundleFile(path);
+  if (checked.isErr()) return output.failWith(checked.error);
+  const { revision, baseRevision } = checked.value;
+  output.printData(
+    { isValid: true, revision, baseRevision },
+    options,
+    () => `valid: revision ${revision}, replaces ${baseRevision}`,
+  );
+}
+
+/** Compares a bundle file with the bundle in force. */
+export async function diffBundle(
+  path: string,
+  options: flags.CommandOptions,
+): Promise<void> {
+  const wanted = readBundleFile(path);
+  if (wanted.isErr()) return output.failWith(wanted.error);
+  const current = await useStore(
+    options,
+    (store, signers) => rolls.readCurrent(store, signers),
+  );
+  if (current.isErr()) return output.failWith(current.error);
+  const before = current.value?.verified.bundle ?? bundle.createFirstBundle();
+  const changes = bundle.diffBundles(before, wanted.value);
+  output.printData(
+    changes,
+    options,
+    () =>
+      changes.map((change) =>
+        `${change.kind.toLowerCase()} ${change.path}: ${
+          JSON.stringify(change.before)
+        } -> ${JSON.stringify(change.after)}`
+      ).join("\n"),
+  );
+}
+
+/** Signs a bundle file. */
+export function signBundle(path: string, options: flags.CommandOptions): void {
+  const signed = readBundleFile(path).andThen((content) =>
+    keyFiles.readKeyFile(options.key ?? "").map((key) =>
+      bundle.signBundle(content, key)
+    )
+  );
+  if (signed.isErr()) return output.failWith(signed.error);
+  const written = writeOut(options.out, `${JSON.stringify(signed.value)}\n`);
+  if (written.isErr()) output.failWith(written.error);
+}
+
+/** Rolls a bundle, then hands it to running processes. */
+export async function rollAndPush(
+  options: flags.CommandOptions,
+  prepare: (
+    store: platform.Store,
+    signers: bundle.Signers,
+  ) => Promise<kernel.Outcome<bundle.VerifiedBundle>>,
+): Promise<void> {
+  const rolled = await useStore(options, async (store, signers) => {
+    const wanted = await prepare(store, signers);
+    if (wanted.isErr()) return neverthrow.err(wanted.error);
+    const clock = new kernel.SystemClock();
+    const timeoutMs = Number(options.timeoutMs ?? flags.ROLL_TIMEOUT_MS);
+    const result = await rolls.rollBundle(wanted.value, {
+      store,
+      signers,
+      timeoutMs,
+      clock,
+    });
+    return result.map((accepted) => ({
+      accepted,
+      signed: wanted.value.signed,
+    }));
+  });
+  if (rolled.isErr()) return output.failWith(rolled.error);
+  const { accepted, signed } = rolled.value;
+  const vms = options.vmList === undefined
+    ? neverthrow.ok([])
+    : await readVms(options);
+  const pushed = await fleets.pushBundle(vms.unwrapOr([]), signed);
+  output.printData(
+    { ...accepted, pushedTo: pushed },
+    options,
+    (result) =>
+      `accepted: revision ${result.revision}, handed to ${result.pushedTo} processes`,
+  );
+}
+
+/** Reads a signed bundle from its file. */
+export function readSigned(
+  path: string,
+  signers: bundle.Signers,
+): kernel.Outcome<bundle.VerifiedBundle> {
+  try {
+    return bundle.verifyBundle(
+      JSON.parse(fs.readFileSync(path, "utf8")),
+      signers,
+    );
+  } catch (thrown) {
+    return kernel.fail("bad-request", kernel.describeThrown(thrown));
+  }
+}
+
+/** Builds and signs the bundle that withdraws a version. */
+export async function prepareWithdrawal(
+  input: {
+    readonly model: string;
+    readonly version: string;
+    readonly options: flags.CommandOptions;
+  },
+  store: platform.Store,
+  signers: bundle.Signers,
+): Promise<kernel.Outcome<bundle.VerifiedBundle>> {
+  const { model, version, options } = input;
+  const key = keyFiles.readKeyFile(options.key ?? "");
+  if (key.isErr()) return neverthrow.err(key.error);
+  const current = await rolls.readCurrent(store, signers);
+  if (current.isErr()) return neverthrow.err(current.error);
+  if (current.value === undefined) {
+    return kernel.fail("no-bundle", "no bundle is in force");
+  }
+  const next = bundle.createNextBundle(current.value.verified);
+  return bundle.withdrawVersion(next, { model, version }, options.successor)
+    .andThen((changed) =>
+      bundle.verifyBundle(bundle.signBundle(changed, key.value), signers)
+    );
+}
+
+/** Shows the revision in force at each process. */
+export async function showStatus(options: flags.CommandOptions): Promise<void> {
+  const vms = await readVms(options);
+  if (vms.isErr()) return output.failWith(vms.error);
+  const statuses = await fleets.readStatuses(vms.value);
+  output.printData(statuses, options, () =>
+    output.renderTable(
+      ["process", "role", "data centre", "reachable", "revision"],
+      statuses.map((status) => [
+        status.processId,
+        status.role,
+        status.dataCentre,
+        String(status.isReachable),
+        String(status.revision),
+      ]),
+    ));
+}
+
+function renderEvent(event: kernel.TimelineEvent): string {
+  const { time, processId, name, requestId, target, detail, revision } = event;
+  const at = `${new Date(time.wallMs).toISOString()}+${time.count}`;
+  const parts = [at, processId, name, requestId, target, detail];
+  const shown = parts.filter((part) => part !== undefined).join(" ");
+  return revision === undefined ? shown : `${shown} (revision ${revision})`;
+}
+
+/** Shows the events of all processes in one order. */
+export async function showTimeline(
+  options: flags.CommandOptions,
+): Promise<void> {
+  const vms = await readVms(options);
+  if (vms.isErr()) return output.failWith(vms.error);
+  const all = await fleets.readTimeline(vms.value);
+  const events = options.request === undefined
+    ? all
+    : all.filter((event) => event.requestId === options.request);
+  output.printData(events, options, () => events.map(renderEvent).join("\n"));
+}
+
+/** Shows the stored bills. */
+export async function showUsage(options: flags.CommandOptions): Promise<void> {
+  const store = new platform.EtcdStore(options.store ?? "");
+  const rows = await usages.readUsage(store);
+  await store.close();
+  if (rows.isErr()) return output.failWith(rows.error);
+  output.printData(rows.value, options, () =>
+    output.renderTable(
+      [
+        "account",
+        "item",
+        "requests",
+        "prompt tokens",
+        "completion tokens",
+        "price (micros)",
+      ],
+      rows.value.map((row) => [
+        row.account,
+        row.item,
+        String(row.requests),
+        String(row.promptTokens),
+        String(row.completionTokens),
+        String(row.priceMicros),
+      ]),
+    ));
+}
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -23,9 +23,24 @@
  */
 const MAX_KNOWLEDGE_AGE_MS = 3_500;
 const CONFIRM_TIMEOUT_MS = 400;
+const IDLE_CHECK_MS = 20;
 const SERVICE_TIME_WEIGHT = 0.1;
 const FIRST_SERVICE_MS = 100;
 
+/** Messages of refusals that need more than "not handed over". */
+const REFUSAL_MESSAGES: Partial<Record<kernel.ErrorKind, string>> = {
+  "key-reused": "this idempotency key was used with another request",
+  "key-in-flight": "a request with this idempotency key is still running",
+  "already-run":
+    "the request with this idempotency key has run; its answer is no longer held",
+  "outcome-unknown":
+    "a request with this idempotency key may have run; its end is not known",
+  "claim-unavailable":
+    "the idempotency key could not be claimed; nothing was handed over",
+  "account-over-share": "the queue is full and this account is over its share",
+};
+const NOT_HANDED_OVER = "refused before any byte went to the upstream";
+
 /** Work between its arrival and its end. */
 interface ActiveWork {
   readonly frame: mesh.FrameOf<"work">;
@@ -501,7 +516,7 @@
       type: "refused",
       attemptId,
       kind,
-      message: REFUSAL_MESSAGE,
+      message: REFUSAL_MESSAGES[kind] ?? NOT_HANDED_OVER,
     });
     this.#services.metrics.increment("gate.refused", { kind });
     this.#end(work);
@@ -531,6 +546,3 @@
     });
   }
 }
-
-const IDLE_CHECK_MS = 20;
-const REFUSAL_MESSAGE = "refused before any byte went to the upstream";
