--- a/packages/bench/src/answer_fault_test.ts
+++ b/packages/bench/src/answer_fault_test.ts
@@ -151,3 +151,24 @@
     0,
   );
 });
+
+test("a data centre lost as a whole: the others go on, and nothing cut is complete", async (t) => {
+  const deployment = await fixtures.startFor(t);
+  const b = fixtures.callFor(t, deployment, { entry: "entry-b" });
+  await Promise.all([
+    deployment.entry("entry-a").kill(),
+    deployment.upstream("model-a").process.kill(),
+    deployment.upstream("order-a").process.kill(),
+  ]);
+  const chats = await Promise.all(
+    Array.from({ length: 10 }, () => b.chat({ model: "verse-large" })),
+  );
+  t.true(chats.every((result) => result.isComplete));
+  // The cascade's cheap model stood in the lost data centre only.
+  const cascaded = await b.chat({ model: "verse" });
+  t.regex(cascaded.headers["x-jackdaw-version"] ?? "", /^verse-large@/);
+  const gone = await b.chat({ model: "verse-small" });
+  t.is(gone.errorKind, "no-upstream");
+  t.is(gone.notRun, true);
+  t.is((await b.order("order-1", { idempotencyKey: "order-1" })).status, 201);
+});
--- a/packages/bench/src/billing_fault_test.ts
+++ b/packages/bench/src/billing_fault_test.ts
@@ -63,6 +63,15 @@
   t.is(await deployment.countBilled(), answered);
 });
 
+test("an entry killed while the store loses replies: every answer is billed once", async (t) => {
+  const deployment = await fixtures.startFor(t, buildPlan());
+  await deployment.controlStore({ loseReplies: 4, delayMs: 50 });
+  const answered = await answerMany(fixtures.callFor(t, deployment), 20);
+  await deployment.entry("entry-a").kill();
+  await waitBilled(deployment, answered);
+  t.is(await deployment.countBilled(), answered);
+});
+
 test("lost replies on flushes bill nothing twice", async (t) => {
   const deployment = await fixtures.startFor(t, buildPlan());
   await deployment.controlStore({ loseReplies: 3 });
--- a/packages/bench/src/order_fault_test.ts
+++ b/packages/bench/src/order_fault_test.ts
@@ -128,6 +128,60 @@
   });
 }
 
+test("an owner killed while the store loses replies, twice over, doubles nothing", async (t) => {
+  const deployment = await fixtures.startFor(t, buildPlan({ delayMs: 100 }));
+  const a = fixtures.callFor(t, deployment);
+  const b = fixtures.callFor(t, deployment, { entry: "entry-b" });
+  await a.order("first", { idempotencyKey: "first" });
+  const ids = Array.from({ length: 10 }, (_, at) => `order-${at}`);
+  const told = new Map<string, callers.CallResult[]>(ids.map((id) => [id, []]));
+  for (let round = 0; round < 2; round += 1) {
+    await deployment.controlStore({ loseReplies: 4 });
+    const calls = ids.map(async (id) => {
+      const caller = round === 0 ? a : b;
+      const result = await caller.order(id, {
+        idempotencyKey: id,
+        deadlineMs: 5_000,
+      });
+      told.get(id)?.push(result);
+    });
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    const owner = await findOwner(deployment);
+    await deployment.upstream(owner).process.kill();
+    await Promise.all(calls);
+    await deployment.startUpstream(deployment.upstream(owner).plan);
+    await deployment.publishVms();
+    await deployment.waitServed("entry-b", "service:orders");
+  }
+  await assertOrders(t, deployment, told);
+});
+
+test("an entry killed in mid-order: the repeat through another gives the first one's answer", async (t) => {
+  const deployment = await fixtures.startFor(t, buildPlan({ delayMs: 500 }));
+  const a = fixtures.callFor(t, deployment);
+  const b = fixtures.callFor(t, deployment, { entry: "entry-b" });
+  const ids = Array.from({ length: 8 }, (_, at) => `order-${at}`);
+  const firsts = ids.map((id) => a.order(id, { idempotencyKey: id }));
+  await processes.waitFor(
+    "all orders run",
+    async () => (await deployment.countOrderRuns()).size === ids.length,
+  );
+  await deployment.entry("entry-a").kill();
+  t.true((await Promise.all(firsts)).every((result) => !result.isComplete));
+  const repeats = await Promise.all(
+    ids.map((id) => b.order(id, { idempotencyKey: id })),
+  );
+  t.true(repeats.every((result) => result.status === 201));
+  t.true(
+    repeats.every((result) => result.headers["idempotent-replayed"] === "true"),
+  );
+  t.true(
+    [...(await deployment.countOrderRuns()).values()].every((runs) =>
+      runs === 1
+    ),
+  );
+});
+
 test("a frozen owner that wakes after a take-over doubles nothing", async (t) => {
   const deployment = await fixtures.startFor(t, buildPlan({ delayMs: 20 }));
   const a = fixtures.callFor(t, deployment);
