--- a/packages/decisions/src/claims_test.ts
+++ b/packages/decisions/src/claims_test.ts
@@ -28,6 +28,24 @@
   readonly segments = new Map<number, types.Segment>();
   snapshot: types.ClaimSnapshot | undefined;
   snapshotVersion = 0;
+
+  /** Answers a call that does not replace a snapshot. */
+  answer(
+    effect: Exclude<StoreEffect, { type: "store-snapshot" }>,
+  ): types.StoreOutcome {
+    if (effect.type === "read-snapshot") {
+      return { type: "snapshot", snapshot: this.snapshot };
+    }
+    const segment = this.segments.get(effect.number);
+    if (effect.type === "read") {
+      return segment === undefined
+        ? { type: "absent" }
+        : { type: "found", segment };
+    }
+    if (segment !== undefined) return { type: "exists", segment };
+    this.segments.set(effect.number, effect.segment);
+    return { type: "created" };
+  }
 }
 
 /** A store call on its way. */
@@ -212,32 +230,15 @@
   #apply(call: StoreCall): types.StoreOutcome {
     const { store } = this;
     const { effect } = call;
-    switch (effect.type) {
-      case "read": {
-        const segment = store.segments.get(effect.number);
-        return segment === undefined
-          ? { type: "absent" }
-          : { type: "found", segment };
-      }
-      case "read-snapshot":
-        return { type: "snapshot", snapshot: store.snapshot };
-      case "create": {
-        const segment = store.segments.get(effect.number);
-        if (segment !== undefined) return { type: "exists", segment };
-        store.segments.set(effect.number, effect.segment);
-        return { type: "created" };
-      }
-      case "store-snapshot": {
-        const isOlder = (store.snapshot?.number ?? 0) >= effect.snapshot.number;
-        if (isOlder || call.snapshotVersion !== store.snapshotVersion) {
-          return { type: "unknown" };
-        }
-        store.snapshot = effect.snapshot;
-        store.snapshotVersion += 1;
-        this.#removals.push(...effect.removable);
-        return { type: "snapshot-stored" };
-      }
+    if (effect.type !== "store-snapshot") return store.answer(effect);
+    const isOlder = (store.snapshot?.number ?? 0) >= effect.snapshot.number;
+    if (isOlder || call.snapshotVersion !== store.snapshotVersion) {
+      return { type: "unknown" };
     }
+    store.snapshot = effect.snapshot;
+    store.snapshotVersion += 1;
+    this.#removals.push(...effect.removable);
+    return { type: "snapshot-stored" };
   }
 
   #handle(process: Process, event: types.ClaimEvent): void {
@@ -355,20 +356,10 @@
   effect: types.ClaimEffect,
 ): types.StoreOutcome | undefined {
   switch (effect.type) {
-    case "read": {
-      const segment = store.segments.get(effect.number);
-      return segment === undefined
-        ? { type: "absent" }
-        : { type: "found", segment };
-    }
+    case "read":
     case "read-snapshot":
-      return { type: "snapshot", snapshot: store.snapshot };
-    case "create": {
-      const segment = store.segments.get(effect.number);
-      if (segment !== undefined) return { type: "exists", segment };
-      store.segments.set(effect.number, effect.segment);
-      return { type: "created" };
-    }
+    case "create":
+      return store.answer(effect);
     case "store-snapshot":
       store.snapshot = effect.snapshot;
       for (const number of effect.removable) store.segments.delete(number);
