Mid-stream kill: complete answers are compared with finished runs by prompt

Cause: the count took every finished run for a delivered answer. A whole answer that its engine finished as the process beside it was killed has nobody to take it, and its retry may finish elsewhere as well; both are allowed. Ruled out: a cut answer told complete (the texts are compared one by one, unchanged).

--- a/packages/bench/src/answer_fault_test.ts
+++ b/packages/bench/src/answer_fault_test.ts
@@ -36,10 +36,26 @@
     t.is(result.text, `${result.prompt}:verse-small@v1${words}`);
   }
   t.true(results.some((result) => !result.isComplete));
-  const done = (await deployment.listEngineRuns()).filter((run) =>
-    run.outcome === "done"
+  const listDone = async (ids?: readonly string[]) => {
+    const runs = await deployment.listEngineRuns(ids);
+    return new Set(
+      runs.filter((run) => run.outcome === "done").map((run) => run.prompt),
+    );
+  };
+  const complete = new Set(
+    results.filter((result) => result.isComplete).map((result) =>
+      result.prompt
+    ),
+  );
+  // A run that ended beside the killed process may have found nobody to take its answer.
+  const doneAtSurvivor = await listDone(["model-b"]);
+  const doneAnywhere = await listDone();
+  t.deepEqual(
+    [...doneAtSurvivor].filter((prompt) => !complete.has(prompt)),
+    [],
   );
-  t.is(results.filter((result) => result.isComplete).length, done.length);
+  t.deepEqual([...complete].filter((prompt) => !doneAnywhere.has(prompt)), []);
+  t.true(doneAtSurvivor.size > 0);
 });
 
 test("whole answers that break are retried elsewhere within the budget", async (t) => {
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -436,18 +436,19 @@
     await postJson(`${this.secondStoreUrl}/control`, change);
   }
 
-  /** Runs of all engines. */
-  async listEngineRuns(): Promise<readonly fakes.EngineRun[]> {
-    const runs = await Promise.all(
-      [...this.upstreams.values()]
-        .filter((upstream) => upstream.plan.orders === undefined)
-        .map((upstream) =>
-          getJson(
-            `http://127.0.0.1:${upstream.backend.port("port")}/control/runs`,
-          )
-        ),
+  /** Runs of all engines, or of those beside the named upstream processes. */
+  async listEngineRuns(
+    ids: readonly string[] = [...this.upstreams.keys()],
+  ): Promise<readonly fakes.EngineRun[]> {
+    const engines = ids
+      .map((id) => this.upstream(id))
+      .filter((upstream) => upstream.plan.orders === undefined);
+    const parts = await Promise.all(
+      engines.map(({ backend }) =>
+        getJson(`http://127.0.0.1:${backend.port("port")}/control/runs`)
+      ),
     );
-    return runs.flatMap((part) =>
+    return parts.flatMap((part) =>
       (part as { runs: readonly fakes.EngineRun[] }).runs
     );
   }
