--- a/packages/bench/src/bundle_fault_test.ts
+++ b/packages/bench/src/bundle_fault_test.ts
@@ -1,6 +1,7 @@
 /** The bundle in force: within 4 s everywhere, never back, one winner of a race. */
 import * as ava from "ava";
 import * as bundle from "@jackdawbank/bundle";
+import type * as callers from "./caller.ts";
 import * as deployments from "./deployment.ts";
 import * as fixtures from "./fixture.ts";
 import * as processes from "./processes.ts";
@@ -46,6 +47,20 @@
   };
 }
 
+/** Sends calls; all but the one that runs wait at the gate. */
+async function queueCalls(
+  t: fixtures.TearDownContext,
+  deployment: deployments.Deployment,
+): Promise<readonly Promise<callers.CallResult>[]> {
+  const caller = fixtures.callFor(t, deployment);
+  const calls = Array.from(
+    { length: QUEUED_CALLS },
+    () => caller.chat({ model: "verse-large" }),
+  );
+  await waitQueued(deployment, calls.length - 1);
+  return calls;
+}
+
 /** Waits until all work but the one that runs is queued at the gate. */
 async function waitQueued(
   deployment: deployments.Deployment,
@@ -140,12 +155,7 @@
 
 test("a gate that was frozen over a withdrawal hands over nothing withdrawn", async (t) => {
   const deployment = await fixtures.startFor(t, buildFreezePlan());
-  const caller = fixtures.callFor(t, deployment);
-  const calls = Array.from(
-    { length: QUEUED_CALLS },
-    () => caller.chat({ model: "verse-large" }),
-  );
-  await waitQueued(deployment, calls.length - 1);
+  const calls = await queueCalls(t, deployment);
   const gate = deployment.upstream("model-b").process;
   gate.freeze();
   const next = await deployment.next((content) =>
@@ -169,12 +179,7 @@
       engine: { ...upstream.engine, firstTokenMs: 1_800 },
     })),
   });
-  const caller = fixtures.callFor(t, deployment);
-  const calls = Array.from(
-    { length: QUEUED_CALLS },
-    () => caller.chat({ model: "verse-large" }),
-  );
-  await waitQueued(deployment, calls.length - 1);
+  const calls = await queueCalls(t, deployment);
   const next = await deployment.next((content) =>
     fixtures.markWithdrawn(content, WITHDRAWAL)
   );
@@ -195,12 +200,7 @@
 
 test("an allow-list narrowed while the gate is frozen lets nothing through", async (t) => {
   const deployment = await fixtures.startFor(t, buildFreezePlan());
-  const caller = fixtures.callFor(t, deployment);
-  const calls = Array.from(
-    { length: QUEUED_CALLS },
-    () => caller.chat({ model: "verse-large" }),
-  );
-  await waitQueued(deployment, calls.length - 1);
+  const calls = await queueCalls(t, deployment);
   const gate = deployment.upstream("model-b").process;
   gate.freeze();
   const next = await deployment.next((content) => ({
--- a/packages/decisions/src/replicas.ts
+++ b/packages/decisions/src/replicas.ts
@@ -61,14 +61,13 @@
 
 /** What a member's prediction leans on. */
 interface PoolMeans {
-  readonly load: number;
-  /** Work in a report for each slot. */
+  /** Work in a report for each slot: the pool's mean load. */
   readonly reported: number;
   /** Work that this entry sent since the reports, for each slot. */
   readonly sent: number;
 }
 
-const NO_MEANS: PoolMeans = { load: 0, reported: 0, sent: 0 };
+const NO_MEANS: PoolMeans = { reported: 0, sent: 0 };
 const MIN_SERVICE_MS = 1;
 
 /**
@@ -218,7 +217,7 @@
     return {
       size: pool.members.length,
       ring: pool.ring,
-      meanLoad: pool.means.load,
+      meanLoad: pool.means.reported,
       at: (index) =>
         this.#toReplica(pool.members[index] as Member, pool.means, options),
     };
@@ -237,8 +236,7 @@
       slots += member.report.capacity;
     }
     const perSlot = 1 / Math.max(1, slots);
-    const load = reported * perSlot;
-    pool.means = { load, reported: load, sent: sent * perSlot };
+    pool.means = { reported: reported * perSlot, sent: sent * perSlot };
     pool.meansAtMs = nowMs;
   }
 
--- a/packages/entry/src/dispatch.ts
+++ b/packages/entry/src/dispatch.ts
@@ -109,15 +109,21 @@
     const name = `service:${request.service.name}`;
     const excluded = new Set<string>();
     const voided: string[] = [];
+    const claim = keys.buildClaim(request);
     this.#budget(name).recordFirstAttempt(this.#retryRatio());
     let last = kernel.makeError(
       "no-upstream",
       `no replica of '${request.service.name}' is usable`,
     );
     for (let redirects = 0; redirects < MAX_REDIRECTS;) {
-      const replica = this.#pickServiceReplica(name, request, excluded);
+      const replica = this.#pickServiceReplica(name, claim, excluded);
       if (replica === undefined) return neverthrow.err(last);
-      const outcome = await this.#tryService({ request, replica, voided });
+      const outcome = await this.#tryService({
+        request,
+        claim,
+        replica,
+        voided,
+      });
       if (outcome.type === "started") return neverthrow.ok(outcome.answer);
       last = outcome.error;
       if (outcome.isCommitted) return neverthrow.err(last);
@@ -301,11 +307,10 @@
 
   #pickServiceReplica(
     name: string,
-    request: requests.ServiceRequest,
+    claim: keys.CallClaim | undefined,
     excluded: ReadonlySet<string>,
   ): decisions.Replica | undefined {
     const { fleet } = this.#options;
-    const claim = keys.buildClaim(request);
     if (claim === undefined) {
       return fleet.pick(name, { affinityKey: undefined, excluded });
     }
@@ -314,12 +319,12 @@
 
   async #tryService(input: {
     readonly request: requests.ServiceRequest;
+    readonly claim: keys.CallClaim | undefined;
     readonly replica: decisions.Replica;
     readonly voided: readonly string[];
   }): Promise<ServiceOutcome> {
-    const { request, replica, voided } = input;
+    const { request, claim, replica, voided } = input;
     const isRepeatable = keys.isRepeatable(request);
-    const claim = keys.buildClaim(request);
     const attempt = this.#options.fleet.startAttempt(replica.id, {
       ...this.#buildWork(request),
       isTwoPhase: !isRepeatable,
--- a/packages/entry/src/http_app.ts
+++ b/packages/entry/src/http_app.ts
@@ -323,6 +323,7 @@
       context.req.header(HEADERS.session),
       account.name,
     );
+    const promptStart = readPromptStart(body);
     return session.map(({ pin, isNamed }) => ({
       ...base,
       body: bytes,
@@ -330,8 +331,8 @@
       isStreamed: body.stream === true,
       wantsUsage: body.stream_options?.include_usage === true,
       promptChars: countPromptChars(body),
-      promptStart: readPromptStart(body),
-      prefixKey: `${account.name}/${body.model}/${readPromptStart(body)}`,
+      promptStart,
+      prefixKey: `${account.name}/${body.model}/${promptStart}`,
       arrivedAtMs: this.#options.services.clock.monotonicMs(),
       pin,
       hasSession: isNamed,
