--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -4,7 +4,7 @@
 import type * as fakes from "@jackdawbank/fakes";
 import * as kernel from "@jackdawbank/kernel";
 import * as ctl from "@jackdawbank/jackdawctl";
-import * as platform from "@jackdawbank/platform";
+import * as stores from "@jackdawbank/store";
 import * as undici from "undici";
 import * as processes from "./processes.ts";
 
@@ -235,7 +235,7 @@
     content: bundle.Bundle,
     options: { readonly isPushed?: boolean } = {},
   ): Promise<kernel.Outcome<ctl.RollResult>> {
-    const store = new platform.EtcdStore(this.storeUrl);
+    const store = new stores.EtcdStore(this.storeUrl);
     try {
       const verified = bundle.verifyBundle(this.sign(content), this.signers);
       if (verified.isErr()) throw new Error(verified.error.message);
@@ -263,7 +263,7 @@
   async next(
     change: (content: bundle.Bundle) => bundle.Bundle,
   ): Promise<bundle.Bundle> {
-    const store = new platform.EtcdStore(this.storeUrl);
+    const store = new stores.EtcdStore(this.storeUrl);
     const current = await ctl.readCurrent(store, this.signers);
     await store.close();
     const stored = current._unsafeUnwrap();
@@ -272,7 +272,7 @@
   }
 
   /** The VM list as the platform would show it. */
-  listVms(): readonly platform.Vm[] {
+  listVms(): readonly stores.Vm[] {
     const state = (id: string) =>
       this.#leaving.has(id) ? "leaving" as const : "live" as const;
     const entries = [...this.entries].map(([id, entry]) => ({
@@ -409,7 +409,7 @@
   }
 
   async readUsage(): Promise<readonly ctl.UsageRow[]> {
-    const store = new platform.EtcdStore(this.storeUrl);
+    const store = new stores.EtcdStore(this.storeUrl);
     const rows = await ctl.readUsage(store);
     await store.close();
     return rows.unwrapOr([]);
--- a/packages/billing/src/ledger.ts
+++ b/packages/billing/src/ledger.ts
@@ -1,7 +1,7 @@
 /** The entry's side of billing: numbers bills, stores them, tells the witnesses. */
 import * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 import * as storing from "./store_bills.ts";
 
 const FLUSH_INTERVAL_MS = 500;
@@ -12,7 +12,7 @@
 
 /** Settings of a ledger. */
 export interface LedgerOptions {
-  readonly store: platform.Store;
+  readonly store: stores.Store;
   /** Called when all bills up to a number are stored. */
   readonly onStored: (stored: mesh.FrameOf<"stored">) => void;
 }
--- a/packages/billing/src/store_bills.ts
+++ b/packages/billing/src/store_bills.ts
@@ -1,7 +1,7 @@
 /** Merges bills into their cells in the store; doing it twice counts them once. */
 import * as decisions from "@jackdawbank/decisions";
 import type * as mesh from "@jackdawbank/mesh";
-import * as platform from "@jackdawbank/platform";
+import * as stores from "@jackdawbank/store";
 
 const KEYED_CELLS = 8;
 const KEYED_RETENTION_MS = 3_600_000;
@@ -26,11 +26,11 @@
 
 function nameKeyedCell(bill: mesh.WireBill): string {
   const partition = decisions.hashText(bill.keyDigest ?? "") % KEYED_CELLS;
-  return platform.nameKeyedBillCellKey(partition);
+  return stores.nameKeyedBillCellKey(partition);
 }
 
 async function storeKeyedBills(
-  store: platform.Store,
+  store: stores.Store,
   key: string,
   options: { readonly bills: readonly mesh.WireBill[]; readonly nowMs: number },
 ): Promise<boolean> {
@@ -38,7 +38,7 @@
     ...bill,
     keyDigest: bill.keyDigest ?? "",
   }));
-  const stored = await platform.mergeValue<decisions.KeyedCell>(store, key, {
+  const stored = await stores.mergeValue<decisions.KeyedCell>(store, key, {
     parse: (text) => parseCell(text, decisions.EMPTY_KEYED_CELL),
     merge: (held) =>
       decisions.mergeKeyedBills(held, bills, {
@@ -50,7 +50,7 @@
 }
 
 async function storeCell(
-  store: platform.Store,
+  store: stores.Store,
   cell: string,
   bills: readonly mesh.WireBill[],
 ): Promise<boolean> {
@@ -58,9 +58,9 @@
   const keyedNumbers = bills
     .filter((bill) => bill.keyDigest !== undefined)
     .map((bill) => bill.number);
-  const stored = await platform.mergeValue<decisions.BillCell>(
+  const stored = await stores.mergeValue<decisions.BillCell>(
     store,
-    platform.nameBillCellKey(cell),
+    stores.nameBillCellKey(cell),
     {
       parse: (text) => parseCell(text, decisions.EMPTY_CELL),
       merge: (held) =>
@@ -72,7 +72,7 @@
 
 /** Stores bills; tells whether all of them are stored. */
 export async function storeBills(
-  store: platform.Store,
+  store: stores.Store,
   bills: readonly mesh.WireBill[],
   nowMs: number,
 ): Promise<boolean> {
--- a/packages/billing/src/witness.ts
+++ b/packages/billing/src/witness.ts
@@ -5,7 +5,7 @@
  */
 import type * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 import * as storing from "./store_bills.ts";
 
 const SETTLE_AFTER_MS = 3_000;
@@ -20,7 +20,7 @@
 /** Task that holds bill copies by cell. */
 export class BillWitness {
   readonly #services: kernel.KernelServices;
-  readonly #store: platform.Store;
+  readonly #store: stores.Store;
   readonly #settleAfterMs: number;
   readonly #cells = new Map<string, HeldCell>();
   readonly #timer: NodeJS.Timeout;
@@ -28,7 +28,7 @@
 
   constructor(
     services: kernel.KernelServices,
-    store: platform.Store,
+    store: stores.Store,
     settleAfterMs = SETTLE_AFTER_MS,
   ) {
     this.#services = services;
--- a/packages/config/src/watcher.ts
+++ b/packages/config/src/watcher.ts
@@ -4,8 +4,8 @@
  * data centre do this, a process leaves it to them and learns over the mesh.
  */
 import * as kernel from "@jackdawbank/kernel";
-import type * as platform from "@jackdawbank/platform";
-import * as platformKeys from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
+import * as platformKeys from "@jackdawbank/store";
 import type * as holders from "./holder.ts";
 
 const CONFIRM_INTERVAL_MS = 1_000;
@@ -17,7 +17,7 @@
 
 /** Settings of the watcher. */
 export interface WatcherOptions {
-  readonly store: platform.Store;
+  readonly store: stores.Store;
   readonly holder: holders.BundleHolder;
   /** Whether this process is one of its data centre's watchers now. */
   readonly isWatcher: () => boolean;
@@ -97,7 +97,7 @@
     this.#options.holder.confirm(revision, ageMs);
   }
 
-  #take(entry: platform.StoreEntry): number | undefined {
+  #take(entry: stores.StoreEntry): number | undefined {
     if (BigInt(entry.modRevision) > BigInt(this.#modRevision)) {
       this.#modRevision = entry.modRevision;
     }
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -6,7 +6,7 @@
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as mesh from "@jackdawbank/mesh";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 import * as attempts from "./attempt.ts";
 
 const PING_INTERVAL_MS = 500;
@@ -20,7 +20,7 @@
 /** Settings of the fleet. */
 export interface FleetOptions {
   readonly holder: config.BundleHolder;
-  readonly vmList: platform.VmList;
+  readonly vmList: stores.VmList;
   readonly identity: mesh.MeshIdentity;
   readonly random: () => number;
   /** Versions that this entry's guard has stopped. */
@@ -60,7 +60,7 @@
   readonly #timer: NodeJS.Timeout;
   readonly #teardown: kernel.Teardown;
   #marked: ReadonlySet<string> = new Set();
-  #vms: readonly platform.Vm[] = [];
+  #vms: readonly stores.Vm[] = [];
   #nonce = 0;
   #attemptCount = 0;
 
@@ -89,7 +89,7 @@
     return mesh.sumBytes(this.#members.keys());
   }
 
-  get vms(): readonly platform.Vm[] {
+  get vms(): readonly stores.Vm[] {
     return this.#vms;
   }
 
@@ -224,7 +224,7 @@
     }
   }
 
-  #takeList(vms: readonly platform.Vm[]): void {
+  #takeList(vms: readonly stores.Vm[]): void {
     if (this.#abort.signal.aborted) return;
     this.#vms = vms;
     const wanted = new Map(
--- a/packages/entry/src/learning.ts
+++ b/packages/entry/src/learning.ts
@@ -6,7 +6,7 @@
 import type * as config from "@jackdawbank/config";
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 import * as lruCache from "lru-cache";
 import type * as dispatchers from "./dispatch.ts";
 import type * as requests from "./requests.ts";
@@ -37,7 +37,7 @@
 /** What learning needs from its process. */
 export interface LearningOptions {
   readonly holder: config.BundleHolder;
-  readonly ratings: platform.Ratings | undefined;
+  readonly ratings: stores.Ratings | undefined;
   readonly random: () => number;
 }
 
@@ -138,7 +138,7 @@
     await this.#options.ratings?.close();
   }
 
-  async #ratingsLoop(ratings: platform.Ratings): Promise<void> {
+  async #ratingsLoop(ratings: stores.Ratings): Promise<void> {
     while (!this.#abort.signal.aborted) {
       const read = await ratings.readAfter(this.#lastRating);
       if (read.isErr()) this.#services.metrics.increment("ratings.failed");
@@ -147,7 +147,7 @@
     }
   }
 
-  #takeRating(rating: platform.Rating): void {
+  #takeRating(rating: stores.Rating): void {
     this.#lastRating = Math.max(this.#lastRating, rating.number);
     const remembered = this.#remembered.get(rating.requestId);
     const index = this.#options.holder.index;
--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -5,7 +5,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
 import * as neverthrow from "neverthrow";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 import * as carriers from "./answers.ts";
 import * as dispatchers from "./dispatch.ts";
 import * as fleets from "./fleet.ts";
@@ -28,10 +28,10 @@
 /** What the role needs from its process. */
 export interface EntryOptions {
   readonly holder: config.BundleHolder;
-  readonly store: platform.Store;
-  readonly vmList: platform.VmList;
+  readonly store: stores.Store;
+  readonly vmList: stores.VmList;
   /** Absent where answers are not rated: the bundle's static rule decides. */
-  readonly ratings: platform.Ratings | undefined;
+  readonly ratings: stores.Ratings | undefined;
   readonly identity: mesh.MeshIdentity;
   readonly listen: admin.ListenAddress;
   readonly drainTimeoutMs: number;
--- a/packages/jackdawctl/src/actions.ts
+++ b/packages/jackdawctl/src/actions.ts
@@ -3,7 +3,7 @@
 import * as bundle from "@jackdawbank/bundle";
 import * as kernel from "@jackdawbank/kernel";
 import * as neverthrow from "neverthrow";
-import * as platform from "@jackdawbank/platform";
+import * as stores from "@jackdawbank/store";
 import * as flags from "./flags.ts";
 import * as fleets from "./fleet.ts";
 import * as keyFiles from "./key_files.ts";
@@ -33,13 +33,13 @@
 async function useStore<T>(
   options: flags.CommandOptions,
   run: (
-    store: platform.Store,
+    store: stores.Store,
     signers: bundle.Signers,
   ) => Promise<kernel.Outcome<T>>,
 ): Promise<kernel.Outcome<T>> {
   const signers = readSigners(options);
   if (signers.isErr()) return neverthrow.err(signers.error);
-  const store = new platform.EtcdStore(options.store ?? "");
+  const store = new stores.EtcdStore(options.store ?? "");
   try {
     return await run(store, signers.value);
   } finally {
@@ -49,8 +49,8 @@
 
 async function readVms(
   options: flags.CommandOptions,
-): Promise<kernel.Outcome<readonly platform.Vm[]>> {
-  const list = new platform.HttpVmList(options.vmList ?? "");
+): Promise<kernel.Outcome<readonly stores.Vm[]>> {
+  const list = new stores.HttpVmList(options.vmList ?? "");
   try {
     return await list.read();
   } finally {
@@ -171,7 +171,7 @@
 export async function rollAndPush(
   options: flags.CommandOptions,
   prepare: (
-    store: platform.Store,
+    store: stores.Store,
     signers: bundle.Signers,
   ) => Promise<kernel.Outcome<bundle.VerifiedBundle>>,
 ): Promise<void> {
@@ -227,7 +227,7 @@
     readonly version: string;
     readonly options: flags.CommandOptions;
   },
-  store: platform.Store,
+  store: stores.Store,
   signers: bundle.Signers,
 ): Promise<kernel.Outcome<bundle.VerifiedBundle>> {
   const { model, version, options } = input;
@@ -286,7 +286,7 @@
 
 /** Shows the stored bills. */
 export async function showUsage(options: flags.CommandOptions): Promise<void> {
-  const store = new platform.EtcdStore(options.store ?? "");
+  const store = new stores.EtcdStore(options.store ?? "");
   const rows = await usages.readUsage(store);
   await store.close();
   if (rows.isErr()) return output.failWith(rows.error);
--- a/packages/jackdawctl/src/fleet.ts
+++ b/packages/jackdawctl/src/fleet.ts
@@ -1,7 +1,7 @@
 /** What operators ask of and tell the running processes, by the VM list. */
 import type * as bundle from "@jackdawbank/bundle";
 import * as kernel from "@jackdawbank/kernel";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 import * as undici from "undici";
 
 const CALL_TIMEOUT_MS = 1_000;
@@ -18,7 +18,7 @@
 }
 
 async function call(
-  vm: platform.Vm,
+  vm: stores.Vm,
   path: string,
   body?: string,
 ): Promise<unknown> {
@@ -46,7 +46,7 @@
 
 /** Reads the status of every process in the list. */
 export function readStatuses(
-  vms: readonly platform.Vm[],
+  vms: readonly stores.Vm[],
 ): Promise<readonly ProcessStatus[]> {
   return Promise.all(vms.map(async (vm) => {
     const status = await call(vm, "/status");
@@ -63,7 +63,7 @@
 
 /** Reads and merges the time lines of all processes. */
 export async function readTimeline(
-  vms: readonly platform.Vm[],
+  vms: readonly stores.Vm[],
 ): Promise<readonly kernel.TimelineEvent[]> {
   const parts = await Promise.all(vms.map((vm) => call(vm, "/timeline")));
   return parts
@@ -81,7 +81,7 @@
  * fails right after the acceptance does not delay a withdrawal.
  */
 export async function pushBundle(
-  vms: readonly platform.Vm[],
+  vms: readonly stores.Vm[],
   signed: bundle.SignedBundle,
 ): Promise<number> {
   const targets = vms.toSorted((a, b) => a.role.localeCompare(b.role)).slice(
--- a/packages/jackdawctl/src/roll.ts
+++ b/packages/jackdawctl/src/roll.ts
@@ -5,7 +5,7 @@
 import * as bundle from "@jackdawbank/bundle";
 import * as kernel from "@jackdawbank/kernel";
 import * as neverthrow from "neverthrow";
-import * as platform from "@jackdawbank/platform";
+import * as stores from "@jackdawbank/store";
 
 const RETRY_DELAY_MS = 200;
 
@@ -19,7 +19,7 @@
 
 /** Settings of a roll. */
 export interface RollOptions {
-  readonly store: platform.Store;
+  readonly store: stores.Store;
   readonly signers: bundle.Signers;
   /** Longest time to find out what became of the write. */
   readonly timeoutMs: number;
@@ -27,7 +27,7 @@
 }
 
 interface Stored {
-  readonly entry: platform.StoreEntry;
+  readonly entry: stores.StoreEntry;
   readonly verified: bundle.VerifiedBundle;
 }
 
@@ -35,10 +35,10 @@
 
 /** Reads and verifies the bundle in force. */
 export async function readCurrent(
-  store: platform.Store,
+  store: stores.Store,
   signers: bundle.Signers,
 ): Promise<kernel.Outcome<Stored | undefined>> {
-  const read = await store.get(platform.BUNDLE_KEY);
+  const read = await store.get(stores.BUNDLE_KEY);
   if (read.isErr()) return neverthrow.err(read.error);
   const entry = read.value;
   if (entry === undefined) return neverthrow.ok(undefined);
@@ -92,13 +92,13 @@
 }
 
 async function swap(
-  store: platform.Store,
+  store: stores.Store,
   wanted: bundle.VerifiedBundle,
   stored: Stored | undefined,
 ): Promise<void> {
   const text = JSON.stringify(wanted.signed);
   // Whatever the reply says, the next read decides.
-  if (stored === undefined) await store.create(platform.BUNDLE_KEY, text);
+  if (stored === undefined) await store.create(stores.BUNDLE_KEY, text);
   else await store.replace(stored.entry, text);
 }
 
--- a/packages/jackdawctl/src/usage.ts
+++ b/packages/jackdawctl/src/usage.ts
@@ -2,7 +2,7 @@
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as neverthrow from "neverthrow";
-import * as platform from "@jackdawbank/platform";
+import * as stores from "@jackdawbank/store";
 
 /** Usage of one client account on one item. */
 export interface UsageRow extends decisions.BillTotal {
@@ -11,18 +11,18 @@
 }
 
 function parseTotals(
-  entry: platform.StoreEntry,
+  entry: stores.StoreEntry,
 ): Pick<decisions.BillCell, "totals"> {
   return JSON.parse(entry.value) as Pick<decisions.BillCell, "totals">;
 }
 
 /** Reads all cells and adds them up. */
 export async function readUsage(
-  store: platform.Store,
+  store: stores.Store,
 ): Promise<kernel.Outcome<readonly UsageRow[]>> {
-  const plain = await store.list(platform.BILL_CELL_PREFIX);
+  const plain = await store.list(stores.BILL_CELL_PREFIX);
   if (plain.isErr()) return neverthrow.err(plain.error);
-  const keyed = await store.list(platform.KEYED_BILL_CELL_PREFIX);
+  const keyed = await store.list(stores.KEYED_BILL_CELL_PREFIX);
   if (keyed.isErr()) return neverthrow.err(keyed.error);
   const sums = decisions.sumTotals(
     [...plain.value, ...keyed.value].map(parseTotals),
--- a/packages/jackdawd/src/daemon.ts
+++ b/packages/jackdawd/src/daemon.ts
@@ -6,7 +6,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
 import * as neverthrow from "neverthrow";
-import * as platform from "@jackdawbank/platform";
+import * as stores from "@jackdawbank/store";
 import * as upstream from "@jackdawbank/upstream";
 import * as watchers from "./watchers.ts";
 import type * as settingTypes from "./settings.ts";
@@ -23,7 +23,7 @@
 interface Parts {
   readonly host: kernel.Kernel;
   readonly holder: config.BundleHolder;
-  readonly store: platform.Store;
+  readonly store: stores.Store;
   readonly identity: mesh.MeshIdentity;
 }
 
@@ -46,7 +46,7 @@
     }),
     timeline: new kernel.Timeline(clock, processId),
   });
-  const store = new platform.EtcdStore(settings.store);
+  const store = new stores.EtcdStore(settings.store);
   const holder = new config.BundleHolder(host.services, settings.signers);
   host.addTeardown(() => metrics.close());
   host.addTeardown(() => store.close());
@@ -110,13 +110,13 @@
   settings: settingTypes.EntrySettings,
 ): Promise<kernel.Outcome<Daemon>> {
   const parts = createParts(settings);
-  const vmList = new platform.HttpVmList(settings.vmList);
+  const vmList = new stores.HttpVmList(settings.vmList);
   const role = await entry.registerEntry(parts.host, {
     ...parts,
     vmList,
     ratings: settings.ratings === undefined
       ? undefined
-      : new platform.HttpRatings(settings.ratings),
+      : new stores.HttpRatings(settings.ratings),
     listen: settings.listen,
     drainTimeoutMs: settings.drainTimeoutMs,
     random: Math.random,
--- a/packages/jackdawd/src/watchers.ts
+++ b/packages/jackdawd/src/watchers.ts
@@ -1,13 +1,13 @@
 /** Which entries of a data centre watch the store, so that its calls do not grow with the fleet. */
 import * as decisions from "@jackdawbank/decisions";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 
 const WATCHERS_PER_DATA_CENTRE = 2;
 const WATCHER_KEY = "bundle-watchers";
 
 /** Whether a process is among its data centre's watchers. */
 export function isWatcher(
-  vms: readonly platform.Vm[],
+  vms: readonly stores.Vm[],
   self: { readonly processId: string; readonly dataCentre: string },
 ): boolean {
   const candidates = vms
--- a/packages/upstream/src/claim_task.ts
+++ b/packages/upstream/src/claim_task.ts
@@ -1,7 +1,7 @@
 /** Drives the claim journals of one service against the store. */
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
-import * as platform from "@jackdawbank/platform";
+import * as stores from "@jackdawbank/store";
 import * as codec from "./claim_codec.ts";
 
 const SNAPSHOT_EVERY_SEGMENTS = 128;
@@ -26,8 +26,8 @@
 
 /** Settings of a claim task. */
 export interface ClaimTaskOptions {
-  readonly store: platform.Store;
-  readonly journal: platform.JournalName;
+  readonly store: stores.Store;
+  readonly journal: stores.JournalName;
   readonly retentionMs: number;
   readonly snapshotEverySegments?: number;
 }
@@ -205,7 +205,7 @@
   }
 
   async #readSegment(number: number): Promise<decisions.StoreOutcome> {
-    const key = platform.nameSegmentKey(this.#options.journal, number);
+    const key = stores.nameSegmentKey(this.#options.journal, number);
     const read = await this.#options.store.get(key);
     if (read.isErr()) return { type: "unknown" };
     if (read.value === undefined) return { type: "absent" };
@@ -221,7 +221,7 @@
 
   async #readSnapshot(): Promise<decisions.StoreOutcome> {
     const read = await this.#options.store.get(
-      platform.nameSnapshotKey(this.#options.journal),
+      stores.nameSnapshotKey(this.#options.journal),
     );
     if (read.isErr()) return { type: "unknown" };
     if (read.value === undefined) {
@@ -238,7 +238,7 @@
     segment: decisions.Segment,
   ): Promise<decisions.StoreOutcome> {
     this.#writes += 1;
-    const key = platform.nameSegmentKey(this.#options.journal, number);
+    const key = stores.nameSegmentKey(this.#options.journal, number);
     const created = await this.#options.store.create(
       key,
       codec.packSegment(segment),
@@ -253,7 +253,7 @@
     removable: readonly number[],
   ): Promise<decisions.StoreOutcome> {
     const { store, journal } = this.#options;
-    const key = platform.nameSnapshotKey(journal);
+    const key = stores.nameSnapshotKey(journal);
     const read = await store.get(key);
     if (read.isErr()) return { type: "unknown" };
     const held = read.value && codec.unpackSnapshot(read.value.value);
@@ -273,8 +273,8 @@
     for (const [first, last] of findRuns(removable)) {
       this.#writes += 1;
       await store.removeRange(
-        platform.nameSegmentKey(journal, first),
-        platform.nameSegmentKey(journal, last + 1),
+        stores.nameSegmentKey(journal, first),
+        stores.nameSegmentKey(journal, last + 1),
       );
     }
     return { type: "snapshot-stored" };
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -6,7 +6,7 @@
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 import type * as backends from "./backend.ts";
 import * as claimTasks from "./claim_task.ts";
 import type * as peerTasks from "./peers.ts";
@@ -58,7 +58,7 @@
   readonly holder: config.BundleHolder;
   readonly peers: peerTasks.Peers;
   readonly backend: backends.Backend;
-  readonly store: platform.Store;
+  readonly store: stores.Store;
   readonly type: "model" | "service";
 }
 
--- a/packages/upstream/src/mod.ts
+++ b/packages/upstream/src/mod.ts
@@ -5,7 +5,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as mesh from "@jackdawbank/mesh";
 import * as neverthrow from "neverthrow";
-import type * as platform from "@jackdawbank/platform";
+import type * as stores from "@jackdawbank/store";
 import type * as backends from "./backend.ts";
 import * as gates from "./gate.ts";
 import * as peerTasks from "./peers.ts";
@@ -26,7 +26,7 @@
 /** What the role needs from its process. */
 export interface UpstreamOptions {
   readonly holder: config.BundleHolder;
-  readonly store: platform.Store;
+  readonly store: stores.Store;
   readonly backend: backends.Backend;
   readonly type: "model" | "service";
   readonly identity: mesh.MeshIdentity;
