Thin path on the platform: adapter, router, direct sends, one role on edge

platform/ decodes settings, store items and headers; packages/router serves callers by host and path. Bundling the daemon's main with lazy imports ended at start with code 0: top-level await in a cycle of lazily loaded modules; the bundle has an entry module of its own with static imports instead.

--- /dev/null
+++ b/packages/decisions/src/replica_choice.ts
@@ -0,0 +1,102 @@
+/**
+ * Choice of a replica by the predicted time to the first token: work this
+ * process has there, tokens of the prompt that are not cached there, the way
+ * between data centres, and what is known against it.
+ */
+import * as hash from "./hash.ts";
+
+/** A replica as a choice sees it. */
+export interface Candidate {
+  readonly id: string;
+  readonly isLocal: boolean;
+  /** Requests of this process under way there. */
+  readonly inFlight: number;
+  /** Prompt tokens of this process that are not read there yet. */
+  readonly pendingTokens: number;
+  readonly slots: number;
+  /** Tokens of this prompt that are likely cached there. */
+  readonly cachedTokens: number;
+  readonly failureShare: number;
+  readonly delayMs: number | undefined;
+}
+
+/** What is to be placed. */
+export interface Placement {
+  readonly promptTokens: number;
+  /** Requests that share it find their common part in one place. */
+  readonly affinityKey: string | undefined;
+  /** Tokens that requests with the same key share. */
+  readonly sharedTokens: number;
+}
+
+/** Prompt tokens that an engine reads in a millisecond, at the least. */
+const PREFILL_TOKENS_PER_MS = 40;
+/** Delay that one running request adds to the next one. */
+const RUNNING_REQUEST_MS = 8;
+/** Weight against a replica in another data centre. */
+const REMOTE_MS = 6;
+/** Weight against a replica that fails all its requests. */
+const FAILURE_MS = 2_000;
+/** Weight of a replica's pace beyond that of the others. */
+const DELAY_WEIGHT = 0.5;
+
+/** Predicted cost in milliseconds of sending a prompt to a replica. */
+export function scoreCandidate(
+  candidate: Candidate,
+  placement: Placement,
+  context: {
+    readonly home: string | undefined;
+    readonly usualDelayMs: number;
+  },
+): number {
+  const unread = Math.max(0, placement.promptTokens - candidate.cachedTokens);
+  const isHome = context.home === candidate.id;
+  // A part that is cached nowhere yet is best read where others look for it.
+  const homeTokens = isHome && candidate.cachedTokens === 0
+    ? placement.sharedTokens
+    : 0;
+  const slower = Math.max(
+    0,
+    (candidate.delayMs ?? context.usualDelayMs) - context.usualDelayMs,
+  );
+  return (unread - homeTokens + candidate.pendingTokens) /
+      PREFILL_TOKENS_PER_MS +
+    candidate.inFlight * RUNNING_REQUEST_MS * (8 / Math.max(8, candidate.slots)) +
+    (candidate.isLocal ? 0 : REMOTE_MS) +
+    candidate.failureShare * FAILURE_MS +
+    slower * DELAY_WEIGHT;
+}
+
+function findUsualDelayMs(candidates: readonly Candidate[]): number {
+  const delays = candidates.flatMap(({ delayMs }) =>
+    delayMs === undefined ? [] : [delayMs]
+  ).toSorted((a, b) => a - b);
+  return delays[Math.floor(delays.length / 2)] ?? 0;
+}
+
+/** Picks the candidate with the lowest predicted cost; equals are drawn by lot. */
+export function chooseCandidate<C extends Candidate>(
+  candidates: readonly C[],
+  placement: Placement,
+  random: () => number,
+): C | undefined {
+  if (candidates.length === 0) return undefined;
+  const home = placement.affinityKey === undefined
+    ? undefined
+    : hash.rankByRendezvous(
+      candidates.map(({ id }) => id),
+      placement.affinityKey,
+    )[0];
+  const context = { home, usualDelayMs: findUsualDelayMs(candidates) };
+  let best: C | undefined;
+  let bestScore = Infinity;
+  for (const candidate of candidates) {
+    // A millisecond of noise spreads equals.
+    const score = scoreCandidate(candidate, placement, context) + random();
+    if (score < bestScore) {
+      best = candidate;
+      bestScore = score;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/decisions/src/rollout_plan.ts
@@ -0,0 +1,166 @@
+/**
+ * The steps of a roll-out that an operator ordered. A small share of new
+ * sessions tries the new version through the first half; then all requests
+ * move, and the order is completed once the old version's runs had time to
+ * end. A verdict against the version ends it at any step. Each process works
+ * out the same step from the same record, and a record is only replaced on
+ * condition of its revision, so that a late writer cannot undo a verdict.
+ */
+
+/** What an operator ordered. */
+export interface RolloutOrder {
+  readonly service: string;
+  readonly targetVersion: string;
+  readonly durationMs: number;
+  /** Revision of the order itself: a new one is another roll-out. */
+  readonly revision: number;
+}
+
+export type RolloutState = "in-progress" | "completed" | "rolled-back";
+
+/** What the fleet decided so far. */
+export interface RolloutRecord {
+  readonly service: string;
+  /** Revision of the record; 0 while it is not stored. */
+  readonly revision: number;
+  readonly orderRevision: number;
+  readonly targetVersion: string;
+  readonly state: RolloutState;
+  /** Time of day at the first record. */
+  readonly startedAtMs: number;
+  readonly durationMs: number;
+  readonly reason: string;
+  /** Versions of this service that were rolled back. */
+  readonly bannedVersions: readonly string[];
+}
+
+/** Part of the duration through which only new sessions try the version. */
+const TRIAL_UNTIL = 0.51;
+/** Part of the duration at which every request has moved. */
+const MOVED_AT = 0.58;
+/** Part of the duration at which the old version is given up. */
+const COMPLETED_AT = 0.84;
+/** Share of the exposure bound that the trial uses. */
+const TRIAL_EXPOSURE = 0.6;
+
+/** The first record of an order. */
+export function startRollout(
+  order: RolloutOrder,
+  held: RolloutRecord | undefined,
+  wallMs: number,
+): RolloutRecord {
+  return {
+    service: order.service,
+    revision: held?.revision ?? 0,
+    orderRevision: order.revision,
+    targetVersion: order.targetVersion,
+    state: "in-progress",
+    startedAtMs: wallMs,
+    durationMs: order.durationMs,
+    reason: "ordered",
+    bannedVersions: (held?.bannedVersions ?? []).filter((version) =>
+      version !== order.targetVersion
+    ),
+  };
+}
+
+/** Part of the duration that has passed. */
+export function measureProgress(record: RolloutRecord, wallMs: number): number {
+  return Math.max(0, (wallMs - record.startedAtMs) / record.durationMs);
+}
+
+/** The record that should replace the held one now, if any. */
+export function advanceRollout(
+  order: RolloutOrder | undefined,
+  held: RolloutRecord | undefined,
+  evidence: { readonly verdict: string | undefined; readonly wallMs: number },
+): RolloutRecord | undefined {
+  if (order === undefined) return undefined;
+  if (held === undefined || held.orderRevision < order.revision) {
+    return startRollout(order, held, evidence.wallMs);
+  }
+  if (held.orderRevision > order.revision || held.state !== "in-progress") {
+    return undefined;
+  }
+  if (evidence.verdict !== undefined) {
+    return {
+      ...held,
+      state: "rolled-back",
+      reason: evidence.verdict,
+      bannedVersions: [...held.bannedVersions, held.targetVersion],
+    };
+  }
+  if (measureProgress(held, evidence.wallMs) >= COMPLETED_AT) {
+    return { ...held, state: "completed", reason: "no verdict against it" };
+  }
+  return undefined;
+}
+
+/** A session's version where it is known. */
+export type SessionVersion = "old" | "new" | undefined;
+
+/** What decides the version of one request. */
+export interface VersionInput {
+  readonly order: RolloutOrder | undefined;
+  readonly record: RolloutRecord | undefined;
+  readonly session: SessionVersion;
+  /** Stable fraction of the session in [0, 1). */
+  readonly fraction: number;
+  readonly wallMs: number;
+  readonly exposureShare: number;
+  /** This process has seen enough to stop the version itself. */
+  readonly isStoppedHere: boolean;
+}
+
+/** Which versions a request may use: those named first, the others if none is left. */
+export interface RolloutSide {
+  readonly target: string | undefined;
+  readonly prefersTarget: boolean;
+  readonly banned: readonly string[];
+}
+
+const ANY_VERSION: RolloutSide = {
+  target: undefined,
+  prefersTarget: false,
+  banned: [],
+};
+
+/** Chooses the side of a roll-out for one request. */
+export function chooseRolloutSide(input: VersionInput): RolloutSide {
+  const { order, record } = input;
+  if (order === undefined) {
+    return record === undefined
+      ? ANY_VERSION
+      : { ...ANY_VERSION, banned: record.bannedVersions };
+  }
+  const target = order.targetVersion;
+  if (record === undefined || record.orderRevision < order.revision) {
+    const banned = record?.bannedVersions ?? [];
+    return { target, prefersTarget: false, banned };
+  }
+  const banned = record.bannedVersions;
+  if (record.state === "rolled-back" || input.isStoppedHere) {
+    return {
+      target,
+      prefersTarget: false,
+      banned: banned.includes(target) ? banned : [...banned, target],
+    };
+  }
+  if (record.state === "completed") {
+    return { target, prefersTarget: true, banned };
+  }
+  return { target, prefersTarget: isMoved(record, input), banned };
+}
+
+function isMoved(record: RolloutRecord, input: VersionInput): boolean {
+  const progress = measureProgress(record, input.wallMs);
+  if (input.session === "new") return true;
+  if (progress >= MOVED_AT) return true;
+  const trial = input.exposureShare * TRIAL_EXPOSURE;
+  if (progress < TRIAL_UNTIL) {
+    return input.session === undefined && input.fraction < trial;
+  }
+  // A ramp bounds the load that a version meets at once.
+  const ramp = (progress - TRIAL_UNTIL) / (MOVED_AT - TRIAL_UNTIL);
+  return input.fraction < trial + (1 - trial) * ramp;
+}
--- a/packages/jackdawd/src/main.ts
+++ b/packages/jackdawd/src/main.ts
@@ -4,6 +4,7 @@
 import * as commander from "commander";
 import type * as neverthrow from "neverthrow";
 import * as daemons from "./daemon.ts";
+import * as platformEntry from "./platform_entry.ts";
 import * as settings from "./settings.ts";
 
 const EXIT_FAILURE = 1;
@@ -69,4 +70,5 @@
     run(settings.checkUpstreamSettings(options), daemons.startUpstream)
   ),
 );
+program.addCommand(platformEntry.createPlatformEntryCommand());
 await program.parseAsync();
--- /dev/null
+++ b/packages/jackdawd/src/platform_entry.ts
@@ -0,0 +1,115 @@
+/** An entry on the users' platform: settings from its file, all that lasts in its store. */
+import * as kernel from "@jackdawbank/kernel";
+import * as platform from "@jackdawbank/platform";
+import * as router from "@jackdawbank/router";
+import * as commander from "commander";
+import * as neverthrow from "neverthrow";
+
+/** The settings file may change without a signal. */
+const SETTINGS_POLL_MS = 2_000;
+const EXIT_FAILURE = 1;
+const EXIT_BAD_SETTINGS = 2;
+const METRICS_PATTERN = /^(\d{1,5})(\/\S*)$/;
+
+/** Flags of the command. */
+export interface PlatformEntryOptions {
+  /** PORT/PATH where metrics are served. */
+  readonly metrics?: string;
+}
+
+function parseMetrics(
+  text: string | undefined,
+): kernel.Outcome<router.RouterOptions["metrics"] | undefined> {
+  if (text === undefined) return neverthrow.ok(undefined);
+  const match = METRICS_PATTERN.exec(text);
+  if (match === null) {
+    return kernel.fail("settings-invalid", "--metrics must be PORT/PATH");
+  }
+  return neverthrow.ok({
+    port: Number(match[1]),
+    path: match[2] as string,
+  });
+}
+
+function report(message: string, exitCode: number): void {
+  process.stderr.write(`jackdawd: ${message}\n`);
+  process.exitCode = exitCode;
+}
+
+/** Tells the log when the settings file changes, and takes the store's address over. */
+function watchSettings(
+  store: platform.PlatformStore,
+  log: router.DecisionLog,
+): void {
+  let held = platform.readSettingsText(process.env).unwrapOr("");
+  const reread = (cause: string) => {
+    const text = platform.readSettingsText(process.env);
+    if (text.isErr()) {
+      log.notable("settings.unreadable", { cause, reason: text.error.message });
+      return;
+    }
+    if (text.value === held && cause !== "SIGHUP") return;
+    held = text.value;
+    const settings = platform.parseSettings(text.value);
+    if (settings.isErr()) {
+      log.notable("settings.refused", { cause, reason: settings.error.message });
+      return;
+    }
+    store.setAddress(settings.value.storeAddress);
+    log.notable("settings.reloaded", { cause });
+  };
+  process.on("SIGHUP", () => reread("SIGHUP"));
+  setInterval(() => reread("file changed"), SETTINGS_POLL_MS).unref();
+}
+
+/** Runs the entry until a signal ends it. */
+export async function runPlatformEntry(
+  options: PlatformEntryOptions,
+): Promise<void> {
+  const settings = platform.readSettings(process.env);
+  if (settings.isErr()) return report(settings.error.message, EXIT_BAD_SETTINGS);
+  const metrics = parseMetrics(options.metrics);
+  if (metrics.isErr()) return report(metrics.error.message, EXIT_BAD_SETTINGS);
+  const clock = new kernel.SystemClock();
+  const incarnation = `${Date.now().toString(36)}-${process.pid}`;
+  const log = new router.DecisionLog(clock, {
+    vm: settings.value.router.vmName,
+    incarnation,
+  }, new router.DescriptorSink());
+  const store = new platform.PlatformStore(settings.value.storeAddress);
+  process.on("uncaughtException", (thrown) => {
+    log.notable("process.fault", { reason: kernel.describeThrown(thrown) });
+  });
+  process.on("unhandledRejection", (thrown) => {
+    log.notable("process.fault", { reason: kernel.describeThrown(thrown) });
+  });
+  watchSettings(store, log);
+  const service = new router.Router({
+    settings: settings.value.router,
+    plane: store,
+    codec: new platform.PlatformCodec(),
+    clock,
+    log,
+    random: Math.random,
+    ...(metrics.value === undefined ? {} : { metrics: metrics.value }),
+  });
+  const stop = (signal: NodeJS.Signals) => {
+    void service.stop(signal).then(() => process.exit(0));
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+  try {
+    await service.start();
+  } catch (thrown) {
+    report(kernel.describeThrown(thrown), EXIT_FAILURE);
+    process.exit(EXIT_FAILURE);
+  }
+}
+
+/** The command that runs an entry on the platform. */
+export function createPlatformEntryCommand(): commander.Command {
+  return new commander.Command("platform-entry")
+    .description("run an entry whose settings come from the platform's file")
+    .option("--metrics <port/path>", "where metrics are served as text")
+    .action((options: PlatformEntryOptions) => runPlatformEntry(options));
+}
--- /dev/null
+++ b/packages/jackdawd/src/platform_main.ts
@@ -0,0 +1,12 @@
+#!/usr/bin/env node
+/**
+ * The daemon as it is bundled for the platform: the one role that runs there,
+ * without the modules of the others, since start-up time counts after a restart.
+ */
+import * as commander from "commander";
+import * as platformEntry from "./platform_entry.ts";
+
+await new commander.Command("jackdawd")
+  .description("jackdawbank's daemon on the platform")
+  .addCommand(platformEntry.createPlatformEntryCommand())
+  .parseAsync();
--- /dev/null
+++ b/packages/router/src/replica_table.ts
@@ -0,0 +1,262 @@
+/**
+ * The replicas that this process knows: their connections, what it has under
+ * way there, what is learnt of their health, and which parts of prompts they
+ * read lately.
+ */
+import type * as bundle from "@jackdawbank/bundle";
+import * as decisions from "@jackdawbank/decisions";
+import * as connections from "./connections.ts";
+import type * as ports from "./ports.ts";
+
+/** Parts of prompts that are remembered for each replica. */
+const MAX_PARTS = 4_000;
+/** A replica that is full or another one is left alone for so long. */
+const BUSY_MS = 150;
+const MISDIRECTED_MS = 1_000;
+
+/** One replica with its state at this process. */
+export interface ReplicaState {
+  readonly entry: ports.ReplicaEntry;
+  readonly pool: connections.ReplicaConnections;
+  readonly health: decisions.ReplicaHealth;
+  /** When a part was last read for a model, by model and part. */
+  readonly parts: Map<string, number>;
+  inFlight: number;
+  pendingTokens: number;
+  /** Steady time of the newest byte from it. */
+  heardAtMs: number;
+  avoidUntilMs: number;
+  isGone: boolean;
+}
+
+/** What is to be placed. */
+export interface PlacementRequest {
+  readonly service: string;
+  readonly model: string | undefined;
+  readonly promptTokens: number;
+  readonly parts: readonly ports.PromptPart[];
+  readonly excluded: ReadonlySet<string>;
+  readonly needsFresh: boolean;
+  readonly side: decisions.RolloutSide;
+  readonly nowMs: number;
+}
+
+/** A chosen replica, with what decided it. */
+export interface Pick {
+  readonly state: ReplicaState;
+  readonly cachedTokens: number;
+  readonly candidates: number;
+}
+
+/** Settings of the table. */
+export interface ReplicaTableOptions {
+  readonly dataCentre: string;
+  readonly prefixReuseMs: number;
+  readonly random: () => number;
+  readonly onConnection: () => void;
+}
+
+interface Candidate extends decisions.Candidate {
+  readonly state: ReplicaState;
+}
+
+/** Names a part as it is cached for a model. */
+function nameCached(model: string | undefined, partId: string): string {
+  return `${model ?? ""}/${partId}`;
+}
+
+/** The key of the longest part that other requests share. */
+export function findAffinityPart(
+  parts: readonly ports.PromptPart[],
+): { readonly key: string | undefined; readonly tokens: number } {
+  const shared = parts.slice(0, -1);
+  const last = shared.at(-1);
+  return {
+    key: last?.id,
+    tokens: shared.reduce((sum, part) => sum + part.tokens, 0),
+  };
+}
+
+/** Table of the replicas of all services. */
+export class ReplicaTable {
+  readonly #options: ReplicaTableOptions;
+  readonly #states = new Map<string, ReplicaState>();
+  readonly #byService = new Map<string, Set<ReplicaState>>();
+
+  constructor(options: ReplicaTableOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#states.size;
+  }
+
+  /** Replicas of a service that are not leaving. */
+  listService(service: string): readonly ReplicaState[] {
+    return [...this.#byService.get(service) ?? []].filter((state) =>
+      !state.entry.isDraining
+    );
+  }
+
+  /** Takes an entry; another start of a replica begins with nothing learnt. */
+  put(entry: ports.ReplicaEntry, service: bundle.RoutedService | undefined): void {
+    const held = this.#states.get(entry.id);
+    const isSame = held !== undefined &&
+      held.entry.bornAtMs === entry.bornAtMs &&
+      held.entry.service === entry.service &&
+      held.entry.address.host === entry.address.host &&
+      held.entry.address.port === entry.address.port;
+    if (held !== undefined && !isSame) this.remove(entry.id);
+    const state: ReplicaState = isSame
+      ? Object.assign(held, { entry })
+      : this.#create(entry, service);
+    this.#states.set(entry.id, state);
+    const members = this.#byService.get(entry.service) ?? new Set();
+    members.add(state);
+    this.#byService.set(entry.service, members);
+  }
+
+  remove(id: string): void {
+    const state = this.#states.get(id);
+    if (state === undefined) return;
+    state.isGone = true;
+    state.pool.close();
+    this.#states.delete(id);
+    this.#byService.get(state.entry.service)?.delete(state);
+  }
+
+  /** Picks a replica on the wanted side of a roll-out, else on the other. */
+  pick(request: PlacementRequest): Pick | undefined {
+    const usable = this.listService(request.service).filter((state) =>
+      !request.excluded.has(state.entry.id) &&
+      !request.side.banned.includes(state.entry.version) &&
+      (request.needsFresh || !state.pool.isFull)
+    );
+    const { target, prefersTarget } = request.side;
+    const isPreferred = (state: ReplicaState) =>
+      target === undefined ||
+      (state.entry.version === target) === prefersTarget;
+    const isSound = (state: ReplicaState) =>
+      !state.health.isOut(request.nowMs) &&
+      state.avoidUntilMs <= request.nowMs;
+    const preferred = usable.filter(isPreferred);
+    const pools = [
+      preferred.filter(isSound),
+      // The version matters more than a moment of trouble: sessions keep theirs.
+      preferred,
+      usable.filter(isSound),
+      usable,
+    ];
+    const pool = pools.find((states) => states.length > 0);
+    return pool === undefined ? undefined : this.#choose(pool, request);
+  }
+
+  noteSent(state: ReplicaState, promptTokens: number): void {
+    state.inFlight += 1;
+    state.pendingTokens += promptTokens;
+  }
+
+  /** The prompt is read: it delays others no more, and its parts are cached. */
+  noteRead(
+    state: ReplicaState,
+    read: {
+      readonly model: string | undefined;
+      readonly parts: readonly ports.PromptPart[];
+      readonly promptTokens: number;
+      readonly nowMs: number;
+    },
+  ): void {
+    state.pendingTokens = Math.max(0, state.pendingTokens - read.promptTokens);
+    for (const part of read.parts) {
+      const name = nameCached(read.model, part.id);
+      state.parts.delete(name);
+      state.parts.set(name, read.nowMs);
+    }
+    while (state.parts.size > MAX_PARTS) {
+      const [oldest] = state.parts.keys();
+      if (oldest === undefined) break;
+      state.parts.delete(oldest);
+    }
+  }
+
+  noteEnded(state: ReplicaState, unreadTokens: number): void {
+    state.inFlight = Math.max(0, state.inFlight - 1);
+    state.pendingTokens = Math.max(0, state.pendingTokens - unreadTokens);
+  }
+
+  noteBusy(state: ReplicaState, nowMs: number): void {
+    state.avoidUntilMs = nowMs + BUSY_MS;
+  }
+
+  noteMisdirected(state: ReplicaState, nowMs: number): void {
+    state.avoidUntilMs = nowMs + MISDIRECTED_MS;
+  }
+
+  close(): void {
+    for (const id of [...this.#states.keys()]) this.remove(id);
+  }
+
+  #create(
+    entry: ports.ReplicaEntry,
+    service: bundle.RoutedService | undefined,
+  ): ReplicaState {
+    return {
+      entry,
+      pool: new connections.ReplicaConnections(entry.address, {
+        maxConnections: service?.maxConnections ?? entry.slots,
+        onOpened: this.#options.onConnection,
+      }),
+      health: new decisions.ReplicaHealth(),
+      parts: new Map(),
+      inFlight: 0,
+      pendingTokens: 0,
+      heardAtMs: -Infinity,
+      avoidUntilMs: -Infinity,
+      isGone: false,
+    };
+  }
+
+  #choose(
+    states: readonly ReplicaState[],
+    request: PlacementRequest,
+  ): Pick | undefined {
+    const candidates = states.map((state): Candidate => ({
+      state,
+      id: state.entry.id,
+      isLocal: state.entry.dataCentre === this.#options.dataCentre,
+      inFlight: state.inFlight,
+      pendingTokens: state.pendingTokens,
+      slots: state.entry.slots,
+      cachedTokens: this.#countCached(state, request),
+      failureShare: state.health.failureShare,
+      delayMs: state.health.delayMs,
+    }));
+    const affinity = findAffinityPart(request.parts);
+    const chosen = decisions.chooseCandidate(candidates, {
+      promptTokens: request.promptTokens,
+      affinityKey: affinity.key === undefined
+        ? undefined
+        : nameCached(request.model, affinity.key),
+      sharedTokens: affinity.tokens,
+    }, this.#options.random);
+    return chosen && {
+      state: chosen.state,
+      cachedTokens: chosen.cachedTokens,
+      candidates: candidates.length,
+    };
+  }
+
+  /** Tokens of the prompt's first parts that the replica read for this model lately. */
+  #countCached(state: ReplicaState, request: PlacementRequest): number {
+    let tokens = 0;
+    for (const part of request.parts) {
+      const readAtMs = state.parts.get(nameCached(request.model, part.id));
+      if (
+        readAtMs === undefined ||
+        request.nowMs - readAtMs > this.#options.prefixReuseMs
+      ) break;
+      tokens += part.tokens;
+    }
+    return tokens;
+  }
+}
--- /dev/null
+++ b/packages/router/src/stream_exchange.ts
@@ -0,0 +1,382 @@
+/**
+ * The way of a request whose answer is a stream of events. Whole events are
+ * passed on as they come. An answer of low confidence is dropped before the
+ * caller has any of it, and a larger model is asked. A stream that breaks goes
+ * on at another replica where its route allows that.
+ */
+import * as decisions from "@jackdawbank/decisions";
+import * as kernel from "@jackdawbank/kernel";
+import * as check from "./answer_check.ts";
+import type * as attempts from "./attempt.ts";
+import type * as dispatchers from "./dispatcher.ts";
+import * as splitting from "./event_splitter.ts";
+import type * as requests from "./request.ts";
+import type * as watchdogs from "./watchdog.ts";
+
+/** Wait for the first event, beyond which a silent replica is given up. */
+const FIRST_EVENT_OBJECTIVES = 1;
+/** Prompt tokens that an engine reads in a millisecond when it is shared. */
+const PROMPT_TOKENS_PER_MS = 20;
+/** A replica that sent nothing to anybody for so long is silent. */
+const REPLICA_SILENCE_MS = 900;
+/** Wait for an event, in longest pauses, beyond which any replica is given up. */
+const MAX_GAPS = 2.5;
+/** Share of the retry budget that escalations may use; the rest is for failures. */
+const ESCALATION_BUDGET_SHARE = 0.6;
+const UNRUN_SENDS = 2;
+const FULL_RETRY_MS = 300;
+const MAX_FAILURE_BODY_BYTES = 65_536;
+
+/** How one attempt ended. */
+type TryResult =
+  | { readonly type: "complete" }
+  | { readonly type: "escalate"; readonly model: string }
+  | {
+    readonly type: "failed";
+    readonly head: attempts.AnswerHead;
+    readonly body: Buffer;
+  }
+  | { readonly type: "not-run"; readonly reason: string }
+  | { readonly type: "lost"; readonly reason: string };
+
+/** One attempt's state. */
+interface Try {
+  sent: dispatchers.Sent | undefined;
+  verdict: check.HeadVerdict | undefined;
+  head: attempts.AnswerHead | undefined;
+  result: TryResult | undefined;
+  readonly splitter: splitting.EventSplitter;
+  readonly body: Buffer[];
+  readonly startedAtMs: number;
+  headAtMs: number | undefined;
+  newestAtMs: number;
+  unreadTokens: number;
+}
+
+/** One request with a stream for an answer. */
+export class StreamExchange {
+  readonly #dispatcher: dispatchers.Dispatcher;
+  readonly #watchdog: watchdogs.Watchdog;
+  readonly #request: requests.AdmittedRequest;
+  readonly #writer: requests.AnswerWriter;
+  readonly #tried = new Set<string>();
+  #model: string | undefined;
+  #lastEventId: string | undefined;
+  #sends = 0;
+  #runs = 0;
+  #isWaitingForCaller = false;
+
+  constructor(
+    dispatcher: dispatchers.Dispatcher,
+    watchdog: watchdogs.Watchdog,
+    request: requests.AdmittedRequest,
+    writer: requests.AnswerWriter,
+  ) {
+    this.#dispatcher = dispatcher;
+    this.#watchdog = watchdog;
+    this.#request = request;
+    this.#writer = writer;
+    this.#lastEventId = request.fields.lastEventId;
+    const { modelSizes, isResumable } = request.route;
+    this.#model = request.fields.model ??
+      // What may not run twice cannot be tried on a smaller model first.
+      (isResumable ? decisions.chooseStartModel(modelSizes) : modelSizes.at(-1));
+  }
+
+  async run(): Promise<requests.RequestOutcome> {
+    let last: TryResult | undefined;
+    for (;;) {
+      const tried = await this.#try();
+      if (tried.type === "refused") return this.#refuse(tried.refusal, last);
+      last = tried.result;
+      if (last.type === "complete") {
+        this.#writer.end();
+        return { outcome: "answered", status: 200 };
+      }
+      if (this.#request.signal.aborted) return { outcome: "caller-gone" };
+      if (last.type === "escalate") {
+        this.#model = last.model;
+        continue;
+      }
+      if (!this.#canSendAgain(last)) return this.#fail(last);
+    }
+  }
+
+  #canSendAgain(result: TryResult): boolean {
+    const { route, deadlineAtMs, service } = this.#request;
+    if (this.#dispatcher.nowMs >= deadlineAtMs) return false;
+    if (!this.#dispatcher.mayRepeat(service)) return false;
+    if (result.type === "not-run") {
+      return this.#sends < route.maxAttempts + UNRUN_SENDS;
+    }
+    return route.isResumable && this.#runs < route.maxAttempts;
+  }
+
+  async #try(): Promise<
+    | { readonly type: "tried"; readonly result: TryResult }
+    | { readonly type: "refused"; readonly refusal: dispatchers.Refusal }
+  > {
+    const startedAtMs = this.#dispatcher.nowMs;
+    const current: Try = {
+      sent: undefined,
+      verdict: undefined,
+      head: undefined,
+      result: undefined,
+      splitter: new splitting.EventSplitter(),
+      body: [],
+      startedAtMs,
+      headAtMs: undefined,
+      newestAtMs: startedAtMs,
+      unreadTokens: this.#request.fields.promptTokens,
+    };
+    const refusal = await new Promise<dispatchers.Refusal | undefined>(
+      (resolve) => {
+        let stopWatch: (() => void) | undefined;
+        const sending = this.#dispatcher.send(this.#request, {
+          model: this.#model,
+          lastEventId: this.#lastEventId,
+          excluded: this.#tried,
+          earlierSends: this.#sends,
+        }, {
+          onHead: (head) => this.#takeHead(current, head),
+          onData: (chunk) => this.#takeData(current, chunk),
+          onEnd: (end) => {
+            stopWatch?.();
+            current.result ??= this.#judgeEnd(current, end);
+            resolve(undefined);
+          },
+        });
+        if (sending.isErr()) {
+          resolve(sending.error);
+          return;
+        }
+        current.sent = sending.value;
+        stopWatch = this.#watch(current);
+      },
+    );
+    if (refusal !== undefined) return { type: "refused", refusal };
+    const result = current.result as TryResult;
+    this.#learn(current, result);
+    return { type: "tried", result };
+  }
+
+  #takeHead(current: Try, head: attempts.AnswerHead): void {
+    const { nowMs } = this.#dispatcher;
+    const { codec, table } = this.#dispatcher.parts;
+    const { sent } = current;
+    if (sent === undefined) return;
+    const answer = codec.decodeAnswer(head.headers);
+    current.head = head;
+    current.headAtMs = nowMs;
+    current.newestAtMs = nowMs;
+    sent.state.heardAtMs = nowMs;
+    current.verdict = check.judgeHead(this.#request, head, answer);
+    if (current.verdict === "foreign" || current.verdict === "unusable") {
+      sent.attempt.cancel(`the answer is ${current.verdict}`);
+      return;
+    }
+    if (current.verdict !== "success") return;
+    const { fields } = this.#request;
+    table.noteRead(sent.state, {
+      model: this.#model,
+      parts: fields.promptParts,
+      promptTokens: current.unreadTokens,
+      nowMs,
+    });
+    current.unreadTokens = 0;
+    const model = this.#chooseEscalation(answer.confidence);
+    this.#dispatcher.parts.log.routine("answer.judged", {
+      requestId: this.#request.requestId,
+      replica: sent.state.entry.id,
+      model: this.#model,
+      confidence: answer.confidence,
+      escalatesTo: model,
+    });
+    if (model === undefined) return;
+    current.result = { type: "escalate", model };
+    sent.attempt.cancel("a larger model is asked");
+  }
+
+  #chooseEscalation(confidence: number | undefined): string | undefined {
+    const { route, account, fields, service } = this.#request;
+    const isUntouched = !this.#writer.isStarted &&
+      fields.lastEventId === undefined && fields.model === undefined;
+    return decisions.chooseEscalation({
+      sizes: route.modelSizes,
+      model: this.#model,
+      confidence,
+      priority: account?.priority ?? route.priority,
+      canSendAgain: isUntouched && route.isResumable &&
+        this.#runs + 1 < route.maxAttempts &&
+        this.#dispatcher.mayRepeat(service, ESCALATION_BUDGET_SHARE),
+    });
+  }
+
+  #takeData(current: Try, chunk: Buffer): void {
+    const { nowMs } = this.#dispatcher;
+    const { sent, head } = current;
+    if (sent === undefined || head === undefined) return;
+    sent.state.heardAtMs = nowMs;
+    current.newestAtMs = nowMs;
+    if (current.verdict !== "success") {
+      const size = current.body.reduce((sum, part) => sum + part.length, 0);
+      if (size < MAX_FAILURE_BODY_BYTES) current.body.push(chunk);
+      return;
+    }
+    const whole = current.splitter.push(chunk);
+    if (whole === undefined) return;
+    this.#startAnswer(head);
+    this.#lastEventId = current.splitter.lastEventId ?? this.#lastEventId;
+    if (this.#writer.write(whole.bytes)) return;
+    this.#isWaitingForCaller = true;
+    sent.attempt.pause();
+    this.#writer.onDrain(() => {
+      this.#isWaitingForCaller = false;
+      current.newestAtMs = this.#dispatcher.nowMs;
+      sent.attempt.resume();
+    });
+  }
+
+  /** The first replica's head stays that of the whole answer. */
+  #startAnswer(head: attempts.AnswerHead): void {
+    if (this.#writer.isStarted) return;
+    this.#writer.start(head.status, head.rawHeaders);
+    this.#dispatcher.parts.telemetry.observeFirstByte(
+      this.#request.route.name,
+      this.#dispatcher.nowMs - this.#request.receivedAtMs,
+    );
+  }
+
+  #judgeEnd(current: Try, end: attempts.AttemptEnd): TryResult {
+    if (end.type === "unsent") return { type: "not-run", reason: end.reason };
+    const { verdict, head } = current;
+    if (verdict === "not-run" || verdict === "misdirected") {
+      const reason = verdict === "misdirected"
+        ? verdict
+        : "refused by the replica";
+      return { type: "not-run", reason };
+    }
+    if (end.type === "lost") return { type: "lost", reason: end.reason };
+    if (head === undefined) return { type: "lost", reason: "no answer" };
+    if (verdict === "failure") {
+      return { type: "failed", head, body: Buffer.concat(current.body) };
+    }
+    if (current.splitter.hasPartialEvent) {
+      return { type: "lost", reason: "the stream ended within an event" };
+    }
+    this.#startAnswer(head);
+    return { type: "complete" };
+  }
+
+  /** Ends an attempt that is silent, late, or whose caller is gone. */
+  #watch(current: Try): () => void {
+    const { route, deadlineAtMs, signal, fields } = this.#request;
+    const firstEventMs = FIRST_EVENT_OBJECTIVES * route.targetLatencyMs +
+      fields.promptTokens / PROMPT_TOKENS_PER_MS;
+    const attempt = current.sent?.attempt;
+    return this.#watchdog.watch((nowMs) => {
+      if (signal.aborted) return attempt?.cancel("the caller is gone");
+      if (nowMs >= deadlineAtMs) return attempt?.cancel("deadline passed");
+      const mayMove = route.isResumable && this.#runs + 1 < route.maxAttempts;
+      if (!mayMove || this.#isWaitingForCaller) return;
+      const heardAtMs = current.sent?.state.heardAtMs ?? nowMs;
+      const replicaSilentMs = nowMs - Math.max(heardAtMs, current.startedAtMs);
+      const isReplicaSilent = replicaSilentMs > REPLICA_SILENCE_MS;
+      const limitMs = current.headAtMs === undefined
+        ? firstEventMs
+        : route.maxGapMs;
+      const waitedMs = nowMs - current.newestAtMs;
+      const isSilent = waitedMs > limitMs &&
+        (isReplicaSilent || waitedMs > limitMs * MAX_GAPS);
+      if (isSilent) attempt?.cancel("silent");
+    }, signal);
+  }
+
+  #learn(current: Try, result: TryResult): void {
+    const { sent } = current;
+    if (sent === undefined) return;
+    const { state } = sent;
+    const { nowMs } = this.#dispatcher;
+    const { table } = this.#dispatcher.parts;
+    this.#sends += 1;
+    this.#tried.add(state.entry.id);
+    table.noteEnded(state, current.unreadTokens);
+    if (result.type === "not-run") {
+      table.noteBusy(state, nowMs);
+      if (result.reason === "misdirected") table.noteMisdirected(state, nowMs);
+      if (!sent.attempt.isSent) state.health.recordNoAnswer(nowMs);
+    } else {
+      this.#runs += 1;
+      if (!this.#request.signal.aborted) this.#learnRun(current, sent, result);
+    }
+    // A dropped answer says nothing against its replica.
+    if (result.type === "escalate") this.#tried.clear();
+    this.#dispatcher.logAttempt(this.#request, sent, {
+      outcome: result.type === "complete" ? "whole" : result.type,
+      ...("reason" in result ? { reason: result.reason } : {}),
+      ...(result.type === "failed" ? { status: result.head.status } : {}),
+    });
+  }
+
+  #learnRun(
+    current: Try,
+    sent: dispatchers.Sent,
+    result: TryResult,
+  ): void {
+    const { nowMs } = this.#dispatcher;
+    const { health } = sent.state;
+    const isServerFailure = result.type === "failed" &&
+      check.isServerError(result.head.status);
+    const isFailure = result.type === "lost" || isServerFailure;
+    if (result.type === "lost") health.recordNoAnswer(nowMs);
+    else if (isServerFailure) health.recordFailedAnswer();
+    else if (current.headAtMs !== undefined) {
+      health.recordSuccess(current.headAtMs - current.startedAtMs);
+    }
+    const events = current.splitter.count;
+    const paceMs = isFailure || current.headAtMs === undefined
+      ? undefined
+      : events > 1
+      ? (nowMs - current.headAtMs) / events
+      : current.headAtMs - current.startedAtMs;
+    this.#dispatcher.recordVersion(this.#request, sent, {
+      // Pauses between events and waits for the first one differ by nature.
+      model: `${this.#model ?? ""}/${events > 1 ? "pace" : "start"}`,
+      isFailure,
+      paceMs,
+    });
+  }
+
+  #refuse(
+    refusal: dispatchers.Refusal,
+    last: TryResult | undefined,
+  ): requests.RequestOutcome {
+    const hasRun = this.#runs > 0;
+    if (hasRun && last !== undefined) return this.#fail(last);
+    this.#writer.refuse(refusal.error, refusal.retryAfterMs);
+    return { outcome: refusal.error.kind, reason: refusal.error.message };
+  }
+
+  #fail(result: TryResult): requests.RequestOutcome {
+    const reason = "reason" in result ? result.reason : result.type;
+    if (this.#writer.isStarted) {
+      this.#writer.abort();
+      return { outcome: "answer-incomplete", reason };
+    }
+    if (result.type === "failed") {
+      const { status, rawHeaders } = result.head;
+      this.#writer.answer(status, rawHeaders, result.body);
+      return { outcome: "replica-failed", status };
+    }
+    const isLate = this.#dispatcher.nowMs >= this.#request.deadlineAtMs;
+    const hasRun = this.#runs > 0;
+    const kind: kernel.ErrorKind = hasRun
+      ? isLate ? "deadline-after-run" : "upstream-failed"
+      : "overloaded";
+    this.#writer.refuse(
+      kernel.makeError(kind, reason),
+      hasRun ? undefined : FULL_RETRY_MS,
+    );
+    return { outcome: kind, reason };
+  }
+}
