Answers whose end is told by the connection alone are not framed as whole

Repeatable calls ask again; others are passed on without a length, as they came; streams go on at another replica.

--- a/packages/bundle/src/routes.ts
+++ b/packages/bundle/src/routes.ts
@@ -110,9 +110,11 @@
       service.name,
       service,
     ])),
-    accountByKeySha256: new Map(table.accounts.flatMap((account) =>
-      account.keysSha256.map((digest) => [digest, account] as const)
-    )),
+    accountByKeySha256: new Map(
+      table.accounts.flatMap((account) =>
+        account.keysSha256.map((digest) => [digest, account] as const)
+      ),
+    ),
   };
 }
 
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -61,7 +61,8 @@
   );
   return (unread - homeTokens + candidate.pendingTokens) /
       PREFILL_TOKENS_PER_MS +
-    candidate.inFlight * RUNNING_REQUEST_MS * (8 / Math.max(8, candidate.slots)) +
+    candidate.inFlight * RUNNING_REQUEST_MS *
+      (8 / Math.max(8, candidate.slots)) +
     (candidate.isLocal ? 0 : REMOTE_MS) +
     candidate.failureShare * FAILURE_MS +
     slower * DELAY_WEIGHT;
--- a/packages/jackdawd/src/platform_entry.ts
+++ b/packages/jackdawd/src/platform_entry.ts
@@ -52,7 +52,10 @@
     held = text.value;
     const settings = platform.parseSettings(text.value);
     if (settings.isErr()) {
-      log.notable("settings.refused", { cause, reason: settings.error.message });
+      log.notable("settings.refused", {
+        cause,
+        reason: settings.error.message,
+      });
       return;
     }
     store.setAddress(settings.value.storeAddress);
@@ -67,7 +70,9 @@
   options: PlatformEntryOptions,
 ): Promise<void> {
   const settings = platform.readSettings(process.env);
-  if (settings.isErr()) return report(settings.error.message, EXIT_BAD_SETTINGS);
+  if (settings.isErr()) {
+    return report(settings.error.message, EXIT_BAD_SETTINGS);
+  }
   const metrics = parseMetrics(options.metrics);
   if (metrics.isErr()) return report(metrics.error.message, EXIT_BAD_SETTINGS);
   const clock = new kernel.SystemClock();
--- a/packages/router/src/answer_check.ts
+++ b/packages/router/src/answer_check.ts
@@ -35,7 +35,9 @@
   if (isOther) return "foreign";
   if (head.status === MISDIRECTED) return "misdirected";
   if (answer.isNotExecuted) return "not-run";
-  if (!answer.hasReceipt || answer.isEncoded || answer.attemptId === undefined) {
+  if (
+    !answer.hasReceipt || answer.isEncoded || answer.attemptId === undefined
+  ) {
     return "unusable";
   }
   if (head.status >= SUCCESS_FROM && head.status < FAILURE_FROM) {
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -20,6 +20,8 @@
   readonly headers: ports.HeaderView;
   /** Names and values, alternating, as the replica sent them. */
   readonly rawHeaders: readonly string[];
+  /** Its end is told by a length or by chunks, not by the connection's end alone. */
+  readonly isFramed: boolean;
 }
 
 /** How an attempt ended. */
@@ -55,7 +57,9 @@
 ): readonly string[] {
   const raw = (controller as { readonly rawHeaders?: unknown }).rawHeaders;
   return Array.isArray(raw)
-    ? raw.map((part) => Buffer.isBuffer(part) ? part.toString("latin1") : String(part))
+    ? raw.map((part) =>
+      Buffer.isBuffer(part) ? part.toString("latin1") : String(part)
+    )
     : [];
 }
 
@@ -127,6 +131,8 @@
             status,
             headers: toHeaderView(headers),
             rawHeaders: listRawHeaders(controller),
+            isFramed: headers["content-length"] !== undefined ||
+              headers["transfer-encoding"] !== undefined,
           });
         },
         onResponseData: (_controller, chunk) => {
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -17,7 +17,6 @@
 /** One connection, idle or with its one request. */
 export interface Connection {
   readonly client: undici.Client;
-  readonly isFresh: boolean;
   readonly isKept: boolean;
 }
 
@@ -49,7 +48,7 @@
   take(needsFresh: boolean): Connection | undefined {
     if (!needsFresh) {
       const kept = this.#idle.pop();
-      if (kept !== undefined) return { ...kept, isFresh: false };
+      if (kept !== undefined) return kept;
     }
     if (this.#all.size >= this.#limit) {
       const spare = this.#idle.shift();
@@ -67,7 +66,7 @@
     });
     this.#all.add(client);
     client.on("connect", this.#onOpened);
-    const connection = { client, isFresh: true, isKept: !needsFresh };
+    const connection = { client, isKept: !needsFresh };
     client.on("disconnect", () => this.#forget(client));
     return connection;
   }
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -94,7 +94,10 @@
     const held = this.#records.get(record.service);
     if (held !== undefined && held.revision >= record.revision) return;
     this.#records.set(record.service, record);
-    if (held?.state !== record.state || held.orderRevision !== record.orderRevision) {
+    if (
+      held?.state !== record.state ||
+      held.orderRevision !== record.orderRevision
+    ) {
       const { service, state, targetVersion, revision, reason } = record;
       this.#options.log.notable("rollout.known", {
         service,
@@ -149,7 +152,9 @@
     return snapshot.map(({ items, revision }) => {
       this.#noteSuccess();
       const named = new Set(
-        items.flatMap((item) => item.type === "replica" ? [item.replica.id] : []),
+        items.flatMap((item) =>
+          item.type === "replica" ? [item.replica.id] : []
+        ),
       );
       for (const item of items) this.#takeItem(item);
       for (const id of this.#replicas.keys()) {
@@ -194,7 +199,10 @@
       case "replica-gone":
         return this.#removeReplica(item.id, "its entry was removed");
       case "unreadable-replica":
-        log.notable("replica.unreadable", { replica: item.id, reason: item.reason });
+        log.notable("replica.unreadable", {
+          replica: item.id,
+          reason: item.reason,
+        });
         return this.#removeReplica(item.id, "its entry is unreadable");
       case "rollout-order":
         return this.#takeOrder(item.order);
@@ -293,7 +301,9 @@
     const lostMs = nowMs - this.#failingSinceMs;
     this.#failingSinceMs = undefined;
     if (lostMs >= OUTAGE_MS) this.#restoredAtMs = nowMs;
-    this.#options.log.notable("control.regained", { lostMs: Math.round(lostMs) });
+    this.#options.log.notable("control.regained", {
+      lostMs: Math.round(lostMs),
+    });
   }
 
   #readClocks(): decisions.ClockReading {
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -100,7 +100,9 @@
     const path = request.target.split("?", 1)[0] as string;
     const route = bundles.findRoute(index, request.hostName, path);
     if (route === undefined) {
-      return neverthrow.err(this.#refuseUnknown("not-found", "no route matches"));
+      return neverthrow.err(
+        this.#refuseUnknown("not-found", "no route matches"),
+      );
     }
     const account = this.#findAccount(index, route, request);
     if (account.isErr()) return neverthrow.err(account.error);
@@ -187,7 +189,12 @@
     this.#countSend(service, options.earlierSends);
     table.noteSent(state, fields.promptTokens);
     if (fields.session !== undefined) {
-      this.parts.sessions.note(service, fields.session, state.entry.version, nowMs);
+      this.parts.sessions.note(
+        service,
+        fields.session,
+        state.entry.version,
+        nowMs,
+      );
     }
     this.parts.log.routine("attempt.sent", {
       requestId: request.requestId,
--- a/packages/router/src/front.ts
+++ b/packages/router/src/front.ts
@@ -115,9 +115,19 @@
     this.#response.end();
   }
 
-  answer(status: number, rawHeaders: readonly string[], body: Buffer): void {
+  answer(
+    status: number,
+    rawHeaders: readonly string[],
+    body: Buffer,
+    isFramed: boolean,
+  ): void {
     const headers = listPassedHeaders(rawHeaders);
-    headers.push("content-length", String(body.length));
+    if (isFramed) headers.push("content-length", String(body.length));
+    else {
+      // A length would vouch for a body that the replica may have cut.
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#response.shouldKeepAlive = false;
+    }
     this.#writeHead(status, headers);
     this.#response.end(body);
   }
@@ -130,7 +140,12 @@
     if (this.#response.headersSent || this.#response.destroyed) return;
     const { status, notRun, retry } = kernel.findAnswer(error.kind);
     const body = JSON.stringify({
-      error: { type: error.kind, message: error.message, not_run: notRun, retry },
+      error: {
+        type: error.kind,
+        message: error.message,
+        not_run: notRun,
+        retry,
+      },
     });
     const headers = [
       "content-type",
@@ -390,7 +405,10 @@
     else log.notable("request.ended", fields);
   }
 
-  #answerBadRequest(error: Error & { code?: string }, socket: net.Socket): void {
+  #answerBadRequest(
+    error: Error & { code?: string },
+    socket: net.Socket,
+  ): void {
     const status = error.code === "HPE_HEADER_OVERFLOW"
       ? HTTP_HEADERS_TOO_LARGE
       : HTTP_BAD_REQUEST;
--- a/packages/router/src/plain_exchange.ts
+++ b/packages/router/src/plain_exchange.ts
@@ -71,7 +71,7 @@
 
   #shouldTryAgain(result: Extract<TryResult, { type: "answered" }>): boolean {
     return this.#request.route.repeatRule === "idempotent" &&
-      check.isServerError(result.head.status);
+      (check.isServerError(result.head.status) || !result.head.isFramed);
   }
 
   #canSendAgain(result: TryResult): boolean {
@@ -203,8 +203,8 @@
   #pass(
     result: Extract<TryResult, { type: "answered" }>,
   ): requests.RequestOutcome {
-    const { status, rawHeaders } = result.head;
-    this.#writer.answer(status, rawHeaders, result.body);
+    const { status, rawHeaders, isFramed } = result.head;
+    this.#writer.answer(status, rawHeaders, result.body, isFramed);
     return {
       outcome: check.isServerError(status) ? "replica-failed" : "answered",
       status,
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -99,7 +99,10 @@
   }
 
   /** Takes an entry; another start of a replica begins with nothing learnt. */
-  put(entry: ports.ReplicaEntry, service: bundle.RoutedService | undefined): void {
+  put(
+    entry: ports.ReplicaEntry,
+    service: bundle.RoutedService | undefined,
+  ): void {
     const held = this.#states.get(entry.id);
     const isSame = held !== undefined &&
       held.entry.bornAtMs === entry.bornAtMs &&
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -39,8 +39,13 @@
   write(chunk: Buffer): boolean;
   onDrain(callback: () => void): void;
   end(): void;
-  /** Passes a replica's whole answer on. */
-  answer(status: number, rawHeaders: readonly string[], body: Buffer): void;
+  /** Passes a replica's answer on, with its length unless its end is uncertain. */
+  answer(
+    status: number,
+    rawHeaders: readonly string[],
+    body: Buffer,
+    isFramed: boolean,
+  ): void;
   /** Closes the connection, so that a cut answer does not look complete. */
   abort(): void;
   refuse(error: kernel.AppError, retryAfterMs?: number): void;
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -92,7 +92,8 @@
     if (!isTarget) {
       pace.samples += 1;
       pace.meanMs += Math.max(PACE_WEIGHT, 1 / pace.samples) *
-        (Math.min(paceMs, SLOW_FACTOR * pace.meanMs + SLOW_FLOOR_MS) - pace.meanMs);
+        (Math.min(paceMs, SLOW_FACTOR * pace.meanMs + SLOW_FLOOR_MS) -
+          pace.meanMs);
     }
     return isSlow;
   }
@@ -155,7 +156,8 @@
       fraction: session.fraction,
       wallMs: clock.wallMs(),
       exposureShare,
-      isStoppedHere: order !== undefined && this.#trials.get(service)?.verdict !==
+      isStoppedHere: order !== undefined &&
+        this.#trials.get(service)?.verdict !==
           undefined &&
         this.#trials.get(service)?.orderRevision === order.revision,
     });
@@ -199,7 +201,9 @@
 
   #trial(order: ports.RolloutOrder): Trial {
     const held = this.#trials.get(order.service);
-    if (held !== undefined && held.orderRevision === order.revision) return held;
+    if (held !== undefined && held.orderRevision === order.revision) {
+      return held;
+    }
     const trial = new Trial(order.revision);
     this.#trials.set(order.service, trial);
     return trial;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -122,7 +122,9 @@
   /** Whether callers should be sent here. */
   get isReady(): boolean {
     if (this.#isStopping || !this.#control.hasRead) return false;
-    if (this.#control.index === undefined || this.#table.size === 0) return false;
+    if (this.#control.index === undefined || this.#table.size === 0) {
+      return false;
+    }
     const { revocationBoundMs } = this.#options.settings;
     return this.#control.ageMs <= revocationBoundMs * READY_VIEW_SHARE;
   }
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -80,7 +80,9 @@
     const { modelSizes, isResumable } = request.route;
     this.#model = request.fields.model ??
       // What may not run twice cannot be tried on a smaller model first.
-      (isResumable ? decisions.chooseStartModel(modelSizes) : modelSizes.at(-1));
+      (isResumable
+        ? decisions.chooseStartModel(modelSizes)
+        : modelSizes.at(-1));
   }
 
   async run(): Promise<requests.RequestOutcome> {
@@ -264,6 +266,9 @@
     if (current.splitter.hasPartialEvent) {
       return { type: "lost", reason: "the stream ended within an event" };
     }
+    if (!head.isFramed) {
+      return { type: "lost", reason: "the connection's end may be a cut" };
+    }
     this.#startAnswer(head);
     return { type: "complete" };
   }
@@ -364,8 +369,8 @@
       return { outcome: "answer-incomplete", reason };
     }
     if (result.type === "failed") {
-      const { status, rawHeaders } = result.head;
-      this.#writer.answer(status, rawHeaders, result.body);
+      const { status, rawHeaders, isFramed } = result.head;
+      this.#writer.answer(status, rawHeaders, result.body, isFramed);
       return { outcome: "replica-failed", status };
     }
     const isLate = this.#dispatcher.nowMs >= this.#request.deadlineAtMs;
