--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -23,7 +23,7 @@
 /** The connections of one process to one replica. */
 export class ReplicaConnections {
   readonly #origin: string;
-  readonly #limit: number;
+  #limit = MIN_CONNECTIONS;
   readonly #onOpened: () => void;
   readonly #idle: Connection[] = [];
   readonly #all = new Set<undici.Client>();
@@ -33,11 +33,16 @@
     options: { readonly maxConnections: number; readonly onOpened: () => void },
   ) {
     this.#origin = `http://${address.host}:${address.port}`;
+    this.#onOpened = options.onOpened;
+    this.setMaxConnections(options.maxConnections);
+  }
+
+  /** Takes over what the configuration says that the replica accepts. */
+  setMaxConnections(maxConnections: number): void {
     this.#limit = Math.max(
       MIN_CONNECTIONS,
-      Math.floor(options.maxConnections / SHARING_PROCESSES),
+      Math.floor(maxConnections / SHARING_PROCESSES),
     );
-    this.#onOpened = options.onOpened;
   }
 
   get isFull(): boolean {
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -28,7 +28,7 @@
   onReplica(replica: ports.ReplicaEntry): void;
   onReplicaGone(id: string): void;
   onRollouts(): void;
-  onTable(): void;
+  onTable(index: bundle.RouteIndex): void;
 }
 
 /** What the task needs. */
@@ -226,7 +226,7 @@
       routes: table.routes.length,
       accounts: table.accounts.length,
     });
-    this.#options.listener.onTable();
+    this.#options.listener.onTable(this.#index);
   }
 
   #takeOrder(order: ports.RolloutOrder): void {
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -82,6 +82,7 @@
   readonly #options: ReplicaTableOptions;
   readonly #states = new Map<string, ReplicaState>();
   readonly #byService = new Map<string, Set<ReplicaState>>();
+  #services: ReadonlyMap<string, bundle.RoutedService> = new Map();
 
   constructor(options: ReplicaTableOptions) {
     this.#options = options;
@@ -99,10 +100,7 @@
   }
 
   /** Takes an entry; another start of a replica begins with nothing learnt. */
-  put(
-    entry: ports.ReplicaEntry,
-    service: bundle.RoutedService | undefined,
-  ): void {
+  put(entry: ports.ReplicaEntry): void {
     const held = this.#states.get(entry.id);
     const isSame = held !== undefined &&
       held.entry.bornAtMs === entry.bornAtMs &&
@@ -112,7 +110,7 @@
     if (held !== undefined && !isSame) this.remove(entry.id);
     const state: ReplicaState = isSame
       ? Object.assign(held, { entry })
-      : this.#create(entry, service);
+      : this.#create(entry);
     this.#states.set(entry.id, state);
     const members = this.#byService.get(entry.service) ?? new Set();
     members.add(state);
@@ -199,14 +197,23 @@
     for (const id of [...this.#states.keys()]) this.remove(id);
   }
 
-  #create(
-    entry: ports.ReplicaEntry,
-    service: bundle.RoutedService | undefined,
-  ): ReplicaState {
+  /** Takes over the services' limits; replicas may be known before they are. */
+  takeServices(services: ReadonlyMap<string, bundle.RoutedService>): void {
+    this.#services = services;
+    for (const { entry, pool } of this.#states.values()) {
+      pool.setMaxConnections(this.#findMaxConnections(entry));
+    }
+  }
+
+  #findMaxConnections(entry: ports.ReplicaEntry): number {
+    return this.#services.get(entry.service)?.maxConnections ?? entry.slots;
+  }
+
+  #create(entry: ports.ReplicaEntry): ReplicaState {
     return {
       entry,
       pool: new connections.ReplicaConnections(entry.address, {
-        maxConnections: service?.maxConnections ?? entry.slots,
+        maxConnections: this.#findMaxConnections(entry),
         onOpened: this.#options.onConnection,
       }),
       health: new decisions.ReplicaHealth(),
--- /dev/null
+++ b/packages/router/src/replica_table_test.ts
@@ -0,0 +1,106 @@
+import * as ava from "ava";
+import * as replicas from "./replica_table.ts";
+
+const SIDE = { target: undefined, prefersTarget: false, banned: [] };
+
+function createTable(): replicas.ReplicaTable {
+  return new replicas.ReplicaTable({
+    dataCentre: "a",
+    prefixReuseMs: 10_000,
+    random: () => 0.5,
+    onConnection: () => {},
+  });
+}
+
+function buildEntry(id: string, overrides: Partial<replicas.ReplicaState["entry"]> = {}) {
+  return {
+    id,
+    service: "llm",
+    address: { host: "127.0.0.1", port: 9 },
+    dataCentre: "a",
+    version: "v1",
+    slots: 32,
+    isDraining: false,
+    bornAtMs: 1,
+    ...overrides,
+  };
+}
+
+function buildRequest(
+  overrides: Partial<replicas.PlacementRequest> = {},
+): replicas.PlacementRequest {
+  return {
+    service: "llm",
+    model: "small",
+    promptTokens: 1_000,
+    parts: [],
+    excluded: new Set(),
+    needsFresh: false,
+    side: SIDE,
+    nowMs: 0,
+    ...overrides,
+  };
+}
+
+ava.default("a replica known before its service's limits is not held to a guess", (t) => {
+  const table = createTable();
+  table.put(buildEntry("r1"));
+  table.takeServices(
+    new Map([["llm", { name: "llm", maxConnections: 230, engine: undefined }]]),
+  );
+  const taken = Array.from({ length: 30 }, () => {
+    const pick = table.pick(buildRequest());
+    return pick?.state.pool.take(false);
+  });
+  t.true(taken.every((connection) => connection !== undefined));
+  table.close();
+});
+
+ava.default("another start under the same id begins with nothing learnt", (t) => {
+  const table = createTable();
+  table.put(buildEntry("r1"));
+  const first = table.pick(buildRequest())?.state;
+  first?.health.recordNoAnswer(0);
+  first?.health.recordNoAnswer(0);
+  t.true(first?.health.isOut(1));
+  table.put(buildEntry("r1", { bornAtMs: 2 }));
+  const second = table.pick(buildRequest())?.state;
+  t.not(second, first);
+  t.false(second?.health.isOut(1));
+  table.close();
+});
+
+ava.default("requests with the same subject meet where it was read", (t) => {
+  const table = createTable();
+  for (const id of ["r1", "r2", "r3", "r4"]) table.put(buildEntry(id));
+  const parts = [{ id: "a", tokens: 500 }, { id: "b", tokens: 4_000 }, {
+    id: "own",
+    tokens: 200,
+  }];
+  const request = buildRequest({ promptTokens: 4_700, parts });
+  const first = table.pick(request);
+  if (first === undefined) return t.fail();
+  table.noteRead(first.state, { model: "small", parts, promptTokens: 4_700, nowMs: 0 });
+  const again = table.pick({ ...request, nowMs: 100 });
+  t.is(again?.state, first.state);
+  t.is(again?.cachedTokens, 4_700);
+  const other = table.pick({ ...request, model: "large", nowMs: 100 });
+  t.is(other?.cachedTokens, 0);
+  table.close();
+});
+
+ava.default("a banned version gets nothing, also when nothing else is left", (t) => {
+  const table = createTable();
+  table.put(buildEntry("r1", { version: "v2" }));
+  const side = { target: "v2", prefersTarget: false, banned: ["v2"] };
+  t.is(table.pick(buildRequest({ side })), undefined);
+  t.not(table.pick(buildRequest()), undefined);
+  table.close();
+});
+
+ava.default("a draining replica gets nothing", (t) => {
+  const table = createTable();
+  table.put(buildEntry("r1", { isDraining: true }));
+  t.is(table.pick(buildRequest()), undefined);
+  table.close();
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -68,13 +68,13 @@
       telemetry: this.#telemetry,
       random,
       listener: {
-        onReplica: (entry) => {
-          const services = this.#control.index?.serviceByName;
-          this.#table.put(entry, services?.get(entry.service));
-        },
+        onReplica: (entry) => this.#table.put(entry),
         onReplicaGone: (id) => this.#table.remove(id),
         onRollouts: () => {},
-        onTable: () => this.#front.applyLimits(),
+        onTable: (index) => {
+          this.#table.takeServices(index.serviceByName);
+          this.#front.applyLimits();
+        },
       },
     });
     this.#rollouts = new rollouts.RolloutTask({
