--- /dev/null
+++ b/packages/decisions/src/engine_pace.ts
@@ -0,0 +1,55 @@
+/**
+ * How fast the engines of a service answer: the share of their objectives that
+ * answers took lately, and how many prompt tokens a model reads in a
+ * millisecond. Both are learnt from answers; nothing is asked for.
+ */
+
+const PRESSURE_WEIGHT = 0.06;
+const RATE_WEIGHT = 0.1;
+/** Shorter prompts say little about reading. */
+const MIN_RATE_TOKENS = 1_500;
+/** An answer that takes many objectives counts as this many. */
+const MAX_SHARE = 2;
+/** Pressure fades while no answers come. */
+const FADE_MS = 4_000;
+
+/** What one answer's first byte tells. */
+export interface FirstByte {
+  readonly model: string | undefined;
+  /** Prompt tokens that were not cached at the replica. */
+  readonly unreadTokens: number;
+  readonly delayMs: number;
+  readonly objectiveMs: number;
+  readonly nowMs: number;
+}
+
+/** Pace of one service as one process sees it. */
+export class EnginePace {
+  readonly #tokensPerMs = new Map<string, number>();
+  #pressure = 0;
+  #updatedAtMs = -Infinity;
+
+  record(first: FirstByte): void {
+    const share = Math.min(MAX_SHARE, first.delayMs / first.objectiveMs);
+    const held = this.pressure(first.nowMs);
+    this.#pressure = held + PRESSURE_WEIGHT * (share - held);
+    this.#updatedAtMs = first.nowMs;
+    if (first.unreadTokens < MIN_RATE_TOKENS) return;
+    const rate = first.unreadTokens / Math.max(1, first.delayMs);
+    const model = first.model ?? "";
+    const known = this.#tokensPerMs.get(model) ?? rate;
+    this.#tokensPerMs.set(model, known + RATE_WEIGHT * (rate - known));
+  }
+
+  /** Mean share of their objective that answers took, fading with time. */
+  pressure(nowMs: number): number {
+    const ageMs = Math.max(0, nowMs - this.#updatedAtMs);
+    return this.#pressure * Math.exp(-ageMs / FADE_MS);
+  }
+
+  /** Predicted time until a model has read so many tokens; 0 while unknown. */
+  predictReadMs(model: string | undefined, tokens: number): number {
+    const rate = this.#tokensPerMs.get(model ?? "");
+    return rate === undefined ? 0 : tokens / rate;
+  }
+}
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./cascade.ts";
 export * from "./claim_types.ts";
 export * from "./claims.ts";
+export * from "./engine_pace.ts";
 export * from "./fair_queue.ts";
 export * from "./guard.ts";
 export * from "./hash.ts";
--- a/packages/decisions/src/model_choice.ts
+++ b/packages/decisions/src/model_choice.ts
@@ -2,7 +2,8 @@
  * Choice among models of unlike size: a request starts on the smallest, and
  * moves to the largest when the answer's confidence is low. Steps in between
  * cost more than they save: a request that is too hard for the smallest model
- * is mostly too hard for the next one.
+ * is mostly too hard for the next one. The bound falls where a larger model
+ * would answer late, and while the engines are short of capacity.
  */
 
 /** What is known when an answer begins. */
@@ -15,16 +16,26 @@
   /** Rank of the request; 0 is the most urgent. */
   readonly priority: number;
   readonly canSendAgain: boolean;
+  /** Mean share of their objective that answers of the service took lately. */
+  readonly pressure: number;
+  /** Predicted share of the objective at which the larger model would begin to answer. */
+  readonly predictedShare: number;
 }
 
 /** Confidence below which an answer of the most urgent requests is dropped. */
 const CONFIDENCE_BOUND = 60;
 /** Lower ranks are worth less for the same tokens: each rank lowers the bound. */
 const CONFIDENCE_STEP = 5;
-/** Confidence below which no rank keeps an answer. */
+/** Confidence below which no rank keeps an answer while there is capacity. */
 const MIN_CONFIDENCE_BOUND = 40;
+/** A late answer earns about a third: only one that is most likely useless is dropped for it. */
+const LATE_CONFIDENCE_BOUND = 25;
+/** Pressure up to which the engines have capacity to spare. */
+const EASY_PRESSURE = 0.35;
+/** Pressure from which on nothing is asked twice. */
+const FULL_PRESSURE = 0.9;
 
-/** The bound for a rank. */
+/** The bound for a rank, with capacity to spare. */
 export function boundConfidence(priority: number): number {
   return Math.max(
     MIN_CONFIDENCE_BOUND,
@@ -32,6 +43,12 @@
   );
 }
 
+/** Share of the bound that is left under pressure. */
+function relieve(pressure: number): number {
+  const over = (pressure - EASY_PRESSURE) / (FULL_PRESSURE - EASY_PRESSURE);
+  return Math.max(0, Math.min(1, 1 - over));
+}
+
 /** The model that a request starts on. */
 export function chooseStartModel(
   sizes: readonly string[],
@@ -47,5 +64,9 @@
     return undefined;
   }
   if (confidence === undefined) return undefined;
-  return confidence < boundConfidence(input.priority) ? largest : undefined;
+  const usual = boundConfidence(input.priority);
+  const bound = input.predictedShare > 1
+    ? Math.min(usual, LATE_CONFIDENCE_BOUND)
+    : usual;
+  return confidence < bound * relieve(input.pressure) ? largest : undefined;
 }
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -14,6 +14,8 @@
 const WATCH_WAIT_MS = 1_000;
 /** Pause after a watch that brought changes, so that many come in one call. */
 const WATCH_PAUSE_MS = 400;
+/** While the store fails, a short watch finds its return; a slow store still answers it. */
+const PROBE_WAIT_MS = 50;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 500;
 /** Start-ups of many processes at once are spread over this. */
@@ -170,17 +172,20 @@
     kernel.Outcome<{ readonly revision: number; readonly hadChanges: boolean }>
   > {
     const sentAt = this.#readClocks();
+    const waitMs = this.#failingSinceMs === undefined
+      ? WATCH_WAIT_MS
+      : PROBE_WAIT_MS;
     const changes = await this.#options.plane.waitForChanges(
       afterRevision,
-      WATCH_WAIT_MS,
+      waitMs,
     );
     return changes.map(({ items, revision }) => {
       this.#noteSuccess();
       for (const item of items) this.#takeItem(item);
       const waitedMs = this.#readClocks().steadyMs - sentAt.steadyMs;
-      const isFullWait = items.length === 0 && waitedMs >= WATCH_WAIT_MS;
+      const isFullWait = items.length === 0 && waitedMs >= waitMs;
       this.#confirmedAt = isFullWait
-        ? decisions.addWait(sentAt, WATCH_WAIT_MS)
+        ? decisions.addWait(sentAt, waitMs)
         : sentAt;
       return {
         revision: Math.max(afterRevision, revision),
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -62,6 +62,7 @@
   readonly attempt: attempts.Attempt;
   readonly state: replicas.ReplicaState;
   readonly sentAtMs: number;
+  readonly cachedTokens: number;
 }
 
 function refusal(
@@ -77,6 +78,7 @@
 export class Dispatcher {
   readonly parts: DispatcherParts;
   readonly #windows = new Map<string, decisions.RetryWindow>();
+  readonly #paces = new Map<string, decisions.EnginePace>();
 
   constructor(parts: DispatcherParts) {
     this.parts = parts;
@@ -218,7 +220,12 @@
       headers,
       body: request.body,
     }, listener);
-    return neverthrow.ok({ attempt, state, sentAtMs: clock.monotonicMs() });
+    return neverthrow.ok({
+      attempt,
+      state,
+      sentAtMs: clock.monotonicMs(),
+      cachedTokens: pick.cachedTokens,
+    });
   }
 
   /** Whether a repeated send stays within a share of the service's budget. */
@@ -226,6 +233,15 @@
     return this.#window(service).allowsExtra(this.nowMs, share);
   }
 
+  /** The pace of a service's engines. */
+  pace(service: string): decisions.EnginePace {
+    const held = this.#paces.get(service);
+    if (held !== undefined) return held;
+    const pace = new decisions.EnginePace();
+    this.#paces.set(service, pace);
+    return pace;
+  }
+
   logAttempt(
     request: requests.AdmittedRequest,
     sent: Sent,
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -186,12 +186,22 @@
       nowMs,
     });
     current.unreadTokens = 0;
-    const model = this.#chooseEscalation(answer.confidence);
+    const { route, service } = this.#request;
+    const pace = this.#dispatcher.pace(service);
+    pace.record({
+      model: this.#model,
+      unreadTokens: fields.promptTokens - sent.cachedTokens,
+      delayMs: nowMs - current.startedAtMs,
+      objectiveMs: route.targetLatencyMs,
+      nowMs,
+    });
+    const model = this.#chooseEscalation(answer.confidence, pace);
     this.#dispatcher.parts.log.routine("answer.judged", {
       requestId: this.#request.requestId,
       replica: sent.state.entry.id,
       model: this.#model,
       confidence: answer.confidence,
+      pressure: Number(pace.pressure(nowMs).toFixed(2)),
       escalatesTo: model,
     });
     if (model === undefined) return;
@@ -199,8 +209,14 @@
     sent.attempt.cancel("a larger model is asked");
   }
 
-  #chooseEscalation(confidence: number | undefined): string | undefined {
+  #chooseEscalation(
+    confidence: number | undefined,
+    pace: decisions.EnginePace,
+  ): string | undefined {
     const { route, account, fields, service } = this.#request;
+    const { nowMs } = this.#dispatcher;
+    const predictedMs = nowMs - this.#request.receivedAtMs +
+      pace.predictReadMs(route.modelSizes.at(-1), fields.promptTokens);
     const isUntouched = !this.#writer.isStarted &&
       fields.lastEventId === undefined && fields.model === undefined;
     return decisions.chooseEscalation({
@@ -211,6 +227,8 @@
       canSendAgain: isUntouched && route.isResumable &&
         this.#runs + 1 < route.maxAttempts &&
         this.#dispatcher.mayRepeat(service, ESCALATION_BUDGET_SHARE),
+      pressure: pace.pressure(nowMs),
+      predictedShare: predictedMs / route.targetLatencyMs,
     });
   }
 
