--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -206,6 +206,7 @@
       version: state.entry.version,
       model: options.model,
       earlierSends: options.earlierSends,
+      promptTokens: fields.promptTokens,
       candidates: pick.candidates,
       cachedTokens: pick.cachedTokens,
       inFlight: state.inFlight,
