--- /dev/null
+++ b/packages/bench/src/platform_control_test.ts
@@ -0,0 +1,310 @@
+/** What the platform's store tells a router, in good and bad times; and the router's own end. */
+import * as ava from "ava";
+import * as http from "node:http";
+import * as harnesses from "./platform_harness.ts";
+
+const { ROUTES, ACCOUNT } = harnesses;
+const test = ava.default;
+
+async function withHarness(
+  run: (harness: harnesses.PlatformHarness) => Promise<void>,
+): Promise<void> {
+  const harness = new harnesses.PlatformHarness();
+  await harness.startStore();
+  try {
+    await run(harness);
+  } finally {
+    await harness.close();
+  }
+}
+
+function readReadiness(harness: harnesses.PlatformHarness): Promise<number> {
+  return fetch(`http://127.0.0.1:${harness.ports.readiness}/-/readyz`)
+    .then((response) => response.status);
+}
+
+test("a key taken away is refused soon, and an older configuration changes nothing", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start();
+    t.is((await harness.call(ROUTES.check)).status, 200);
+    const tenants = [{ name: ACCOUNT, apiKeys: [] }];
+    harness.store.put(
+      "op/config",
+      harnesses.buildConfiguration({ version: 7, tenants }),
+    );
+    await harness.waitFor(() =>
+      harness.listLog("config.taken").some((line) =>
+        line["tableRevision"] === 7
+      )
+    );
+    t.is((await harness.call(ROUTES.check)).status, 401);
+    harness.store.put(
+      "op/config",
+      harnesses.buildConfiguration({ version: 5 }),
+    );
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    t.is((await harness.call(ROUTES.check)).status, 401);
+  }));
+
+for (const mode of ["silent", "busy", "nonsense"] as const) {
+  test(`requests with a key are refused in time while the store is ${mode}`, (t) =>
+    withHarness(async (harness) => {
+      const desk = await harness.addReplica(
+        "i-1",
+        "desk",
+        () => ({ type: "ok" }),
+      );
+      await harness.start({ revocationBoundMs: 1_600 });
+      harness.store.mode = mode;
+      const lostAtMs = Date.now();
+      let served = 0;
+      while (Date.now() - lostAtMs < 1_600) {
+        if ((await harness.call(ROUTES.check)).status === 200) served += 1;
+      }
+      t.true(served > 0);
+      const refused = await harness.call(ROUTES.check);
+      t.is(refused.status, 503);
+      t.truthy(refused.headers["retry-after"]);
+      t.is((await harness.call(ROUTES.check, { key: "unknown" })).status, 503);
+      t.is((await harness.call(ROUTES.open, { key: undefined })).status, 200);
+      t.is(await readReadiness(harness), 503);
+      const before = desk.seen.length;
+      harness.store.mode = "up";
+      await harness.waitFor(() => harness.router.isReady);
+      t.is((await harness.call(ROUTES.check)).status, 200);
+      t.is(desk.seen.length, before + 1);
+      t.is(harness.listLog("control.lost").length, 1);
+      t.is(harness.listLog("control.regained").length, 1);
+    }));
+}
+
+test("a dropped history is made up for by a full read", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start();
+    harness.store.put(
+      "op/config",
+      harnesses.buildConfiguration({ version: 3 }),
+    );
+    harness.store.remove("servers/i-1");
+    const other = await harness.addReplica(
+      "i-2",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    harness.store.compact();
+    await harness.waitFor(() =>
+      harness.listLog("control.history-lost").length > 0
+    );
+    await harness.waitFor(() => harness.listLog("replica.gone").length > 0);
+    t.is((await harness.call(ROUTES.check)).body, `run by ${other.id}`);
+  }));
+
+test("draining, vanished and unreadable replicas get nothing more", (t) =>
+  withHarness(async (harness) => {
+    const left = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    const gone = await harness.addReplica(
+      "i-2",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    const spoilt = await harness.addReplica(
+      "i-3",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    const stays = await harness.addReplica(
+      "i-4",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    await harness.start();
+    harness.store.put(
+      "servers/i-1",
+      left.describe("desk", { state: "draining" }),
+    );
+    harness.store.remove("servers/i-2");
+    harness.store.putBytes("servers/i-3", Buffer.from([0xff, 0x00, 0x7b]));
+    harness.store.put("servers/other", { slots: "many" });
+    await harness.waitFor(() =>
+      harness.listLog("replica.unreadable").length >= 2 &&
+      harness.listLog("replica.gone").length >= 2
+    );
+    const before = [left, gone, spoilt].map((replica) => replica.seen.length);
+    for (let call = 0; call < 12; call += 1) {
+      t.is((await harness.call(ROUTES.check)).status, 200);
+    }
+    t.deepEqual(
+      [left, gone, spoilt].map((replica) => replica.seen.length),
+      before,
+    );
+    t.true(stays.seen.length >= 12);
+  }));
+
+test("an unreadable configuration leaves the last one in force", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start();
+    harness.store.put("op/config", { version: 9, routes: "none" });
+    await harness.waitFor(() =>
+      harness.listLog("control.unreadable").length > 0
+    );
+    t.is((await harness.call(ROUTES.check)).status, 200);
+  }));
+
+test("entries that lapsed in an outage keep their replicas until they had time to return", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    await harness.start();
+    harness.store.mode = "silent";
+    await harness.waitFor(() => harness.listLog("control.lost").length > 0);
+    await new Promise((resolve) => setTimeout(resolve, 800));
+    harness.store.remove("servers/i-1");
+    harness.store.mode = "up";
+    await harness.waitFor(() => harness.listLog("control.regained").length > 0);
+    t.is((await harness.call(ROUTES.check)).status, 200);
+    t.is(harness.listLog("replica.gone").length, 0);
+    await harness.waitFor(() => harness.listLog("replica.gone").length === 1);
+    t.is((await harness.call(ROUTES.check)).status, 503);
+    harness.store.put("servers/i-1", desk.describe("desk"));
+    await harness.waitFor(() => harness.router.isReady);
+    t.is((await harness.call(ROUTES.check)).status, 200);
+  }));
+
+test("SIGTERM: what runs finishes, what comes late is refused, callers are sent elsewhere", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica("i-1", "desk", () => ({
+      type: "ok",
+      delayMs: 150,
+    }));
+    await harness.start({ graceMs: 2_000 });
+    const agent = new http.Agent({ keepAlive: true });
+    const running = harness.call(ROUTES.order, { method: "POST", body: "1" });
+    await harness.waitFor(() => desk.seen.length === 1);
+    const stopped = harness.router.stop("SIGTERM");
+    t.is(await readReadiness(harness), 503);
+    const during = await harness.call(ROUTES.check, { agent });
+    t.is(during.status, 200);
+    t.is(during.headers.connection, "close");
+    t.is((await running).status, 200);
+    await stopped;
+    agent.destroy();
+    await t.throwsAsync(harness.call(ROUTES.check));
+  }));
+
+test("a bad version is rolled back, on record and for the operator, and gets nothing more", (t) =>
+  withHarness(async (harness) => {
+    const old = await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start({ exposureShare: 0.5 });
+    for (let call = 0; call < 20; call += 1) {
+      await harness.call(ROUTES.order, { method: "POST", body: "1" });
+    }
+    const bad = await harness.addReplica(
+      "i-2",
+      "desk",
+      () => ({ type: "failure", status: 500 }),
+      { version: "v2" },
+    );
+    harness.store.put("op/rollout/desk", {
+      service: "desk",
+      target: "v2",
+      durationS: 30,
+    });
+    await harness.waitFor(() =>
+      harness.store.read("status/rollout/desk") !== undefined
+    );
+    t.like(harness.store.read("status/rollout/desk") as object, {
+      state: "in_progress",
+      target: "v2",
+    });
+    await harness.waitFor(() => harness.listLog("rollout.known").length > 0);
+    for (
+      let call = 0;
+      call < 300 && harness.listLog("rollout.known").length < 2;
+      call += 1
+    ) {
+      await harness.call(ROUTES.order, { method: "POST", body: "1" });
+    }
+    t.like(harness.store.read("status/rollout/desk") as object, {
+      state: "rolled_back",
+      target: "v2",
+    });
+    t.true(
+      bad.seen.length >= 1 && bad.seen.length < 30,
+      `${bad.seen.length} requests`,
+    );
+    const before = bad.seen.length;
+    for (let call = 0; call < 20; call += 1) {
+      await harness.call(ROUTES.order, { method: "POST", body: "1" });
+    }
+    t.is(bad.seen.length, before);
+    t.true(old.seen.length > 40);
+  }));
+
+test("a good version is completed in time, also when answers of writes are lost", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start();
+    const good = await harness.addReplica(
+      "i-2",
+      "desk",
+      () => ({ type: "ok" }),
+      { version: "v2" },
+    );
+    await harness.waitFor(() => harness.listLog("replica.known").length === 2);
+    harness.store.mode = "lost-writes";
+    harness.store.put("op/rollout/desk", {
+      service: "desk",
+      target: "v2",
+      durationS: 6,
+    });
+    const endAtMs = Date.now() + 6_000;
+    await harness.waitFor(() =>
+      (harness.store.read("status/rollout/desk") as
+        | { state?: string }
+        | undefined)?.state === "completed", 7_000);
+    t.true(Date.now() < endAtMs);
+    const before = good.seen.length;
+    for (let call = 0; call < 10; call += 1) await harness.call(ROUTES.check);
+    t.is(good.seen.length, before + 10);
+  }));
+
+test("a router that starts again takes up the roll-out where the record stands", (t) =>
+  withHarness(async (harness) => {
+    const bad = await harness.addReplica(
+      "i-2",
+      "desk",
+      () => ({ type: "ok" }),
+      { version: "v2" },
+    );
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    const revision = harness.store.put("op/rollout/desk", {
+      service: "desk",
+      target: "v2",
+      durationS: 30,
+    });
+    harness.store.put("jackdawbank/rollout/desk", {
+      orderRevision: revision,
+      targetVersion: "v2",
+      state: "rolled-back",
+      startedAtMs: Date.now(),
+      durationMs: 30_000,
+      reason: "earlier",
+      bannedVersions: ["v2"],
+    });
+    await harness.start();
+    for (let call = 0; call < 20; call += 1) {
+      t.is((await harness.call(ROUTES.check)).status, 200);
+    }
+    t.is(bad.seen.length, 0);
+    t.is(harness.store.read("status/rollout/desk"), undefined);
+  }));
--- /dev/null
+++ b/packages/bench/src/platform_names_test.ts
@@ -0,0 +1,53 @@
+/** The platform's names stand in its adapter, in the stand-ins and in tests, nowhere else. */
+import * as ava from "ava";
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as url from "node:url";
+
+const ROOT = url.fileURLToPath(new URL("../../../", import.meta.url));
+
+/** Headers, calls, keys and fields that mean something to the platform only. */
+const NAMES = new RegExp(
+  [
+    "x-jackdawbank-",
+    "/-/kv-",
+    "/-/readyz",
+    "kv-from",
+    "op/config",
+    "op/rollout",
+    "status/rollout",
+    "JACKDAWBANK_NODE_FILE",
+    "trafficSplit",
+    "hasMore",
+    "expectedRevision\\b.*:.*\\[",
+    "streamResume",
+    "gapTargetMs",
+    "apiKeys",
+    "coldRemainingMs",
+    "\\btenants?\\b",
+  ].join("|"),
+  "i",
+);
+
+function mayHoldNames(path: string): boolean {
+  return path.startsWith("platform/") || path.startsWith("packages/fakes/") ||
+    path.endsWith("_test.ts") || path.endsWith("platform_harness.ts");
+}
+
+ava.default("no source outside the adapter knows the platform's names", (t) => {
+  const listed = childProcess.execFileSync(
+    "git",
+    ["ls-files", "--cached", "--others", "--exclude-standard", "*.ts"],
+    { cwd: ROOT, encoding: "utf8" },
+  );
+  const files = listed.split("\n").filter((path) =>
+    path !== "" && !mayHoldNames(path) && fs.existsSync(ROOT + path)
+  );
+  t.true(files.length > 50);
+  const found = files.flatMap((path) =>
+    fs.readFileSync(ROOT + path, "utf8").split("\n").flatMap((line, at) =>
+      NAMES.test(line) ? [`${path}:${at + 1} ${line.trim()}`] : []
+    )
+  );
+  t.deepEqual(found, []);
+});
--- /dev/null
+++ b/packages/bench/src/platform_request_test.ts
@@ -0,0 +1,311 @@
+/** The way of a request on the platform: headers, repeats, whole answers, limits. */
+import * as ava from "ava";
+import * as harnesses from "./platform_harness.ts";
+
+const { ROUTES, ACCOUNT, KEY } = harnesses;
+const test = ava.default;
+
+async function withHarness(
+  run: (harness: harnesses.PlatformHarness) => Promise<void>,
+): Promise<void> {
+  const harness = new harnesses.PlatformHarness();
+  await harness.startStore();
+  try {
+    await run(harness);
+  } finally {
+    await harness.close();
+  }
+}
+
+test("a request reaches its replica with the system's headers and without the key", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    await harness.start();
+    const answer = await harness.call(`${ROUTES.check}a/b?x=%20y`, {
+      headers: {
+        "x-jackdawbank-tenant": "forged",
+        "x-jackdawbank-kv-retention": "forged",
+        "kv-from": "forged",
+        connection: "x-private",
+        "x-private": "1",
+        "x-kept": "kept",
+      },
+    });
+    t.is(answer.status, 200);
+    t.is(answer.body, "run by i-1");
+    t.truthy(answer.headers["x-jackdawbank-response-signature"]);
+    const [seen] = desk.seen;
+    t.is(seen?.path, `${ROUTES.check}a/b?x=%20y`);
+    t.is(seen?.headers.host, harnesses.HOST);
+    t.is(seen?.headers["x-jackdawbank-tenant"], ACCOUNT);
+    t.is(seen?.headers["x-jackdawbank-expected-instance"], "i-1");
+    t.is(seen?.headers["authorization"], undefined);
+    t.is(seen?.headers["x-jackdawbank-kv-retention"], undefined);
+    t.is(seen?.headers["kv-from"], undefined);
+    t.is(seen?.headers["x-private"], undefined);
+    t.is(seen?.headers["x-kept"], "kept");
+    const deadlineMs = Number(seen?.headers["x-jackdawbank-deadline-ms"]);
+    t.true(deadlineMs > 0 && deadlineMs <= 800, `deadline ${deadlineMs}`);
+  }));
+
+test("unknown keys and routes are refused; public routes need no key", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    await harness.start();
+    t.is((await harness.call(ROUTES.check, { key: "wrong" })).status, 401);
+    t.is((await harness.call(ROUTES.check, { key: undefined })).status, 401);
+    t.is((await harness.call("/none/")).status, 404);
+    t.is(desk.seen.length, 0);
+    t.is((await harness.call(ROUTES.open, { key: undefined })).status, 200);
+  }));
+
+test("before the first configuration the answer is 503, never 404", (t) =>
+  withHarness(async (harness) => {
+    harness.store.mode = "silent";
+    await harness.startRouter();
+    const answer = await harness.call("/none/");
+    t.is(answer.status, 503);
+    t.truthy(answer.headers["retry-after"]);
+    t.false(harness.router.isReady);
+  }));
+
+test("a repeatable call asks another replica after a failure", (t) =>
+  withHarness(async (harness) => {
+    let calls = 0;
+    const answer = () => {
+      calls += 1;
+      return calls === 1
+        ? { type: "failure", status: 500 } as const
+        : { type: "ok" } as const;
+    };
+    await harness.addReplica("i-1", "desk", answer);
+    await harness.addReplica("i-2", "desk", answer);
+    await harness.start();
+    t.is((await harness.call(ROUTES.check)).status, 200);
+    t.is(calls, 2);
+  }));
+
+test("a replica's own failure is passed on with its receipt", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "failure", status: 500 }),
+    );
+    await harness.start();
+    const answer = await harness.call(ROUTES.order, {
+      method: "POST",
+      body: "1",
+    });
+    t.is(answer.status, 500);
+    t.is(answer.body, "failed");
+    t.truthy(answer.headers["x-jackdawbank-response-signature"]);
+  }));
+
+for (
+  const answer of [
+    { type: "reset" },
+    { type: "cut" },
+    { type: "foreign" },
+    { type: "unsigned", status: 200 },
+    { type: "unsigned", status: 503 },
+  ] as const
+) {
+  const name = JSON.stringify(answer);
+  test(`an order whose answer is ${name} runs once and promises nothing`, (t) =>
+    withHarness(async (harness) => {
+      const first = await harness.addReplica("i-1", "desk", () => answer);
+      const second = await harness.addReplica("i-2", "desk", () => answer);
+      await harness.start();
+      const got = await harness.call(ROUTES.order, {
+        method: "POST",
+        body: "1",
+      });
+      t.is(got.status, 502);
+      t.is(got.headers["x-jackdawbank-response-signature"], undefined);
+      t.is(first.seen.length + second.seen.length, 1);
+    }));
+}
+
+test("an order that its replica did not run goes to another one", (t) =>
+  withHarness(async (harness) => {
+    let calls = 0;
+    const answer = () => {
+      calls += 1;
+      return calls === 1
+        ? { type: "not-run", status: 503 } as const
+        : { type: "ok" } as const;
+    };
+    await harness.addReplica("i-1", "desk", answer);
+    await harness.addReplica("i-2", "desk", answer);
+    await harness.start();
+    const got = await harness.call(ROUTES.order, { method: "POST", body: "1" });
+    t.is(got.status, 200);
+    t.is(calls, 2);
+  }));
+
+test("an order that nobody ran is refused at once with a time to come back", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "not-run", status: 503 }),
+    );
+    await harness.start();
+    const startedAtMs = Date.now();
+    const got = await harness.call(ROUTES.order, { method: "POST", body: "1" });
+    t.is(got.status, 503);
+    t.true(Number(got.headers["retry-after"]) > 0);
+    t.true(Date.now() - startedAtMs < 400);
+    t.is(desk.seen.length, 1);
+  }));
+
+test("an answer that ends with its connection is passed on without a length", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "unframed-cut" }));
+    await harness.start();
+    const got = await harness.call(ROUTES.order, { method: "POST", body: "1" });
+    t.is(got.headers["content-length"], undefined);
+    t.is(got.headers["transfer-encoding"], undefined);
+    t.is(got.headers.connection, "close");
+  }));
+
+test("a repeatable call asks again after an answer that may be cut", (t) =>
+  withHarness(async (harness) => {
+    let calls = 0;
+    const answer = () => {
+      calls += 1;
+      return calls === 1
+        ? { type: "unframed-cut" } as const
+        : { type: "ok" } as const;
+    };
+    await harness.addReplica("i-1", "desk", answer);
+    await harness.addReplica("i-2", "desk", answer);
+    await harness.start();
+    const got = await harness.call(ROUTES.check);
+    t.regex(got.body, /^run by/);
+  }));
+
+test("a second answer on a connection reaches nobody", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica(
+      "i-1",
+      "desk",
+      (_seen, count) => count === 1 ? { type: "extra" } : { type: "ok" },
+    );
+    await harness.addReplica("i-2", "desk", () => ({ type: "ok" }));
+    await harness.start();
+    for (let call = 0; call < 6; call += 1) {
+      const got = await harness.call(ROUTES.check);
+      t.is(got.status, 200);
+      t.not(got.body, "extra");
+    }
+  }));
+
+test("a silent replica is left for another one; an order waits until its time-out", (t) =>
+  withHarness(async (harness) => {
+    let calls = 0;
+    const answer = () => {
+      calls += 1;
+      return calls === 1 ? { type: "hang" } as const : { type: "ok" } as const;
+    };
+    await harness.addReplica("i-1", "desk", answer);
+    await harness.addReplica("i-2", "desk", answer);
+    await harness.start();
+    const startedAtMs = Date.now();
+    t.is((await harness.call(ROUTES.check)).status, 200);
+    t.true(Date.now() - startedAtMs < 700);
+    calls = 0;
+    const orderedAtMs = Date.now();
+    const got = await harness.call(ROUTES.order, { method: "POST", body: "1" });
+    t.is(got.status, 504);
+    const tookMs = Date.now() - orderedAtMs;
+    t.true(tookMs >= 750 && tookMs < 1_250, `took ${tookMs}`);
+    t.is(calls, 1);
+  }));
+
+test("a replica stops when its caller has left", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "hang" }),
+    );
+    await harness.start();
+    const abort = new AbortController();
+    const call = harness.call(ROUTES.order, {
+      method: "POST",
+      body: "1",
+      signal: abort.signal,
+    });
+    await harness.waitFor(() => desk.seen.length === 1);
+    abort.abort();
+    await t.throwsAsync(call);
+    await harness.waitFor(() => desk.seen[0]?.wasCancelled === true, 500);
+    t.pass();
+  }));
+
+test("smuggled, oversize and malformed requests are answered and not passed on", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    await harness.start();
+    const head =
+      `POST ${ROUTES.order} HTTP/1.1\r\nhost: ${harnesses.HOST}\r\n` +
+      `authorization: Token ${KEY}\r\nx-jackdawbank-attempt-id: s\r\n`;
+    const smuggled = await harness.sendRaw(
+      `${head}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n`,
+    );
+    t.regex(smuggled, /^HTTP\/1\.1 400 /);
+    const nonsense = await harness.sendRaw("NONSENSE\r\n\r\n");
+    t.regex(nonsense, /^HTTP\/1\.1 400 /);
+    const large = await harness.call(ROUTES.check, {
+      headers: { "x-large": "x".repeat(9_000) },
+    });
+    t.is(large.status, 431);
+    const body = await harness.call(ROUTES.order, {
+      method: "POST",
+      body: "x".repeat(70_000),
+    }).catch(() => undefined);
+    if (body !== undefined) t.is(body.status, 413);
+    t.is(desk.seen.length, 0);
+    t.is((await harness.call(ROUTES.check)).status, 200);
+  }));
+
+test("a refused request can be traced from its id to its cause", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "reset" }));
+    await harness.start();
+    await harness.call(ROUTES.order, {
+      method: "POST",
+      body: "1",
+      headers: { "x-jackdawbank-attempt-id": "traced" },
+    });
+    const [sent] = harness.listLog("attempt.sent");
+    t.like(sent, { requestId: "traced", replica: "i-1", tableRevision: 1 });
+    t.true(typeof sent?.["viewAgeMs"] === "number");
+    const [attempt] = harness.listLog("attempt.ended");
+    t.like(attempt, { requestId: "traced", outcome: "lost" });
+    const [ended] = harness.listLog("request.ended");
+    t.like(ended, { requestId: "traced", outcome: "outcome-unknown" });
+    const metrics = await fetch(
+      `http://127.0.0.1:${harness.ports.metrics}/metrics`,
+    );
+    const text = await metrics.text();
+    t.regex(
+      text,
+      /jackdaw_requests_total\{route="order",outcome="outcome-unknown"\} 1/,
+    );
+    t.regex(text, /jackdaw_request_seconds_bucket/);
+  }));
--- /dev/null
+++ b/packages/bench/src/platform_stream_test.ts
@@ -0,0 +1,214 @@
+/** Streams on the platform: whole events, resumption, escalation. */
+import * as ava from "ava";
+import * as harnesses from "./platform_harness.ts";
+
+const { ROUTES } = harnesses;
+const test = ava.default;
+
+const DRAFT = {
+  method: "POST",
+  body: "prompt",
+  headers: {
+    "x-jackdawbank-model": "*",
+    "x-jackdawbank-token-usage": "600,80",
+    "x-jackdawbank-prefix-hash": "a1:100,b2:400,c3:100",
+  },
+} as const;
+
+async function withHarness(
+  run: (harness: harnesses.PlatformHarness) => Promise<void>,
+): Promise<void> {
+  const harness = new harnesses.PlatformHarness();
+  await harness.startStore();
+  try {
+    await run(harness);
+  } finally {
+    await harness.close();
+  }
+}
+
+/** Ids of the events of a body, in order. */
+function listIds(body: string): readonly number[] {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+}
+
+const ALL_IDS = [1, 2, 3, 4, 5, 6];
+
+test("a confident answer of the smallest model is passed on", (t) =>
+  withHarness(async (harness) => {
+    const llm = await harness.addReplica("i-1", "llm", () => ({
+      type: "stream",
+      events: 6,
+      confidence: 90,
+    }));
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(listIds(got.body), ALL_IDS);
+    t.false(got.isCut);
+    t.deepEqual(llm.seen.map((seen) => seen.headers["x-jackdawbank-model"]), [
+      "small",
+    ]);
+    t.is(llm.seen[0]?.headers["x-jackdawbank-token-usage"], "600,80");
+    t.is(llm.seen[0]?.headers["x-jackdawbank-request-priority"], "3");
+  }));
+
+test("an answer of low confidence is dropped and the largest model asked", (t) =>
+  withHarness(async (harness) => {
+    const llm = await harness.addReplica("i-1", "llm", (seen) => ({
+      type: "stream",
+      events: 6,
+      gapMs: 20,
+      confidence: seen.headers["x-jackdawbank-model"] === "small" ? 10 : 95,
+    }));
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(listIds(got.body), ALL_IDS);
+    t.deepEqual(llm.seen.map((seen) => seen.headers["x-jackdawbank-model"]), [
+      "small",
+      "large",
+    ]);
+    t.true(llm.seen[0]?.wasCancelled);
+    t.is(got.headers["x-jackdawbank-response-signature"], "receipt-i-1-2");
+  }));
+
+test("a model that the caller names is not changed", (t) =>
+  withHarness(async (harness) => {
+    const llm = await harness.addReplica("i-1", "llm", () => ({
+      type: "stream",
+      events: 6,
+      confidence: 1,
+    }));
+    await harness.start();
+    await harness.call(ROUTES.draft, {
+      ...DRAFT,
+      headers: { ...DRAFT.headers, "x-jackdawbank-model": "small" },
+    });
+    t.deepEqual(llm.seen.map((seen) => seen.headers["x-jackdawbank-model"]), [
+      "small",
+    ]);
+  }));
+
+test("a stream cut within an event goes on at another replica, without a seam", (t) =>
+  withHarness(async (harness) => {
+    let runs = 0;
+    const answer = () => {
+      runs += 1;
+      return runs === 1
+        ? { type: "stream", events: 6, confidence: 90, cutAfter: 3 } as const
+        : { type: "stream", events: 6, confidence: 90 } as const;
+    };
+    const first = await harness.addReplica("i-1", "llm", answer);
+    const second = await harness.addReplica("i-2", "llm", answer);
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(listIds(got.body), ALL_IDS);
+    t.is(got.body.match(/piece/g)?.length, ALL_IDS.length);
+    t.false(got.isCut);
+    const resumed = [...first.seen, ...second.seen].find((seen) =>
+      seen.headers["last-event-id"] !== undefined
+    );
+    t.is(resumed?.headers["last-event-id"], "3");
+  }));
+
+test("a stream that falls silent goes on at another replica once its run is closed", (t) =>
+  withHarness(async (harness) => {
+    let runs = 0;
+    const answer = () => {
+      runs += 1;
+      return runs === 1
+        ? {
+          type: "stream",
+          events: 6,
+          confidence: 90,
+          isSilentAfter: 2,
+        } as const
+        : { type: "stream", events: 6, confidence: 90 } as const;
+    };
+    const first = await harness.addReplica("i-1", "llm", answer);
+    const second = await harness.addReplica("i-2", "llm", answer);
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(listIds(got.body), ALL_IDS);
+    const silent = [...first.seen, ...second.seen].find((seen) =>
+      seen.headers["last-event-id"] === undefined
+    );
+    t.true(silent?.wasCancelled);
+  }));
+
+test("a stream that cannot go on does not look complete", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "llm", () => ({
+      type: "stream",
+      events: 6,
+      confidence: 90,
+      cutAfter: 3,
+    }));
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.true(got.isCut);
+    t.deepEqual(listIds(got.body), [1, 2, 3]);
+  }));
+
+test("a stream that may not be resumed runs once, on the largest model", (t) =>
+  withHarness(async (harness) => {
+    const configuration = harnesses.buildConfiguration();
+    const routes = (configuration["routes"] as Record<string, unknown>[]).map(
+      (route) => ({ ...route, streamResume: false }),
+    );
+    harness.store.put("op/config", { ...configuration, routes });
+    const llm = await harness.addReplica("i-1", "llm", () => ({
+      type: "stream",
+      events: 6,
+      confidence: 5,
+      cutAfter: 2,
+    }));
+    await harness.addReplica(
+      "i-2",
+      "llm",
+      () => ({ type: "stream", events: 6 }),
+    );
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    const all = [...harness.replicas.values()].flatMap((replica) =>
+      replica.seen
+    );
+    t.is(all.length, 1);
+    t.is(all[0]?.headers["x-jackdawbank-model"], "large");
+    if (llm.seen.length === 1) t.true(got.isCut);
+  }));
+
+test("a caller that goes on itself is passed to the replica with its event id", (t) =>
+  withHarness(async (harness) => {
+    const llm = await harness.addReplica("i-1", "llm", () => ({
+      type: "stream",
+      events: 6,
+      confidence: 10,
+    }));
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, {
+      ...DRAFT,
+      headers: { ...DRAFT.headers, "last-event-id": "4" },
+    });
+    t.deepEqual(listIds(got.body), [5, 6]);
+    t.is(llm.seen.length, 1);
+    t.is(llm.seen[0]?.headers["last-event-id"], "4");
+  }));
+
+test("a replica stops within half a second when the reader of its stream leaves", (t) =>
+  withHarness(async (harness) => {
+    const llm = await harness.addReplica("i-1", "llm", () => ({
+      type: "stream",
+      events: 1_000,
+      gapMs: 20,
+      confidence: 90,
+    }));
+    await harness.start();
+    const abort = new AbortController();
+    const call = harness.call(ROUTES.draft, { ...DRAFT, signal: abort.signal })
+      .catch(() => undefined);
+    await harness.waitFor(() => llm.seen.length === 1);
+    abort.abort();
+    await call;
+    await harness.waitFor(() => llm.seen[0]?.wasCancelled === true, 500);
+    t.pass();
+  }));
--- a/packages/bench/src/run_tests.ts
+++ b/packages/bench/src/run_tests.ts
@@ -10,7 +10,10 @@
 const ROOT = url.fileURLToPath(new URL("../../../", import.meta.url));
 const AVA = "node_modules/ava/entrypoints/cli.mjs";
 const ENTRY_PREFIX = "test: ";
-const ALL_TESTS = "packages/*/dist/**/*_test.js";
+const ALL_TESTS = [
+  "packages/*/dist/**/*_test.js",
+  "platform/dist/**/*_test.js",
+];
 const STRESS_TESTS = "packages/bench/dist/stress_test.js";
 
 /** Test names in KNOWN-RED.txt, one `test: <name>` line each. */
@@ -86,7 +89,7 @@
   const knownRed = readKnownRed();
   const counts: Counts = { passed: 0, failed: 0, skipped: 0, known: [] };
   // What compares loads must not share the machine with other tests.
-  await runFiles([ALL_TESTS, `!${STRESS_TESTS}`], counts, knownRed);
+  await runFiles([...ALL_TESTS, `!${STRESS_TESTS}`], counts, knownRed);
   await runFiles([STRESS_TESTS], counts, knownRed);
   for (const name of counts.known) {
     process.stdout.write(`passed over (KNOWN-RED.txt): ${name}\n`);
--- /dev/null
+++ b/packages/decisions/src/platform_rules_test.ts
@@ -0,0 +1,239 @@
+/** Rules that the router adds: freshness, budgets, health, model and replica choice. */
+import * as ava from "ava";
+import * as fastCheck from "fast-check";
+import * as pace from "./engine_pace.ts";
+import * as freshness from "./freshness.ts";
+import * as models from "./model_choice.ts";
+import * as choice from "./replica_choice.ts";
+import * as health from "./replica_health.ts";
+import * as retries from "./retry_window.ts";
+
+const test = ava.default;
+
+test("the age of a view never misses a pause of either clock", (t) => {
+  const since = { steadyMs: 1_000, wallMs: 50_000 };
+  // A suspended VM: its steady clock stood still.
+  t.is(
+    freshness.measureAgeMs(since, { steadyMs: 1_100, wallMs: 59_000 }),
+    9_000,
+  );
+  // The time of day was set back.
+  t.is(
+    freshness.measureAgeMs(since, { steadyMs: 4_000, wallMs: 40_000 }),
+    3_000,
+  );
+});
+
+test("a key taken away is never served later than its bound, whatever the view's age", (t) => {
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.integer({ min: 500, max: 60_000 }),
+      fastCheck.integer({ min: 0, max: 100_000 }),
+      (boundMs, ageMs) => {
+        const mayServe = ageMs <= freshness.limitKeyedAgeMs(boundMs);
+        // The key may have been taken away right after the view was current.
+        return !mayServe || ageMs < boundMs;
+      },
+    ),
+  );
+  t.pass();
+});
+
+test("repeated sends stay within the budget in every window", (t) => {
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.array(
+        fastCheck.record({
+          gapMs: fastCheck.integer({ min: 0, max: 400 }),
+          isRequest: fastCheck.boolean(),
+        }),
+        { maxLength: 300 },
+      ),
+      (steps) => {
+        const window = new retries.RetryWindow({
+          windowMs: 10_000,
+          ratio: 0.9,
+          slack: 5,
+        });
+        let nowMs = 0;
+        const requests: number[] = [];
+        const extras: number[] = [];
+        for (const { gapMs, isRequest } of steps) {
+          nowMs += gapMs;
+          if (isRequest) {
+            window.recordRequest(nowMs);
+            requests.push(nowMs);
+          } else if (window.allowsExtra(nowMs)) {
+            window.recordExtra(nowMs);
+            extras.push(nowMs);
+          }
+        }
+        return extras.every((end) => {
+          const inWindow = extras.filter((at) => at <= end && at > end - 9_000);
+          // Requests of up to one bucket before the window may be counted.
+          const first = requests.filter((at) => at <= end && at > end - 11_000);
+          return inWindow.length <= 0.9 * first.length + 5;
+        });
+      },
+    ),
+  );
+  t.pass();
+});
+
+test("two failures in a row take a replica out, for longer each time; a success brings it back", (t) => {
+  const replica = new health.ReplicaHealth();
+  t.false(replica.recordNoAnswer(0));
+  t.false(replica.isOut(0));
+  t.true(replica.recordNoAnswer(0));
+  t.true(replica.isOut(400));
+  t.false(replica.isOut(600));
+  t.true(replica.recordNoAnswer(600));
+  t.true(replica.isOut(1_500));
+  replica.recordSuccess(20);
+  t.false(replica.isOut(1_500));
+});
+
+const ESCALATION: models.EscalationInput = {
+  sizes: ["small", "middle", "large"],
+  model: "small",
+  confidence: 30,
+  priority: 0,
+  canSendAgain: true,
+  pressure: 0,
+  predictedShare: 0.2,
+};
+
+test("escalation goes straight to the largest model, and ends there", (t) => {
+  t.is(models.chooseEscalation(ESCALATION), "large");
+  t.is(
+    models.chooseEscalation({ ...ESCALATION, model: "large" }),
+    undefined,
+  );
+  t.is(
+    models.chooseEscalation({ ...ESCALATION, confidence: 90 }),
+    undefined,
+  );
+  t.is(
+    models.chooseEscalation({ ...ESCALATION, confidence: undefined }),
+    undefined,
+  );
+  t.is(
+    models.chooseEscalation({ ...ESCALATION, canSendAgain: false }),
+    undefined,
+  );
+});
+
+test("engines short of capacity are asked less often for a second answer, at last never", (t) => {
+  t.is(models.chooseEscalation({ ...ESCALATION, pressure: 0.3 }), "large");
+  t.is(models.chooseEscalation({ ...ESCALATION, pressure: 0.7 }), undefined);
+  t.is(
+    models.chooseEscalation({ ...ESCALATION, confidence: 2, pressure: 0.7 }),
+    "large",
+  );
+  t.is(
+    models.chooseEscalation({ ...ESCALATION, confidence: 0, pressure: 1 }),
+    undefined,
+  );
+});
+
+test("a prompt that the largest model would answer late keeps a doubtful answer", (t) => {
+  const late = { ...ESCALATION, predictedShare: 1.4 };
+  t.is(models.chooseEscalation(late), undefined);
+  t.is(models.chooseEscalation({ ...late, confidence: 5 }), "large");
+});
+
+test("pace: pressure follows late answers and fades; reading rates are kept by model", (t) => {
+  const engine = new pace.EnginePace();
+  const first = {
+    model: "large",
+    unreadTokens: 20_000,
+    delayMs: 1_000,
+    objectiveMs: 1_000,
+  };
+  for (let nowMs = 0; nowMs < 100; nowMs += 1) {
+    engine.record({ ...first, nowMs });
+  }
+  t.true(engine.pressure(100) > 0.9);
+  t.true(engine.pressure(20_000) < 0.05);
+  t.is(Math.round(engine.predictReadMs("large", 40_000)), 2_000);
+  t.is(engine.predictReadMs("small", 40_000), 0);
+});
+
+const CANDIDATE: choice.Candidate = {
+  id: "r1",
+  isLocal: true,
+  inFlight: 0,
+  pendingTokens: 0,
+  slots: 32,
+  cachedTokens: 0,
+  failureShare: 0,
+  delayMs: 20,
+};
+const PLACEMENT: choice.Placement = {
+  promptTokens: 4_000,
+  affinityKey: undefined,
+  sharedTokens: 0,
+};
+
+test("a replica that reads a long prompt is passed by", (t) => {
+  const picked = choice.chooseCandidate(
+    [{ ...CANDIDATE, pendingTokens: 50_000 }, {
+      ...CANDIDATE,
+      id: "r2",
+      isLocal: false,
+    }],
+    PLACEMENT,
+    () => 0,
+  );
+  t.is(picked?.id, "r2");
+});
+
+test("a cached subject outweighs the way to another data centre, not a long queue", (t) => {
+  const cached = {
+    ...CANDIDATE,
+    id: "r2",
+    isLocal: false,
+    cachedTokens: 3_500,
+  };
+  t.is(
+    choice.chooseCandidate([CANDIDATE, cached], PLACEMENT, () => 0)?.id,
+    "r2",
+  );
+  t.is(
+    choice.chooseCandidate(
+      [CANDIDATE, { ...cached, pendingTokens: 30_000 }],
+      PLACEMENT,
+      () => 0,
+    )?.id,
+    "r1",
+  );
+});
+
+test("a replica that fails part of its requests, or is slower than the others, is asked less", (t) => {
+  const grey = { ...CANDIDATE, failureShare: 0.4 };
+  const slow = { ...CANDIDATE, id: "r3", delayMs: 400 };
+  const sound = { ...CANDIDATE, id: "r2", isLocal: false };
+  const other = { ...sound, id: "r4" };
+  t.true(
+    ["r2", "r4"].includes(
+      choice.chooseCandidate([grey, slow, sound, other], PLACEMENT, () => 0)
+        ?.id ?? "",
+    ),
+  );
+});
+
+test("processes that know nothing of each other send a new subject to the same replica", (t) => {
+  const pool = ["r1", "r2", "r3", "r4", "r5"].map((id) => ({
+    ...CANDIDATE,
+    id,
+  }));
+  const placement = {
+    ...PLACEMENT,
+    affinityKey: "small/subject",
+    sharedTokens: 3_500,
+  };
+  const picks = [0, 0.3, 0.7, 0.99].map((noise) =>
+    choice.chooseCandidate(pool, placement, () => noise)?.id
+  );
+  t.is(new Set(picks).size, 1);
+});
--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -73,11 +73,16 @@
 export function advanceRollout(
   order: RolloutOrder | undefined,
   held: RolloutRecord | undefined,
-  evidence: { readonly verdict: string | undefined; readonly wallMs: number },
+  evidence: {
+    readonly verdict: string | undefined;
+    readonly wallMs: number;
+    /** When this process learnt of the order: its time limit runs since then. */
+    readonly orderedAtMs: number;
+  },
 ): RolloutRecord | undefined {
   if (order === undefined) return undefined;
   if (held === undefined || held.orderRevision < order.revision) {
-    return startRollout(order, held, evidence.wallMs);
+    return startRollout(order, held, evidence.orderedAtMs);
   }
   if (held.orderRevision > order.revision || held.state !== "in-progress") {
     return undefined;
--- /dev/null
+++ b/packages/decisions/src/rollout_plan_test.ts
@@ -0,0 +1,128 @@
+/** Roll-outs: steps in time, sessions, and records that late writers cannot undo. */
+import * as ava from "ava";
+import * as fastCheck from "fast-check";
+import * as plan from "./rollout_plan.ts";
+
+const test = ava.default;
+
+const ORDER: plan.RolloutOrder = {
+  service: "llm",
+  targetVersion: "v2",
+  durationMs: 20_000,
+  revision: 5,
+};
+const STARTED = { ...plan.startRollout(ORDER, undefined, 0), revision: 1 };
+
+function choose(overrides: Partial<plan.VersionInput>): plan.RolloutSide {
+  return plan.chooseRolloutSide({
+    order: ORDER,
+    record: STARTED,
+    session: undefined,
+    fraction: 0.5,
+    wallMs: 1_000,
+    exposureShare: 0.15,
+    isStoppedHere: false,
+    ...overrides,
+  });
+}
+
+test("without a record of the order the old version serves everything", (t) => {
+  t.false(choose({ record: undefined, fraction: 0 }).prefersTarget);
+});
+
+test("the first half: only few new sessions try the version, others keep theirs", (t) => {
+  for (const wallMs of [0, 5_000, 9_900]) {
+    t.true(choose({ wallMs, fraction: 0.01 }).prefersTarget);
+    t.false(choose({ wallMs, fraction: 0.2 }).prefersTarget);
+    t.false(choose({ wallMs, fraction: 0.01, session: "old" }).prefersTarget);
+    t.true(choose({ wallMs, fraction: 0.9, session: "new" }).prefersTarget);
+  }
+});
+
+test("the second half: all move, and nobody moves back", (t) => {
+  for (const session of ["old", "new", undefined] as const) {
+    t.true(choose({ wallMs: 12_000, fraction: 0.999, session }).prefersTarget);
+  }
+  let moved = false;
+  for (let wallMs = 10_000; wallMs < 20_000; wallMs += 50) {
+    const { prefersTarget } = choose({ wallMs, fraction: 0.6, session: "old" });
+    t.true(prefersTarget || !moved);
+    moved = prefersTarget;
+  }
+});
+
+test("a verdict here or on record bans the version at once", (t) => {
+  t.deepEqual(choose({ isStoppedHere: true }).banned, ["v2"]);
+  const record = plan.advanceRollout(ORDER, STARTED, {
+    verdict: "bad",
+    wallMs: 15_000,
+    orderedAtMs: 0,
+  });
+  t.is(record?.state, "rolled-back");
+  t.deepEqual(choose({ record }).banned, ["v2"]);
+});
+
+test("a new order of a banned version lifts the ban; other bans stay", (t) => {
+  const held = {
+    ...STARTED,
+    state: "rolled-back" as const,
+    bannedVersions: ["v2", "v3"],
+  };
+  const next = plan.startRollout({ ...ORDER, revision: 9 }, held, 0);
+  t.deepEqual(next.bannedVersions, ["v3"]);
+});
+
+/** A store with one record that is replaced on condition of its revision. */
+class RecordStore {
+  record: plan.RolloutRecord | undefined;
+
+  replace(next: plan.RolloutRecord): boolean {
+    if ((this.record?.revision ?? 0) !== next.revision) return false;
+    this.record = { ...next, revision: next.revision + 1 };
+    return true;
+  }
+}
+
+test("whatever is late, lost or frozen: a verdict on record stands, and a started order ends", (t) => {
+  const step = fastCheck.record({
+    process: fastCheck.integer({ min: 0, max: 2 }),
+    action: fastCheck.constantFrom("read", "plan", "write", "wait", "verdict"),
+    gapMs: fastCheck.integer({ min: 0, max: 3_000 }),
+  });
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(step, { maxLength: 120 }), (steps) => {
+      const store = new RecordStore();
+      const views: (plan.RolloutRecord | undefined)[] = [];
+      const pending: (plan.RolloutRecord | undefined)[] = [];
+      const verdicts: (string | undefined)[] = [];
+      let wallMs = 0;
+      let final: plan.RolloutState | undefined;
+      for (const { process, action, gapMs } of steps) {
+        wallMs += gapMs;
+        if (action === "read") views[process] = store.record;
+        if (action === "verdict") verdicts[process] = "bad";
+        if (action === "plan") {
+          pending[process] = plan.advanceRollout(ORDER, views[process], {
+            verdict: verdicts[process],
+            wallMs,
+            orderedAtMs: 0,
+          });
+        }
+        const planned = pending[process];
+        // A write may be sent long after it was planned, and sent again.
+        if (action === "write" && planned !== undefined) store.replace(planned);
+        const state = store.record?.state;
+        if (final !== undefined && state !== final) return false;
+        if (state === "completed" || state === "rolled-back") final = state;
+      }
+      const view = store.record;
+      const next = plan.advanceRollout(ORDER, view, {
+        verdict: undefined,
+        wallMs: wallMs + ORDER.durationMs,
+        orderedAtMs: 0,
+      });
+      return final === undefined ? next !== undefined : next === undefined;
+    }),
+  );
+  t.pass();
+});
--- /dev/null
+++ b/packages/fakes/src/kv_store.ts
@@ -0,0 +1,210 @@
+/** Stand-in for the platform's metadata store: items with revisions, watches, conditional writes. */
+import * as http from "node:http";
+import type * as net from "node:net";
+
+/** How the store answers. */
+export type StoreMode =
+  | "up"
+  /** No answer to anything. */
+  | "silent"
+  /** 503 to everything. */
+  | "busy"
+  /** Writes are done, and their connections cut without an answer. */
+  | "lost-writes"
+  /** Answers that are no JSON of a known shape. */
+  | "nonsense";
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+}
+
+interface Change {
+  readonly key: string;
+  readonly revision: number;
+  readonly item: Item | undefined;
+}
+
+const PAGE_ITEMS = 50;
+const POLL_MS = 5;
+
+interface Transaction {
+  readonly expectedRevision?: readonly {
+    readonly key: string;
+    readonly revision: number;
+  }[];
+  readonly write?: readonly { readonly key: string; readonly value: string }[];
+  readonly remove?: readonly string[];
+}
+
+/** The stand-in; tests put and remove items directly. */
+export class FakeKvStore {
+  mode: StoreMode = "up";
+  /** Calls by path, without the query. */
+  readonly calls = new Map<string, number>();
+  readonly #items = new Map<string, Item>();
+  readonly #sockets = new Set<net.Socket>();
+  #changes: Change[] = [];
+  #oldestRevision = 0;
+  #revision = 10;
+  readonly #server = http.createServer((request, response) => {
+    void this.#serve(request, response);
+  });
+
+  async listen(): Promise<number> {
+    this.#server.on("connection", (socket: net.Socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+    return (this.#server.address() as net.AddressInfo).port;
+  }
+
+  put(key: string, data: unknown): number {
+    return this.putBytes(key, Buffer.from(JSON.stringify(data)));
+  }
+
+  putBytes(key: string, bytes: Buffer): number {
+    this.#revision += 1;
+    const item = {
+      key,
+      value: bytes.toString("base64"),
+      revision: this.#revision,
+    };
+    this.#items.set(key, item);
+    this.#changes.push({ key, revision: this.#revision, item });
+    return this.#revision;
+  }
+
+  remove(key: string): void {
+    if (!this.#items.delete(key)) return;
+    this.#revision += 1;
+    this.#changes.push({ key, revision: this.#revision, item: undefined });
+  }
+
+  read(key: string): unknown {
+    const item = this.#items.get(key);
+    return item === undefined
+      ? undefined
+      : JSON.parse(Buffer.from(item.value, "base64").toString("utf8"));
+  }
+
+  /** Drops the history: watches that go on from before get 410. */
+  compact(): void {
+    this.#changes = [];
+    this.#oldestRevision = this.#revision + 1;
+    this.#revision += 1;
+  }
+
+  async close(): Promise<void> {
+    this.mode = "busy";
+    for (const socket of this.#sockets) socket.destroy();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+
+  async #serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://store");
+    this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
+    let body = "";
+    for await (const chunk of request) body += String(chunk);
+    if (this.mode === "silent") return;
+    if (this.mode === "busy") {
+      response.writeHead(503).end();
+      return;
+    }
+    if (this.mode === "nonsense") {
+      response.writeHead(200).end('{"surprise":true}');
+      return;
+    }
+    switch (url.pathname) {
+      case "/-/kv-range":
+        return this.#range(url, response);
+      case "/-/kv-watch":
+        return await this.#watch(url, response);
+      case "/-/kv-txn":
+        return this.#transact(JSON.parse(body) as Transaction, response);
+      default:
+        response.writeHead(404).end();
+    }
+  }
+
+  #range(url: URL, response: http.ServerResponse): void {
+    const prefix = url.searchParams.get("pathPrefix") ?? "";
+    const after = url.searchParams.get("after") ?? "";
+    const found = [...this.#items.values()]
+      .filter((item) => item.key.startsWith(prefix) && item.key > after)
+      .toSorted((a, b) => a.key < b.key ? -1 : 1);
+    send(response, 200, {
+      items: found.slice(0, PAGE_ITEMS),
+      hasMore: found.length > PAGE_ITEMS,
+      at: this.#revision,
+    });
+  }
+
+  async #watch(url: URL, response: http.ServerResponse): Promise<void> {
+    const after = Number(url.searchParams.get("after"));
+    const prefix = url.searchParams.get("pathPrefix") ?? "";
+    const endAtMs = Date.now() + Number(url.searchParams.get("waitMs"));
+    for (;;) {
+      if (after < this.#oldestRevision) {
+        response.writeHead(410).end();
+        return;
+      }
+      const events = this.#changes.filter((change) =>
+        change.revision > after && change.key.startsWith(prefix)
+      );
+      if (events.length > 0 || Date.now() >= endAtMs) {
+        // A store that has gone silent answers no watch that waits.
+        if (this.mode !== "up" && this.mode !== "lost-writes") return;
+        send(response, 200, {
+          events: events.map(({ key, revision, item }) =>
+            item ?? { key, revision, deleted: true }
+          ),
+          at: this.#revision,
+        });
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  #transact(transaction: Transaction, response: http.ServerResponse): void {
+    const expected = transaction.expectedRevision ?? [];
+    const isCurrent = expected.every(({ key, revision }) =>
+      (this.#items.get(key)?.revision ?? 0) === revision
+    );
+    if (!isCurrent) {
+      send(response, 412, {
+        items: expected.flatMap(({ key }) => this.#items.get(key) ?? []),
+      });
+      return;
+    }
+    this.#revision += 1;
+    for (const { key, value } of transaction.write ?? []) {
+      const item = { key, value, revision: this.#revision };
+      this.#items.set(key, item);
+      this.#changes.push({ key, revision: this.#revision, item });
+    }
+    for (const key of transaction.remove ?? []) this.remove(key);
+    if (this.mode === "lost-writes") {
+      response.destroy();
+      return;
+    }
+    send(response, 200, { revision: this.#revision });
+  }
+}
+
+function send(
+  response: http.ServerResponse,
+  status: number,
+  data: unknown,
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(data));
+}
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -4,3 +4,5 @@
 export * from "./orders.ts";
 export * from "./platform.ts";
 export * from "./store.ts";
+export * from "./kv_store.ts";
+export * from "./replica.ts";
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -304,7 +304,11 @@
 
   /** What is unknown here may be in a configuration that has not arrived. */
   #refuseUnknown(kind: kernel.ErrorKind, message: string): Refusal {
-    return this.parts.control.ageMs > UNKNOWN_MAX_AGE_MS
+    const limitMs = Math.min(
+      UNKNOWN_MAX_AGE_MS,
+      decisions.limitKeyedAgeMs(this.parts.settings.revocationBoundMs),
+    );
+    return this.parts.control.ageMs > limitMs
       ? refusal(
         "stale-configuration",
         `${message}, and the configuration is not current`,
--- /dev/null
+++ b/packages/router/src/event_splitter_test.ts
@@ -0,0 +1,39 @@
+import * as ava from "ava";
+import * as fastCheck from "fast-check";
+import * as splitting from "./event_splitter.ts";
+
+const test = ava.default;
+
+test("whole events come out unchanged, wherever the bytes are cut", (t) => {
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.integer({ min: 1, max: 12 }),
+      fastCheck.constantFrom("\n", "\r\n"),
+      fastCheck.array(fastCheck.integer({ min: 1, max: 23 }), { minLength: 1 }),
+      fastCheck.integer({ min: 0, max: 9 }),
+      (count, lineEnd, cuts, tailLength) => {
+        const events = Array.from(
+          { length: count },
+          (_, at) =>
+            `id: ${at + 1}${lineEnd}data: päce ${at}${lineEnd}${lineEnd}`,
+        );
+        const whole = events.join("");
+        const tail = `id: 99${lineEnd}data: x`.slice(0, tailLength);
+        const bytes = Buffer.from(whole + tail);
+        const splitter = new splitting.EventSplitter();
+        const out: Buffer[] = [];
+        for (let at = 0, step = 0; at < bytes.length; step += 1) {
+          const size = cuts[step % cuts.length] as number;
+          const part = splitter.push(bytes.subarray(at, at + size));
+          if (part !== undefined) out.push(part.bytes);
+          at += size;
+        }
+        return Buffer.concat(out).toString() === whole &&
+          splitter.count === count &&
+          splitter.lastEventId === String(count) &&
+          splitter.hasPartialEvent === (tailLength > 0);
+      },
+    ),
+  );
+  t.pass();
+});
--- a/packages/router/src/front.ts
+++ b/packages/router/src/front.ts
@@ -197,9 +197,9 @@
     return this.#inFlight;
   }
 
-  async listen(address: ports.Address): Promise<void> {
+  async listen(address: ports.Address): Promise<number> {
     this.applyLimits();
-    await telemetry.listen(this.#server, address);
+    return await telemetry.listen(this.#server, address);
   }
 
   /** Takes over the limits of the configuration. */
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -12,7 +12,10 @@
   });
 }
 
-function buildEntry(id: string, overrides: Partial<replicas.ReplicaState["entry"]> = {}) {
+function buildEntry(
+  id: string,
+  overrides: Partial<replicas.ReplicaState["entry"]> = {},
+) {
   return {
     id,
     service: "llm",
@@ -42,33 +45,43 @@
   };
 }
 
-ava.default("a replica known before its service's limits is not held to a guess", (t) => {
-  const table = createTable();
-  table.put(buildEntry("r1"));
-  table.takeServices(
-    new Map([["llm", { name: "llm", maxConnections: 230, engine: undefined }]]),
-  );
-  const taken = Array.from({ length: 30 }, () => {
-    const pick = table.pick(buildRequest());
-    return pick?.state.pool.take(false);
-  });
-  t.true(taken.every((connection) => connection !== undefined));
-  table.close();
-});
+ava.default(
+  "a replica known before its service's limits is not held to a guess",
+  (t) => {
+    const table = createTable();
+    table.put(buildEntry("r1"));
+    table.takeServices(
+      new Map([["llm", {
+        name: "llm",
+        maxConnections: 230,
+        engine: undefined,
+      }]]),
+    );
+    const taken = Array.from({ length: 30 }, () => {
+      const pick = table.pick(buildRequest());
+      return pick?.state.pool.take(false);
+    });
+    t.true(taken.every((connection) => connection !== undefined));
+    table.close();
+  },
+);
 
-ava.default("another start under the same id begins with nothing learnt", (t) => {
-  const table = createTable();
-  table.put(buildEntry("r1"));
-  const first = table.pick(buildRequest())?.state;
-  first?.health.recordNoAnswer(0);
-  first?.health.recordNoAnswer(0);
-  t.true(first?.health.isOut(1));
-  table.put(buildEntry("r1", { bornAtMs: 2 }));
-  const second = table.pick(buildRequest())?.state;
-  t.not(second, first);
-  t.false(second?.health.isOut(1));
-  table.close();
-});
+ava.default(
+  "another start under the same id begins with nothing learnt",
+  (t) => {
+    const table = createTable();
+    table.put(buildEntry("r1"));
+    const first = table.pick(buildRequest())?.state;
+    first?.health.recordNoAnswer(0);
+    first?.health.recordNoAnswer(0);
+    t.true(first?.health.isOut(1));
+    table.put(buildEntry("r1", { bornAtMs: 2 }));
+    const second = table.pick(buildRequest())?.state;
+    t.not(second, first);
+    t.false(second?.health.isOut(1));
+    table.close();
+  },
+);
 
 ava.default("requests with the same subject meet where it was read", (t) => {
   const table = createTable();
@@ -80,7 +93,12 @@
   const request = buildRequest({ promptTokens: 4_700, parts });
   const first = table.pick(request);
   if (first === undefined) return t.fail();
-  table.noteRead(first.state, { model: "small", parts, promptTokens: 4_700, nowMs: 0 });
+  table.noteRead(first.state, {
+    model: "small",
+    parts,
+    promptTokens: 4_700,
+    nowMs: 0,
+  });
   const again = table.pick({ ...request, nowMs: 100 });
   t.is(again?.state, first.state);
   t.is(again?.cachedTokens, 4_700);
@@ -89,14 +107,17 @@
   table.close();
 });
 
-ava.default("a banned version gets nothing, also when nothing else is left", (t) => {
-  const table = createTable();
-  table.put(buildEntry("r1", { version: "v2" }));
-  const side = { target: "v2", prefersTarget: false, banned: ["v2"] };
-  t.is(table.pick(buildRequest({ side })), undefined);
-  t.not(table.pick(buildRequest()), undefined);
-  table.close();
-});
+ava.default(
+  "a banned version gets nothing, also when nothing else is left",
+  (t) => {
+    const table = createTable();
+    table.put(buildEntry("r1", { version: "v2" }));
+    const side = { target: "v2", prefersTarget: false, banned: ["v2"] };
+    t.is(table.pick(buildRequest({ side })), undefined);
+    t.not(table.pick(buildRequest()), undefined);
+    table.close();
+  },
+);
 
 ava.default("a draining replica gets nothing", (t) => {
   const table = createTable();
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -11,7 +11,9 @@
 
 const CHECK_INTERVAL_MS = 200;
 /** Steps that are due by time are written by whoever draws the shortest delay. */
-const STEP_JITTER_MS = 800;
+const MAX_STEP_JITTER_MS = 800;
+/** Share of a roll-out's duration that the delay may take. */
+const STEP_JITTER_SHARE = 0.03;
 const RETRY_MS = 400;
 /** Answers of the new version before its failures may stop it. */
 const MIN_SAMPLES = 6;
@@ -43,14 +45,17 @@
 /** Judges one order: each route on its own, and all together. */
 class Trial {
   readonly orderRevision: number;
+  /** Time of day at which this process learnt of the order. */
+  readonly orderedAtMs: number;
   readonly #guards = new Map<string, decisions.RolloutGuard>();
   readonly #paces = new Map<string, Pace>();
   #verdict: string | undefined;
   #failures = 0;
   #samples = 0;
 
-  constructor(orderRevision: number) {
+  constructor(orderRevision: number, orderedAtMs: number) {
     this.orderRevision = orderRevision;
+    this.orderedAtMs = orderedAtMs;
   }
 
   get verdict(): string | undefined {
@@ -204,7 +209,10 @@
     if (held !== undefined && held.orderRevision === order.revision) {
       return held;
     }
-    const trial = new Trial(order.revision);
+    const trial = new Trial(
+      order.revision,
+      this.#options.clock.wallMs(),
+    );
     this.#trials.set(order.service, trial);
     return trial;
   }
@@ -213,17 +221,20 @@
     const { service } = order;
     if (this.#writing.has(service)) return;
     const { control, clock, random } = this.#options;
-    const { verdict } = this.#trial(order);
+    const { verdict, orderedAtMs } = this.#trial(order);
     const next = decisions.advanceRollout(order, control.records.get(service), {
       verdict,
       wallMs: clock.wallMs(),
+      orderedAtMs,
     });
     if (next === undefined) {
       this.#due.delete(service);
       return;
     }
     const nowMs = clock.monotonicMs();
-    const jitterMs = verdict === undefined ? STEP_JITTER_MS : 0;
+    const jitterMs = verdict === undefined
+      ? Math.min(MAX_STEP_JITTER_MS, STEP_JITTER_SHARE * order.durationMs)
+      : 0;
     const dueAtMs = this.#due.get(service) ?? nowMs + random() * jitterMs;
     this.#due.set(service, dueAtMs);
     const isDue = nowMs >= dueAtMs || next.state === "rolled-back";
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -38,6 +38,13 @@
   readonly metrics?: { readonly port: number; readonly path: string };
 }
 
+/** The ports that a router listens on. */
+export interface RouterPorts {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly metrics: number | undefined;
+}
+
 /** A router that runs. */
 export class Router {
   readonly #options: RouterOptions;
@@ -129,18 +136,22 @@
     return this.#control.ageMs <= revocationBoundMs * READY_VIEW_SHARE;
   }
 
-  async start(): Promise<void> {
+  /** Starts listening; the result names the ports, which settings may leave open. */
+  async start(): Promise<RouterPorts> {
     const { settings, metrics } = this.#options;
     this.#control.start();
-    await this.#front.listen(settings.callers);
-    await telemetry.listen(this.#readiness, settings.readiness);
-    if (metrics !== undefined) {
-      await this.#metrics?.listen({ host: settings.ip, port: metrics.port });
-    }
+    const callers = await this.#front.listen(settings.callers);
+    const readiness = await telemetry.listen(
+      this.#readiness,
+      settings.readiness,
+    );
+    const bound = metrics === undefined ? undefined : await this.#metrics
+      ?.listen({ host: settings.ip, port: metrics.port });
     this.#options.log.notable("process.started", {
-      callers: `${settings.callers.host}:${settings.callers.port}`,
+      callers: `${settings.callers.host}:${callers}`,
       dataCentre: settings.dataCentre,
     });
+    return { callers, readiness, metrics: bound };
   }
 
   /** Lets what runs finish, within the time before SIGKILL. */
--- a/packages/router/src/telemetry.ts
+++ b/packages/router/src/telemetry.ts
@@ -111,7 +111,7 @@
     });
   }
 
-  listen(address: ports.Address): Promise<void> {
+  listen(address: ports.Address): Promise<number> {
     return listen(this.#server, address);
   }
 
@@ -121,16 +121,19 @@
   }
 }
 
-/** Resolves when a server listens; rejects when the address cannot be had. */
+/** Resolves with the port when a server listens; rejects when the address cannot be had. */
 export function listen(
   server: http.Server,
   address: ports.Address,
-): Promise<void> {
+): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(address.port, address.host, () => {
       server.off("error", reject);
-      resolve();
+      const bound = server.address();
+      resolve(
+        typeof bound === "object" && bound !== null ? bound.port : address.port,
+      );
     });
   });
 }
