--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -133,7 +133,6 @@
     };
     const refusal = await new Promise<dispatchers.Refusal | undefined>(
       (resolve) => {
-        let stopWatch: (() => void) | undefined;
         const sending = this.#dispatcher.send(this.#request, {
           model: this.#model,
           lastEventId: this.#lastEventId,
@@ -153,7 +152,7 @@
           return;
         }
         current.sent = sending.value;
-        stopWatch = this.#watch(current);
+        const stopWatch = this.#watch(current);
       },
     );
     if (refusal !== undefined) return { type: "refused", refusal };
