--- a/packages/decisions/src/engine_pace.ts
+++ b/packages/decisions/src/engine_pace.ts
@@ -5,7 +5,11 @@
  */
 
 const PRESSURE_WEIGHT = 0.06;
-const RATE_WEIGHT = 0.1;
+/** Waiting makes answers late, never early: quick samples count more than slow ones. */
+const QUICK_RATE_WEIGHT = 0.3;
+const SLOW_RATE_WEIGHT = 0.03;
+/** Prompt tokens that an unknown model reads in a millisecond. */
+const DEFAULT_TOKENS_PER_MS = 40;
 /** Shorter prompts say little about reading. */
 const MIN_RATE_TOKENS = 1_500;
 /** An answer that takes many objectives counts as this many. */
@@ -38,7 +42,8 @@
     const rate = first.unreadTokens / Math.max(1, first.delayMs);
     const model = first.model ?? "";
     const known = this.#tokensPerMs.get(model) ?? rate;
-    this.#tokensPerMs.set(model, known + RATE_WEIGHT * (rate - known));
+    const weight = rate > known ? QUICK_RATE_WEIGHT : SLOW_RATE_WEIGHT;
+    this.#tokensPerMs.set(model, known + weight * (rate - known));
   }
 
   /** Mean share of their objective that answers took, fading with time. */
@@ -47,9 +52,9 @@
     return this.#pressure * Math.exp(-ageMs / FADE_MS);
   }
 
-  /** Predicted time until a model has read so many tokens; 0 while unknown. */
+  /** Predicted time in which a model reads so many tokens. */
   predictReadMs(model: string | undefined, tokens: number): number {
-    const rate = this.#tokensPerMs.get(model ?? "");
-    return rate === undefined ? 0 : tokens / rate;
+    return tokens /
+      (this.#tokensPerMs.get(model ?? "") ?? DEFAULT_TOKENS_PER_MS);
   }
 }
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -11,8 +11,8 @@
   readonly isLocal: boolean;
   /** Requests of this process under way there. */
   readonly inFlight: number;
-  /** Prompt tokens of this process that are not read there yet. */
-  readonly pendingTokens: number;
+  /** Time that prompts of this process still take to be read there. */
+  readonly pendingMs: number;
   readonly slots: number;
   /** Tokens of this prompt that are likely cached there. */
   readonly cachedTokens: number;
@@ -23,14 +23,16 @@
 /** What is to be placed. */
 export interface Placement {
   readonly promptTokens: number;
+  /** Time in which the model reads one token. */
+  readonly readMsPerToken: number;
   /** Requests that share it find their common part in one place. */
   readonly affinityKey: string | undefined;
   /** Tokens that requests with the same key share. */
   readonly sharedTokens: number;
 }
 
-/** Prompt tokens that an engine reads in a millisecond, at the least. */
-const PREFILL_TOKENS_PER_MS = 40;
+/** Weight of reading a token again, also where the model reads quickly: it delays others. */
+const READ_AGAIN_MS_PER_TOKEN = 0.04;
 /** Delay that one running request adds to the next one. */
 const RUNNING_REQUEST_MS = 8;
 /** Weight against a replica in another data centre. */
@@ -49,18 +51,17 @@
     readonly usualDelayMs: number;
   },
 ): number {
-  const unread = Math.max(0, placement.promptTokens - candidate.cachedTokens);
-  const isHome = context.home === candidate.id;
-  // A part that is cached nowhere yet is best read where others look for it.
-  const homeTokens = isHome && candidate.cachedTokens === 0
-    ? placement.sharedTokens
-    : 0;
+  // Other processes send the same subject to its home: it is likely cached there.
+  const cachedTokens = context.home === candidate.id
+    ? Math.max(candidate.cachedTokens, placement.sharedTokens)
+    : candidate.cachedTokens;
+  const unread = Math.max(0, placement.promptTokens - cachedTokens);
   const slower = Math.max(
     0,
     (candidate.delayMs ?? context.usualDelayMs) - context.usualDelayMs,
   );
-  return (unread - homeTokens + candidate.pendingTokens) /
-      PREFILL_TOKENS_PER_MS +
+  return unread * Math.max(placement.readMsPerToken, READ_AGAIN_MS_PER_TOKEN) +
+    candidate.pendingMs +
     candidate.inFlight * RUNNING_REQUEST_MS *
       (8 / Math.max(8, candidate.slots)) +
     (candidate.isLocal ? 0 : REMOTE_MS) +
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -63,6 +63,8 @@
   readonly state: replicas.ReplicaState;
   readonly sentAtMs: number;
   readonly cachedTokens: number;
+  /** Time that reading the rest of the prompt is expected to take. */
+  readonly readMs: number;
 }
 
 function refusal(
@@ -161,10 +163,12 @@
       version,
       fraction: request.fraction,
     });
+    const pace = this.pace(service);
     const pick = table.pick({
       service,
       model: options.model,
       promptTokens: fields.promptTokens,
+      readMsPerToken: pace.predictReadMs(options.model, 1),
       parts: fields.promptParts,
       excluded: options.excluded,
       needsFresh,
@@ -189,7 +193,11 @@
       lastEventId: options.lastEventId,
     });
     this.#countSend(service, options.earlierSends);
-    table.noteSent(state, fields.promptTokens);
+    const readMs = pace.predictReadMs(
+      options.model,
+      Math.max(0, fields.promptTokens - pick.cachedTokens),
+    );
+    table.noteSent(state, readMs);
     if (fields.session !== undefined) {
       this.parts.sessions.note(
         service,
@@ -226,6 +234,7 @@
       state,
       sentAtMs: clock.monotonicMs(),
       cachedTokens: pick.cachedTokens,
+      readMs,
     });
   }
 
--- a/packages/router/src/plain_exchange.ts
+++ b/packages/router/src/plain_exchange.ts
@@ -164,7 +164,7 @@
     const nowMs = dispatcher.nowMs;
     this.#sends += 1;
     this.#tried.add(state.entry.id);
-    table.noteEnded(state, this.#request.fields.promptTokens);
+    table.noteEnded(state, sent.readMs);
     if (result.type === "not-run") {
       table.noteBusy(state, nowMs);
       if (result.reason === "misdirected") table.noteMisdirected(state, nowMs);
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -22,7 +22,7 @@
   /** When a part was last read for a model, by model and part. */
   readonly parts: Map<string, number>;
   inFlight: number;
-  pendingTokens: number;
+  pendingMs: number;
   /** Steady time of the newest byte from it. */
   heardAtMs: number;
   avoidUntilMs: number;
@@ -34,6 +34,8 @@
   readonly service: string;
   readonly model: string | undefined;
   readonly promptTokens: number;
+  /** Time in which the model reads one token. */
+  readonly readMsPerToken: number;
   readonly parts: readonly ports.PromptPart[];
   readonly excluded: ReadonlySet<string>;
   readonly needsFresh: boolean;
@@ -152,9 +154,9 @@
     return pool === undefined ? undefined : this.#choose(pool, request);
   }
 
-  noteSent(state: ReplicaState, promptTokens: number): void {
+  noteSent(state: ReplicaState, readMs: number): void {
     state.inFlight += 1;
-    state.pendingTokens += promptTokens;
+    state.pendingMs += readMs;
   }
 
   /** The prompt is read: it delays others no more, and its parts are cached. */
@@ -163,11 +165,11 @@
     read: {
       readonly model: string | undefined;
       readonly parts: readonly ports.PromptPart[];
-      readonly promptTokens: number;
+      readonly readMs: number;
       readonly nowMs: number;
     },
   ): void {
-    state.pendingTokens = Math.max(0, state.pendingTokens - read.promptTokens);
+    state.pendingMs = Math.max(0, state.pendingMs - read.readMs);
     for (const part of read.parts) {
       const name = nameCached(read.model, part.id);
       state.parts.delete(name);
@@ -180,9 +182,10 @@
     }
   }
 
-  noteEnded(state: ReplicaState, unreadTokens: number): void {
+  /** Ends a send; `unreadMs` is what its prompt had left to be read. */
+  noteEnded(state: ReplicaState, unreadMs: number): void {
     state.inFlight = Math.max(0, state.inFlight - 1);
-    state.pendingTokens = Math.max(0, state.pendingTokens - unreadTokens);
+    state.pendingMs = Math.max(0, state.pendingMs - unreadMs);
   }
 
   noteBusy(state: ReplicaState, nowMs: number): void {
@@ -219,7 +222,7 @@
       health: new decisions.ReplicaHealth(),
       parts: new Map(),
       inFlight: 0,
-      pendingTokens: 0,
+      pendingMs: 0,
       heardAtMs: -Infinity,
       avoidUntilMs: -Infinity,
       isGone: false,
@@ -235,7 +238,7 @@
       id: state.entry.id,
       isLocal: state.entry.dataCentre === this.#options.dataCentre,
       inFlight: state.inFlight,
-      pendingTokens: state.pendingTokens,
+      pendingMs: state.pendingMs,
       slots: state.entry.slots,
       cachedTokens: this.#countCached(state, request),
       failureShare: state.health.failureShare,
@@ -244,6 +247,7 @@
     const affinity = findAffinityPart(request.parts);
     const chosen = decisions.chooseCandidate(candidates, {
       promptTokens: request.promptTokens,
+      readMsPerToken: request.readMsPerToken,
       affinityKey: affinity.key === undefined
         ? undefined
         : nameCached(request.model, affinity.key),
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -50,7 +50,7 @@
   readonly startedAtMs: number;
   headAtMs: number | undefined;
   newestAtMs: number;
-  unreadTokens: number;
+  isRead: boolean;
 }
 
 /** One request with a stream for an answer. */
@@ -129,7 +129,7 @@
       startedAtMs,
       headAtMs: undefined,
       newestAtMs: startedAtMs,
-      unreadTokens: this.#request.fields.promptTokens,
+      isRead: false,
     };
     const refusal = await new Promise<dispatchers.Refusal | undefined>(
       (resolve) => {
@@ -181,10 +181,10 @@
     table.noteRead(sent.state, {
       model: this.#model,
       parts: fields.promptParts,
-      promptTokens: current.unreadTokens,
+      readMs: sent.readMs,
       nowMs,
     });
-    current.unreadTokens = 0;
+    current.isRead = true;
     const { route, service } = this.#request;
     const pace = this.#dispatcher.pace(service);
     pace.record({
@@ -322,7 +322,7 @@
     const { table } = this.#dispatcher.parts;
     this.#sends += 1;
     this.#tried.add(state.entry.id);
-    table.noteEnded(state, current.unreadTokens);
+    table.noteEnded(state, current.isRead ? 0 : sent.readMs);
     if (result.type === "not-run") {
       table.noteBusy(state, nowMs);
       if (result.reason === "misdirected") table.noteMisdirected(state, nowMs);
