Silence ends no answer that could not go on elsewhere; roll-outs keep a margin to their limit

A silent attempt is now only ended where budget, a current view and another sound replica are there. Test: platform_stream_test 'silence ends no answer ...', red before (events 3 to 6 missing).

--- a/packages/bench/src/platform_stream_test.ts
+++ b/packages/bench/src/platform_stream_test.ts
@@ -135,6 +135,21 @@
     t.true(silent?.wasCancelled);
   }));
 
+test("silence ends no answer that could not go on elsewhere", (t) =>
+  withHarness(async (harness) => {
+    const llm = await harness.addReplica("i-1", "llm", () => ({
+      type: "stream",
+      events: 6,
+      confidence: 90,
+      pauseAfter: { events: 2, durationMs: 1_600 },
+    }));
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(listIds(got.body), ALL_IDS);
+    t.false(got.isCut);
+    t.is(llm.seen.length, 1);
+  }));
+
 test("a stream that cannot go on does not look complete", (t) =>
   withHarness(async (harness) => {
     await harness.addReplica("i-1", "llm", () => ({
--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -39,7 +39,7 @@
 /** Part of the duration at which every request has moved. */
 const MOVED_AT = 0.58;
 /** Part of the duration at which the old version is given up. */
-const COMPLETED_AT = 0.84;
+const COMPLETED_AT = 0.81;
 /** Share of the exposure bound that the trial uses. */
 const TRIAL_EXPOSURE = 0.6;
 
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -36,6 +36,11 @@
     /** Ends the connection within the event after so many. */
     readonly cutAfter?: number;
     readonly isSilentAfter?: number;
+    /** Pauses once after so many events, then goes on. */
+    readonly pauseAfter?: {
+      readonly events: number;
+      readonly durationMs: number;
+    };
   };
 
 /** A request as the replica saw it. */
@@ -224,6 +229,9 @@
       }
       if (answer.isSilentAfter === event - 1) return;
       response.write(text);
+      if (answer.pauseAfter?.events === event) {
+        await sleep(answer.pauseAfter.durationMs);
+      }
       await sleep(answer.gapMs ?? 1);
       if (response.destroyed) return;
     }
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -144,6 +144,22 @@
     );
   }
 
+  /** Whether a repeated send would find budget, a current view and another replica. */
+  canMove(
+    request: requests.AdmittedRequest,
+    excluded: ReadonlySet<string>,
+  ): boolean {
+    if (!this.mayRepeat(request.service)) return false;
+    if (this.checkFresh(request) !== undefined) return false;
+    const side = this.#chooseSide(request);
+    const { table } = this.parts;
+    return table.hasSound(request.service, {
+      excluded,
+      side,
+      nowMs: this.nowMs,
+    });
+  }
+
   /** Sends a request to the best replica left. */
   send(
     request: requests.AdmittedRequest,
@@ -156,13 +172,7 @@
     const nowMs = this.nowMs;
     const needsFresh = request.route.repeatRule === "non-idempotent";
     const { fields, service } = request;
-    const version = fields.session === undefined
-      ? undefined
-      : this.parts.sessions.find(service, fields.session, nowMs);
-    const side = this.parts.rollouts.chooseSide(service, {
-      version,
-      fraction: request.fraction,
-    });
+    const side = this.#chooseSide(request);
     const pace = this.pace(service);
     const pick = table.pick({
       service,
@@ -292,6 +302,15 @@
     });
   }
 
+  /** Which versions of its service a request may run on. */
+  #chooseSide(request: requests.AdmittedRequest): decisions.RolloutSide {
+    const { service, fields, fraction } = request;
+    const version = fields.session === undefined
+      ? undefined
+      : this.parts.sessions.find(service, fields.session, this.nowMs);
+    return this.parts.rollouts.chooseSide(service, { version, fraction });
+  }
+
   #findAccount(
     index: bundle.RouteIndex,
     route: bundle.Route,
--- a/packages/router/src/plain_exchange.ts
+++ b/packages/router/src/plain_exchange.ts
@@ -153,7 +153,11 @@
     return this.#watchdog.watch((nowMs) => {
       if (signal.aborted) return sent.attempt.cancel("the caller is gone");
       if (nowMs >= deadlineAtMs) return sent.attempt.cancel("deadline passed");
-      if (hasOthers && nowMs >= silentAtMs) sent.attempt.cancel("silent");
+      if (!hasOthers || nowMs < silentAtMs) return;
+      const excluded = new Set([...this.#tried, sent.state.entry.id]);
+      if (this.#dispatcher.canMove(this.#request, excluded)) {
+        sent.attempt.cancel("silent");
+      }
     }, signal);
   }
 
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -44,7 +44,7 @@
 }
 
 /** A chosen replica, with what decided it. */
-export interface Pick {
+export interface PickedReplica {
   readonly state: ReplicaState;
   readonly cachedTokens: number;
   readonly candidates: number;
@@ -79,6 +79,10 @@
   };
 }
 
+function isSound(state: ReplicaState, nowMs: number): boolean {
+  return !state.health.isOut(nowMs) && state.avoidUntilMs <= nowMs;
+}
+
 /** Table of the replicas of all services. */
 export class ReplicaTable {
   readonly #options: ReplicaTableOptions;
@@ -128,8 +132,20 @@
     this.#byService.get(state.entry.service)?.delete(state);
   }
 
+  /** Whether a sound replica is left that may be asked. */
+  hasSound(
+    service: string,
+    options: Pick<PlacementRequest, "excluded" | "side" | "nowMs">,
+  ): boolean {
+    return this.listService(service).some((state) =>
+      !options.excluded.has(state.entry.id) &&
+      !options.side.banned.includes(state.entry.version) &&
+      !state.pool.isFull && isSound(state, options.nowMs)
+    );
+  }
+
   /** Picks a replica on the wanted side of a roll-out, else on the other. */
-  pick(request: PlacementRequest): Pick | undefined {
+  pick(request: PlacementRequest): PickedReplica | undefined {
     const usable = this.listService(request.service).filter((state) =>
       !request.excluded.has(state.entry.id) &&
       !request.side.banned.includes(state.entry.version) &&
@@ -139,15 +155,12 @@
     const isPreferred = (state: ReplicaState) =>
       target === undefined ||
       (state.entry.version === target) === prefersTarget;
-    const isSound = (state: ReplicaState) =>
-      !state.health.isOut(request.nowMs) &&
-      state.avoidUntilMs <= request.nowMs;
     const preferred = usable.filter(isPreferred);
     const pools = [
-      preferred.filter(isSound),
+      preferred.filter((state) => isSound(state, request.nowMs)),
       // The version matters more than a moment of trouble: sessions keep theirs.
       preferred,
-      usable.filter(isSound),
+      usable.filter((state) => isSound(state, request.nowMs)),
       usable,
     ];
     const pool = pools.find((states) => states.length > 0);
@@ -232,7 +245,7 @@
   #choose(
     states: readonly ReplicaState[],
     request: PlacementRequest,
-  ): Pick | undefined {
+  ): PickedReplica | undefined {
     const candidates = states.map((state): Candidate => ({
       state,
       id: state.entry.id,
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -310,10 +310,18 @@
       const waitedMs = nowMs - current.newestAtMs;
       const isSilent = waitedMs > limitMs &&
         (isReplicaSilent || waitedMs > limitMs * MAX_GAPS);
-      if (isSilent) attempt?.cancel("silent");
+      // Silence alone ends no answer: it has to go on elsewhere.
+      if (isSilent && this.#canMoveFrom(current)) attempt?.cancel("silent");
     }, signal);
   }
 
+  #canMoveFrom(current: Try): boolean {
+    const id = current.sent?.state.entry.id;
+    const excluded = new Set(this.#tried);
+    if (id !== undefined) excluded.add(id);
+    return this.#dispatcher.canMove(this.#request, excluded);
+  }
+
   #learn(current: Try, result: TryResult): void {
     const { sent } = current;
     if (sent === undefined) return;
