--- a/packages/router/src/front.ts
+++ b/packages/router/src/front.ts
@@ -11,6 +11,7 @@
 import * as plain from "./plain_exchange.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
+import * as writers from "./response_writer.ts";
 import * as streams from "./stream_exchange.ts";
 import * as telemetry from "./telemetry.ts";
 import type * as watchdogs from "./watchdog.ts";
@@ -29,18 +30,6 @@
 const HTTP_BAD_REQUEST = 400;
 const HTTP_HEADERS_TOO_LARGE = 431;
 
-/** Headers of an answer that concern one connection only, or that are set anew. */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "transfer-encoding",
-  "content-length",
-  "trailer",
-  "upgrade",
-  "te",
-]);
-
 /** What the front works with. */
 export interface FrontOptions {
   readonly dispatcher: dispatchers.Dispatcher;
@@ -62,110 +51,6 @@
   }
 }
 
-function listPassedHeaders(rawHeaders: readonly string[]): string[] {
-  const named = new Set<string>();
-  for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
-    if ((rawHeaders[at] as string).toLowerCase() !== "connection") continue;
-    for (const name of (rawHeaders[at + 1] as string).split(",")) {
-      named.add(name.trim().toLowerCase());
-    }
-  }
-  const passed: string[] = [];
-  for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
-    const name = (rawHeaders[at] as string).toLowerCase();
-    if (CONNECTION_HEADERS.has(name) || named.has(name)) continue;
-    passed.push(rawHeaders[at] as string, rawHeaders[at + 1] as string);
-  }
-  return passed;
-}
-
-/** Writes one answer to a caller. */
-class ResponseWriter implements requests.AnswerWriter {
-  readonly #response: http.ServerResponse;
-  readonly #codec: ports.MessageCodec;
-  readonly #isClosing: () => boolean;
-
-  constructor(
-    response: http.ServerResponse,
-    codec: ports.MessageCodec,
-    isClosing: () => boolean,
-  ) {
-    this.#response = response;
-    this.#codec = codec;
-    this.#isClosing = isClosing;
-  }
-
-  get isStarted(): boolean {
-    return this.#response.headersSent;
-  }
-
-  start(status: number, rawHeaders: readonly string[]): void {
-    this.#writeHead(status, listPassedHeaders(rawHeaders));
-  }
-
-  write(chunk: Buffer): boolean {
-    return this.#response.write(chunk);
-  }
-
-  onDrain(callback: () => void): void {
-    this.#response.once("drain", callback);
-  }
-
-  end(): void {
-    this.#response.end();
-  }
-
-  answer(
-    status: number,
-    rawHeaders: readonly string[],
-    body: Buffer,
-    isFramed: boolean,
-  ): void {
-    const headers = listPassedHeaders(rawHeaders);
-    if (isFramed) headers.push("content-length", String(body.length));
-    else {
-      // A length would vouch for a body that the replica may have cut.
-      this.#response.useChunkedEncodingByDefault = false;
-      this.#response.shouldKeepAlive = false;
-    }
-    this.#writeHead(status, headers);
-    this.#response.end(body);
-  }
-
-  abort(): void {
-    this.#response.destroy();
-  }
-
-  refuse(error: kernel.AppError, retryAfterMs?: number): void {
-    if (this.#response.headersSent || this.#response.destroyed) return;
-    const { status, notRun, retry } = kernel.findAnswer(error.kind);
-    const body = JSON.stringify({
-      error: {
-        type: error.kind,
-        message: error.message,
-        not_run: notRun,
-        retry,
-      },
-    });
-    const headers = [
-      "content-type",
-      "application/json",
-      "content-length",
-      String(Buffer.byteLength(body)),
-    ];
-    if (retryAfterMs !== undefined) {
-      headers.push(...this.#codec.encodeRetryAfter(retryAfterMs));
-    }
-    this.#writeHead(status, headers);
-    this.#response.end(body);
-  }
-
-  #writeHead(status: number, headers: string[]): void {
-    if (this.#isClosing()) headers.push("connection", "close");
-    this.#response.writeHead(status, headers);
-  }
-}
-
 /** The listener. */
 export class Front {
   readonly #options: FrontOptions;
@@ -248,7 +133,7 @@
     });
     // A broken connection shows as its end; the write error adds nothing.
     response.on("error", () => gone.abort());
-    const writer = new ResponseWriter(
+    const writer = new writers.ResponseWriter(
       response,
       this.#options.codec,
       () => this.#isClosing,
@@ -275,7 +160,7 @@
 
   async #exchange(
     incoming: requests.IncomingRequest,
-    writer: ResponseWriter,
+    writer: requests.AnswerWriter,
   ): Promise<
     { readonly route: string; readonly outcome: requests.RequestOutcome }
   > {
@@ -360,7 +245,7 @@
 
   #refuseUnread(
     thrown: unknown,
-    writer: ResponseWriter,
+    writer: requests.AnswerWriter,
     request: http.IncomingMessage,
   ): requests.RequestOutcome {
     const reason = kernel.describeThrown(thrown);
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -11,6 +11,7 @@
 import type * as dispatchers from "./dispatcher.ts";
 import * as splitting from "./event_splitter.ts";
 import type * as requests from "./request.ts";
+import * as tries from "./stream_try.ts";
 import type * as watchdogs from "./watchdog.ts";
 
 /** Wait for the first event, beyond which a silent replica is given up. */
@@ -27,32 +28,6 @@
 const FULL_RETRY_MS = 300;
 const MAX_FAILURE_BODY_BYTES = 65_536;
 
-/** How one attempt ended. */
-type TryResult =
-  | { readonly type: "complete" }
-  | { readonly type: "escalate"; readonly model: string }
-  | {
-    readonly type: "failed";
-    readonly head: attempts.AnswerHead;
-    readonly body: Buffer;
-  }
-  | { readonly type: "not-run"; readonly reason: string }
-  | { readonly type: "lost"; readonly reason: string };
-
-/** One attempt's state. */
-interface Try {
-  sent: dispatchers.Sent | undefined;
-  verdict: check.HeadVerdict | undefined;
-  head: attempts.AnswerHead | undefined;
-  result: TryResult | undefined;
-  readonly splitter: splitting.EventSplitter;
-  readonly body: Buffer[];
-  readonly startedAtMs: number;
-  headAtMs: number | undefined;
-  newestAtMs: number;
-  isRead: boolean;
-}
-
 /** One request with a stream for an answer. */
 export class StreamExchange {
   readonly #dispatcher: dispatchers.Dispatcher;
@@ -86,7 +61,7 @@
   }
 
   async run(): Promise<requests.RequestOutcome> {
-    let last: TryResult | undefined;
+    let last: tries.TryResult | undefined;
     for (;;) {
       const tried = await this.#try();
       if (tried.type === "refused") return this.#refuse(tried.refusal, last);
@@ -104,7 +79,7 @@
     }
   }
 
-  #canSendAgain(result: TryResult): boolean {
+  #canSendAgain(result: tries.TryResult): boolean {
     const { route, deadlineAtMs, service } = this.#request;
     if (this.#dispatcher.nowMs >= deadlineAtMs) return false;
     if (!this.#dispatcher.mayRepeat(service)) return false;
@@ -115,11 +90,11 @@
   }
 
   async #try(): Promise<
-    | { readonly type: "tried"; readonly result: TryResult }
+    | { readonly type: "tried"; readonly result: tries.TryResult }
     | { readonly type: "refused"; readonly refusal: dispatchers.Refusal }
   > {
     const startedAtMs = this.#dispatcher.nowMs;
-    const current: Try = {
+    const current: tries.Try = {
       sent: undefined,
       verdict: undefined,
       head: undefined,
@@ -143,7 +118,10 @@
           onData: (chunk) => this.#takeData(current, chunk),
           onEnd: (end) => {
             stopWatch?.();
-            current.result ??= this.#judgeEnd(current, end);
+            current.result ??= tries.judgeEnd(current, end);
+            if (current.result.type === "complete" && current.head) {
+              this.#startAnswer(current.head);
+            }
             resolve(undefined);
           },
         });
@@ -156,12 +134,12 @@
       },
     );
     if (refusal !== undefined) return { type: "refused", refusal };
-    const result = current.result as TryResult;
+    const result = current.result as tries.TryResult;
     this.#learn(current, result);
     return { type: "tried", result };
   }
 
-  #takeHead(current: Try, head: attempts.AnswerHead): void {
+  #takeHead(current: tries.Try, head: attempts.AnswerHead): void {
     const { nowMs } = this.#dispatcher;
     const { codec, table } = this.#dispatcher.parts;
     const { sent } = current;
@@ -231,7 +209,7 @@
     });
   }
 
-  #takeData(current: Try, chunk: Buffer): void {
+  #takeData(current: tries.Try, chunk: Buffer): void {
     const { nowMs } = this.#dispatcher;
     const { sent, head } = current;
     if (sent === undefined || head === undefined) return;
@@ -266,32 +244,8 @@
     );
   }
 
-  #judgeEnd(current: Try, end: attempts.AttemptEnd): TryResult {
-    if (end.type === "unsent") return { type: "not-run", reason: end.reason };
-    const { verdict, head } = current;
-    if (verdict === "not-run" || verdict === "misdirected") {
-      const reason = verdict === "misdirected"
-        ? verdict
-        : "refused by the replica";
-      return { type: "not-run", reason };
-    }
-    if (end.type === "lost") return { type: "lost", reason: end.reason };
-    if (head === undefined) return { type: "lost", reason: "no answer" };
-    if (verdict === "failure") {
-      return { type: "failed", head, body: Buffer.concat(current.body) };
-    }
-    if (current.splitter.hasPartialEvent) {
-      return { type: "lost", reason: "the stream ended within an event" };
-    }
-    if (!head.isFramed) {
-      return { type: "lost", reason: "the connection's end may be a cut" };
-    }
-    this.#startAnswer(head);
-    return { type: "complete" };
-  }
-
   /** Ends an attempt that is silent, late, or whose caller is gone. */
-  #watch(current: Try): () => void {
+  #watch(current: tries.Try): () => void {
     const { route, deadlineAtMs, signal, fields } = this.#request;
     const firstEventMs = FIRST_EVENT_OBJECTIVES * route.targetLatencyMs +
       fields.promptTokens / PROMPT_TOKENS_PER_MS;
@@ -315,14 +269,14 @@
     }, signal);
   }
 
-  #canMoveFrom(current: Try): boolean {
+  #canMoveFrom(current: tries.Try): boolean {
     const id = current.sent?.state.entry.id;
     const excluded = new Set(this.#tried);
     if (id !== undefined) excluded.add(id);
     return this.#dispatcher.canMove(this.#request, excluded);
   }
 
-  #learn(current: Try, result: TryResult): void {
+  #learn(current: tries.Try, result: tries.TryResult): void {
     const { sent } = current;
     if (sent === undefined) return;
     const { state } = sent;
@@ -349,9 +303,9 @@
   }
 
   #learnRun(
-    current: Try,
+    current: tries.Try,
     sent: dispatchers.Sent,
-    result: TryResult,
+    result: tries.TryResult,
   ): void {
     const { nowMs } = this.#dispatcher;
     const { health } = sent.state;
@@ -379,7 +333,7 @@
 
   #refuse(
     refusal: dispatchers.Refusal,
-    last: TryResult | undefined,
+    last: tries.TryResult | undefined,
   ): requests.RequestOutcome {
     const hasRun = this.#runs > 0;
     if (hasRun && last !== undefined) return this.#fail(last);
@@ -387,7 +341,7 @@
     return { outcome: refusal.error.kind, reason: refusal.error.message };
   }
 
-  #fail(result: TryResult): requests.RequestOutcome {
+  #fail(result: tries.TryResult): requests.RequestOutcome {
     const reason = "reason" in result ? result.reason : result.type;
     if (this.#writer.isStarted) {
       this.#writer.abort();
