--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -9,6 +9,7 @@
 import * as bundle from "@jackdawbank/bundle";
 import * as hdr from "hdr-histogram-js";
 import * as callers from "./caller.ts";
+import * as platformDemo from "./demo_platform.ts";
 import * as deployments from "./deployment.ts";
 import * as processes from "./processes.ts";
 
@@ -68,6 +69,9 @@
     await this.#checkRuns(acceptedAtMs);
     await this.#showTimeline();
     await this.#stopAll();
+    for (const violation of await platformDemo.showPlatform(say)) {
+      this.#check(false, violation);
+    }
     return this.#report();
   }
 
--- /dev/null
+++ b/packages/bench/src/demo_platform.ts
@@ -0,0 +1,130 @@
+/**
+ * The demonstration's second part: an entry as it runs on the users' platform,
+ * a process of its own before stand-ins of the platform's store and replicas.
+ */
+import * as fs from "node:fs";
+import * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as fakes from "@jackdawbank/fakes";
+import * as callers from "./platform_caller.ts";
+import * as samples from "./platform_sample.ts";
+import * as processes from "./processes.ts";
+
+const ROUNDS = 20;
+const EVENTS = 6;
+/** A key that was taken away is refused after this, with the watch's pause in it. */
+const REVOKED_WITHIN_MS = 2_000;
+
+async function findFreePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return port;
+}
+
+/** Runs the part and returns what did not hold. */
+export async function showPlatform(
+  say: (text: string) => void,
+): Promise<readonly string[]> {
+  const violations: string[] = [];
+  const check = (isMet: boolean, what: string) => {
+    if (!isMet) violations.push(`platform: ${what}`);
+  };
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "jackdaw-platform-"));
+  const store = new fakes.FakeKvStore();
+  const storePort = await store.listen();
+  const desks = [1, 2].map((number) =>
+    new fakes.FakeReplica(`desk-${number}`, () => ({ type: "ok" }))
+  );
+  const engines = [1, 2].map((number) =>
+    new fakes.FakeReplica(`engine-${number}`, (seen, count) => ({
+      type: "stream",
+      events: EVENTS,
+      confidence: samples.isSmallModel(seen) && count % 2 === 0 ? 10 : 90,
+      ...(count === 3 ? { cutAfter: 2 } : {}),
+    }))
+  );
+  const register = async (service: string, replica: fakes.FakeReplica) => {
+    await replica.listen();
+    store.put(`servers/${replica.id}`, replica.describe(service));
+  };
+  for (const replica of desks) await register("desk", replica);
+  for (const replica of engines) await register("llm", replica);
+  store.put("op/config", samples.buildConfiguration());
+  const ports = {
+    callers: await findFreePort(),
+    readiness: await findFreePort(),
+  };
+  const settingsPath = path.join(folder, "settings.toml");
+  fs.writeFileSync(
+    settingsPath,
+    samples.renderSettings({ ...ports, store: storePort }),
+  );
+  const entry = await processes.TestProcess.start(
+    "platform-entry",
+    "jackdawd",
+    ["platform-entry"],
+    samples.buildEnvironment(settingsPath),
+  );
+  try {
+    const caller = new callers.PlatformCaller(() => ports.callers);
+    await processes.waitFor("the entry on the platform is ready", async () => {
+      const answer = await caller.call(samples.ROUTES.check).catch(() =>
+        undefined
+      );
+      return answer?.status === 200;
+    });
+    let escalated = 0;
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const order = await caller.call(samples.ROUTES.order, {
+        method: "POST",
+        body: "1",
+      });
+      check(order.status === 200, `an order was answered ${order.status}`);
+      const draft = await caller.call(samples.ROUTES.draft, samples.DRAFT);
+      const ids = callers.listEventIds(draft.body);
+      check(
+        !draft.isCut && ids.length === EVENTS,
+        `a draft had events ${ids.join()}`,
+      );
+    }
+    escalated = engines.flatMap((engine) => engine.seen)
+      .filter((seen) => !samples.isSmallModel(seen)).length;
+    check(escalated > 0, "no draft was asked of the larger model");
+    const orders = desks.flatMap((desk) => desk.seen)
+      .filter((seen) => seen.method === "POST").length;
+    check(orders === ROUNDS, `${ROUNDS} orders ran ${orders} times`);
+    store.put(
+      "op/config",
+      samples.buildConfiguration({
+        version: 2,
+        tenants: [
+          { name: samples.ACCOUNT, apiKeys: [] },
+        ],
+      }),
+    );
+    const revokedAtMs = Date.now();
+    await processes.waitFor(
+      "the key that was taken away is refused",
+      async () => (await caller.call(samples.ROUTES.check)).status === 401,
+    );
+    check(
+      Date.now() - revokedAtMs < REVOKED_WITHIN_MS,
+      "a key was served for too long",
+    );
+    const code = await entry.stop();
+    check(code === 0, `the entry ended with ${code}`);
+    say(
+      `on the platform: ${ROUNDS} orders once each, ${ROUNDS} drafts whole ` +
+        `(${escalated} by the larger model), a key taken away, the entry ended`,
+    );
+  } finally {
+    await entry.kill();
+    for (const replica of [...desks, ...engines]) await replica.close();
+    await store.close();
+    fs.rmSync(folder, { recursive: true });
+  }
+  return violations;
+}
--- /dev/null
+++ b/packages/bench/src/platform_caller.ts
@@ -0,0 +1,83 @@
+/** A caller on the platform: one request a connection unless an agent is given. */
+import * as http from "node:http";
+import * as samples from "./platform_sample.ts";
+
+/** A caller's whole answer. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** The connection broke before the answer's end. */
+  readonly isCut: boolean;
+}
+
+/** How to call. */
+export interface CallOptions {
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /** Given as undefined, no key is sent. */
+  readonly key?: string | undefined;
+  readonly signal?: AbortSignal;
+  readonly agent?: http.Agent;
+}
+
+/** Ids of the events of a stream's body, in order. */
+export function listEventIds(body: string): readonly number[] {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+}
+
+/** Sends requests, each with an attempt id of its own. */
+export class PlatformCaller {
+  readonly #findPort: () => number;
+  #attempts = 0;
+
+  constructor(findPort: () => number) {
+    this.#findPort = findPort;
+  }
+
+  /** Sends a request as a caller does. */
+  call(
+    path: string,
+    options: CallOptions = {},
+  ): Promise<CallerAnswer> {
+    this.#attempts += 1;
+    const key = "key" in options ? options.key : samples.KEY;
+    const request = http.request({
+      host: "127.0.0.1",
+      port: this.#findPort(),
+      path,
+      method: options.method ?? "GET",
+      agent: options.agent ?? false,
+      ...(options.signal === undefined ? {} : { signal: options.signal }),
+      headers: {
+        host: samples.HOST,
+        "x-jackdawbank-attempt-id": `attempt-${this.#attempts}`,
+        "x-jackdawbank-deadline-ms": "5000",
+        ...(key === undefined ? {} : { authorization: `Token ${key}` }),
+        ...options.headers,
+      },
+    });
+    request.end(options.body);
+    return collect(request);
+  }
+}
+
+function collect(request: http.ClientRequest): Promise<CallerAnswer> {
+  return new Promise((resolve, reject) => {
+    request.on("error", reject);
+    request.on("response", (response) => {
+      let body = "";
+      response.setEncoding("utf8");
+      response.on("data", (text: string) => body += text);
+      response.on("error", () => {});
+      response.on("close", () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body,
+          isCut: !response.complete,
+        }));
+    });
+  });
+}
--- /dev/null
+++ b/packages/bench/src/platform_sample.ts
@@ -0,0 +1,141 @@
+/** A small installation in the platform's own format: configuration, settings, a prompt. */
+import type * as fakes from "@jackdawbank/fakes";
+
+export const HOST = "shop.example";
+export const KEY = "key-of-lodge";
+export const ACCOUNT = "lodge";
+
+/** Routes of the harness, by what may be repeated. */
+export const ROUTES = {
+  order: "/order/",
+  check: "/check/",
+  draft: "/draft/",
+  open: "/open/",
+} as const;
+
+/** The operator's configuration in the platform's format. */
+export function buildConfiguration(
+  overrides: Readonly<Record<string, unknown>> = {},
+): Readonly<Record<string, unknown>> {
+  const shared = { hostname: HOST, priority: 0, public: false };
+  return {
+    version: 1,
+    routes: [
+      {
+        ...shared,
+        name: "order",
+        pathPrefix: ROUTES.order,
+        type: "non_idempotent",
+        service: "desk",
+        timeoutMs: 800,
+        targetLatencyMs: 150,
+        maxAttempts: 1,
+      },
+      {
+        ...shared,
+        name: "check",
+        pathPrefix: ROUTES.check,
+        type: "idempotent",
+        service: "desk",
+        timeoutMs: 800,
+        targetLatencyMs: 150,
+        maxAttempts: 2,
+      },
+      {
+        ...shared,
+        name: "draft",
+        pathPrefix: ROUTES.draft,
+        type: "streaming",
+        service: "llm",
+        timeoutMs: 5_000,
+        targetLatencyMs: 500,
+        maxAttempts: 3,
+        sizes: ["small", "large"],
+        sessionAffinity: true,
+        streamResume: true,
+        gapTargetMs: 400,
+      },
+      {
+        ...shared,
+        name: "open",
+        pathPrefix: ROUTES.open,
+        type: "idempotent",
+        service: "desk",
+        timeoutMs: 800,
+        targetLatencyMs: 150,
+        maxAttempts: 2,
+        public: true,
+      },
+    ],
+    services: [
+      { name: "desk", healthPath: "/healthz", maxConnections: 96 },
+      {
+        name: "llm",
+        healthPath: "/healthz",
+        maxConnections: 230,
+        engine: {
+          slots: 8,
+          kvCapacity: 100_000,
+          models: [{ name: "small", cost: 0.02 }, { name: "large", cost: 0.3 }],
+        },
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 8_192,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: [{ name: ACCOUNT, apiKeys: [KEY], priority: 1 }],
+    ...overrides,
+  };
+}
+
+/** A request whose model is left to the system. */
+export const DRAFT = {
+  method: "POST",
+  body: "prompt",
+  headers: {
+    "x-jackdawbank-model": "*",
+    "x-jackdawbank-token-usage": "600,80",
+    "x-jackdawbank-prefix-hash": "a1:100,b2:400,c3:100",
+  },
+} as const;
+
+export function isSmallModel(seen: fakes.SeenRequest): boolean {
+  return seen.headers["x-jackdawbank-model"] === "small";
+}
+
+/** The environment that names a settings file. */
+export function buildEnvironment(
+  settingsPath: string,
+): Readonly<Record<string, string>> {
+  return { JACKDAWBANK_NODE_FILE: settingsPath };
+}
+
+/** A settings file as the platform writes it. */
+export function renderSettings(ports: {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly store: number;
+}): string {
+  return `
+nodeName = "edge-1"
+ip = "127.0.0.1"
+zone = "a"
+[listen]
+frontend = "127.0.0.1:${ports.callers}"
+readiness = "127.0.0.1:${ports.readiness}"
+[bounds]
+drainMs = 2000
+graceS = 4
+revokeMs = 5000
+strictRevocation = true
+retryBudgetRatio = 0.9
+retryWindowS = 10
+retrySlack = 500
+exposureShare = 0.15
+[platform]
+address = "127.0.0.1:${ports.store}"
+`;
+}
