--- a/packages/bench/src/platform_control_test.ts
+++ b/packages/bench/src/platform_control_test.ts
@@ -298,3 +298,37 @@
     t.is(bad.seen.length, 0);
     t.is(harness.store.read("status/rollout/desk"), undefined);
   }));
+
+test("a session that goes on at another entry keeps its version in the first half", (t) =>
+  withHarness(async (harness) => {
+    // Known red: entries do not tell each other which sessions run on the old version.
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start({ exposureShare: 1 });
+    const other = new harnesses.PlatformHarness(harness.store);
+    await other.startRouter({ exposureShare: 1 });
+    await other.waitFor(() => other.router.isReady);
+    const sessions = Array.from({ length: 60 }, (_, at) => `session-${at}`);
+    const callAt = (at: harnesses.PlatformHarness, session: string) =>
+      at.call(ROUTES.check, { headers: { session } });
+    for (const session of sessions) await callAt(harness, session);
+    const fresh = await harness.addReplica(
+      "i-2",
+      "desk",
+      () => ({ type: "ok" }),
+      { version: "v2" },
+    );
+    harness.store.put("op/rollout/desk", {
+      service: "desk",
+      target: "v2",
+      durationS: 20,
+    });
+    for (const entry of [harness, other]) {
+      await entry.waitFor(() => entry.listLog("rollout.known").length > 0);
+    }
+    for (const session of sessions) await callAt(other, session);
+    await other.router.close();
+    t.true(
+      fresh.seen.length <= 3,
+      `${fresh.seen.length} sessions changed sides`,
+    );
+  }));
--- a/packages/bench/src/platform_request_test.ts
+++ b/packages/bench/src/platform_request_test.ts
@@ -1,5 +1,7 @@
 /** The way of a request on the platform: headers, repeats, whole answers, limits. */
 import * as ava from "ava";
+import { once } from "node:events";
+import * as net from "node:net";
 import * as harnesses from "./platform_harness.ts";
 
 const { ROUTES, ACCOUNT, KEY } = harnesses;
@@ -243,6 +245,30 @@
     t.pass();
   }));
 
+test("a request whose caller left before it was read goes to nobody", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    await harness.start();
+    const text = `GET ${ROUTES.check} HTTP/1.1\r\nhost: ${harnesses.HOST}\r\n` +
+      `authorization: Token ${KEY}\r\nx-jackdawbank-attempt-id: left\r\n\r\n`;
+    const callers = Array.from(
+      { length: 5 },
+      () => net.connect(harness.ports.callers, "127.0.0.1"),
+    );
+    await Promise.all(callers.map((caller) => once(caller, "connect")));
+    for (const caller of callers) caller.end(text);
+    // The process is busy while the requests and their connections' ends arrive.
+    const busyUntilMs = Date.now() + 300;
+    while (Date.now() < busyUntilMs);
+    await harness.waitFor(() => harness.listLog("request.ended").length >= 5);
+    t.is(desk.seen.length, 0);
+    for (const caller of callers) caller.destroy();
+  }));
+
 test("smuggled, oversize and malformed requests are answered and not passed on", (t) =>
   withHarness(async (harness) => {
     const desk = await harness.addReplica(
--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -40,8 +40,8 @@
 const MOVED_AT = 0.58;
 /** Part of the duration at which the old version is given up. */
 const COMPLETED_AT = 0.81;
-/** Share of the exposure bound that the trial uses. */
-const TRIAL_EXPOSURE = 0.6;
+/** Share of the exposure bound that the trial uses; sessions that go on at another entry may change sides. */
+const TRIAL_EXPOSURE = 0.25;
 
 /** The first record of an order. */
 export function startRollout(
--- a/packages/fakes/src/kv_store.ts
+++ b/packages/fakes/src/kv_store.ts
@@ -60,6 +60,10 @@
     await new Promise<void>((resolve) =>
       this.#server.listen(0, "127.0.0.1", resolve)
     );
+    return this.port;
+  }
+
+  get port(): number {
     return (this.#server.address() as net.AddressInfo).port;
   }
 
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -228,6 +228,7 @@
       candidates: pick.candidates,
       cachedTokens: pick.cachedTokens,
       inFlight: state.inFlight,
+      session: fields.session,
       rolloutTarget: side.target,
       tableRevision: this.parts.control.index?.table.revision,
       viewAgeMs: Math.round(this.parts.control.ageMs),
--- a/packages/router/src/front.ts
+++ b/packages/router/src/front.ts
@@ -27,6 +27,8 @@
 };
 /** How often the listener looks for connections that are too slow. */
 const SLOW_CHECK_INTERVAL_MS = 500;
+/** Turns of the event loop after which a connection's end that came with its request is known. */
+const TURNS_FOR_END = 2;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_HEADERS_TOO_LARGE = 431;
 
@@ -51,6 +53,17 @@
   }
 }
 
+/**
+ * Lets the connection's end be read: a process that was slow reads a request
+ * and, one turn of its event loop later, that the caller has left meanwhile.
+ */
+async function hasLeft(signal: AbortSignal): Promise<boolean> {
+  for (let turn = 0; turn < TURNS_FOR_END && !signal.aborted; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  return signal.aborted;
+}
+
 /** The listener. */
 export class Front {
   readonly #options: FrontOptions;
@@ -131,6 +144,7 @@
       if (!socket.destroyed) this.#idle.add(socket);
       if (!response.writableFinished) gone.abort();
     });
+    request.once("aborted", () => gone.abort());
     // A broken connection shows as its end; the write error adds nothing.
     response.on("error", () => gone.abort());
     const writer = new writers.ResponseWriter(
@@ -149,6 +163,15 @@
         receivedAtMs,
         signal: gone.signal,
       });
+      if (await hasLeft(incoming.signal)) {
+        this.#report(
+          requestId,
+          route,
+          { outcome: "caller-gone" },
+          receivedAtMs,
+        );
+        return;
+      }
       const exchanged = await this.#exchange(incoming, writer);
       outcome = exchanged.outcome;
       route = exchanged.route;
