--- a/packages/jackdawd/src/main.ts
+++ b/packages/jackdawd/src/main.ts
@@ -4,7 +4,7 @@
 import * as commander from "commander";
 import type * as neverthrow from "neverthrow";
 import * as daemons from "./daemon.ts";
-import * as platformEntry from "./platform_entry.ts";
+import * as platformCommand from "./platform_command.ts";
 import * as settings from "./settings.ts";
 
 const EXIT_FAILURE = 1;
@@ -70,5 +70,13 @@
     run(settings.checkUpstreamSettings(options), daemons.startUpstream)
   ),
 );
-program.addCommand(platformEntry.createPlatformEntryCommand());
+program.addCommand(
+  platformCommand.createPlatformEntryCommand().action(
+    async (options: { readonly metrics?: string }) => {
+      // Loaded on demand: the other roles start without it.
+      const platformEntry = await import("./platform_entry.ts");
+      await platformEntry.runPlatformEntry(options);
+    },
+  ),
+);
 await program.parseAsync();
--- a/packages/jackdawd/src/platform_entry.ts
+++ b/packages/jackdawd/src/platform_entry.ts
@@ -2,7 +2,6 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as platform from "@jackdawbank/platform";
 import * as router from "@jackdawbank/router";
-import * as commander from "commander";
 import * as neverthrow from "neverthrow";
 
 /** The settings file may change without a signal. */
@@ -110,11 +109,3 @@
     process.exit(EXIT_FAILURE);
   }
 }
-
-/** The command that runs an entry on the platform. */
-export function createPlatformEntryCommand(): commander.Command {
-  return new commander.Command("platform-entry")
-    .description("run an entry whose settings come from the platform's file")
-    .option("--metrics <port/path>", "where metrics are served as text")
-    .action((options: PlatformEntryOptions) => runPlatformEntry(options));
-}
