--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -1,6 +1,7 @@
 /** One send of a request to one replica, over a connection of its own. */
 import type * as undici from "undici";
 import type * as connections from "./connections.ts";
+import * as headerViews from "./header_view.ts";
 import type * as ports from "./ports.ts";
 
 /** A connection that is not there by then is given up: nothing was sent. */
@@ -40,17 +41,6 @@
   onEnd(end: AttemptEnd): void;
 }
 
-function toHeaderView(
-  headers: Readonly<Record<string, string | string[] | undefined>>,
-): ports.HeaderView {
-  return Object.fromEntries(
-    Object.entries(headers).map(([name, value]) => [
-      name,
-      Array.isArray(value) ? value.join(",") : value,
-    ]),
-  );
-}
-
 /** Headers in the form that undici gives them, as text. */
 function listRawHeaders(
   controller: undici.Dispatcher.DispatchController,
@@ -129,7 +119,7 @@
           if (this.#isOver || status < 200) return;
           this.#listener.onHead({
             status,
-            headers: toHeaderView(headers),
+            headers: headerViews.joinHeaders(headers),
             rawHeaders: listRawHeaders(controller),
             isFramed: headers["content-length"] !== undefined ||
               headers["transfer-encoding"] !== undefined,
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -88,7 +88,6 @@
   /** Closes a connection at once, whatever it is doing. */
   drop(connection: Connection): void {
     this.#forget(connection.client);
-    void connection.client.destroy();
   }
 
   /** Closes what is idle; busy connections end with their requests. */
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -29,7 +29,6 @@
 export interface ControlListener {
   onReplica(replica: ports.ReplicaEntry): void;
   onReplicaGone(id: string): void;
-  onRollouts(): void;
   onTable(index: bundle.RouteIndex): void;
 }
 
@@ -109,7 +108,6 @@
         reason,
       });
     }
-    this.#options.listener.onRollouts();
   }
 
   async close(): Promise<void> {
@@ -244,7 +242,6 @@
       durationMs: order.durationMs,
       orderRevision: order.revision,
     });
-    this.#options.listener.onRollouts();
   }
 
   #takeReplica(replica: ports.ReplicaEntry): void {
--- a/packages/router/src/front.ts
+++ b/packages/router/src/front.ts
@@ -8,6 +8,7 @@
 import type * as control from "./control_task.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import type * as logs from "./decision_log.ts";
+import * as headerViews from "./header_view.ts";
 import * as plain from "./plain_exchange.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
@@ -152,13 +153,19 @@
       this.#options.codec,
       () => this.#isClosing,
     );
-    const requestId = this.#nameRequest(request);
+    const fields = this.#options.codec.decodeRequest(
+      headerViews.joinHeaders(request.headers),
+      request.rawHeaders,
+    );
+    this.#count += 1;
+    const requestId = fields.attemptId ?? `unnamed-${this.#count}`;
     let outcome: requests.RequestOutcome;
     let route = "none";
     try {
       const body = await this.#readBody(request);
       const incoming = this.#build(request, {
         requestId,
+        fields,
         body,
         receivedAtMs,
         signal: gone.signal,
@@ -210,18 +217,11 @@
     return { route: route.name, outcome: await exchange.run() };
   }
 
-  #nameRequest(request: http.IncomingMessage): string {
-    this.#count += 1;
-    const { codec } = this.#options;
-    const { attemptId } = codec.decodeRequest(joinHeaders(request.headers), []);
-    return attemptId ?? `unnamed-${this.#count}`;
-  }
-
   #build(
     request: http.IncomingMessage,
     rest: Pick<
       requests.IncomingRequest,
-      "requestId" | "body" | "receivedAtMs" | "signal"
+      "requestId" | "fields" | "body" | "receivedAtMs" | "signal"
     >,
   ): requests.IncomingRequest {
     const target = request.url ?? "";
@@ -234,10 +234,6 @@
       method: request.method ?? "GET",
       target,
       hostName: host.replace(/:\d+$/, "").toLowerCase(),
-      fields: this.#options.codec.decodeRequest(
-        joinHeaders(request.headers),
-        request.rawHeaders,
-      ),
     };
   }
 
@@ -274,7 +270,7 @@
     const reason = kernel.describeThrown(thrown);
     if (thrown instanceof ReadFailure) {
       // The rest of the request is not read: the connection cannot go on.
-      this.#closeAfter(request);
+      setImmediate(() => request.socket.end());
       writer.refuse(kernel.makeError(thrown.kind, reason));
       return { outcome: thrown.kind, reason };
     }
@@ -286,11 +282,6 @@
     return { outcome: "internal", reason };
   }
 
-  #closeAfter(request: http.IncomingMessage): void {
-    request.socket.once("drain", () => {});
-    setImmediate(() => request.socket.end());
-  }
-
   #report(
     requestId: string,
     route: string,
@@ -334,12 +325,3 @@
     );
   }
 }
-
-function joinHeaders(headers: http.IncomingHttpHeaders): ports.HeaderView {
-  return Object.fromEntries(
-    Object.entries(headers).map(([name, value]) => [
-      name,
-      Array.isArray(value) ? value.join(",") : value,
-    ]),
-  );
-}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -77,7 +77,6 @@
       listener: {
         onReplica: (entry) => this.#table.put(entry),
         onReplicaGone: (id) => this.#table.remove(id),
-        onRollouts: () => {},
         onTable: (index) => {
           this.#table.takeServices(index.serviceByName);
           this.#front.applyLimits();
