--- a/packages/bench/src/platform_control_test.ts
+++ b/packages/bench/src/platform_control_test.ts
@@ -1,6 +1,7 @@
 /** What the platform's store tells a router, in good and bad times; and the router's own end. */
 import * as ava from "ava";
 import * as http from "node:http";
+import * as kernel from "@jackdawbank/kernel";
 import * as harnesses from "./platform_harness.ts";
 
 const { ROUTES, ACCOUNT } = harnesses;
@@ -217,12 +218,14 @@
       target: "v2",
     });
     await harness.waitFor(() => harness.listLog("rollout.known").length > 0);
+    // The trial begins once all entries can know of the order.
     for (
       let call = 0;
-      call < 300 && harness.listLog("rollout.known").length < 2;
+      call < 900 && harness.listLog("rollout.known").length < 2;
       call += 1
     ) {
       await harness.call(ROUTES.order, { method: "POST", body: "1" });
+      await kernel.sleep(5);
     }
     t.like(harness.store.read("status/rollout/desk") as object, {
       state: "rolled_back",
@@ -299,36 +302,103 @@
     t.is(harness.store.read("status/rollout/desk"), undefined);
   }));
 
+/** Two entries of one installation, an old replica, and sessions known to the first. */
+async function bearSessions(harness: harnesses.PlatformHarness) {
+  await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+  await harness.start({ exposureShare: 1 });
+  const other = new harnesses.PlatformHarness(harness.store, "edge-2");
+  await other.startRouter({ exposureShare: 1 });
+  await other.waitFor(() => other.router.isReady);
+  const sessions = Array.from({ length: 60 }, (_, at) => `session-${at}`);
+  const callAt = (at: harnesses.PlatformHarness, session: string) =>
+    at.call(ROUTES.check, { headers: { session } });
+  for (const session of sessions) await callAt(harness, session);
+  const fresh = await harness.addReplica(
+    "i-2",
+    "desk",
+    () => ({ type: "ok" }),
+    { version: "v2" },
+  );
+  harness.store.put("op/rollout/desk", {
+    service: "desk",
+    target: "v2",
+    durationS: 20,
+  });
+  for (const entry of [harness, other]) {
+    await entry.waitFor(() => entry.listLog("rollout.known").length > 0);
+  }
+  return { other, sessions, callAt, fresh };
+}
+
 test("a session that goes on at another entry keeps its version in the first half", (t) =>
   withHarness(async (harness) => {
-    // Known red: entries do not tell each other which sessions run on the old version.
-    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
-    await harness.start({ exposureShare: 1 });
-    const other = new harnesses.PlatformHarness(harness.store);
-    await other.startRouter({ exposureShare: 1 });
-    await other.waitFor(() => other.router.isReady);
-    const sessions = Array.from({ length: 60 }, (_, at) => `session-${at}`);
-    const callAt = (at: harnesses.PlatformHarness, session: string) =>
-      at.call(ROUTES.check, { headers: { session } });
-    for (const session of sessions) await callAt(harness, session);
-    const fresh = await harness.addReplica(
-      "i-2",
-      "desk",
-      () => ({ type: "ok" }),
-      { version: "v2" },
+    const { other, sessions, callAt, fresh } = await bearSessions(harness);
+    for (const session of sessions) await callAt(other, session);
+    await other.router.close();
+    t.true(
+      fresh.seen.length <= 3,
+      `${fresh.seen.length} sessions changed sides`,
     );
-    harness.store.put("op/rollout/desk", {
-      service: "desk",
-      target: "v2",
-      durationS: 20,
-    });
+  }));
+
+test("entries announce themselves, and again when the announcement lapses", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start();
+    const { store } = harness;
+    await harness.waitFor(() => store.list("jackdawbank/peers/").length === 1);
+    for (const lease of store.leases) store.endLease(lease);
+    t.deepEqual(store.list("jackdawbank/peers/"), []);
+    await harness.waitFor(() => store.list("jackdawbank/peers/").length === 1);
+    await harness.router.close();
+    t.deepEqual(store.list("jackdawbank/peers/"), []);
+  }));
+
+test("a long prompt goes where no other entry has one to read", (t) =>
+  withHarness(async (harness) => {
+    const hang = () => ({ type: "hang" as const });
+    const first = await harness.addReplica("i-1", "llm", hang);
+    const second = await harness.addReplica("i-2", "llm", hang);
+    await harness.start();
+    const other = new harnesses.PlatformHarness(harness.store, "edge-2");
+    await other.startRouter();
     for (const entry of [harness, other]) {
-      await entry.waitFor(() => entry.listLog("rollout.known").length > 0);
+      await entry.waitFor(() => entry.listLog("peer.known").length >= 2);
+    }
+    // The same subject: alone, both entries would send it to its home.
+    const prompt = {
+      ...harnesses.DRAFT,
+      headers: {
+        ...harnesses.DRAFT.headers,
+        "x-jackdawbank-token-usage": "40000,80",
+      },
+    };
+    const countSeen = () => [first.seen.length, second.seen.length];
+    const calls = [harness.call(ROUTES.draft, prompt)];
+    await harness.waitFor(() => countSeen().includes(1));
+    await kernel.sleep(60);
+    calls.push(other.call(ROUTES.draft, prompt));
+    await harness.waitFor(() => countSeen().every((count) => count > 0), 400);
+    t.deepEqual(countSeen(), [1, 1]);
+    await other.router.close();
+    await harness.router.close();
+    await Promise.allSettled(calls);
+  }));
+
+test("a session that another entry takes up while the trial runs keeps its version", (t) =>
+  withHarness(async (harness) => {
+    const { other, sessions, callAt, fresh } = await bearSessions(harness);
+    // Sessions without a past try the version once the trial has begun.
+    for (let at = 0; at < 200 && fresh.seen.length === 0; at += 1) {
+      await callAt(other, `later-${at}`);
+      await kernel.sleep(50);
     }
+    const before = fresh.seen.length;
+    t.true(before > 0, "the trial has not begun");
     for (const session of sessions) await callAt(other, session);
     await other.router.close();
     t.true(
-      fresh.seen.length <= 3,
-      `${fresh.seen.length} sessions changed sides`,
+      fresh.seen.length - before <= 3,
+      `${fresh.seen.length - before} sessions changed sides`,
     );
   }));
--- a/packages/bench/src/platform_harness.ts
+++ b/packages/bench/src/platform_harness.ts
@@ -16,6 +16,7 @@
   dataCentre: "a",
   callers: { host: "127.0.0.1", port: 0 },
   readiness: { host: "127.0.0.1", port: 0 },
+  peerPort: 0,
   graceMs: 3_000,
   revocationBoundMs: 5_000,
   retryRatio: 0.9,
@@ -50,9 +51,12 @@
     metrics: undefined,
   };
 
-  /** Several entries of one installation share a store. */
-  constructor(store = new fakes.FakeKvStore()) {
+  readonly #vmName: string;
+
+  /** Several entries of one installation share a store; each has its own name. */
+  constructor(store = new fakes.FakeKvStore(), vmName = "edge-1") {
     this.store = store;
+    this.#vmName = vmName;
   }
 
   get router(): router.Router {
@@ -96,9 +100,9 @@
     overrides: Partial<router.RouterSettings> = {},
   ): Promise<void> {
     const clock = new kernel.SystemClock();
-    this.#log = new router.DecisionLog(clock, { vm: "edge-1" }, this.#sink);
+    this.#log = new router.DecisionLog(clock, { vm: this.#vmName }, this.#sink);
     this.#router = new router.Router({
-      settings: { ...BASE_SETTINGS, ...overrides },
+      settings: { ...BASE_SETTINGS, vmName: this.#vmName, ...overrides },
       plane: new platform.PlatformStore({
         host: "127.0.0.1",
         port: this.store.port,
--- a/packages/bench/src/session_fault_test.ts
+++ b/packages/bench/src/session_fault_test.ts
@@ -56,14 +56,26 @@
   caller: Chat,
   born: readonly Born[],
 ): Promise<number> {
+  return (await listMoved(caller, born)).length;
+}
+
+/** What changed, with the answer that showed it. */
+async function listMoved(
+  caller: Chat,
+  born: readonly Born[],
+): Promise<readonly string[]> {
   const results = await Promise.all(
     born.map(({ header }) =>
       caller.chat({ model: "verse-large", session: header })
     ),
   );
-  return results.filter((result, at) =>
-    result.headers[VERSION] !== born[at]?.version
-  ).length;
+  return results.flatMap((result, at) => {
+    const expected = born[at]?.version;
+    const seen = result.headers[VERSION];
+    return seen === expected
+      ? []
+      : [`${born[at]?.header}: ${expected} to ${seen}, ${result.status}`];
+  });
 }
 
 async function roll(
@@ -105,7 +117,7 @@
   const born = await bear(first, (at) => `shopper-${at}`);
   t.is(new Set(born.map(({ version }) => version)).size, 2);
   await roll(deployment, { v2: 100 });
-  t.is(await countMoved(other, born), 0);
+  t.deepEqual(await listMoved(other, born), []);
   await deployment.entry("entry-a").kill();
   await deployment.upstream("model-b").process.kill();
   await deployment.startEntry(
@@ -115,7 +127,7 @@
   await deployment.waitForRevision(2, ["entry-a"]);
   const replaced = fixtures.callFor(t, deployment);
   await deployment.waitServed("entry-a", "verse-large@v1");
-  t.is(await countMoved(replaced, born), 0);
+  t.deepEqual(await listMoved(replaced, born), []);
 });
 
 test("a withdrawal moves a session once, to the named successor, and says so", async (t) => {
--- a/packages/decisions/src/guard.ts
+++ b/packages/decisions/src/guard.ts
@@ -76,6 +76,12 @@
     return this.#verdict;
   }
 
+  /** Whether errors stand above the bound at this moment. */
+  get hasManyErrors(): boolean {
+    return this.#samples >= this.#limits.minSamples &&
+      this.#errorSum >= STOP_BOUND;
+  }
+
   recordStable(isError: boolean): void {
     this.#stableErrors.add(isError ? 1 : 0);
   }
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -23,3 +23,5 @@
 export * from "./replica_health.ts";
 export * from "./retry_window.ts";
 export * from "./rollout_plan.ts";
+export * from "./stream_silence.ts";
+export * from "./version_trial.ts";
--- a/packages/decisions/src/platform_rules_test.ts
+++ b/packages/decisions/src/platform_rules_test.ts
@@ -63,7 +63,7 @@
           if (isRequest) {
             window.recordRequest(nowMs);
             requests.push(nowMs);
-          } else if (window.allowsExtra(nowMs)) {
+          } else if (window.allowsExtra(nowMs, { share: 1, slackShare: 1 })) {
             window.recordExtra(nowMs);
             extras.push(nowMs);
           }
@@ -219,6 +219,15 @@
   );
 });
 
+test("a very long prompt goes where few streams run, a short one does not mind them", (t) => {
+  const busy = { ...CANDIDATE, inFlight: 12 };
+  const idle = { ...CANDIDATE, id: "r2", pendingMs: 150 };
+  const long = { ...PLACEMENT, promptTokens: 50_000, readMsPerToken: 0.04 };
+  t.is(choice.chooseCandidate([busy, idle], long, () => 0)?.id, "r2");
+  const short = { ...PLACEMENT, promptTokens: 600, readMsPerToken: 0.04 };
+  t.is(choice.chooseCandidate([busy, idle], short, () => 0)?.id, CANDIDATE.id);
+});
+
 test("a replica that fails part of its requests, or is slower than the others, is asked less", (t) => {
   const grey = { ...CANDIDATE, failureShare: 0.4 };
   const slow = { ...CANDIDATE, id: "r3", delayMs: 400 };
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -1,7 +1,8 @@
 /**
- * Choice of a replica by the predicted time to the first token: work this
- * process has there, tokens of the prompt that are not cached there, the way
- * between data centres, and what is known against it.
+ * Choice of a replica by the predicted time to the first token: work that
+ * is known to wait there, tokens of the prompt that are not cached there, the
+ * streams that reading them delays, the way between data centres, and what is
+ * known against it.
  */
 import * as hash from "./hash.ts";
 
@@ -9,9 +10,9 @@
 export interface Candidate {
   readonly id: string;
   readonly isLocal: boolean;
-  /** Requests of this process under way there. */
+  /** Requests under way there, as far as this process knows. */
   readonly inFlight: number;
-  /** Time that prompts of this process still take to be read there. */
+  /** Time that prompts under way still take to be read there. */
   readonly pendingMs: number;
   readonly slots: number;
   /** Tokens of this prompt that are likely cached there. */
@@ -33,6 +34,8 @@
 
 /** Weight of reading a token again, also where the model reads quickly: it delays others. */
 const READ_AGAIN_MS_PER_TOKEN = 0.04;
+/** Share of the time of reading a prompt that it costs each stream that runs there. */
+const READING_DELAYS_STREAM = 0.08;
 /** Delay that one running request adds to the next one. */
 const RUNNING_REQUEST_MS = 8;
 /** Weight against a replica in another data centre. */
@@ -56,12 +59,14 @@
     ? Math.max(candidate.cachedTokens, placement.sharedTokens)
     : candidate.cachedTokens;
   const unread = Math.max(0, placement.promptTokens - cachedTokens);
+  const readMs = unread * placement.readMsPerToken;
   const slower = Math.max(
     0,
     (candidate.delayMs ?? context.usualDelayMs) - context.usualDelayMs,
   );
   return unread * Math.max(placement.readMsPerToken, READ_AGAIN_MS_PER_TOKEN) +
     candidate.pendingMs +
+    candidate.inFlight * readMs * READING_DELAYS_STREAM +
     candidate.inFlight * RUNNING_REQUEST_MS *
       (8 / Math.max(8, candidate.slots)) +
     (candidate.isLocal ? 0 : REMOTE_MS) +
--- a/packages/decisions/src/retry_window.ts
+++ b/packages/decisions/src/retry_window.ts
@@ -39,7 +39,14 @@
   }
 
   /** Whether another extra send stays within a share of the budget. */
-  allowsExtra(nowMs: number, share = 1): boolean {
+  allowsExtra(
+    nowMs: number,
+    options: {
+      readonly share: number;
+      /** Part of the slack that this process may use. */
+      readonly slackShare: number;
+    },
+  ): boolean {
     const oldest = this.#slot(nowMs) - BUCKETS;
     let requests = 0;
     let extras = 0;
@@ -49,7 +56,8 @@
       extras += bucket.extras;
     }
     const { ratio, slack } = this.#options;
-    return extras + 1 <= share * (ratio * requests + slack);
+    return extras + 1 <=
+      options.share * (ratio * requests + slack * options.slackShare);
   }
 
   #slot(nowMs: number): number {
--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -34,13 +34,18 @@
   readonly bannedVersions: readonly string[];
 }
 
+/**
+ * Part of the duration after which the trial begins: by then all processes know
+ * the order, and have told each other which sessions run on the old version.
+ */
+const TRIAL_FROM = 0.12;
 /** Part of the duration through which only new sessions try the version. */
 const TRIAL_UNTIL = 0.51;
 /** Part of the duration at which every request has moved. */
 const MOVED_AT = 0.58;
 /** Part of the duration at which the old version is given up. */
 const COMPLETED_AT = 0.81;
-/** Share of the exposure bound that the trial uses; sessions that go on at another entry may change sides. */
+/** Share of the exposure bound that the trial uses. */
 const TRIAL_EXPOSURE = 0.25;
 
 /** The first record of an order. */
@@ -64,9 +69,29 @@
   };
 }
 
-/** Part of the duration that has passed. */
-export function measureProgress(record: RolloutRecord, wallMs: number): number {
-  return Math.max(0, (wallMs - record.startedAtMs) / record.durationMs);
+/** A record may be taken up again this many durations after its start. */
+const MAX_RESUMED_DURATIONS = 2;
+
+/**
+ * How long a roll-out has been under way, for a process that finds it on
+ * record. A time of day that jumped makes no sense here and counts as no time.
+ */
+export function estimateElapsedMs(
+  record: RolloutRecord,
+  wallMs: number,
+): number {
+  const elapsedMs = wallMs - record.startedAtMs;
+  const isLikely = elapsedMs >= 0 &&
+    elapsedMs <= MAX_RESUMED_DURATIONS * record.durationMs;
+  return isLikely ? elapsedMs : 0;
+}
+
+/** Whether new sessions with this fraction try the version in the first half. */
+export function isTrialSession(
+  fraction: number,
+  exposureShare: number,
+): boolean {
+  return fraction < exposureShare * TRIAL_EXPOSURE;
 }
 
 /** The record that should replace the held one now, if any. */
@@ -75,14 +100,14 @@
   held: RolloutRecord | undefined,
   evidence: {
     readonly verdict: string | undefined;
+    /** Steady time since the order, as far as this process knows. */
+    readonly elapsedMs: number;
     readonly wallMs: number;
-    /** When this process learnt of the order: its time limit runs since then. */
-    readonly orderedAtMs: number;
   },
 ): RolloutRecord | undefined {
   if (order === undefined) return undefined;
   if (held === undefined || held.orderRevision < order.revision) {
-    return startRollout(order, held, evidence.orderedAtMs);
+    return startRollout(order, held, evidence.wallMs - evidence.elapsedMs);
   }
   if (held.orderRevision > order.revision || held.state !== "in-progress") {
     return undefined;
@@ -95,7 +120,7 @@
       bannedVersions: [...held.bannedVersions, held.targetVersion],
     };
   }
-  if (measureProgress(held, evidence.wallMs) >= COMPLETED_AT) {
+  if (evidence.elapsedMs >= COMPLETED_AT * held.durationMs) {
     return { ...held, state: "completed", reason: "no verdict against it" };
   }
   return undefined;
@@ -111,7 +136,8 @@
   readonly session: SessionVersion;
   /** Stable fraction of the session in [0, 1). */
   readonly fraction: number;
-  readonly wallMs: number;
+  /** Steady time since the order, as far as this process knows. */
+  readonly elapsedMs: number;
   readonly exposureShare: number;
   /** This process has seen enough to stop the version itself. */
   readonly isStoppedHere: boolean;
@@ -158,13 +184,14 @@
 }
 
 function isMoved(record: RolloutRecord, input: VersionInput): boolean {
-  const progress = measureProgress(record, input.wallMs);
+  const progress = input.elapsedMs / record.durationMs;
   if (input.session === "new") return true;
   if (progress >= MOVED_AT) return true;
-  const trial = input.exposureShare * TRIAL_EXPOSURE;
   if (progress < TRIAL_UNTIL) {
-    return input.session === undefined && input.fraction < trial;
+    return progress >= TRIAL_FROM && input.session === undefined &&
+      isTrialSession(input.fraction, input.exposureShare);
   }
+  const trial = input.exposureShare * TRIAL_EXPOSURE;
   // A ramp bounds the load that a version meets at once.
   const ramp = (progress - TRIAL_UNTIL) / (MOVED_AT - TRIAL_UNTIL);
   return input.fraction < trial + (1 - trial) * ramp;
--- a/packages/decisions/src/rollout_plan_test.ts
+++ b/packages/decisions/src/rollout_plan_test.ts
@@ -19,7 +19,7 @@
     record: STARTED,
     session: undefined,
     fraction: 0.5,
-    wallMs: 1_000,
+    elapsedMs: 3_000,
     exposureShare: 0.15,
     isStoppedHere: false,
     ...overrides,
@@ -31,21 +31,48 @@
 });
 
 test("the first half: only few new sessions try the version, others keep theirs", (t) => {
-  for (const wallMs of [0, 5_000, 9_900]) {
-    t.true(choose({ wallMs, fraction: 0.01 }).prefersTarget);
-    t.false(choose({ wallMs, fraction: 0.2 }).prefersTarget);
-    t.false(choose({ wallMs, fraction: 0.01, session: "old" }).prefersTarget);
-    t.true(choose({ wallMs, fraction: 0.9, session: "new" }).prefersTarget);
+  for (const elapsedMs of [2_400, 5_000, 9_900]) {
+    t.true(choose({ elapsedMs, fraction: 0.01 }).prefersTarget);
+    t.false(choose({ elapsedMs, fraction: 0.2 }).prefersTarget);
+    t.false(
+      choose({ elapsedMs, fraction: 0.01, session: "old" }).prefersTarget,
+    );
+    t.true(choose({ elapsedMs, fraction: 0.9, session: "new" }).prefersTarget);
   }
 });
 
+test("no session tries the version before all processes can know of the order", (t) => {
+  t.false(choose({ elapsedMs: 1_000, fraction: 0 }).prefersTarget);
+  t.true(choose({ elapsedMs: 3_000, fraction: 0 }).prefersTarget);
+});
+
+test("a time of day that jumped neither ends a roll-out nor sends it back", (t) => {
+  const { startedAtMs, durationMs } = STARTED;
+  for (const wallMs of [startedAtMs + 2_400_000, startedAtMs - 60_000]) {
+    t.is(plan.estimateElapsedMs(STARTED, wallMs), 0);
+  }
+  t.is(plan.estimateElapsedMs(STARTED, startedAtMs + durationMs), durationMs);
+  const next = plan.advanceRollout(ORDER, STARTED, {
+    verdict: undefined,
+    elapsedMs: 4_000,
+    wallMs: startedAtMs + 2_400_000,
+  });
+  t.is(next, undefined);
+});
+
 test("the second half: all move, and nobody moves back", (t) => {
   for (const session of ["old", "new", undefined] as const) {
-    t.true(choose({ wallMs: 12_000, fraction: 0.999, session }).prefersTarget);
+    t.true(
+      choose({ elapsedMs: 12_000, fraction: 0.999, session }).prefersTarget,
+    );
   }
   let moved = false;
-  for (let wallMs = 10_000; wallMs < 20_000; wallMs += 50) {
-    const { prefersTarget } = choose({ wallMs, fraction: 0.6, session: "old" });
+  for (let elapsedMs = 10_000; elapsedMs < 20_000; elapsedMs += 50) {
+    const { prefersTarget } = choose({
+      elapsedMs,
+      fraction: 0.6,
+      session: "old",
+    });
     t.true(prefersTarget || !moved);
     moved = prefersTarget;
   }
@@ -55,8 +82,8 @@
   t.deepEqual(choose({ isStoppedHere: true }).banned, ["v2"]);
   const record = plan.advanceRollout(ORDER, STARTED, {
     verdict: "bad",
+    elapsedMs: 15_000,
     wallMs: 15_000,
-    orderedAtMs: 0,
   });
   t.is(record?.state, "rolled-back");
   t.deepEqual(choose({ record }).banned, ["v2"]);
@@ -104,8 +131,8 @@
         if (action === "plan") {
           pending[process] = plan.advanceRollout(ORDER, views[process], {
             verdict: verdicts[process],
+            elapsedMs: wallMs,
             wallMs,
-            orderedAtMs: 0,
           });
         }
         const planned = pending[process];
@@ -118,8 +145,8 @@
       const view = store.record;
       const next = plan.advanceRollout(ORDER, view, {
         verdict: undefined,
+        elapsedMs: wallMs + ORDER.durationMs,
         wallMs: wallMs + ORDER.durationMs,
-        orderedAtMs: 0,
       });
       return final === undefined ? next !== undefined : next === undefined;
     }),
--- /dev/null
+++ b/packages/decisions/src/version_trial.ts
@@ -0,0 +1,206 @@
+/**
+ * Judges a version under trial by its answers: each route on its own, and all
+ * together. One replica in trouble is no sign against its version, so that each
+ * replica adds only few failures.
+ */
+import * as guards from "./guard.ts";
+
+/** Answers of the new version before its failures may stop it. */
+const MIN_SAMPLES = 6;
+/** Increase of the failure rate that stops a version. */
+const MAX_ERROR_INCREASE = 0.15;
+/** An answer so many times slower than the stable version's mean counts as a failure. */
+const SLOW_FACTOR = 4;
+/** Differences below this are no sign of a slow version. */
+const SLOW_FLOOR_MS = 40;
+const MIN_PACE_SAMPLES = 8;
+const PACE_WEIGHT = 0.05;
+/** Failures of all replicas together that stop a version from any state of the test. */
+const DECISIVE_FAILURES = 6;
+/** Share of its replicas that fail where a version is to blame. */
+const FAILING_REPLICA_SHARE = 0.25;
+/** Name of the test over all routes. */
+const WHOLE_VERSION = "";
+/** Failures of one replica that count where there are many. */
+const REPLICA_FAILURES = 2;
+
+/** An answer as evidence. */
+export interface VersionOutcome {
+  readonly route: string;
+  readonly replicaKey: number;
+  /** Replicas of the same version. */
+  readonly replicas: number;
+  readonly model: string | undefined;
+  readonly isFailure: boolean;
+  /** Time to the first byte, or between events; absent for failures. */
+  readonly paceMs: number | undefined;
+}
+
+interface Pace {
+  samples: number;
+  meanMs: number;
+}
+
+/** Failures of one replica that count as evidence against its version. */
+export function limitReplicaFailures(replicas: number): number {
+  return Math.max(
+    REPLICA_FAILURES,
+    Math.ceil(DECISIVE_FAILURES / Math.max(1, replicas)),
+  );
+}
+
+/** Replicas that must fail before their version is to blame. */
+export function requireFailingReplicas(replicas: number): number {
+  return replicas <= 2
+    ? 1
+    : Math.max(2, Math.ceil(FAILING_REPLICA_SHARE * replicas));
+}
+
+/** Failures that count, by replica. */
+export interface ReplicaFailures {
+  readonly replicaKey: number;
+  readonly count: number;
+}
+
+/** Answers of the version on one route. */
+export interface RouteEvidence {
+  readonly route: string;
+  readonly answers: number;
+  readonly failures: readonly ReplicaFailures[];
+}
+
+/** What one process saw on one route. */
+class RouteCount {
+  answers = 0;
+  readonly failures = new Map<number, number>();
+}
+
+/** The evidence on one order: of this process, and what others tell. */
+export class VersionTrial {
+  readonly #guards = new Map<string, guards.RolloutGuard>();
+  readonly #paces = new Map<string, Pace>();
+  readonly #failuresByReplica = new Map<number, number>();
+  readonly #own = new Map<string, RouteCount>();
+  #verdict: string | undefined;
+  #failures = 0;
+  #samples = 0;
+
+  /** Why the version should be stopped; it stays once it is set. */
+  get verdict(): string | undefined {
+    return this.#verdict;
+  }
+
+  get evidence(): {
+    readonly failures: number;
+    readonly samples: number;
+    readonly failingReplicas: number;
+  } {
+    return {
+      failures: this.#failures,
+      samples: this.#samples,
+      failingReplicas: this.#failuresByReplica.size,
+    };
+  }
+
+  /** What this process saw itself. */
+  listOwn(): readonly RouteEvidence[] {
+    return [...this.#own].map(([route, { answers, failures }]) => ({
+      route,
+      answers,
+      failures: [...failures].map(([replicaKey, count]) => ({
+        replicaKey,
+        count,
+      })),
+    }));
+  }
+
+  /** Takes an answer of the version under trial, or of the stable one. */
+  take(outcome: VersionOutcome, isTarget: boolean): void {
+    const isBad = outcome.isFailure || this.#isSlow(outcome, isTarget);
+    const { route, replicaKey, replicas } = outcome;
+    if (!isTarget) {
+      this.#guard(route).recordStable(isBad);
+      this.#guard(WHOLE_VERSION).recordStable(isBad);
+      return;
+    }
+    const own = this.#own.get(route) ?? new RouteCount();
+    this.#own.set(route, own);
+    own.answers += 1;
+    if (isBad) {
+      own.failures.set(replicaKey, (own.failures.get(replicaKey) ?? 0) + 1);
+    }
+    this.#record(route, isBad ? replicaKey : undefined, replicas);
+  }
+
+  /** Takes what another process saw since it was last heard. */
+  takePeer(evidence: RouteEvidence, replicas: number): void {
+    const { route, answers, failures } = evidence;
+    const failed = failures.reduce((sum, { count }) => sum + count, 0);
+    for (let at = failed; at < answers; at += 1) {
+      this.#record(route, undefined, replicas);
+    }
+    for (const { replicaKey, count } of failures) {
+      for (let at = 0; at < count; at += 1) {
+        this.#record(route, replicaKey, replicas);
+      }
+    }
+  }
+
+  #record(
+    route: string,
+    failingReplica: number | undefined,
+    replicas: number,
+  ): void {
+    const isBad = failingReplica !== undefined;
+    if (isBad && !this.#countFailure(failingReplica, replicas)) return;
+    this.#samples += 1;
+    for (const name of [route, WHOLE_VERSION]) {
+      const guard = this.#guard(name);
+      guard.recordRolling(isBad);
+      if (this.#verdict !== undefined || !guard.hasManyErrors) continue;
+      if (this.#failuresByReplica.size < requireFailingReplicas(replicas)) {
+        continue;
+      }
+      this.#verdict = `${this.#failures} of ${this.#samples} answers were bad` +
+        (name === WHOLE_VERSION ? "" : `, on route ${name}`);
+    }
+  }
+
+  /** Whether a failure counts: the replica has not used up its part. */
+  #countFailure(replicaKey: number, replicas: number): boolean {
+    const count = (this.#failuresByReplica.get(replicaKey) ?? 0) + 1;
+    if (count > limitReplicaFailures(replicas)) return false;
+    this.#failuresByReplica.set(replicaKey, count);
+    this.#failures += 1;
+    return true;
+  }
+
+  #isSlow(outcome: VersionOutcome, isTarget: boolean): boolean {
+    const { paceMs } = outcome;
+    if (paceMs === undefined) return false;
+    const key = `${outcome.route}/${outcome.model ?? ""}`;
+    const pace = this.#paces.get(key) ?? { samples: 0, meanMs: paceMs };
+    this.#paces.set(key, pace);
+    const isSlow = pace.samples >= MIN_PACE_SAMPLES &&
+      paceMs > SLOW_FACTOR * pace.meanMs + SLOW_FLOOR_MS;
+    if (!isTarget) {
+      pace.samples += 1;
+      pace.meanMs += Math.max(PACE_WEIGHT, 1 / pace.samples) *
+        (Math.min(paceMs, SLOW_FACTOR * pace.meanMs + SLOW_FLOOR_MS) -
+          pace.meanMs);
+    }
+    return isSlow;
+  }
+
+  #guard(name: string): guards.RolloutGuard {
+    const held = this.#guards.get(name);
+    if (held !== undefined) return held;
+    const guard = new guards.RolloutGuard({
+      minSamples: MIN_SAMPLES,
+      maxErrorIncrease: MAX_ERROR_INCREASE,
+      maxRatingDecrease: 1,
+    });
+    this.#guards.set(name, guard);
+    return guard;
+  }
+}
--- a/packages/fakes/src/kv_store.ts
+++ b/packages/fakes/src/kv_store.ts
@@ -18,6 +18,7 @@
   readonly key: string;
   readonly value: string;
   readonly revision: number;
+  readonly lease: number;
 }
 
 interface Change {
@@ -34,7 +35,11 @@
     readonly key: string;
     readonly revision: number;
   }[];
-  readonly write?: readonly { readonly key: string; readonly value: string }[];
+  readonly write?: readonly {
+    readonly key: string;
+    readonly value: string;
+    readonly lease?: number;
+  }[];
   readonly remove?: readonly string[];
 }
 
@@ -45,6 +50,7 @@
   readonly calls = new Map<string, number>();
   readonly #items = new Map<string, Item>();
   readonly #sockets = new Set<net.Socket>();
+  readonly #leases = new Set<number>();
   #changes: Change[] = [];
   #oldestRevision = 0;
   #revision = 10;
@@ -71,12 +77,13 @@
     return this.putBytes(key, Buffer.from(JSON.stringify(data)));
   }
 
-  putBytes(key: string, bytes: Buffer): number {
+  putBytes(key: string, bytes: Buffer, lease = 0): number {
     this.#revision += 1;
     const item = {
       key,
       value: bytes.toString("base64"),
       revision: this.#revision,
+      lease,
     };
     this.#items.set(key, item);
     this.#changes.push({ key, revision: this.#revision, item });
@@ -89,6 +96,24 @@
     this.#changes.push({ key, revision: this.#revision, item: undefined });
   }
 
+  /** Keys with a prefix. */
+  list(prefix: string): readonly string[] {
+    return [...this.#items.keys()].filter((key) => key.startsWith(prefix));
+  }
+
+  /** Ends a lease, and removes what was written under it. */
+  endLease(lease: number): boolean {
+    const isKnown = this.#leases.delete(lease);
+    for (const item of [...this.#items.values()]) {
+      if (item.lease === lease) this.remove(item.key);
+    }
+    return isKnown;
+  }
+
+  get leases(): ReadonlySet<number> {
+    return this.#leases;
+  }
+
   read(key: string): unknown {
     const item = this.#items.get(key);
     return item === undefined
@@ -134,8 +159,22 @@
       case "/-/kv-txn":
         return this.#transact(JSON.parse(body) as Transaction, response);
       default:
-        response.writeHead(404).end();
+        return this.#serveLease(url, body, response);
+    }
+  }
+
+  #serveLease(url: URL, body: string, response: http.ServerResponse): void {
+    if (url.pathname === "/-/kv-lease") {
+      const { ttlMs } = JSON.parse(body) as { readonly ttlMs: number };
+      this.#revision += 1;
+      this.#leases.add(this.#revision);
+      return send(response, 200, { lease: this.#revision, ttlMs });
     }
+    const lease = Number(url.pathname.split("/").at(-1));
+    const isKnown = url.pathname.startsWith("/-/kv-lease-end/")
+      ? this.endLease(lease)
+      : this.#leases.has(lease);
+    send(response, isKnown ? 200 : 404, {});
   }
 
   #range(url: URL, response: http.ServerResponse): void {
@@ -190,8 +229,8 @@
       return;
     }
     this.#revision += 1;
-    for (const { key, value } of transaction.write ?? []) {
-      const item = { key, value, revision: this.#revision };
+    for (const { key, value, lease = 0 } of transaction.write ?? []) {
+      const item = { key, value, revision: this.#revision, lease };
       this.#items.set(key, item);
       this.#changes.push({ key, revision: this.#revision, item });
     }
--- /dev/null
+++ b/packages/peers/src/peer_task.ts
@@ -0,0 +1,245 @@
+/**
+ * Sends this process's reports and takes those of its peers. A prompt that
+ * takes long to read is reported at once, since others would queue behind it;
+ * the rest follows at an interval.
+ */
+import type * as kernel from "@jackdawbank/kernel";
+import type * as channels from "./datagram_channel.ts";
+import * as tables from "./peer_table.ts";
+import * as reports from "./report.ts";
+import * as budgets from "./report_budget.ts";
+
+/** Loads are reported at least so often while there are any. */
+const LOAD_INTERVAL_MS = 300;
+/** Running requests change slowly and are told so often. */
+const RUNNING_INTERVAL_MS = 1_000;
+/** A process without load is heard at least so often. */
+const IDLE_INTERVAL_MS = 1_000;
+const CHECK_INTERVAL_MS = 100;
+/** Prompts that are sent together are reported together. */
+const URGENT_DELAY_MS = 3;
+/** A replica whose load rose by so much since the last report is reported at once. */
+const URGENT_RISE_MS = 40;
+/** Smaller loads delay nobody and are left out. */
+const MIN_PENDING_MS = 10;
+/** Each session is told so many times: datagrams get lost. */
+const SESSION_REPEATS = 3;
+const MAX_WAITING_SESSIONS = 2_000;
+const MAX_HEARD_COUNTS = 4_000;
+
+/** What the task asks of its process. */
+export interface PeerSource {
+  /** Prompts that replicas have still to read. */
+  listLoads(): readonly reports.ReplicaLoad[];
+  /** Requests under way at the replicas. */
+  listRunning(): readonly reports.ReplicaCount[];
+  /** What was seen of versions under trial. */
+  listCounts(): readonly reports.VersionCount[];
+}
+
+/** Called with what peers tell. */
+export interface PeerListener {
+  onSession(session: reports.SessionVersion): void;
+  /** Answers and failures of a version that a peer has seen since its last report. */
+  onCount(count: reports.VersionCount): void;
+}
+
+/** What the task needs. */
+export interface PeerTaskOptions {
+  readonly name: string;
+  readonly clock: kernel.Clock;
+  readonly channel: channels.PeerChannel;
+  readonly source: PeerSource;
+  readonly listener: PeerListener;
+  /** Tells whether datagrams were sent, taken or dropped, for the counters. */
+  readonly onReport: (what: "sent" | "taken" | "dropped") => void;
+}
+
+/** Owner of the reports. */
+export class PeerTask {
+  readonly table: tables.PeerTable;
+  readonly #options: PeerTaskOptions;
+  readonly #startedAtMs: number;
+  readonly #budget: budgets.ReportBudget;
+  readonly #timer: NodeJS.Timeout;
+  #urgent: NodeJS.Timeout | undefined;
+  readonly #waiting = new Map<
+    string,
+    { readonly item: reports.SessionVersion; left: number }
+  >();
+  /** Newest counts by peer, order and route. */
+  readonly #heardCounts = new Map<string, reports.VersionCount>();
+  /** Loads of the newest report, to see what rose since. */
+  #reported = new Map<number, number>();
+  #reportedFailures = 0;
+  #number = 0;
+  #sentAtMs = -Infinity;
+  #runningSentAtMs = -Infinity;
+
+  constructor(options: PeerTaskOptions) {
+    this.#options = options;
+    const { clock, channel, name } = options;
+    this.table = new tables.PeerTable(name);
+    this.#startedAtMs = Math.max(0, Math.floor(clock.wallMs()));
+    this.#budget = new budgets.ReportBudget(clock.monotonicMs());
+    channel.onDatagram = (bytes, host) => this.#take(bytes, host);
+    this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    this.#timer.unref();
+  }
+
+  /** What all peers have under way at a replica. */
+  readLoad(replicaKey: number): tables.PeerLoad {
+    return this.table.readLoad(replicaKey, this.#options.clock.monotonicMs());
+  }
+
+  /** A prompt was sent that takes so long to read. */
+  noteSent(readMs: number): void {
+    if (readMs < URGENT_RISE_MS) return;
+    this.#urgent ??= setTimeout(() => {
+      this.#urgent = undefined;
+      this.check();
+    }, URGENT_DELAY_MS);
+  }
+
+  /** Tells peers which version a session ran on. */
+  tellSession(item: reports.SessionVersion): void {
+    const key = `${item.service}/${item.session}`;
+    if (
+      this.#waiting.size >= MAX_WAITING_SESSIONS && !this.#waiting.has(key)
+    ) return;
+    this.#waiting.set(key, { item, left: SESSION_REPEATS });
+  }
+
+  /** Sends a report if one is due. */
+  check(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    const loads = this.#options.source.listLoads().filter((load) =>
+      load.pendingMs >= MIN_PENDING_MS
+    );
+    const counts = this.#options.source.listCounts();
+    const intervalMs = loads.length > 0 || this.#reported.size > 0
+      ? LOAD_INTERVAL_MS
+      : IDLE_INTERVAL_MS;
+    const isDue = nowMs - this.#sentAtMs >= intervalMs ||
+      this.#waiting.size > 0 || this.#hasRisen(loads) ||
+      sumFailures(counts) !== this.#reportedFailures;
+    const receivers = this.table.listReceivers();
+    if (!isDue || receivers.length === 0) return;
+    if (!this.#budget.allows(nowMs)) return;
+    this.#sentAtMs = nowMs;
+    // Answers without failures are told with the next full report.
+    const isFull = sumFailures(counts) !== this.#reportedFailures ||
+      nowMs - this.#runningSentAtMs >= RUNNING_INTERVAL_MS;
+    if (isFull) this.#runningSentAtMs = nowMs;
+    this.#send(receivers, {
+      loads,
+      running: isFull ? this.#options.source.listRunning() : undefined,
+      counts: isFull ? counts : [],
+    });
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+    clearTimeout(this.#urgent);
+    this.#options.channel.close();
+  }
+
+  #hasRisen(loads: readonly reports.ReplicaLoad[]): boolean {
+    return loads.some(({ replicaKey, pendingMs }) =>
+      pendingMs - (this.#reported.get(replicaKey) ?? 0) >= URGENT_RISE_MS
+    );
+  }
+
+  #send(
+    receivers: readonly tables.PeerEntry[],
+    told: Pick<reports.PeerReport, "loads" | "running" | "counts">,
+  ): void {
+    this.#number += 1;
+    const report = reports.trimReport({
+      name: this.#options.name,
+      startedAtMs: this.#startedAtMs,
+      number: this.#number,
+      ...told,
+      sessions: [...this.#waiting.values()].map(({ item }) => item),
+    });
+    for (const { service, session } of report.sessions) {
+      const key = `${service}/${session}`;
+      const waiting = this.#waiting.get(key);
+      if (waiting === undefined) continue;
+      waiting.left -= 1;
+      this.#waiting.delete(key);
+      // Behind those that were not told yet.
+      if (waiting.left > 0) this.#waiting.set(key, waiting);
+    }
+    this.#reported = new Map(
+      report.loads.map((load) => [load.replicaKey, load.pendingMs]),
+    );
+    if (told.counts.length > 0) {
+      this.#reportedFailures = sumFailures(told.counts);
+    }
+    const bytes = reports.encodeReport(report);
+    this.#budget.spend(bytes.byteLength, receivers.length);
+    for (const { host, port } of receivers) {
+      this.#options.channel.send(bytes, host, port);
+    }
+    this.#options.onReport("sent");
+  }
+
+  #take(bytes: Uint8Array, host: string): void {
+    const report = reports.decodeReport(bytes);
+    const nowMs = this.#options.clock.monotonicMs();
+    const isTaken = report !== undefined &&
+      this.table.take(report, host, nowMs);
+    this.#options.onReport(isTaken ? "taken" : "dropped");
+    if (!isTaken) return;
+    for (const item of report.sessions) {
+      this.#options.listener.onSession(item);
+    }
+    this.#takeCounts(report.name, report.counts);
+  }
+
+  /** Counts add up over a peer's life: only what is new is passed on. */
+  #takeCounts(name: string, counts: readonly reports.VersionCount[]): void {
+    for (const count of counts) {
+      const key =
+        `${name}/${count.service}/${count.orderRevision}/${count.route}`;
+      const held = this.#heardCounts.get(key);
+      this.#heardCounts.delete(key);
+      this.#heardCounts.set(key, count);
+      const fresh = subtractCount(count, held);
+      if (fresh.answers > 0) this.#options.listener.onCount(fresh);
+    }
+    while (this.#heardCounts.size > MAX_HEARD_COUNTS) {
+      const [oldest] = this.#heardCounts.keys();
+      if (oldest === undefined) break;
+      this.#heardCounts.delete(oldest);
+    }
+  }
+}
+
+function sumFailures(counts: readonly reports.VersionCount[]): number {
+  return counts.reduce(
+    (sum, { failures }) =>
+      sum + failures.reduce((part, { count }) => part + count, 0),
+    0,
+  );
+}
+
+/** What a count has more than the one heard before; a restart begins anew. */
+function subtractCount(
+  count: reports.VersionCount,
+  held: reports.VersionCount | undefined,
+): reports.VersionCount {
+  if (held === undefined || held.answers > count.answers) return count;
+  const before = new Map(
+    held.failures.map((failure) => [failure.replicaKey, failure.count]),
+  );
+  return {
+    ...count,
+    answers: count.answers - held.answers,
+    failures: count.failures.flatMap((failure) => {
+      const fresh = failure.count - (before.get(failure.replicaKey) ?? 0);
+      return fresh > 0 ? [{ ...failure, count: fresh }] : [];
+    }),
+  };
+}
--- /dev/null
+++ b/packages/peers/src/peer_task_test.ts
@@ -0,0 +1,148 @@
+/** What is reported when, and what is passed on of the reports of others. */
+import * as ava from "ava";
+import * as kernel from "@jackdawbank/kernel";
+import type * as channels from "./datagram_channel.ts";
+import * as tasks from "./peer_task.ts";
+import * as reports from "./report.ts";
+
+const test = ava.default;
+
+class MemoryChannel implements channels.PeerChannel {
+  onDatagram: channels.PeerChannel["onDatagram"];
+  readonly sent: reports.PeerReport[] = [];
+
+  send(bytes: Uint8Array): void {
+    this.sent.push(reports.decodeReport(bytes) as reports.PeerReport);
+  }
+
+  close(): void {}
+}
+
+interface Setting {
+  readonly clock: kernel.ManualClock;
+  readonly channel: MemoryChannel;
+  readonly task: tasks.PeerTask;
+  readonly loads: reports.ReplicaLoad[];
+  readonly sessions: string[];
+  readonly counts: reports.VersionCount[];
+  readonly seen: string[];
+}
+
+function start(t: ava.ExecutionContext): Setting {
+  const clock = new kernel.ManualClock(10_000);
+  const channel = new MemoryChannel();
+  const setting = {
+    clock,
+    channel,
+    loads: [] as reports.ReplicaLoad[],
+    sessions: [] as string[],
+    counts: [] as reports.VersionCount[],
+    seen: [] as string[],
+  };
+  const task = new tasks.PeerTask({
+    name: "edge-1",
+    clock,
+    channel,
+    source: {
+      listLoads: () => setting.loads,
+      listRunning: () => [],
+      listCounts: () => [],
+    },
+    listener: {
+      onSession: ({ session, version }) =>
+        setting.sessions.push(`${session} on ${version}`),
+      onCount: (count) => setting.counts.push(count),
+    },
+    onReport: (what) => setting.seen.push(what),
+  });
+  t.teardown(() => task.close());
+  task.table.put({ name: "edge-2", host: "10.0.0.2", port: 9 });
+  return { ...setting, task };
+}
+
+function advance({ clock, task }: Setting, byMs: number): void {
+  for (let passedMs = 0; passedMs < byMs; passedMs += 10) {
+    clock.advance(10);
+    task.check();
+  }
+}
+
+test("a long prompt is reported at once, a small one with the next report", (t) => {
+  const setting = start(t);
+  advance(setting, 1_100);
+  const before = setting.channel.sent.length;
+  setting.loads.push({ replicaKey: 1, pendingMs: 20 });
+  advance(setting, 10);
+  t.is(setting.channel.sent.length, before);
+  setting.loads.push({ replicaKey: 2, pendingMs: 400 });
+  advance(setting, 10);
+  t.is(setting.channel.sent.length, before + 1);
+  t.deepEqual(setting.channel.sent.at(-1)?.loads, [
+    { replicaKey: 2, pendingMs: 400 },
+    { replicaKey: 1, pendingMs: 20 },
+  ]);
+});
+
+test("loads are confirmed while they last, and a process without load is quiet", (t) => {
+  const setting = start(t);
+  setting.loads.push({ replicaKey: 1, pendingMs: 400 });
+  advance(setting, 3_000);
+  const busy = setting.channel.sent.length;
+  t.true(busy >= 8 && busy <= 14, `${busy} reports`);
+  setting.loads.length = 0;
+  advance(setting, 500);
+  t.deepEqual(setting.channel.sent.at(-1)?.loads, []);
+  const emptied = setting.channel.sent.length;
+  advance(setting, 3_000);
+  t.true(setting.channel.sent.length - emptied <= 4);
+});
+
+test("each session is told several times, since datagrams get lost", (t) => {
+  const setting = start(t);
+  setting.task.tellSession({ service: "llm", session: "s1", version: "v1" });
+  advance(setting, 2_000);
+  const told = setting.channel.sent.filter(({ sessions }) =>
+    sessions.length > 0
+  );
+  t.is(told.length, 3);
+});
+
+test("sessions and what is new of a peer's counts are passed on", (t) => {
+  const setting = start(t);
+  const report: reports.PeerReport = {
+    name: "edge-2",
+    startedAtMs: 5,
+    number: 1,
+    loads: [],
+    running: undefined,
+    sessions: [{ service: "llm", session: "s1", version: "v1" }],
+    counts: [{
+      service: "llm",
+      orderRevision: 3,
+      route: "r",
+      answers: 10,
+      failures: [{ replicaKey: 5, count: 2 }],
+    }],
+  };
+  const tell = (part: Partial<reports.PeerReport>) =>
+    setting.channel.onDatagram?.(
+      reports.encodeReport({ ...report, ...part }),
+      "10.0.0.2",
+    );
+  tell({});
+  tell({ number: 2 });
+  const [count] = report.counts as [reports.VersionCount];
+  const failures = [{ replicaKey: 5, count: 4 }, { replicaKey: 6, count: 1 }];
+  tell({ number: 3, counts: [] });
+  tell({ number: 4, counts: [{ ...count, answers: 14, failures }] });
+  t.deepEqual(setting.sessions[0], "s1 on v1");
+  t.deepEqual(
+    setting.counts.map(({ answers, failures }) => [answers, failures]),
+    [
+      [10, [{ replicaKey: 5, count: 2 }]],
+      [4, [{ replicaKey: 5, count: 2 }, { replicaKey: 6, count: 1 }]],
+    ],
+  );
+  setting.channel.onDatagram?.(new Uint8Array([1, 2]), "10.0.0.2");
+  t.deepEqual(setting.seen, ["taken", "taken", "taken", "taken", "dropped"]);
+});
--- /dev/null
+++ b/packages/peers/src/report.ts
@@ -0,0 +1,188 @@
+/** The report that a process sends to its peers, and its encoding. */
+import * as msgpackr from "msgpackr";
+import * as z from "zod";
+
+/** Prompts of one process that a replica has still to read. */
+export interface ReplicaLoad {
+  /** Hash of the replica's id: five bytes instead of a name. */
+  readonly replicaKey: number;
+  /** Time that reading its prompts is still expected to take. */
+  readonly pendingMs: number;
+}
+
+/** A number of requests at a replica. */
+export interface ReplicaCount {
+  readonly replicaKey: number;
+  readonly count: number;
+}
+
+/** The version that a session last ran on. */
+export interface SessionVersion {
+  readonly service: string;
+  readonly session: string;
+  readonly version: string;
+}
+
+/** What one process saw of a version under trial, since its start. */
+export interface VersionCount {
+  readonly service: string;
+  /** Revision of the order that brought the version. */
+  readonly orderRevision: number;
+  readonly route: string;
+  readonly answers: number;
+  /** Failures by replica. */
+  readonly failures: readonly ReplicaCount[];
+}
+
+/** All that a process tells. */
+export interface PeerReport {
+  readonly name: string;
+  /** Time of day at which the sender started: tells its lives apart. */
+  readonly startedAtMs: number;
+  /** Counts up within one life; late datagrams are dropped by it. */
+  readonly number: number;
+  /** Replicas with prompts to read. */
+  readonly loads: readonly ReplicaLoad[];
+  /** Requests at all replicas; only in some reports, since they change slowly. */
+  readonly running: readonly ReplicaCount[] | undefined;
+  readonly sessions: readonly SessionVersion[];
+  readonly counts: readonly VersionCount[];
+}
+
+/** Fits one packet on any link. */
+export const MAX_REPORT_BYTES = 1_200;
+/** Entries of each kind that fit with room to spare. */
+const MAX_LOADS = 24;
+const MAX_RUNNING = 48;
+const MAX_SESSIONS = 8;
+const MAX_COUNTS = 4;
+const MAX_FAILING = 16;
+/** Changes with the layout below; others are dropped. */
+const FORMAT = 2;
+
+const textSchema = z.string().min(1).max(128);
+const countSchema = z.int().min(0);
+/** Pairs of a replica's key and a number, in one flat list. */
+const pairsSchema = (most: number) =>
+  z.array(countSchema).max(2 * most).refine(
+    (list) => list.length % 2 === 0,
+    "is not a list of pairs",
+  );
+const layoutSchema = z.tuple([
+  z.literal(FORMAT),
+  textSchema,
+  countSchema,
+  countSchema,
+  pairsSchema(MAX_LOADS),
+  pairsSchema(MAX_RUNNING).nullable(),
+  z.array(z.tuple([textSchema, textSchema, textSchema])).max(MAX_SESSIONS),
+  z.array(
+    z.tuple([
+      textSchema,
+      countSchema,
+      textSchema,
+      countSchema,
+      pairsSchema(MAX_FAILING),
+    ]),
+  ).max(MAX_COUNTS),
+]);
+
+const packer = new msgpackr.Packr({ useRecords: false });
+
+/** The parts of a report that fit; the largest loads go first. */
+export function trimReport(report: PeerReport): PeerReport {
+  return {
+    ...report,
+    loads: report.loads.toSorted((a, b) => b.pendingMs - a.pendingMs)
+      .slice(0, MAX_LOADS),
+    running: report.running?.toSorted((a, b) => b.count - a.count)
+      .slice(0, MAX_RUNNING),
+    sessions: report.sessions.slice(0, MAX_SESSIONS),
+    counts: report.counts.slice(0, MAX_COUNTS),
+  };
+}
+
+/** Encodes a report; one that is too large loses its sessions and counts. */
+export function encodeReport(report: PeerReport): Uint8Array {
+  const bytes = pack(trimReport(report));
+  return bytes.byteLength <= MAX_REPORT_BYTES
+    ? bytes
+    : pack({ ...trimReport(report), sessions: [], counts: [] });
+}
+
+function pack(report: PeerReport): Uint8Array {
+  return packer.pack([
+    FORMAT,
+    report.name,
+    report.startedAtMs,
+    report.number,
+    report.loads.flatMap(({ replicaKey, pendingMs }) => [
+      replicaKey,
+      Math.round(pendingMs),
+    ]),
+    report.running?.flatMap(toPair) ?? null,
+    report.sessions.map((item) => [item.service, item.session, item.version]),
+    report.counts.map((item) => [
+      item.service,
+      item.orderRevision,
+      item.route,
+      item.answers,
+      item.failures.slice(0, MAX_FAILING).flatMap(toPair),
+    ]),
+  ]);
+}
+
+/** Decodes and checks a report; `undefined` when it is none. */
+export function decodeReport(bytes: Uint8Array): PeerReport | undefined {
+  if (bytes.byteLength > MAX_REPORT_BYTES) return undefined;
+  let data: unknown;
+  try {
+    data = packer.unpack(bytes);
+  } catch {
+    // Bytes of another sender; the caller counts them.
+    return undefined;
+  }
+  const parsed = layoutSchema.safeParse(data);
+  if (!parsed.success) return undefined;
+  const [, name, startedAtMs, number, loads, running, sessions, counts] =
+    parsed.data;
+  return {
+    name,
+    startedAtMs,
+    number,
+    loads: readPairs(loads).map(([replicaKey, pendingMs]) => ({
+      replicaKey,
+      pendingMs,
+    })),
+    running: running === null ? undefined : readCounts(running),
+    sessions: sessions.map(([service, session, version]) => ({
+      service,
+      session,
+      version,
+    })),
+    counts: counts.map((
+      [service, orderRevision, route, answers, failures],
+    ) => ({
+      service,
+      orderRevision,
+      route,
+      answers,
+      failures: readCounts(failures),
+    })),
+  };
+}
+
+function toPair({ replicaKey, count }: ReplicaCount): readonly number[] {
+  return [replicaKey, count];
+}
+
+function readCounts(list: readonly number[]): readonly ReplicaCount[] {
+  return readPairs(list).map(([replicaKey, count]) => ({ replicaKey, count }));
+}
+
+function readPairs(list: readonly number[]): readonly [number, number][] {
+  return Array.from({ length: list.length / 2 }, (_, at) => [
+    list[2 * at] as number,
+    list[2 * at + 1] as number,
+  ]);
+}
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -10,8 +10,6 @@
 /** Idle timeout where a replica announces none. */
 const KEEP_ALIVE_MS = 3_000;
 const KEEP_ALIVE_MAX_MS = 30_000;
-/** Processes that may share a replica's connections evenly without knowing of each other. */
-const SHARING_PROCESSES = 6;
 const MIN_CONNECTIONS = 4;
 
 /** One connection, idle or with its one request. */
@@ -30,19 +28,16 @@
 
   constructor(
     address: ports.Address,
-    options: { readonly maxConnections: number; readonly onOpened: () => void },
+    options: { readonly limit: number; readonly onOpened: () => void },
   ) {
     this.#origin = `http://${address.host}:${address.port}`;
     this.#onOpened = options.onOpened;
-    this.setMaxConnections(options.maxConnections);
+    this.setLimit(options.limit);
   }
 
-  /** Takes over what the configuration says that the replica accepts. */
-  setMaxConnections(maxConnections: number): void {
-    this.#limit = Math.max(
-      MIN_CONNECTIONS,
-      Math.floor(maxConnections / SHARING_PROCESSES),
-    );
+  /** Takes over this process's part of what the replica accepts. */
+  setLimit(limit: number): void {
+    this.#limit = Math.max(MIN_CONNECTIONS, limit);
   }
 
   get isFull(): boolean {
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -30,6 +30,8 @@
   onReplica(replica: ports.ReplicaEntry): void;
   onReplicaGone(id: string): void;
   onTable(index: bundle.RouteIndex): void;
+  onPeer(peer: ports.PeerEntry): void;
+  onPeerGone(name: string): void;
 }
 
 /** What the task needs. */
@@ -207,6 +209,10 @@
           reason: item.reason,
         });
         return this.#removeReplica(item.id, "its entry is unreadable");
+      case "peer":
+        return this.#options.listener.onPeer(item.peer);
+      case "peer-gone":
+        return this.#options.listener.onPeerGone(item.name);
       case "rollout-order":
         return this.#takeOrder(item.order);
       case "rollout-record":
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -9,6 +9,7 @@
 import * as neverthrow from "neverthrow";
 import * as attempts from "./attempt.ts";
 import type * as control from "./control_task.ts";
+import type * as fleets from "./fleet.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 import type * as replicas from "./replica_table.ts";
@@ -17,8 +18,8 @@
 import type * as sessions from "./sessions.ts";
 import type * as telemetry from "./telemetry.ts";
 
-/** Share of the retry slack that one process may use without knowing the others. */
-const SLACK_SHARE = 0.1;
+/** Share of the retry slack that one process may use while none other has announced itself. */
+const LONE_SLACK_SHARE = 0.1;
 /** A view older than this may lack routes and keys: they are not called unknown. */
 const UNKNOWN_MAX_AGE_MS = 2_500;
 /** First rank that the engines are asked for; a request that waited goes one before. */
@@ -36,6 +37,7 @@
   readonly control: control.ControlTask;
   readonly table: replicas.ReplicaTable;
   readonly rollouts: rollouts.RolloutTask;
+  readonly fleet: fleets.Fleet;
   readonly sessions: sessions.SessionTable;
   readonly log: logs.DecisionLog;
   readonly telemetry: telemetry.Telemetry;
@@ -126,8 +128,7 @@
       service,
       account: account.value,
       deadlineAtMs: request.receivedAtMs + waitMs,
-      // The split between services must not decide the version as well.
-      fraction: decisions.hashFraction(`version/${seed}`),
+      fraction: hashForVersion(seed),
     });
   }
 
@@ -208,14 +209,9 @@
       Math.max(0, fields.promptTokens - pick.cachedTokens),
     );
     table.noteSent(state, readMs);
-    if (fields.session !== undefined) {
-      this.parts.sessions.note(
-        service,
-        fields.session,
-        state.entry.version,
-        nowMs,
-      );
-    }
+    this.parts.fleet.noteSent(readMs);
+    this.#noteSession(request, state.entry.version);
+    const peerLoad = this.parts.fleet.readLoad(state.key);
     this.parts.log.routine("attempt.sent", {
       requestId: request.requestId,
       route: request.route.name,
@@ -228,6 +224,9 @@
       candidates: pick.candidates,
       cachedTokens: pick.cachedTokens,
       inFlight: state.inFlight,
+      pendingMs: Math.round(state.pendingMs),
+      peerPendingMs: Math.round(peerLoad.pendingMs),
+      peerRunning: peerLoad.running,
       session: fields.session,
       rolloutTarget: side.target,
       tableRevision: this.parts.control.index?.table.revision,
@@ -251,7 +250,11 @@
 
   /** Whether a repeated send stays within a share of the service's budget. */
   mayRepeat(service: string, share = 1): boolean {
-    return this.#window(service).allowsExtra(this.nowMs, share);
+    const processes = this.parts.fleet.size;
+    return this.#window(service).allowsExtra(this.nowMs, {
+      share,
+      slackShare: processes > 1 ? 1 / processes : LONE_SLACK_SHARE,
+    });
   }
 
   /** The pace of a service's engines. */
@@ -263,6 +266,11 @@
     return pace;
   }
 
+  /** Time that prompts of all processes still take to be read at a replica. */
+  readPendingMs(state: replicas.ReplicaState): number {
+    return state.pendingMs + this.parts.fleet.readLoad(state.key).pendingMs;
+  }
+
   logAttempt(
     request: requests.AdmittedRequest,
     sent: Sent,
@@ -299,10 +307,24 @@
       service: request.service,
       route: request.route.name,
       version: sent.state.entry.version,
+      replicaKey: sent.state.key,
+      replicas: this.parts.table.countVersion(sent.state.entry),
       ...outcome,
     });
   }
 
+  /** Other processes learn of sessions that would change sides at them. */
+  #noteSession(request: requests.AdmittedRequest, version: string): void {
+    const { service, fields, fraction } = request;
+    const { session } = fields;
+    if (session === undefined) return;
+    const { sessions, rollouts, fleet } = this.parts;
+    sessions.note(service, session, version, this.nowMs);
+    if (rollouts.mustShare(service, version, fraction)) {
+      fleet.tellSession({ service, session, version });
+    }
+  }
+
   /** Which versions of its service a request may run on. */
   #chooseSide(request: requests.AdmittedRequest): decisions.RolloutSide {
     const { service, fields, fraction } = request;
@@ -372,13 +394,18 @@
     const window = new decisions.RetryWindow({
       windowMs: retryWindowMs,
       ratio: retryRatio,
-      slack: retrySlack * SLACK_SHARE,
+      slack: retrySlack,
     });
     this.#windows.set(service, window);
     return window;
   }
 }
 
+/** Stable fraction that decides a session's version, apart from its service. */
+export function hashForVersion(seed: string): number {
+  return decisions.hashFraction(`version/${seed}`);
+}
+
 /** The service of a request by the weights of its route. */
 export function chooseTarget(
   route: bundle.Route,
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -5,6 +5,7 @@
 import type * as bundle from "@jackdawbank/bundle";
 import type * as kernel from "@jackdawbank/kernel";
 import type * as decisions from "@jackdawbank/decisions";
+import type * as peers from "@jackdawbank/peers";
 
 /** An IP address with a port. */
 export interface Address {
@@ -19,6 +20,8 @@
   readonly dataCentre: string;
   readonly callers: Address;
   readonly readiness: Address;
+  /** Where processes of the installation send each other reports; absent where they have no port for it. */
+  readonly peerPort: number | undefined;
   /** Time between SIGTERM and SIGKILL. */
   readonly graceMs: number;
   /** A key taken away longer ago than this must not be served. */
@@ -47,6 +50,7 @@
   readonly bornAtMs: number | undefined;
 }
 
+export type PeerEntry = peers.PeerEntry;
 export type RolloutOrder = decisions.RolloutOrder;
 export type RolloutRecord = decisions.RolloutRecord;
 
@@ -60,6 +64,8 @@
     readonly id: string;
     readonly reason: string;
   }
+  | { readonly type: "peer"; readonly peer: PeerEntry }
+  | { readonly type: "peer-gone"; readonly name: string }
   | { readonly type: "rollout-order"; readonly order: RolloutOrder }
   | { readonly type: "rollout-record"; readonly record: RolloutRecord }
   | { readonly type: "unreadable"; readonly reason: string }
@@ -76,7 +82,13 @@
   | { readonly type: "written"; readonly revision: number }
   | { readonly type: "changed" };
 
-/** Holds configuration, replicas and roll-outs. */
+/** An announcement that ends unless it is renewed. */
+export interface PeerLease {
+  readonly id: string;
+  readonly ttlMs: number;
+}
+
+/** Holds configuration, replicas, roll-outs and the processes of the installation. */
 export interface ControlPlane {
   readAll(): Promise<kernel.Outcome<ControlSnapshot>>;
   /** Resolves with changes as soon as there are any, or with none after the wait. */
@@ -86,6 +98,12 @@
   ): Promise<kernel.Outcome<ControlSnapshot>>;
   /** Writes a record if its revision is still the stored one. */
   writeRollout(record: RolloutRecord): Promise<kernel.Outcome<RolloutWrite>>;
+  /** Announces this process to the others. */
+  announcePeer(peer: PeerEntry): Promise<kernel.Outcome<PeerLease>>;
+  /** Resolves with whether the announcement still stands. */
+  renewPeer(leaseId: string): Promise<kernel.Outcome<boolean>>;
+  /** Ends the announcement. */
+  withdrawPeer(leaseId: string): Promise<kernel.Outcome<void>>;
   close(): Promise<void>;
 }
 
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -5,6 +5,7 @@
  */
 import type * as bundle from "@jackdawbank/bundle";
 import * as decisions from "@jackdawbank/decisions";
+import type * as peers from "@jackdawbank/peers";
 import * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
 
@@ -13,10 +14,14 @@
 /** A replica that is full or another one is left alone for so long. */
 const BUSY_MS = 150;
 const MISDIRECTED_MS = 1_000;
+/** Processes that may share a replica's connections while none has announced itself. */
+const ASSUMED_PROCESSES = 6;
 
 /** One replica with its state at this process. */
 export interface ReplicaState {
   readonly entry: ports.ReplicaEntry;
+  /** Names the replica in reports between processes. */
+  readonly key: number;
   readonly pool: connections.ReplicaConnections;
   readonly health: decisions.ReplicaHealth;
   /** When a part was last read for a model, by model and part. */
@@ -56,6 +61,8 @@
   readonly prefixReuseMs: number;
   readonly random: () => number;
   readonly onConnection: () => void;
+  /** What other processes have under way at a replica. */
+  readonly readPeerLoad: (replicaKey: number) => peers.PeerLoad;
 }
 
 interface Candidate extends decisions.Candidate {
@@ -89,6 +96,7 @@
   readonly #states = new Map<string, ReplicaState>();
   readonly #byService = new Map<string, Set<ReplicaState>>();
   #services: ReadonlyMap<string, bundle.RoutedService> = new Map();
+  #processes: number | undefined;
 
   constructor(options: ReplicaTableOptions) {
     this.#options = options;
@@ -105,6 +113,15 @@
     );
   }
 
+  /** Replicas of the same service and version. */
+  countVersion(
+    entry: Pick<ports.ReplicaEntry, "service" | "version">,
+  ): number {
+    return this.listService(entry.service).filter((state) =>
+      state.entry.version === entry.version
+    ).length;
+  }
+
   /** Takes an entry; another start of a replica begins with nothing learnt. */
   put(entry: ports.ReplicaEntry): void {
     const held = this.#states.get(entry.id);
@@ -213,23 +230,50 @@
     for (const id of [...this.#states.keys()]) this.remove(id);
   }
 
+  /** Prompts of this process that replicas have still to read. */
+  listLoads(): readonly peers.ReplicaLoad[] {
+    return [...this.#states.values()].flatMap(({ key, pendingMs }) =>
+      pendingMs > 0 ? [{ replicaKey: key, pendingMs }] : []
+    );
+  }
+
+  /** Requests of this process at each replica. */
+  listRunning(): readonly peers.ReplicaCount[] {
+    return [...this.#states.values()].flatMap(({ key, inFlight }) =>
+      inFlight > 0 ? [{ replicaKey: key, count: inFlight }] : []
+    );
+  }
+
   /** Takes over the services' limits; replicas may be known before they are. */
   takeServices(services: ReadonlyMap<string, bundle.RoutedService>): void {
     this.#services = services;
+    this.#limitConnections();
+  }
+
+  /** Processes that share what a replica accepts. */
+  setProcesses(processes: number): void {
+    this.#processes = processes;
+    this.#limitConnections();
+  }
+
+  #limitConnections(): void {
     for (const { entry, pool } of this.#states.values()) {
-      pool.setMaxConnections(this.#findMaxConnections(entry));
+      pool.setLimit(this.#findMaxConnections(entry));
     }
   }
 
   #findMaxConnections(entry: ports.ReplicaEntry): number {
-    return this.#services.get(entry.service)?.maxConnections ?? entry.slots;
+    const accepted = this.#services.get(entry.service)?.maxConnections ??
+      entry.slots;
+    return Math.floor(accepted / (this.#processes ?? ASSUMED_PROCESSES));
   }
 
   #create(entry: ports.ReplicaEntry): ReplicaState {
     return {
       entry,
+      key: decisions.hashText(entry.id),
       pool: new connections.ReplicaConnections(entry.address, {
-        maxConnections: this.#findMaxConnections(entry),
+        limit: this.#findMaxConnections(entry),
         onOpened: this.#options.onConnection,
       }),
       health: new decisions.ReplicaHealth(),
@@ -246,17 +290,20 @@
     states: readonly ReplicaState[],
     request: PlacementRequest,
   ): PickedReplica | undefined {
-    const candidates = states.map((state): Candidate => ({
-      state,
-      id: state.entry.id,
-      isLocal: state.entry.dataCentre === this.#options.dataCentre,
-      inFlight: state.inFlight,
-      pendingMs: state.pendingMs,
-      slots: state.entry.slots,
-      cachedTokens: this.#countCached(state, request),
-      failureShare: state.health.failureShare,
-      delayMs: state.health.delayMs,
-    }));
+    const candidates = states.map((state): Candidate => {
+      const peerLoad = this.#options.readPeerLoad(state.key);
+      return {
+        state,
+        id: state.entry.id,
+        isLocal: state.entry.dataCentre === this.#options.dataCentre,
+        inFlight: state.inFlight + peerLoad.running,
+        pendingMs: state.pendingMs + peerLoad.pendingMs,
+        slots: state.entry.slots,
+        cachedTokens: this.#countCached(state, request),
+        failureShare: state.health.failureShare,
+        delayMs: state.health.delayMs,
+      };
+    });
     const affinity = findAffinityPart(request.parts);
     const chosen = decisions.chooseCandidate(candidates, {
       promptTokens: request.promptTokens,
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -9,6 +9,7 @@
     prefixReuseMs: 10_000,
     random: () => 0.5,
     onConnection: () => {},
+    readPeerLoad: () => ({ pendingMs: 0, running: 0 }),
   });
 }
 
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -5,6 +5,7 @@
  */
 import * as decisions from "@jackdawbank/decisions";
 import type * as kernel from "@jackdawbank/kernel";
+import type * as peers from "@jackdawbank/peers";
 import type * as control from "./control_task.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
@@ -15,105 +16,22 @@
 /** Share of a roll-out's duration that the delay may take. */
 const STEP_JITTER_SHARE = 0.03;
 const RETRY_MS = 400;
-/** Answers of the new version before its failures may stop it. */
-const MIN_SAMPLES = 6;
-/** Increase of the failure rate that stops a version. */
-const MAX_ERROR_INCREASE = 0.15;
-/** An answer so many times slower than the stable version's mean counts as a failure. */
-const SLOW_FACTOR = 4;
-/** Differences below this are no sign of a slow version. */
-const SLOW_FLOOR_MS = 40;
-const MIN_PACE_SAMPLES = 8;
-const PACE_WEIGHT = 0.05;
 
-/** An answer as evidence. */
-export interface VersionOutcome {
+/** An answer of a service as evidence on its version. */
+export interface VersionEvidence extends decisions.VersionOutcome {
   readonly service: string;
-  readonly route: string;
   readonly version: string;
-  readonly model: string | undefined;
-  readonly isFailure: boolean;
-  /** Time to the first byte, or between events; absent for failures. */
-  readonly paceMs: number | undefined;
 }
 
-interface Pace {
-  samples: number;
-  meanMs: number;
-}
-
-/** Judges one order: each route on its own, and all together. */
-class Trial {
+/** The trial of an order, since this process learnt of it. */
+interface Trial {
   readonly orderRevision: number;
-  /** Time of day at which this process learnt of the order. */
-  readonly orderedAtMs: number;
-  readonly #guards = new Map<string, decisions.RolloutGuard>();
-  readonly #paces = new Map<string, Pace>();
-  #verdict: string | undefined;
-  #failures = 0;
-  #samples = 0;
-
-  constructor(orderRevision: number, orderedAtMs: number) {
-    this.orderRevision = orderRevision;
-    this.orderedAtMs = orderedAtMs;
-  }
-
-  get verdict(): string | undefined {
-    return this.#verdict;
-  }
-
-  get evidence(): { readonly failures: number; readonly samples: number } {
-    return { failures: this.#failures, samples: this.#samples };
-  }
-
-  take(outcome: VersionOutcome, isTarget: boolean): void {
-    const isSlow = this.#isSlow(outcome, isTarget);
-    const isBad = outcome.isFailure || isSlow;
-    if (isTarget) {
-      this.#samples += 1;
-      if (isBad) this.#failures += 1;
-    }
-    for (const name of [outcome.route, ""]) {
-      const guard = this.#guard(name);
-      if (!isTarget) {
-        guard.recordStable(isBad);
-        continue;
-      }
-      const verdict = guard.recordRolling(isBad);
-      if (verdict === undefined || this.#verdict !== undefined) continue;
-      this.#verdict = `${this.#failures} of ${this.#samples} answers were bad` +
-        (name === "" ? "" : `, on route ${name}`);
-    }
-  }
-
-  #isSlow(outcome: VersionOutcome, isTarget: boolean): boolean {
-    const { paceMs } = outcome;
-    if (paceMs === undefined) return false;
-    const key = `${outcome.route}/${outcome.model ?? ""}`;
-    const pace = this.#paces.get(key) ?? { samples: 0, meanMs: paceMs };
-    this.#paces.set(key, pace);
-    const isSlow = pace.samples >= MIN_PACE_SAMPLES &&
-      paceMs > SLOW_FACTOR * pace.meanMs + SLOW_FLOOR_MS;
-    if (!isTarget) {
-      pace.samples += 1;
-      pace.meanMs += Math.max(PACE_WEIGHT, 1 / pace.samples) *
-        (Math.min(paceMs, SLOW_FACTOR * pace.meanMs + SLOW_FLOOR_MS) -
-          pace.meanMs);
-    }
-    return isSlow;
-  }
-
-  #guard(name: string): decisions.RolloutGuard {
-    const held = this.#guards.get(name);
-    if (held !== undefined) return held;
-    const guard = new decisions.RolloutGuard({
-      minSamples: MIN_SAMPLES,
-      maxErrorIncrease: MAX_ERROR_INCREASE,
-      maxRatingDecrease: 1,
-    });
-    this.#guards.set(name, guard);
-    return guard;
-  }
+  readonly targetVersion: string;
+  /** Steady time at which this process learnt of the order. */
+  readonly learntAtMs: number;
+  /** How long the order had stood by then; unknown until its record is. */
+  earlierMs: number | undefined;
+  readonly judge: decisions.VersionTrial;
 }
 
 /** What the task needs. */
@@ -124,6 +42,10 @@
   readonly log: logs.DecisionLog;
   readonly random: () => number;
   readonly exposureShare: number;
+  /** Replicas of a version of a service. */
+  readonly countReplicas: (service: string, version: string) => number;
+  /** Called once with each order. */
+  readonly onOrder: (service: string) => void;
 }
 
 /** Owner of the roll-outs' steps. */
@@ -133,6 +55,8 @@
   readonly #due = new Map<string, number>();
   readonly #writing = new Set<string>();
   readonly #timer: NodeJS.Timeout;
+  /** Orders that come after the first full read are new ones. */
+  #hasSeenView = false;
 
   constructor(options: RolloutTaskOptions) {
     this.#options = options;
@@ -147,73 +71,146 @@
       readonly fraction: number;
     },
   ): decisions.RolloutSide {
-    const { control, clock, exposureShare } = this.#options;
+    const { control, exposureShare } = this.#options;
     const order = control.orders.get(service);
     const target = order?.targetVersion;
+    const record = control.records.get(service);
+    const trial = order && this.#trial(order);
     return decisions.chooseRolloutSide({
       order,
-      record: control.records.get(service),
+      record,
       session: session.version === undefined
         ? undefined
         : session.version === target
         ? "new"
         : "old",
       fraction: session.fraction,
-      wallMs: clock.wallMs(),
+      elapsedMs: trial === undefined ? 0 : this.#measureElapsedMs(
+        trial,
+        record,
+      ),
       exposureShare,
-      isStoppedHere: order !== undefined &&
-        this.#trials.get(service)?.verdict !==
-          undefined &&
-        this.#trials.get(service)?.orderRevision === order.revision,
+      isStoppedHere: trial?.judge.verdict !== undefined,
     });
   }
 
+  /** Whether other processes must know that a session runs on the old version. */
+  mustShare(service: string, version: string, fraction: number): boolean {
+    const order = this.#options.control.orders.get(service);
+    return order !== undefined && version !== order.targetVersion &&
+      !this.#isOver(order) &&
+      decisions.isTrialSession(fraction, this.#options.exposureShare);
+  }
+
+  /** What this process saw of versions under trial. */
+  listCounts(): readonly peers.VersionCount[] {
+    return [...this.#options.control.orders.values()].flatMap((order) => {
+      if (this.#isOver(order)) return [];
+      const { service, revision } = order;
+      return this.#trial(order).judge.listOwn().map((evidence) => ({
+        service,
+        orderRevision: revision,
+        ...evidence,
+      }));
+    });
+  }
+
+  /** Takes what another process saw of a version under trial. */
+  takeCount(count: peers.VersionCount): void {
+    const { control, countReplicas } = this.#options;
+    const order = control.orders.get(count.service);
+    if (order?.revision !== count.orderRevision || this.#isOver(order)) return;
+    const { judge, targetVersion } = this.#trial(order);
+    const before = judge.verdict;
+    judge.takePeer(count, countReplicas(count.service, targetVersion));
+    if (before !== undefined || judge.verdict === undefined) return;
+    this.#logEvidence(order, judge);
+    this.check();
+  }
+
   /** Takes an answer as evidence while a roll-out is under way. */
-  record(outcome: VersionOutcome): void {
-    const { control } = this.#options;
-    const order = control.orders.get(outcome.service);
-    if (order === undefined) return;
-    const held = control.records.get(outcome.service);
-    const isOver = held !== undefined && held.state !== "in-progress" &&
-      held.orderRevision >= order.revision;
-    if (isOver) return;
-    const trial = this.#trial(order);
+  record(outcome: VersionEvidence): void {
+    const order = this.#options.control.orders.get(outcome.service);
+    if (order === undefined || this.#isOver(order)) return;
     const isTarget = outcome.version === order.targetVersion;
-    const before = trial.verdict;
-    trial.take(outcome, isTarget);
-    if (isTarget && (outcome.isFailure || before !== trial.verdict)) {
-      this.#options.log.notable("rollout.evidence", {
-        service: outcome.service,
-        route: outcome.route,
-        version: outcome.version,
-        ...trial.evidence,
-        verdict: trial.verdict,
-      });
+    const { judge } = this.#trial(order);
+    const before = judge.verdict;
+    judge.take(outcome, isTarget);
+    if (isTarget && (outcome.isFailure || before !== judge.verdict)) {
+      this.#logEvidence(order, judge, outcome);
     }
-    if (before === undefined && trial.verdict !== undefined) this.check();
+    if (before === undefined && judge.verdict !== undefined) this.check();
   }
 
   /** Writes the steps that are due. */
   check(): void {
-    for (const order of this.#options.control.orders.values()) {
-      this.#checkOrder(order);
-    }
+    const { control } = this.#options;
+    for (const order of control.orders.values()) this.#checkOrder(order);
+    this.#hasSeenView ||= control.hasRead;
   }
 
   close(): void {
     clearInterval(this.#timer);
   }
 
+  /** The record says how the order ended. */
+  #isOver(order: ports.RolloutOrder): boolean {
+    const held = this.#options.control.records.get(order.service);
+    return held !== undefined && held.state !== "in-progress" &&
+      held.orderRevision >= order.revision;
+  }
+
+  #logEvidence(
+    order: ports.RolloutOrder,
+    judge: decisions.VersionTrial,
+    outcome?: VersionEvidence,
+  ): void {
+    this.#options.log.notable("rollout.evidence", {
+      service: order.service,
+      version: order.targetVersion,
+      route: outcome?.route,
+      replicaKey: outcome?.replicaKey,
+      isFailure: outcome?.isFailure,
+      paceMs: outcome?.paceMs,
+      ...judge.evidence,
+      verdict: judge.verdict,
+    });
+  }
+
+  /**
+   * Steady time since the order. The time of day may jump; it only serves where
+   * a process finds the order on record when it starts.
+   */
+  #measureElapsedMs(
+    trial: Trial,
+    record: ports.RolloutRecord | undefined,
+  ): number {
+    const { clock } = this.#options;
+    const knownMs = clock.monotonicMs() - trial.learntAtMs;
+    if (
+      trial.earlierMs === undefined &&
+      record?.orderRevision === trial.orderRevision
+    ) {
+      const elapsedMs = decisions.estimateElapsedMs(record, clock.wallMs());
+      trial.earlierMs = Math.max(0, elapsedMs - knownMs);
+    }
+    return knownMs + (trial.earlierMs ?? 0);
+  }
+
   #trial(order: ports.RolloutOrder): Trial {
     const held = this.#trials.get(order.service);
     if (held !== undefined && held.orderRevision === order.revision) {
       return held;
     }
-    const trial = new Trial(
-      order.revision,
-      this.#options.clock.wallMs(),
-    );
+    const trial: Trial = {
+      orderRevision: order.revision,
+      targetVersion: order.targetVersion,
+      learntAtMs: this.#options.clock.monotonicMs(),
+      earlierMs: this.#hasSeenView ? 0 : undefined,
+      judge: new decisions.VersionTrial(),
+    };
     this.#trials.set(order.service, trial);
+    this.#options.onOrder(order.service);
     return trial;
   }
 
@@ -221,11 +218,13 @@
     const { service } = order;
     if (this.#writing.has(service)) return;
     const { control, clock, random } = this.#options;
-    const { verdict, orderedAtMs } = this.#trial(order);
-    const next = decisions.advanceRollout(order, control.records.get(service), {
+    const trial = this.#trial(order);
+    const { verdict } = trial.judge;
+    const record = control.records.get(service);
+    const next = decisions.advanceRollout(order, record, {
       verdict,
+      elapsedMs: this.#measureElapsedMs(trial, record),
       wallMs: clock.wallMs(),
-      orderedAtMs,
     });
     if (next === undefined) {
       this.#due.delete(service);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,9 +1,11 @@
 /** Puts the parts of a router together, and ends them in order. */
 import * as http from "node:http";
 import * as kernel from "@jackdawbank/kernel";
+import type * as peers from "@jackdawbank/peers";
 import * as controls from "./control_task.ts";
 import * as logs from "./decision_log.ts";
 import * as dispatchers from "./dispatcher.ts";
+import * as fleets from "./fleet.ts";
 import * as fronts from "./front.ts";
 import type * as ports from "./ports.ts";
 import * as replicas from "./replica_table.ts";
@@ -52,6 +54,8 @@
   readonly #table: replicas.ReplicaTable;
   readonly #control: controls.ControlTask;
   readonly #rollouts: rollouts.RolloutTask;
+  readonly #fleet: fleets.Fleet;
+  readonly #sessions: sessions.SessionTable;
   readonly #watchdog: watchdogs.Watchdog;
   readonly #front: fronts.Front;
   readonly #readiness: http.Server;
@@ -62,11 +66,33 @@
   constructor(options: RouterOptions) {
     this.#options = options;
     const { settings, plane, codec, clock, log, random } = options;
+    this.#sessions = new sessions.SessionTable(
+      settings.sessionGapMs * SESSION_GAPS,
+    );
     this.#table = new replicas.ReplicaTable({
       dataCentre: settings.dataCentre,
       prefixReuseMs: settings.prefixReuseMs,
       random,
       onConnection: () => this.#telemetry.countEvent("connection.opened"),
+      readPeerLoad: (key) => this.#fleet.readLoad(key),
+    });
+    this.#fleet = new fleets.Fleet({
+      settings,
+      clock,
+      plane,
+      log,
+      telemetry: this.#telemetry,
+      random,
+      source: {
+        listLoads: () => this.#table.listLoads(),
+        listRunning: () => this.#table.listRunning(),
+        listCounts: () => this.#rollouts.listCounts(),
+      },
+      listener: {
+        onSession: (item) => this.#takeSession(item),
+        onCount: (count) => this.#rollouts.takeCount(count),
+      },
+      onSize: (processes) => this.#table.setProcesses(processes),
     });
     this.#control = new controls.ControlTask({
       clock,
@@ -81,6 +107,8 @@
           this.#table.takeServices(index.serviceByName);
           this.#front.applyLimits();
         },
+        onPeer: (peer) => this.#fleet.put(peer),
+        onPeerGone: (name) => this.#fleet.remove(name),
       },
     });
     this.#rollouts = new rollouts.RolloutTask({
@@ -90,6 +118,9 @@
       log,
       random,
       exposureShare: settings.exposureShare,
+      countReplicas: (service, version) =>
+        this.#table.countVersion({ service, version }),
+      onOrder: (service) => this.#shareSessions(service),
     });
     this.#watchdog = new watchdogs.Watchdog(clock);
     this.#front = new fronts.Front({
@@ -100,9 +131,8 @@
         control: this.#control,
         table: this.#table,
         rollouts: this.#rollouts,
-        sessions: new sessions.SessionTable(
-          settings.sessionGapMs * SESSION_GAPS,
-        ),
+        fleet: this.#fleet,
+        sessions: this.#sessions,
         log,
         telemetry: this.#telemetry,
         random,
@@ -139,6 +169,7 @@
   async start(): Promise<RouterPorts> {
     const { settings, metrics } = this.#options;
     this.#control.start();
+    await this.#fleet.start();
     const callers = await this.#front.listen(settings.callers);
     const readiness = await telemetry.listen(
       this.#readiness,
@@ -183,10 +214,28 @@
     this.#rollouts.close();
     this.#watchdog.close();
     this.#table.close();
+    await this.#fleet.close();
     await this.#control.close();
     this.#options.log.close();
   }
 
+  /** Tells the others which sessions a new order finds on the old version. */
+  #shareSessions(service: string): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const { session, version } of this.#sessions.list(service, nowMs)) {
+      const fraction = dispatchers.hashForVersion(session);
+      if (!this.#rollouts.mustShare(service, version, fraction)) continue;
+      this.#fleet.tellSession({ service, session, version });
+    }
+  }
+
+  /** Takes a session's version from another process; what was seen here counts more. */
+  #takeSession({ service, session, version }: peers.SessionVersion): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (this.#sessions.find(service, session, nowMs) !== undefined) return;
+    this.#sessions.note(service, session, version, nowMs);
+  }
+
   #answerReadiness(
     request: http.IncomingMessage,
     response: http.ServerResponse,
--- a/packages/router/src/sessions.ts
+++ b/packages/router/src/sessions.ts
@@ -24,6 +24,19 @@
       : held.version;
   }
 
+  /** Sessions of a service that may still go on, with their versions. */
+  list(
+    service: string,
+    nowMs: number,
+  ): readonly { readonly session: string; readonly version: string }[] {
+    const prefix = `${service}/`;
+    return [...this.#held].flatMap(([key, { version, atMs }]) =>
+      key.startsWith(prefix) && nowMs - atMs <= this.#ttlMs
+        ? [{ session: key.slice(prefix.length), version }]
+        : []
+    );
+  }
+
   /** Notes a run; the newest entries stand last. */
   note(service: string, session: string, version: string, nowMs: number): void {
     const key = `${service}/${session}`;
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -18,10 +18,6 @@
 const FIRST_EVENT_OBJECTIVES = 1;
 /** Prompt tokens that an engine reads in a millisecond when it is shared. */
 const PROMPT_TOKENS_PER_MS = 20;
-/** A replica that sent nothing to anybody for so long is silent. */
-const REPLICA_SILENCE_MS = 900;
-/** Wait for an event, in longest pauses, beyond which any replica is given up. */
-const MAX_GAPS = 2.5;
 /** Share of the retry budget that escalations may use; the rest is for failures. */
 const ESCALATION_BUDGET_SHARE = 0.6;
 const UNRUN_SENDS = 2;
@@ -255,15 +251,16 @@
       if (nowMs >= deadlineAtMs) return attempt?.cancel("deadline passed");
       const mayMove = route.isResumable && this.#runs + 1 < route.maxAttempts;
       if (!mayMove || this.#isWaitingForCaller) return;
-      const heardAtMs = current.sent?.state.heardAtMs ?? nowMs;
-      const replicaSilentMs = nowMs - Math.max(heardAtMs, current.startedAtMs);
-      const isReplicaSilent = replicaSilentMs > REPLICA_SILENCE_MS;
-      const limitMs = current.headAtMs === undefined
-        ? firstEventMs
-        : route.maxGapMs;
-      const waitedMs = nowMs - current.newestAtMs;
-      const isSilent = waitedMs > limitMs &&
-        (isReplicaSilent || waitedMs > limitMs * MAX_GAPS);
+      const { sent } = current;
+      const heardAtMs = sent?.state.heardAtMs ?? nowMs;
+      const isSilent = decisions.isStreamSilent({
+        waitedMs: nowMs - current.newestAtMs,
+        limitMs: current.headAtMs === undefined ? firstEventMs : route.maxGapMs,
+        replicaSilentMs: nowMs - Math.max(heardAtMs, current.startedAtMs),
+        readingMs: sent === undefined
+          ? 0
+          : this.#dispatcher.readPendingMs(sent.state),
+      });
       // Silence alone ends no answer: it has to go on elsewhere.
       if (isSilent && this.#canMoveFrom(current)) attempt?.cancel("silent");
     }, signal);
