A gate that was paused asks before it hands over more; a pin waits for its homes

bundle_fault_test "an allow-list narrowed while the gate is frozen": on waking, the gate read its engine's answer before the bundle that waited in another socket, and handed the next work over on what it knew 1.7 s before; knowledge of up to 3.5 s passed. Which socket is read first is chance. Now a round of pings that is over 500 ms late makes the gate forget what entries knew, and work is held until one has answered again.

session_fault_test "sessions with the caller's own id": an entry took a fresh pin when the homes of a session had not answered within 200 ms.

--- a/packages/bench/src/bundle_fault_test.ts
+++ b/packages/bench/src/bundle_fault_test.ts
@@ -223,6 +223,24 @@
   t.true(refused.every((result) => result.notRun === true));
 });
 
+test("a gate that was frozen hands nothing over before an entry has answered it", async (t) => {
+  const deployment = await fixtures.startFor(t, buildFreezePlan());
+  const calls = await queueCalls(t, deployment);
+  const gate = deployment.upstream("model-b").process;
+  const entry = deployment.entry("entry-a");
+  gate.freeze();
+  entry.freeze();
+  await new Promise((resolve) => setTimeout(resolve, 1_700));
+  const before = (await deployment.listEngineRuns()).length;
+  gate.wake();
+  // The engine's answer frees the slot at once; the entry cannot say what is in force.
+  await new Promise((resolve) => setTimeout(resolve, 800));
+  t.is((await deployment.listEngineRuns()).length, before);
+  entry.wake();
+  const results = await Promise.all(calls);
+  t.true(results.every(({ status }) => status === 200));
+});
+
 test("of two operators who race, one wins and the other is told who", async (t) => {
   const deployment = await fixtures.startFor(t, fixtures.buildSmallPlan());
   const one = await deployment.next((content) => ({
--- a/packages/bench/src/session_fault_test.ts
+++ b/packages/bench/src/session_fault_test.ts
@@ -130,6 +130,22 @@
   t.deepEqual(await listMoved(replaced, born), []);
 });
 
+test("sessions with the caller's own id keep their version while their homes stand still", async (t) => {
+  const deployment = await fixtures.startFor(t, buildPlan());
+  const first = fixtures.callFor(t, deployment);
+  const other = fixtures.callFor(t, deployment, { entry: "entry-b" });
+  const born = await bear(first, (at) => `shopper-${at}`);
+  await roll(deployment, { v2: 100 });
+  const homes = ["model-b", "model-c"].map((id) =>
+    deployment.upstream(id).process
+  );
+  for (const home of homes) home.freeze();
+  const moved = listMoved(other, born);
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  for (const home of homes) home.wake();
+  t.deepEqual(await moved, []);
+});
+
 test("a withdrawal moves a session once, to the named successor, and says so", async (t) => {
   const deployment = await fixtures.startFor(t, buildPlan());
   const caller = fixtures.callFor(t, deployment);
--- a/packages/entry/src/sessions.ts
+++ b/packages/entry/src/sessions.ts
@@ -11,7 +11,8 @@
 /** Upstream processes that hold the pin of a caller's own session id. */
 const PIN_HOMES = 2;
 const MAX_ID_CHARS = 128;
-const PIN_TIMEOUT_MS = 200;
+/** Homes that stand still for a moment still hold the pin: a fresh one would move the session. */
+const PIN_TIMEOUT_MS = 1_000;
 const MAX_KNOWN_PINS = 20_000;
 
 /** A request's session. */
--- a/packages/upstream/src/peers.ts
+++ b/packages/upstream/src/peers.ts
@@ -12,6 +12,8 @@
 /** An entry that has left its pings unanswered for so long is cut off. */
 const MAX_SILENCE_MS = 30_000;
 const MAX_OPEN_PINGS = 1_024;
+/** A ping that is later than this tells that the process was paused. */
+const MAX_PING_DELAY_MS = 500;
 /** A ping that may still be answered. */
 interface OpenPing {
   readonly connection: mesh.MeshConnection;
@@ -36,7 +38,9 @@
   readonly #teardown: kernel.Teardown;
   readonly #openPings = new Map<number, OpenPing>();
   /** When each entry last knew what the store held, or had tried to. */
-  readonly #knownAtMs = new WeakMap<mesh.MeshConnection, number>();
+  #knownAtMs = new WeakMap<mesh.MeshConnection, number>();
+  /** Steady time of the last round of pings. */
+  #pingedAtMs: number;
   #nonce = 0;
   /** Stopped roll-outs that entries have told of; passed on to the others. */
   #stops: ReadonlySet<string> = new Set();
@@ -47,6 +51,7 @@
     this.#services = services;
     this.#options = options;
     this.#spreader = new config.BundleSpreader(options.holder);
+    this.#pingedAtMs = services.clock.monotonicMs();
     this.#timer = setInterval(() => this.#pingDue(), PING_INTERVAL_MS);
     this.#teardown = options.holder.listen(() =>
       this.#spreader.sendToAll(options.connections())
@@ -56,9 +61,11 @@
   /**
    * Age of what an entry knew of the store when it answered the newest ping.
    * Only answers count: what an entry sent by itself may have waited in a socket
-   * while this process was paused.
+   * while this process was paused. After a pause nothing is known until an
+   * entry has answered again: a newer bundle may wait in a socket as well.
    */
   readKnowledgeAgeMs(connection: mesh.MeshConnection): number {
+    this.#forgetAfterPause();
     const knownAtMs = this.#knownAtMs.get(connection) ??
       Number.NEGATIVE_INFINITY;
     return this.#services.clock.monotonicMs() - knownAtMs;
@@ -185,8 +192,22 @@
     });
   }
 
+  #forgetAfterPause(): void {
+    const nowMs = this.#services.clock.monotonicMs();
+    const pausedMs = nowMs - this.#pingedAtMs - PING_INTERVAL_MS;
+    if (pausedMs <= MAX_PING_DELAY_MS) return;
+    this.#pingedAtMs = nowMs;
+    this.#knownAtMs = new WeakMap();
+    this.#openPings.clear();
+    this.#services.timeline.record("peers.paused", {
+      detail: `${Math.round(pausedMs)} ms`,
+    });
+  }
+
   /** One entry in turn, for the bundle's freshness, and all that have work here. */
   #pingDue(): void {
+    this.#forgetAfterPause();
+    this.#pingedAtMs = this.#services.clock.monotonicMs();
     const connections = [...this.#options.connections()];
     this.#turn = (this.#turn + 1) % Math.max(1, connections.length);
     connections.forEach((connection, at) => {
