Replicas that fall over do not condemn their version; admission stands apart

A loss now counts only once its replica has answered a request that was sent later: one that fell over takes its losses with it. Failing first: "a good version whose replicas crash together"; kept: a version that cuts answers while its replicas live is stopped.

Ruled out: the cut-off entry (its own view did not write), slow answers (the evidence lines name lost answers only).

--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -1,12 +1,11 @@
 /**
- * Admits requests and sends them to replicas: the choices of version, model
- * and replica, the budget of repeated sends, and what each attempt teaches.
+ * Sends admitted requests to replicas: the choices of version and replica, the
+ * budget of repeated sends, and what each attempt teaches.
  */
-import type * as bundle from "@jackdawbank/bundle";
-import * as bundles from "@jackdawbank/bundle";
 import * as decisions from "@jackdawbank/decisions";
-import * as kernel from "@jackdawbank/kernel";
+import type * as kernel from "@jackdawbank/kernel";
 import * as neverthrow from "neverthrow";
+import * as admissions from "./admission.ts";
 import * as attempts from "./attempt.ts";
 import type * as control from "./control_task.ts";
 import type * as fleets from "./fleet.ts";
@@ -20,14 +19,9 @@
 
 /** Share of the retry slack that one process may use while none other has announced itself. */
 const LONE_SLACK_SHARE = 0.1;
-/** A view older than this may lack routes and keys: they are not called unknown. */
-const UNKNOWN_MAX_AGE_MS = 2_500;
 /** First rank that the engines are asked for; a request that waited goes one before. */
 const ENGINE_RANK_BASE = 2;
 const MAX_ENGINE_RANK = 9;
-/** What a caller whose request finds no replica should wait. */
-const NO_REPLICA_RETRY_MS = 400;
-const STALE_RETRY_MS = 500;
 
 /** What the dispatcher works with. */
 export interface DispatcherParts {
@@ -35,6 +29,7 @@
   readonly codec: ports.MessageCodec;
   readonly settings: ports.RouterSettings;
   readonly control: control.ControlTask;
+  readonly admission: admissions.Admission;
   readonly table: replicas.ReplicaTable;
   readonly rollouts: rollouts.RolloutTask;
   readonly fleet: fleets.Fleet;
@@ -44,12 +39,6 @@
   readonly random: () => number;
 }
 
-/** A refusal with the delay after which the caller may come back. */
-export interface Refusal {
-  readonly error: kernel.AppError;
-  readonly retryAfterMs?: number;
-}
-
 /** How to send. */
 export interface SendOptions {
   readonly model: string | undefined;
@@ -69,15 +58,6 @@
   readonly readMs: number;
 }
 
-function refusal(
-  kind: kernel.ErrorKind,
-  message: string,
-  retryAfterMs?: number,
-): Refusal {
-  const error = kernel.makeError(kind, message);
-  return retryAfterMs === undefined ? { error } : { error, retryAfterMs };
-}
-
 /** Sends requests of one process. */
 export class Dispatcher {
   readonly parts: DispatcherParts;
@@ -92,66 +72,13 @@
     return this.parts.clock.monotonicMs();
   }
 
-  /** Checks route, account and the age of what this process knows. */
-  admit(
-    request: requests.IncomingRequest,
-  ): neverthrow.Result<requests.AdmittedRequest, Refusal> {
-    const { control } = this.parts;
-    const { index } = control;
-    if (index === undefined || !control.hasRead) {
-      return neverthrow.err(
-        refusal("no-bundle", "no configuration is known yet", STALE_RETRY_MS),
-      );
-    }
-    const path = request.target.split("?", 1)[0] as string;
-    const route = bundles.findRoute(index, request.hostName, path);
-    if (route === undefined) {
-      return neverthrow.err(
-        this.#refuseUnknown("not-found", "no route matches"),
-      );
-    }
-    const account = this.#findAccount(index, route, request);
-    if (account.isErr()) return neverthrow.err(account.error);
-    const { fields } = request;
-    const seed = fields.session ?? request.requestId;
-    const fraction = decisions.hashFraction(seed);
-    const service = chooseTarget(route, fraction);
-    if (service === undefined) {
-      return neverthrow.err(
-        refusal("no-upstream", "the route has no service", NO_REPLICA_RETRY_MS),
-      );
-    }
-    const waitMs = Math.min(route.timeoutMs, fields.deadlineMs ?? Infinity);
-    return neverthrow.ok({
-      ...request,
-      route,
-      service,
-      account: account.value,
-      deadlineAtMs: request.receivedAtMs + waitMs,
-      fraction: hashForVersion(seed),
-    });
-  }
-
-  /** Whether the request may still be sent on. */
-  checkFresh(request: requests.AdmittedRequest): Refusal | undefined {
-    if (request.account === undefined) return undefined;
-    const { control, settings } = this.parts;
-    const limitMs = decisions.limitKeyedAgeMs(settings.revocationBoundMs);
-    if (control.ageMs <= limitMs) return undefined;
-    return refusal(
-      "stale-configuration",
-      "the configuration could not be confirmed for too long",
-      STALE_RETRY_MS,
-    );
-  }
-
   /** Whether a repeated send would find budget, a current view and another replica. */
   canMove(
     request: requests.AdmittedRequest,
     excluded: ReadonlySet<string>,
   ): boolean {
     if (!this.mayRepeat(request.service)) return false;
-    if (this.checkFresh(request) !== undefined) return false;
+    if (this.parts.admission.checkFresh(request) !== undefined) return false;
     const side = this.#chooseSide(request);
     const { table } = this.parts;
     return table.hasSound(request.service, {
@@ -166,9 +93,9 @@
     request: requests.AdmittedRequest,
     options: SendOptions,
     listener: attempts.AttemptListener,
-  ): neverthrow.Result<Sent, Refusal> {
+  ): neverthrow.Result<Sent, admissions.Refusal> {
     const { table, codec, clock } = this.parts;
-    const stale = this.checkFresh(request);
+    const stale = this.parts.admission.checkFresh(request);
     if (stale !== undefined) return neverthrow.err(stale);
     const nowMs = this.nowMs;
     const needsFresh = request.route.repeatRule === "non-idempotent";
@@ -188,10 +115,7 @@
     });
     const connection = pick?.state.pool.take(needsFresh);
     if (pick === undefined || connection === undefined) {
-      const reason = `no replica of '${service}' is left to try`;
-      return neverthrow.err(
-        refusal("no-upstream", reason, NO_REPLICA_RETRY_MS),
-      );
+      return neverthrow.err(admissions.refuseNoReplica(service));
     }
     const { state } = pick;
     const leftMs = request.deadlineAtMs - nowMs;
@@ -297,18 +221,18 @@
   recordVersion(
     request: requests.AdmittedRequest,
     sent: Sent,
-    outcome: {
-      readonly model: string | undefined;
-      readonly isFailure: boolean;
-      readonly paceMs: number | undefined;
-    },
+    outcome: Pick<decisions.VersionOutcome, "model" | "result" | "paceMs">,
   ): void {
-    this.parts.rollouts.record({
+    const { rollouts, table } = this.parts;
+    const { entry, key } = sent.state;
+    rollouts.record({
       service: request.service,
       route: request.route.name,
-      version: sent.state.entry.version,
-      replicaKey: sent.state.key,
-      replicas: this.parts.table.countVersion(sent.state.entry),
+      version: entry.version,
+      replicaKey: key,
+      replicas: table.countVersion(entry),
+      sentAtMs: sent.sentAtMs,
+      endedAtMs: this.nowMs,
       ...outcome,
     });
   }
@@ -334,40 +258,6 @@
     return this.parts.rollouts.chooseSide(service, { version, fraction });
   }
 
-  #findAccount(
-    index: bundle.RouteIndex,
-    route: bundle.Route,
-    request: requests.IncomingRequest,
-  ): neverthrow.Result<bundle.RoutedAccount | undefined, Refusal> {
-    if (index.table.accounts.length === 0 || route.isPublic) {
-      return neverthrow.ok(undefined);
-    }
-    const { keySha256 } = request.fields;
-    const account = keySha256 === undefined
-      ? undefined
-      : index.accountByKeySha256.get(keySha256);
-    return account === undefined
-      ? neverthrow.err(
-        this.#refuseUnknown("unauthenticated", "the key is not known"),
-      )
-      : neverthrow.ok(account);
-  }
-
-  /** What is unknown here may be in a configuration that has not arrived. */
-  #refuseUnknown(kind: kernel.ErrorKind, message: string): Refusal {
-    const limitMs = Math.min(
-      UNKNOWN_MAX_AGE_MS,
-      decisions.limitKeyedAgeMs(this.parts.settings.revocationBoundMs),
-    );
-    return this.parts.control.ageMs > limitMs
-      ? refusal(
-        "stale-configuration",
-        `${message}, and the configuration is not current`,
-        STALE_RETRY_MS,
-      )
-      : refusal(kind, message);
-  }
-
   #rankForEngine(
     request: requests.AdmittedRequest,
     options: SendOptions,
@@ -400,22 +290,3 @@
     return window;
   }
 }
-
-/** Stable fraction that decides a session's version, apart from its service. */
-export function hashForVersion(seed: string): number {
-  return decisions.hashFraction(`version/${seed}`);
-}
-
-/** The service of a request by the weights of its route. */
-export function chooseTarget(
-  route: bundle.Route,
-  fraction: number,
-): string | undefined {
-  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
-  let left = fraction * total;
-  for (const { service, weight } of route.targets) {
-    if (left < weight) return service;
-    left -= weight;
-  }
-  return route.targets.at(-1)?.service;
-}
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -14,6 +14,8 @@
 const RENEW_SHARE = 0.3;
 const FIRST_RETRY_MS = 500;
 const MAX_RETRY_MS = 10_000;
+/** An end does not wait longer for the store: the lease ends by itself. */
+const MAX_LEAVE_MS = 200;
 /** Announcements of processes that start together are spread over this. */
 const START_JITTER_MS = 300;
 
@@ -42,6 +44,8 @@
   #lease: ports.PeerLease | undefined;
   #wait: AbortController | undefined;
   #loop: Promise<void> | undefined;
+  #left: Promise<void> | undefined;
+  #isClosed = false;
 
   constructor(options: FleetOptions) {
     this.#options = options;
@@ -124,13 +128,24 @@
     this.#task?.tellSession(item);
   }
 
-  /** Ends the announcement and the reports. */
+  /** Ends the announcement; reports are still taken. */
+  leave(): Promise<void> {
+    this.#left ??= this.#withdraw();
+    return this.#left;
+  }
+
+  /** Ends the reports as well. */
   async close(): Promise<void> {
-    if (this.#abort.signal.aborted) return;
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    await Promise.race([this.leave(), kernel.sleep(MAX_LEAVE_MS)]);
+    this.#task?.close();
+  }
+
+  async #withdraw(): Promise<void> {
     this.#abort.abort();
     this.#wait?.abort();
     await this.#loop;
-    this.#task?.close();
     const lease = this.#lease;
     if (lease === undefined) return;
     const withdrawn = await this.#options.plane.withdrawPeer(lease.id);
--- a/packages/router/src/front.ts
+++ b/packages/router/src/front.ts
@@ -200,7 +200,7 @@
       return { route: "none", outcome: { outcome: "leaving" } };
     }
     const { dispatcher, watchdog } = this.#options;
-    const admitted = dispatcher.admit(incoming);
+    const admitted = dispatcher.parts.admission.admit(incoming);
     if (admitted.isErr()) {
       const { error, retryAfterMs } = admitted.error;
       writer.refuse(error, retryAfterMs);
--- a/packages/router/src/plain_exchange.ts
+++ b/packages/router/src/plain_exchange.ts
@@ -6,6 +6,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as check from "./answer_check.ts";
 import type * as attempts from "./attempt.ts";
+import type * as admissions from "./admission.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import type * as requests from "./request.ts";
 import type * as watchdogs from "./watchdog.ts";
@@ -87,13 +88,13 @@
 
   async #try(): Promise<
     | { readonly type: "tried"; readonly result: TryResult }
-    | { readonly type: "refused"; readonly refusal: dispatchers.Refusal }
+    | { readonly type: "refused"; readonly refusal: admissions.Refusal }
   > {
     const request = this.#request;
     const dispatcher = this.#dispatcher;
     const outcome = await new Promise<
       | { sent: dispatchers.Sent; result: TryResult }
-      | dispatchers.Refusal
+      | admissions.Refusal
     >((resolve) => {
       let head: attempts.AnswerHead | undefined;
       let verdict: check.HeadVerdict | undefined;
@@ -199,7 +200,7 @@
     else health.recordSuccess(nowMs - sent.sentAtMs);
     this.#dispatcher.recordVersion(this.#request, sent, {
       model: undefined,
-      isFailure,
+      result: result.type === "lost" ? "lost" : isFailure ? "failed" : "whole",
       paceMs: isFailure ? undefined : nowMs - sent.sentAtMs,
     });
   }
@@ -216,7 +217,7 @@
   }
 
   #refuse(
-    refusal: dispatchers.Refusal,
+    refusal: admissions.Refusal,
     last: TryResult | undefined,
   ): requests.RequestOutcome {
     // What may have run is not refused as not run.
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -136,7 +136,8 @@
     const { judge } = this.#trial(order);
     const before = judge.verdict;
     judge.take(outcome, isTarget);
-    if (isTarget && (outcome.isFailure || before !== judge.verdict)) {
+    const isBad = outcome.result !== "whole";
+    if (isTarget && (isBad || before !== judge.verdict)) {
       this.#logEvidence(order, judge, outcome);
     }
     if (before === undefined && judge.verdict !== undefined) this.check();
@@ -170,7 +171,7 @@
       version: order.targetVersion,
       route: outcome?.route,
       replicaKey: outcome?.replicaKey,
-      isFailure: outcome?.isFailure,
+      result: outcome?.result,
       paceMs: outcome?.paceMs,
       ...judge.evidence,
       verdict: judge.verdict,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import * as kernel from "@jackdawbank/kernel";
 import type * as peers from "@jackdawbank/peers";
+import * as admissions from "./admission.ts";
 import * as controls from "./control_task.ts";
 import * as logs from "./decision_log.ts";
 import * as dispatchers from "./dispatcher.ts";
@@ -129,6 +130,7 @@
         codec,
         settings,
         control: this.#control,
+        admission: new admissions.Admission(this.#control, settings),
         table: this.#table,
         rollouts: this.#rollouts,
         fleet: this.#fleet,
@@ -193,6 +195,7 @@
     const startedAtMs = clock.monotonicMs();
     const endAtMs = startedAtMs + settings.graceMs - EXIT_MARGIN_MS;
     this.#front.startClosing();
+    void this.#fleet.leave();
     await kernel.sleep(Math.min(ACCEPT_AFTER_STOP_MS, settings.graceMs / 2));
     this.#front.stopAccepting();
     while (this.#front.inFlight > 0 && clock.monotonicMs() < endAtMs) {
@@ -223,7 +226,7 @@
   #shareSessions(service: string): void {
     const nowMs = this.#options.clock.monotonicMs();
     for (const { session, version } of this.#sessions.list(service, nowMs)) {
-      const fraction = dispatchers.hashForVersion(session);
+      const fraction = admissions.hashForVersion(session);
       if (!this.#rollouts.mustShare(service, version, fraction)) continue;
       this.#fleet.tellSession({ service, session, version });
     }
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -8,6 +8,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as check from "./answer_check.ts";
 import type * as attempts from "./attempt.ts";
+import type * as admissions from "./admission.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import * as splitting from "./event_splitter.ts";
 import type * as requests from "./request.ts";
@@ -87,7 +88,7 @@
 
   async #try(): Promise<
     | { readonly type: "tried"; readonly result: tries.TryResult }
-    | { readonly type: "refused"; readonly refusal: dispatchers.Refusal }
+    | { readonly type: "refused"; readonly refusal: admissions.Refusal }
   > {
     const startedAtMs = this.#dispatcher.nowMs;
     const current: tries.Try = {
@@ -102,7 +103,7 @@
       newestAtMs: startedAtMs,
       isRead: false,
     };
-    const refusal = await new Promise<dispatchers.Refusal | undefined>(
+    const refusal = await new Promise<admissions.Refusal | undefined>(
       (resolve) => {
         const sending = this.#dispatcher.send(this.#request, {
           model: this.#model,
@@ -323,13 +324,17 @@
     this.#dispatcher.recordVersion(this.#request, sent, {
       // Pauses between events and waits for the first one differ by nature.
       model: `${this.#model ?? ""}/${events > 1 ? "pace" : "start"}`,
-      isFailure,
+      result: result.type === "lost"
+        ? "lost"
+        : isServerFailure
+        ? "failed"
+        : "whole",
       paceMs,
     });
   }
 
   #refuse(
-    refusal: dispatchers.Refusal,
+    refusal: admissions.Refusal,
     last: tries.TryResult | undefined,
   ): requests.RequestOutcome {
     const hasRun = this.#runs > 0;
