Processes confirm each other's view of the store; watches wait longer

A report carries the sender's newest revision and the age of its last confirmation. A process that holds no less takes the confirmation, 300 ms older; one that hears of more for 1.5 s ends its watch, which has gone dead. A report may have waited in the socket while its reader was paused, so that its age would be too low: views are not trusted after a late timer, by either clock, for 200 ms.

Weighed: echoing each peer's last number, which needs no guard against pauses, at 180 bytes a report on 27 entries.

--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -71,6 +71,15 @@
     return this.#entries.size;
   }
 
+  /** Peers that were heard within so long. */
+  countHeard(withinMs: number, nowMs: number): number {
+    let count = 0;
+    for (const { atMs } of this.#heard.values()) {
+      if (nowMs - atMs <= withinMs) count += 1;
+    }
+    return count;
+  }
+
   /** Whom this process reports to: all peers, or a fixed part of a large fleet. */
   listReceivers(): readonly PeerEntry[] {
     this.#receivers ??= decisions.rankByRendezvous(
--- a/packages/peers/src/peer_table_test.ts
+++ b/packages/peers/src/peer_table_test.ts
@@ -21,6 +21,7 @@
     name: "edge-2",
     startedAtMs: 1_000,
     number: 1,
+    view: undefined,
     loads: [{ replicaKey: 1, pendingMs: 100 }],
     running: undefined,
     sessions: [],
--- a/packages/peers/src/peer_task.ts
+++ b/packages/peers/src/peer_task.ts
@@ -3,6 +3,7 @@
  * takes long to read is reported at once, since others would queue behind it;
  * the rest follows at an interval.
  */
+import * as decisions from "@jackdawbank/decisions";
 import type * as kernel from "@jackdawbank/kernel";
 import type * as channels from "./datagram_channel.ts";
 import * as tables from "./peer_table.ts";
@@ -24,6 +25,12 @@
 const MIN_PENDING_MS = 10;
 /** Each session is told so many times: datagrams get lost. */
 const SESSION_REPEATS = 3;
+/** A check that is later than this tells that the process was paused. */
+const MAX_CHECK_DELAY_MS = 300;
+/** What waited in the socket through a pause is read within this. */
+const DISTRUST_MS = 200;
+/** Peers that were heard within this confirm each other's views. */
+const CONFIRMING_MS = 2_000;
 const MAX_WAITING_SESSIONS = 2_000;
 const MAX_HEARD_COUNTS = 4_000;
 
@@ -33,6 +40,8 @@
   listLoads(): readonly reports.ReplicaLoad[];
   /** Requests under way at the replicas. */
   listRunning(): readonly reports.ReplicaCount[];
+  /** How current this process's view is; absent before it has one. */
+  readView(): reports.PeerView | undefined;
   /** What was seen of versions under trial. */
   listCounts(): readonly reports.VersionCount[];
 }
@@ -40,6 +49,7 @@
 /** Called with what peers tell. */
 export interface PeerListener {
   onSession(session: reports.SessionVersion): void;
+  onView(view: reports.PeerView): void;
   /** Answers and failures of a version that a peer has seen since its last report. */
   onCount(count: reports.VersionCount): void;
 }
@@ -73,6 +83,8 @@
   #reported = new Map<number, number>();
   #reportedFailures = 0;
   #number = 0;
+  #checkedAt: decisions.ClockReading;
+  #trustsViewsFromMs = -Infinity;
   #sentAtMs = -Infinity;
   #runningSentAtMs = -Infinity;
 
@@ -82,6 +94,7 @@
     this.table = new tables.PeerTable(name);
     this.#startedAtMs = Math.max(0, Math.floor(clock.wallMs()));
     this.#budget = new budgets.ReportBudget(clock.monotonicMs());
+    this.#checkedAt = this.#readClocks();
     channel.onDatagram = (bytes, host) => this.#take(bytes, host);
     this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     this.#timer.unref();
@@ -101,6 +114,14 @@
     }, URGENT_DELAY_MS);
   }
 
+  /** Peers that confirm this process's view. */
+  countConfirming(): number {
+    return this.table.countHeard(
+      CONFIRMING_MS,
+      this.#options.clock.monotonicMs(),
+    );
+  }
+
   /** Tells peers which version a session ran on. */
   tellSession(item: reports.SessionVersion): void {
     const key = `${item.service}/${item.session}`;
@@ -113,6 +134,8 @@
   /** Sends a report if one is due. */
   check(): void {
     const nowMs = this.#options.clock.monotonicMs();
+    if (this.#wasPaused()) this.#trustsViewsFromMs = nowMs + DISTRUST_MS;
+    this.#checkedAt = this.#readClocks();
     const loads = this.#options.source.listLoads().filter((load) =>
       load.pendingMs >= MIN_PENDING_MS
     );
@@ -144,6 +167,17 @@
     this.#options.channel.close();
   }
 
+  #readClocks(): decisions.ClockReading {
+    const { clock } = this.#options;
+    return { steadyMs: clock.monotonicMs(), wallMs: clock.wallMs() };
+  }
+
+  /** Reports may then have waited in the socket: their ages are too low. */
+  #wasPaused(): boolean {
+    const sinceMs = decisions.measureAgeMs(this.#checkedAt, this.#readClocks());
+    return sinceMs > CHECK_INTERVAL_MS + MAX_CHECK_DELAY_MS;
+  }
+
   #hasRisen(loads: readonly reports.ReplicaLoad[]): boolean {
     return loads.some(({ replicaKey, pendingMs }) =>
       pendingMs - (this.#reported.get(replicaKey) ?? 0) >= URGENT_RISE_MS
@@ -157,6 +191,7 @@
     this.#number += 1;
     const report = reports.trimReport({
       name: this.#options.name,
+      view: this.#options.source.readView(),
       startedAtMs: this.#startedAtMs,
       number: this.#number,
       ...told,
@@ -195,6 +230,10 @@
     for (const item of report.sessions) {
       this.#options.listener.onSession(item);
     }
+    const isTrusted = !this.#wasPaused() && nowMs >= this.#trustsViewsFromMs;
+    if (report.view !== undefined && isTrusted) {
+      this.#options.listener.onView(report.view);
+    }
     this.#takeCounts(report.name, report.counts);
   }
 
--- a/packages/peers/src/peer_task_test.ts
+++ b/packages/peers/src/peer_task_test.ts
@@ -25,6 +25,7 @@
   readonly loads: reports.ReplicaLoad[];
   readonly sessions: string[];
   readonly counts: reports.VersionCount[];
+  readonly views: reports.PeerView[];
   readonly seen: string[];
 }
 
@@ -37,6 +38,7 @@
     loads: [] as reports.ReplicaLoad[],
     sessions: [] as string[],
     counts: [] as reports.VersionCount[],
+    views: [] as reports.PeerView[],
     seen: [] as string[],
   };
   const task = new tasks.PeerTask({
@@ -46,11 +48,13 @@
     source: {
       listLoads: () => setting.loads,
       listRunning: () => [],
+      readView: () => undefined,
       listCounts: () => [],
     },
     listener: {
       onSession: ({ session, version }) =>
         setting.sessions.push(`${session} on ${version}`),
+      onView: (view) => setting.views.push(view),
       onCount: (count) => setting.counts.push(count),
     },
     onReport: (what) => setting.seen.push(what),
@@ -113,6 +117,7 @@
     name: "edge-2",
     startedAtMs: 5,
     number: 1,
+    view: undefined,
     loads: [],
     running: undefined,
     sessions: [{ service: "llm", session: "s1", version: "v1" }],
@@ -146,3 +151,37 @@
   setting.channel.onDatagram?.(new Uint8Array([1, 2]), "10.0.0.2");
   t.deepEqual(setting.seen, ["taken", "taken", "taken", "taken", "dropped"]);
 });
+
+test("a view that may have waited through a pause of this process confirms nothing", (t) => {
+  const setting = start(t);
+  advance(setting, 100);
+  const view = { revision: 9, confirmedAgeMs: 100 };
+  let number = 0;
+  const tell = () => {
+    number += 1;
+    setting.channel.onDatagram?.(
+      reports.encodeReport({
+        name: "edge-2",
+        startedAtMs: 5,
+        number,
+        view,
+        loads: [],
+        running: undefined,
+        sessions: [],
+        counts: [],
+      }),
+      "10.0.0.2",
+    );
+  };
+  tell();
+  t.deepEqual(setting.views, [view]);
+  // The socket is read first after a pause, and for a while after the timers.
+  setting.clock.advance(3_000);
+  tell();
+  setting.task.check();
+  tell();
+  t.is(setting.views.length, 1);
+  advance(setting, 300);
+  tell();
+  t.is(setting.views.length, 2);
+});
--- a/packages/peers/src/report.ts
+++ b/packages/peers/src/report.ts
@@ -34,6 +34,14 @@
   readonly failures: readonly ReplicaCount[];
 }
 
+/** How current a process's view of the control plane is. */
+export interface PeerView {
+  /** Newest revision that it has taken. */
+  readonly revision: number;
+  /** Age of the last moment at which that was surely the newest there is. */
+  readonly confirmedAgeMs: number;
+}
+
 /** All that a process tells. */
 export interface PeerReport {
   readonly name: string;
@@ -41,6 +49,8 @@
   readonly startedAtMs: number;
   /** Counts up within one life; late datagrams are dropped by it. */
   readonly number: number;
+  /** How current the sender's view of the control plane is. */
+  readonly view: PeerView | undefined;
   /** Replicas with prompts to read. */
   readonly loads: readonly ReplicaLoad[];
   /** Requests at all replicas; only in some reports, since they change slowly. */
@@ -58,7 +68,7 @@
 const MAX_COUNTS = 4;
 const MAX_FAILING = 16;
 /** Changes with the layout below; others are dropped. */
-const FORMAT = 2;
+const FORMAT = 3;
 
 const textSchema = z.string().min(1).max(128);
 const countSchema = z.int().min(0);
@@ -73,6 +83,7 @@
   textSchema,
   countSchema,
   countSchema,
+  z.tuple([countSchema, countSchema]).nullable(),
   pairsSchema(MAX_LOADS),
   pairsSchema(MAX_RUNNING).nullable(),
   z.array(z.tuple([textSchema, textSchema, textSchema])).max(MAX_SESSIONS),
@@ -116,6 +127,9 @@
     report.name,
     report.startedAtMs,
     report.number,
+    report.view === undefined
+      ? null
+      : [report.view.revision, Math.ceil(report.view.confirmedAgeMs)],
     report.loads.flatMap(({ replicaKey, pendingMs }) => [
       replicaKey,
       Math.round(pendingMs),
@@ -144,12 +158,15 @@
   }
   const parsed = layoutSchema.safeParse(data);
   if (!parsed.success) return undefined;
-  const [, name, startedAtMs, number, loads, running, sessions, counts] =
+  const [, name, startedAtMs, number, view, loads, running, sessions, counts] =
     parsed.data;
   return {
     name,
     startedAtMs,
     number,
+    view: view === null
+      ? undefined
+      : { revision: view[0], confirmedAgeMs: view[1] },
     loads: readPairs(loads).map(([replicaKey, pendingMs]) => ({
       replicaKey,
       pendingMs,
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -6,12 +6,21 @@
 import * as bundle from "@jackdawbank/bundle";
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
+import type * as peers from "@jackdawbank/peers";
+import * as neverthrow from "neverthrow";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
+import * as removals from "./removal_delay.ts";
 import type * as telemetry from "./telemetry.ts";
 
-/** Longest wait of one watch: its end confirms that the view is current. */
-const WATCH_WAIT_MS = 1_000;
+/** A watch that waits longer ends when nobody has confirmed the view for so long. */
+const MAX_QUIET_AGE_MS = 2_200;
+const QUIET_CHECK_MS = 250;
+const LEAST_WATCH_MS = 1_000;
+/** A peer knows more for so long: this process's watch has gone dead. */
+const MAX_BEHIND_MS = 1_500;
+/** Delay that a peer's report may have had on its way. */
+const PEER_DELAY_MS = 300;
 /** Pause after a watch that brought changes, so that many come in one call. */
 const WATCH_PAUSE_MS = 400;
 /** While the store fails, a short watch finds its return; a slow store still answers it. */
@@ -20,8 +29,6 @@
 const MAX_RETRY_MS = 500;
 /** Start-ups of many processes at once are spread over this. */
 const START_JITTER_MS = 100;
-/** Entries that lapsed in an outage are back within this after its end. */
-const LAPSED_RETURN_MS = 2_000;
 /** Failures for so long make an outage, in which entries may have lapsed. */
 const OUTAGE_MS = 600;
 
@@ -42,6 +49,8 @@
   readonly telemetry: telemetry.Telemetry;
   readonly listener: ControlListener;
   readonly random: () => number;
+  /** Other processes that tell how current their views are. */
+  readonly countConfirming: () => number;
 }
 
 /** Owner of the watch. */
@@ -51,17 +60,22 @@
   readonly #replicas = new Map<string, ports.ReplicaEntry>();
   readonly #orders = new Map<string, ports.RolloutOrder>();
   readonly #records = new Map<string, ports.RolloutRecord>();
-  /** Removals that wait for entries to come back after an outage. */
-  readonly #pendingRemovals = new Map<string, NodeJS.Timeout>();
+  readonly #removals: removals.RemovalDelay;
   #index: bundle.RouteIndex | undefined;
   #confirmedAt: decisions.ClockReading | undefined;
   #failingSinceMs: number | undefined;
-  #restoredAtMs = -Infinity;
   #hasRead = false;
+  /** Newest revision of the control plane that was taken. */
+  #revision: number | undefined;
+  #behindSinceMs: number | undefined;
+  #interruptWatch: ((reason: string) => void) | undefined;
+  /** The next watch confirms the view soon. */
+  #needsConfirmation = false;
   #loop: Promise<void> | undefined;
 
   constructor(options: ControlTaskOptions) {
     this.#options = options;
+    this.#removals = new removals.RemovalDelay(options.clock);
   }
 
   get index(): bundle.RouteIndex | undefined {
@@ -88,10 +102,36 @@
       : decisions.measureAgeMs(this.#confirmedAt, this.#readClocks());
   }
 
+  /** What other processes may be told; absent before the first read. */
+  get view(): peers.PeerView | undefined {
+    return this.#revision === undefined || !this.#hasRead
+      ? undefined
+      : { revision: this.#revision, confirmedAgeMs: this.ageMs };
+  }
+
   start(): void {
     this.#loop = this.#run();
   }
 
+  /**
+   * Takes what another process says of its view. If it had taken no more than
+   * this process holds, nothing newer existed at the moment that it confirmed.
+   */
+  takePeerView(view: peers.PeerView): void {
+    if (this.#revision === undefined || !this.#hasRead) return;
+    const now = this.#readClocks();
+    if (view.revision > this.#revision) {
+      this.#behindSinceMs ??= now.steadyMs;
+      if (now.steadyMs - this.#behindSinceMs <= MAX_BEHIND_MS) return;
+      this.#behindSinceMs = undefined;
+      this.#interruptWatch?.("a peer knows more");
+      return;
+    }
+    const ageMs = view.confirmedAgeMs + PEER_DELAY_MS;
+    if (ageMs >= this.ageMs) return;
+    this.#confirmedAt = decisions.addWait(now, -ageMs);
+  }
+
   /** Takes a record that this process has written itself. */
   takeRecord(record: ports.RolloutRecord): void {
     const held = this.#records.get(record.service);
@@ -114,7 +154,7 @@
 
   async close(): Promise<void> {
     this.#abort.abort();
-    for (const timer of this.#pendingRemovals.values()) clearTimeout(timer);
+    this.#removals.close();
     await this.#options.plane.close();
     await this.#loop;
   }
@@ -122,22 +162,22 @@
   async #run(): Promise<void> {
     const { signal } = this.#abort;
     await kernel.sleep(this.#options.random() * START_JITTER_MS, signal);
-    let revision: number | undefined;
     let retryMs = FIRST_RETRY_MS;
     while (!signal.aborted) {
-      const step = revision === undefined
+      const step = this.#revision === undefined
         ? await this.#readAll()
-        : await this.#watch(revision);
+        : await this.#watch(this.#revision);
       if (signal.aborted) return;
       if (step.isOk()) {
-        revision = step.value.revision;
         retryMs = FIRST_RETRY_MS;
         if (step.value.hadChanges) await kernel.sleep(WATCH_PAUSE_MS, signal);
         continue;
       }
       if (step.error.kind === "history-lost") {
-        this.#options.log.notable("control.history-lost", { revision });
-        revision = undefined;
+        this.#options.log.notable("control.history-lost", {
+          revision: this.#revision,
+        });
+        this.#revision = undefined;
         continue;
       }
       this.#noteFailure(step.error);
@@ -147,7 +187,7 @@
   }
 
   async #readAll(): Promise<
-    kernel.Outcome<{ readonly revision: number; readonly hadChanges: boolean }>
+    kernel.Outcome<{ readonly hadChanges: boolean }>
   > {
     const sentAt = this.#readClocks();
     const snapshot = await this.#options.plane.readAll();
@@ -163,37 +203,84 @@
         if (!named.has(id)) this.#removeReplica(id, "missing from a full read");
       }
       this.#hasRead = true;
+      this.#revision = revision;
       this.#confirmedAt = sentAt;
-      return { revision, hadChanges: true };
+      return { hadChanges: true };
     });
   }
 
   async #watch(afterRevision: number): Promise<
-    kernel.Outcome<{ readonly revision: number; readonly hadChanges: boolean }>
+    kernel.Outcome<{ readonly hadChanges: boolean }>
   > {
     const sentAt = this.#readClocks();
-    const waitMs = this.#failingSinceMs === undefined
-      ? WATCH_WAIT_MS
-      : PROBE_WAIT_MS;
+    const waitMs = this.#chooseWaitMs();
+    const interruption = new AbortController();
+    const stop = this.#superviseWatch(sentAt.steadyMs, interruption);
     const changes = await this.#options.plane.waitForChanges(
       afterRevision,
       waitMs,
+      interruption.signal,
     );
+    stop();
+    if (interruption.signal.aborted) {
+      this.#needsConfirmation = true;
+      return neverthrow.ok({ hadChanges: false });
+    }
     return changes.map(({ items, revision }) => {
       this.#noteSuccess();
+      this.#needsConfirmation = false;
       for (const item of items) this.#takeItem(item);
       const waitedMs = this.#readClocks().steadyMs - sentAt.steadyMs;
       const isFullWait = items.length === 0 && waitedMs >= waitMs;
-      this.#confirmedAt = isFullWait
-        ? decisions.addWait(sentAt, waitMs)
-        : sentAt;
-      return {
-        revision: Math.max(afterRevision, revision),
-        hadChanges: items.length > 0 || !isFullWait,
-      };
+      this.#confirmAt(isFullWait ? decisions.addWait(sentAt, waitMs) : sentAt);
+      this.#revision = Math.max(afterRevision, revision);
+      this.#behindSinceMs = undefined;
+      return { hadChanges: items.length > 0 || !isFullWait };
     });
   }
 
+  #chooseWaitMs(): number {
+    if (this.#failingSinceMs !== undefined) return PROBE_WAIT_MS;
+    const { countConfirming, random } = this.#options;
+    return decisions.chooseWatchWaitMs(
+      this.#needsConfirmation ? 0 : countConfirming(),
+      random(),
+    );
+  }
+
+  /** Ends a long watch when no peer confirms the view, or one knows more. */
+  #superviseWatch(
+    startedAtMs: number,
+    interruption: AbortController,
+  ): () => void {
+    const interrupt = (reason: string) => {
+      this.#options.log.notable("control.watch-interrupted", {
+        reason,
+        viewAgeMs: Math.round(this.ageMs),
+      });
+      interruption.abort();
+    };
+    this.#interruptWatch = interrupt;
+    const timer = setInterval(() => {
+      const waitedMs = this.#options.clock.monotonicMs() - startedAtMs;
+      const isQuiet = this.ageMs > MAX_QUIET_AGE_MS;
+      const wasShort = this.#needsConfirmation;
+      if (isQuiet && !wasShort && waitedMs > LEAST_WATCH_MS) {
+        interrupt("nobody confirms the view");
+      }
+    }, QUIET_CHECK_MS);
+    return () => {
+      clearInterval(timer);
+      this.#interruptWatch = undefined;
+    };
+  }
+
+  /** Peers may have confirmed a later moment meanwhile. */
+  #confirmAt(reading: decisions.ClockReading): void {
+    const ageMs = decisions.measureAgeMs(reading, this.#readClocks());
+    if (ageMs < this.ageMs) this.#confirmedAt = reading;
+  }
+
   #takeItem(item: ports.ControlItem): void {
     const { log } = this.#options;
     switch (item.type) {
@@ -252,7 +339,7 @@
 
   #takeReplica(replica: ports.ReplicaEntry): void {
     const held = this.#replicas.get(replica.id);
-    this.#keepReplica(replica.id);
+    this.#removals.cancel(replica.id);
     this.#replicas.set(replica.id, replica);
     if (held === undefined || held.isDraining !== replica.isDraining) {
       this.#options.log.notable("replica.known", {
@@ -266,29 +353,13 @@
     this.#options.listener.onReplica(replica);
   }
 
-  #keepReplica(id: string): void {
-    clearTimeout(this.#pendingRemovals.get(id));
-    this.#pendingRemovals.delete(id);
-  }
-
-  /** After an outage an entry may only have lapsed; it then has a while to come back. */
   #removeReplica(id: string, reason: string): void {
-    if (!this.#replicas.has(id) || this.#pendingRemovals.has(id)) return;
-    const sinceMs = this.#options.clock.monotonicMs() - this.#restoredAtMs;
-    const remove = () => {
-      this.#pendingRemovals.delete(id);
+    if (!this.#replicas.has(id) || this.#removals.isPending(id)) return;
+    this.#removals.schedule(id, () => {
       this.#replicas.delete(id);
       this.#options.log.notable("replica.gone", { replica: id, reason });
       this.#options.listener.onReplicaGone(id);
-    };
-    if (sinceMs >= LAPSED_RETURN_MS) {
-      remove();
-      return;
-    }
-    this.#pendingRemovals.set(
-      id,
-      setTimeout(remove, LAPSED_RETURN_MS - sinceMs),
-    );
+    });
   }
 
   #noteFailure(error: kernel.AppError): void {
@@ -308,7 +379,7 @@
     const nowMs = this.#options.clock.monotonicMs();
     const lostMs = nowMs - this.#failingSinceMs;
     this.#failingSinceMs = undefined;
-    if (lostMs >= OUTAGE_MS) this.#restoredAtMs = nowMs;
+    if (lostMs >= OUTAGE_MS) this.#removals.noteRestored();
     this.#options.log.notable("control.regained", {
       lostMs: Math.round(lostMs),
     });
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -114,6 +114,11 @@
     this.#wait?.abort();
   }
 
+  /** Other processes that tell how current their views are. */
+  countConfirming(): number {
+    return this.#task?.countConfirming() ?? 0;
+  }
+
   noteSent(readMs: number): void {
     this.#task?.noteSent(readMs);
   }
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -95,6 +95,7 @@
   waitForChanges(
     afterRevision: number,
     waitMs: number,
+    signal: AbortSignal,
   ): Promise<kernel.Outcome<ControlSnapshot>>;
   /** Writes a record if its revision is still the stored one. */
   writeRollout(record: RolloutRecord): Promise<kernel.Outcome<RolloutWrite>>;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -87,10 +87,12 @@
       source: {
         listLoads: () => this.#table.listLoads(),
         listRunning: () => this.#table.listRunning(),
+        readView: () => this.#control.view,
         listCounts: () => this.#rollouts.listCounts(),
       },
       listener: {
         onSession: (item) => this.#takeSession(item),
+        onView: (view) => this.#control.takePeerView(view),
         onCount: (count) => this.#rollouts.takeCount(count),
       },
       onSize: (processes) => this.#table.setProcesses(processes),
@@ -101,6 +103,7 @@
       log,
       telemetry: this.#telemetry,
       random,
+      countConfirming: () => this.#fleet.countConfirming(),
       listener: {
         onReplica: (entry) => this.#table.put(entry),
         onReplicaGone: (id) => this.#table.remove(id),
--- a/packages/router/src/shared_load_test.ts
+++ b/packages/router/src/shared_load_test.ts
@@ -71,9 +71,10 @@
               pendingMs,
             })),
           listRunning: () => [],
+          readView: () => undefined,
           listCounts: () => [],
         },
-        listener: { onSession: () => {}, onCount: () => {} },
+        listener: { onSession: () => {}, onView: () => {}, onCount: () => {} },
         onReport: () => {},
       });
       for (let other = 0; other < PROCESSES && isSharing; other += 1) {
