Requests that come before the first view wait for it

The entries listened 0.8 to 1.6 s before they had read a configuration of 1,400 routes on a quarter of a core; the platform sends callers to entries that are not ready when too few are. A caller has one retry, and its next entry had just started as well.

Ruled out: the store (81 calls, it grants 6,000 a second); the jitter (100 ms).

Now such a request waits for the first read, up to 1.5 s and half of its caller's time. Where the first read has failed, it is refused at once as before. The view's age is a module of its own.

--- a/packages/bench/src/platform_control_test.ts
+++ b/packages/bench/src/platform_control_test.ts
@@ -341,6 +341,23 @@
     );
   }));
 
+test("a request that comes before the first view waits for it, not for a store that fails", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    harness.store.put("op/config", harnesses.buildConfiguration());
+    harness.store.delayMs = 100;
+    await harness.startRouter();
+    t.is((await harness.call(ROUTES.check)).status, 200);
+    const other = new harnesses.PlatformHarness(harness.store, "edge-2");
+    harness.store.mode = "busy";
+    await other.startRouter();
+    await other.waitFor(() => other.listLog("control.lost").length > 0);
+    const startedAtMs = performance.now();
+    t.is((await other.call(ROUTES.check)).status, 503);
+    t.true(performance.now() - startedAtMs < 200);
+    await other.router.close();
+  }));
+
 test("entries announce themselves, and again when the announcement lapses", (t) =>
   withHarness(async (harness) => {
     await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
--- a/packages/fakes/src/kv_store.ts
+++ b/packages/fakes/src/kv_store.ts
@@ -46,6 +46,8 @@
 /** The stand-in; tests put and remove items directly. */
 export class FakeKvStore {
   mode: StoreMode = "up";
+  /** Delay of each answer. */
+  delayMs = 0;
   /** Calls by path, without the query. */
   readonly calls = new Map<string, number>();
   readonly #items = new Map<string, Item>();
@@ -142,6 +144,9 @@
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
     let body = "";
     for await (const chunk of request) body += String(chunk);
+    if (this.delayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, this.delayMs));
+    }
     if (this.mode === "silent") return;
     if (this.mode === "busy") {
       response.writeHead(503).end();
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -12,6 +12,7 @@
 import type * as ports from "./ports.ts";
 import * as removals from "./removal_delay.ts";
 import type * as telemetry from "./telemetry.ts";
+import * as ages from "./view_age.ts";
 
 /** A watch that waits longer ends when nobody has confirmed the view for so long. */
 const MAX_QUIET_AGE_MS = 2_200;
@@ -19,8 +20,6 @@
 const LEAST_WATCH_MS = 1_000;
 /** A peer knows more for so long: this process's watch has gone dead. */
 const MAX_BEHIND_MS = 1_500;
-/** Delay that a peer's report may have had on its way. */
-const PEER_DELAY_MS = 300;
 /** Pause after a watch that brought changes, so that many come in one call. */
 const WATCH_PAUSE_MS = 400;
 /** While the store fails, a short watch finds its return; a slow store still answers it. */
@@ -62,9 +61,14 @@
   readonly #records = new Map<string, ports.RolloutRecord>();
   readonly #removals: removals.RemovalDelay;
   #index: bundle.RouteIndex | undefined;
-  #confirmedAt: decisions.ClockReading | undefined;
+  readonly #age: ages.ViewAge;
   #failingSinceMs: number | undefined;
   #hasRead = false;
+  #endFirstRead = () => {};
+  /** Settled by the first read, also by one that failed. */
+  readonly #firstRead = new Promise<void>((resolve) => {
+    this.#endFirstRead = resolve;
+  });
   /** Newest revision of the control plane that was taken. */
   #revision: number | undefined;
   #behindSinceMs: number | undefined;
@@ -75,6 +79,7 @@
 
   constructor(options: ControlTaskOptions) {
     this.#options = options;
+    this.#age = new ages.ViewAge(options.clock);
     this.#removals = new removals.RemovalDelay(options.clock);
   }
 
@@ -97,9 +102,7 @@
 
   /** Time since the view was surely current. */
   get ageMs(): number {
-    return this.#confirmedAt === undefined
-      ? Infinity
-      : decisions.measureAgeMs(this.#confirmedAt, this.#readClocks());
+    return this.#age.ageMs;
   }
 
   /** What other processes may be told; absent before the first read. */
@@ -113,23 +116,32 @@
     this.#loop = this.#run();
   }
 
+  /** Waits for the first read; there is no waiting while the control plane fails. */
+  async waitForView(timeoutMs: number): Promise<void> {
+    if (this.#hasRead || this.#failingSinceMs !== undefined) return;
+    const wait = new AbortController();
+    await Promise.race([
+      this.#firstRead,
+      kernel.sleep(timeoutMs, wait.signal),
+    ]);
+    wait.abort();
+  }
+
   /**
    * Takes what another process says of its view. If it had taken no more than
    * this process holds, nothing newer existed at the moment that it confirmed.
    */
   takePeerView(view: peers.PeerView): void {
     if (this.#revision === undefined || !this.#hasRead) return;
-    const now = this.#readClocks();
+    const nowMs = this.#options.clock.monotonicMs();
     if (view.revision > this.#revision) {
-      this.#behindSinceMs ??= now.steadyMs;
-      if (now.steadyMs - this.#behindSinceMs <= MAX_BEHIND_MS) return;
+      this.#behindSinceMs ??= nowMs;
+      if (nowMs - this.#behindSinceMs <= MAX_BEHIND_MS) return;
       this.#behindSinceMs = undefined;
       this.#interruptWatch?.("a peer knows more");
       return;
     }
-    const ageMs = view.confirmedAgeMs + PEER_DELAY_MS;
-    if (ageMs >= this.ageMs) return;
-    this.#confirmedAt = decisions.addWait(now, -ageMs);
+    this.#age.confirmFromPeer(view.confirmedAgeMs);
   }
 
   /** Takes a record that this process has written itself. */
@@ -189,7 +201,7 @@
   async #readAll(): Promise<
     kernel.Outcome<{ readonly hadChanges: boolean }>
   > {
-    const sentAt = this.#readClocks();
+    const sentAt = this.#age.read();
     const snapshot = await this.#options.plane.readAll();
     return snapshot.map(({ items, revision }) => {
       this.#noteSuccess();
@@ -203,8 +215,9 @@
         if (!named.has(id)) this.#removeReplica(id, "missing from a full read");
       }
       this.#hasRead = true;
+      this.#endFirstRead();
       this.#revision = revision;
-      this.#confirmedAt = sentAt;
+      this.#age.confirm(sentAt);
       return { hadChanges: true };
     });
   }
@@ -212,7 +225,7 @@
   async #watch(afterRevision: number): Promise<
     kernel.Outcome<{ readonly hadChanges: boolean }>
   > {
-    const sentAt = this.#readClocks();
+    const sentAt = this.#age.read();
     const waitMs = this.#chooseWaitMs();
     const interruption = new AbortController();
     const stop = this.#superviseWatch(sentAt.steadyMs, interruption);
@@ -230,9 +243,11 @@
       this.#noteSuccess();
       this.#needsConfirmation = false;
       for (const item of items) this.#takeItem(item);
-      const waitedMs = this.#readClocks().steadyMs - sentAt.steadyMs;
+      const waitedMs = this.#age.read().steadyMs - sentAt.steadyMs;
       const isFullWait = items.length === 0 && waitedMs >= waitMs;
-      this.#confirmAt(isFullWait ? decisions.addWait(sentAt, waitMs) : sentAt);
+      this.#age.confirm(
+        isFullWait ? decisions.addWait(sentAt, waitMs) : sentAt,
+      );
       this.#revision = Math.max(afterRevision, revision);
       this.#behindSinceMs = undefined;
       return { hadChanges: items.length > 0 || !isFullWait };
@@ -275,12 +290,6 @@
     };
   }
 
-  /** Peers may have confirmed a later moment meanwhile. */
-  #confirmAt(reading: decisions.ClockReading): void {
-    const ageMs = decisions.measureAgeMs(reading, this.#readClocks());
-    if (ageMs < this.ageMs) this.#confirmedAt = reading;
-  }
-
   #takeItem(item: ports.ControlItem): void {
     const { log } = this.#options;
     switch (item.type) {
@@ -366,6 +375,7 @@
     this.#options.telemetry.countEvent("control.failed");
     if (this.#failingSinceMs !== undefined) return;
     this.#failingSinceMs = this.#options.clock.monotonicMs();
+    this.#endFirstRead();
     this.#options.log.notable("control.lost", {
       kind: error.kind,
       reason: error.message,
@@ -384,9 +394,4 @@
       lostMs: Math.round(lostMs),
     });
   }
-
-  #readClocks(): decisions.ClockReading {
-    const { clock } = this.#options;
-    return { steadyMs: clock.monotonicMs(), wallMs: clock.wallMs() };
-  }
 }
--- a/packages/router/src/front.ts
+++ b/packages/router/src/front.ts
@@ -18,6 +18,10 @@
 import type * as watchdogs from "./watchdog.ts";
 
 /** Largest head that the parser takes; the configuration's limit is checked after it. */
+/** A process that has just started soon has its first view: a request waits for it. */
+const FIRST_VIEW_WAIT_MS = 1_500;
+/** Share of the caller's time that the wait may take. */
+const FIRST_VIEW_WAIT_SHARE = 0.5;
 const PARSER_HEADER_BYTES = 65_536;
 /** Limits before the first configuration. */
 const DEFAULT_LIMITS = {
@@ -199,7 +203,16 @@
       writer.refuse(error, 0);
       return { route: "none", outcome: { outcome: "leaving" } };
     }
-    const { dispatcher, watchdog } = this.#options;
+    const { dispatcher, watchdog, control } = this.#options;
+    await control.waitForView(
+      Math.min(
+        FIRST_VIEW_WAIT_MS,
+        FIRST_VIEW_WAIT_SHARE * (incoming.fields.deadlineMs ?? Infinity),
+      ),
+    );
+    if (incoming.signal.aborted) {
+      return { route: "none", outcome: { outcome: "caller-gone" } };
+    }
     const admitted = dispatcher.parts.admission.admit(incoming);
     if (admitted.isErr()) {
       const { error, retryAfterMs } = admitted.error;
