--- /dev/null
+++ b/packages/bench/src/control_calls.ts
@@ -0,0 +1,40 @@
+/** Calls to the control interfaces of stand-ins and to status pages. */
+import * as undici from "undici";
+
+const CONTROL_TIMEOUT_MS = 2_000;
+
+/** Reads JSON; an empty object where nobody answers. */
+export async function getJson(url: string): Promise<unknown> {
+  try {
+    const response = await undici.request(url, {
+      signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+    });
+    return await response.body.json();
+  } catch {
+    return {};
+  }
+}
+
+async function sendJson(
+  method: "PUT" | "POST",
+  url: string,
+  body: object,
+): Promise<void> {
+  const response = await undici.request(url, {
+    method,
+    body: JSON.stringify(body),
+    headers: { "content-type": "application/json" },
+    signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+  });
+  await response.body.dump();
+}
+
+/** Replaces what stands at a path. */
+export function putJson(url: string, body: object): Promise<void> {
+  return sendJson("PUT", url, body);
+}
+
+/** Posts a change. */
+export function postJson(url: string, body: object): Promise<void> {
+  return sendJson("POST", url, body);
+}
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -5,145 +5,22 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as ctl from "@jackdawbank/jackdawctl";
 import * as stores from "@jackdawbank/store";
-import * as undici from "undici";
+import * as calls from "./control_calls.ts";
+import * as plans from "./deployment_plan.ts";
 import * as processes from "./processes.ts";
 
-/** One upstream of a deployment. */
-export interface UpstreamPlan {
-  readonly id: string;
-  readonly dataCentre: string;
-  readonly engine?: Partial<fakes.EngineSettings>;
-  readonly orders?: Partial<fakes.OrderSettings>;
-  /** Uses the second port of the store, which can be cut off apart. */
-  readonly usesSecondStorePort?: boolean;
-}
-
-/** One entry of a deployment. */
-export interface EntryPlan {
-  readonly id: string;
-  readonly dataCentre: string;
-  readonly usesSecondStorePort?: boolean;
-}
-
-/** What a deployment consists of. */
-export interface DeploymentPlan {
-  readonly entries: readonly EntryPlan[];
-  readonly upstreams: readonly UpstreamPlan[];
-  readonly bundle: bundle.Bundle;
-  readonly listLagMs?: number;
-}
-
-/** Bearer keys of the standard accounts. */
-export const ACCOUNT_KEYS = {
-  counter: "key-of-the-counter-account",
-  hr: "key-of-the-hr-account",
-  narrow: "key-of-the-narrow-account",
-} as const;
-
-const MESH_SECRET = "a-secret-for-tests-only";
-const ORDER_SERVICE = "orders";
-
-/** The standard bundle: two models, one with two versions, and an order service. */
-export function buildStandardBundle(
-  changes: Partial<bundle.Bundle> = {},
-): bundle.Bundle {
-  const verse = {
-    promptPriceMilliPerMillion: 100_000,
-    completionPriceMilliPerMillion: 400_000,
-  };
-  return bundle.bundleSchema.parse({
-    format: 1,
-    revision: 1,
-    baseRevision: 0,
-    limits: { defaultDeadlineMs: 20_000, freshnessBoundMs: 10_000 },
-    models: [
-      {
-        name: "verse-small",
-        ...verse,
-        versions: [{ version: "v1", state: "serving" }],
-        rollout: [{ sinceRevision: 1, sharesPercent: { v1: 100 } }],
-      },
-      {
-        name: "verse-large",
-        ...verse,
-        versions: [
-          { version: "v1", state: "serving" },
-          { version: "v2", state: "rolling" },
-        ],
-        rollout: [{ sinceRevision: 1, sharesPercent: { v1: 50, v2: 50 } }],
-      },
-    ],
-    cascades: [{
-      name: "verse",
-      cheap: "verse-small",
-      large: "verse-large",
-      cheapMaxPromptChars: 200,
-    }],
-    services: [{
-      name: ORDER_SERVICE,
-      repeats: "claim",
-      partitions: 4,
-      pricePerCallMilli: 50,
-    }],
-    accounts: [
-      {
-        name: "counter",
-        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.counter)],
-        models: [{ model: "verse-small" }, { model: "verse-large" }],
-        services: [ORDER_SERVICE],
-      },
-      {
-        name: "hr",
-        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.hr)],
-        models: [{ model: "verse-small" }, { model: "verse-large" }],
-        services: [ORDER_SERVICE],
-      },
-      {
-        name: "narrow",
-        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.narrow)],
-        models: [{ model: "verse-small" }],
-      },
-    ],
-    ...changes,
-  });
-}
-
-/** The standard plan: two entries, three model replicas, two order replicas. */
-export function buildStandardPlan(
-  changes: Partial<DeploymentPlan> = {},
-): DeploymentPlan {
-  const large = { serves: ["verse-large@v1", "verse-large@v2"] };
-  return {
-    entries: [
-      { id: "entry-a", dataCentre: "bkk-a" },
-      { id: "entry-b", dataCentre: "bkk-b" },
-    ],
-    upstreams: [
-      {
-        id: "model-a",
-        dataCentre: "bkk-a",
-        engine: { serves: ["verse-small@v1"] },
-      },
-      { id: "model-b", dataCentre: "bkk-b", engine: large },
-      { id: "model-c", dataCentre: "bkk-c", engine: large },
-      { id: "order-a", dataCentre: "bkk-a", orders: {} },
-      { id: "order-b", dataCentre: "bkk-b", orders: {} },
-    ],
-    bundle: buildStandardBundle(),
-    ...changes,
-  };
-}
+export * from "./deployment_plan.ts";
 
 /** One upstream with the process beside it. */
 export interface RunningUpstream {
-  readonly plan: UpstreamPlan;
+  readonly plan: plans.UpstreamPlan;
   readonly backend: processes.TestProcess;
   process: processes.TestProcess;
 }
 
 /** A running deployment. */
 export class Deployment {
-  readonly plan: DeploymentPlan;
+  readonly plan: plans.DeploymentPlan;
   readonly entries = new Map<string, processes.TestProcess>();
   readonly upstreams = new Map<string, RunningUpstream>();
   readonly #started: processes.TestProcess[] = [];
@@ -153,13 +30,13 @@
   #platformProcess: processes.TestProcess | undefined;
   #leaving: ReadonlySet<string> = new Set();
 
-  private constructor(plan: DeploymentPlan) {
+  private constructor(plan: plans.DeploymentPlan) {
     this.plan = plan;
   }
 
   /** Starts everything, rolls the plan's bundle and waits until it serves. */
   static async start(
-    plan: DeploymentPlan = buildStandardPlan(),
+    plan: plans.DeploymentPlan = plans.buildStandardPlan(),
   ): Promise<Deployment> {
     const deployment = new Deployment(plan);
     try {
@@ -195,7 +72,7 @@
   }
 
   get meshSecret(): string {
-    return MESH_SECRET;
+    return plans.MESH_SECRET;
   }
 
   get storeUrl(): string {
@@ -298,10 +175,10 @@
     leaving: ReadonlySet<string> = this.#leaving,
   ): Promise<void> {
     this.#leaving = leaving;
-    await putJson(`${this.vmListUrl}/vms`, { vms: this.listVms() });
+    await calls.putJson(`${this.vmListUrl}/vms`, { vms: this.listVms() });
   }
 
-  async startEntry(plan: EntryPlan): Promise<processes.TestProcess> {
+  async startEntry(plan: plans.EntryPlan): Promise<processes.TestProcess> {
     const entry = await this.#start(plan.id, "jackdawd", [
       "entry",
       ...this.#commonArgs(plan),
@@ -316,7 +193,7 @@
     return entry;
   }
 
-  async startUpstream(plan: UpstreamPlan): Promise<RunningUpstream> {
+  async startUpstream(plan: plans.UpstreamPlan): Promise<RunningUpstream> {
     const backend = this.upstreams.get(plan.id)?.backend ??
       await this.#startBackend(plan);
     const type = plan.orders === undefined ? "model" : "service";
@@ -327,7 +204,7 @@
       `http://127.0.0.1:${backend.port("port")}`,
       "--type",
       type,
-      ...(type === "service" ? ["--service", ORDER_SERVICE] : []),
+      ...(type === "service" ? ["--service", plans.ORDER_SERVICE] : []),
     ]);
     const running = { plan, backend, process };
     this.upstreams.set(plan.id, running);
@@ -347,7 +224,7 @@
         };
         const served = Object.values(status.entry?.served ?? {});
         const wanted = this.plan.upstreams.flatMap((plan) =>
-          plan.engine?.serves ?? [ORDER_SERVICE]
+          plan.engine?.serves ?? [plans.ORDER_SERVICE]
         );
         return (status.bundle?.revision ?? 0) > 0 &&
           served.reduce((sum, count) => sum + count, 0) === wanted.length;
@@ -401,7 +278,7 @@
 
   /** Admin status of a process; an empty object when it does not answer. */
   readStatus(id: string): Promise<unknown> {
-    return getJson(`http://127.0.0.1:${this.#adminPort(id)}/status`);
+    return calls.getJson(`http://127.0.0.1:${this.#adminPort(id)}/status`);
   }
 
   async readTimeline(): Promise<readonly kernel.TimelineEvent[]> {
@@ -423,17 +300,20 @@
 
   /** Changes what a stand-in does. */
   async control(target: processes.TestProcess, change: object): Promise<void> {
-    await postJson(`http://127.0.0.1:${target.port("port")}/control`, change);
+    await calls.postJson(
+      `http://127.0.0.1:${target.port("port")}/control`,
+      change,
+    );
   }
 
   async controlStore(change: Partial<fakes.StoreFaults>): Promise<void> {
-    await postJson(`${this.storeUrl}/control`, change);
+    await calls.postJson(`${this.storeUrl}/control`, change);
   }
 
   async controlSecondStorePort(
     change: Partial<fakes.StoreFaults>,
   ): Promise<void> {
-    await postJson(`${this.secondStoreUrl}/control`, change);
+    await calls.postJson(`${this.secondStoreUrl}/control`, change);
   }
 
   /** Runs of all engines, or of those beside the named upstream processes. */
@@ -445,7 +325,7 @@
       .filter((upstream) => upstream.plan.orders === undefined);
     const parts = await Promise.all(
       engines.map(({ backend }) =>
-        getJson(`http://127.0.0.1:${backend.port("port")}/control/runs`)
+        calls.getJson(`http://127.0.0.1:${backend.port("port")}/control/runs`)
       ),
     );
     return parts.flatMap((part) =>
@@ -458,7 +338,7 @@
     const counts = new Map<string, number>();
     for (const upstream of this.upstreams.values()) {
       if (upstream.plan.orders === undefined) continue;
-      const data = await getJson(
+      const data = await calls.getJson(
         `http://127.0.0.1:${upstream.backend.port("port")}/control/runs`,
       );
       for (
@@ -497,7 +377,7 @@
     ]);
   }
 
-  #startBackend(plan: UpstreamPlan): Promise<processes.TestProcess> {
+  #startBackend(plan: plans.UpstreamPlan): Promise<processes.TestProcess> {
     const kind = plan.orders === undefined ? "engine" : "orders";
     const settings = JSON.stringify(plan.orders ?? plan.engine ?? {});
     return this.#start(`${plan.id}-backend`, "fakes", [
@@ -507,19 +387,13 @@
     ]);
   }
 
-  #commonArgs(plan: EntryPlan): readonly string[] {
-    return [
-      "--process-id",
-      plan.id,
-      "--data-centre",
-      plan.dataCentre,
-      "--store",
-      plan.usesSecondStorePort === true ? this.secondStoreUrl : this.storeUrl,
-      "--signers",
-      this.signerKey,
-      "--mesh-secret",
-      MESH_SECRET,
-    ];
+  #commonArgs(plan: plans.EntryPlan): readonly string[] {
+    return plans.buildDaemonArgs(plan, {
+      signerKey: this.signerKey,
+      storeUrl: plan.usesSecondStorePort === true
+        ? this.secondStoreUrl
+        : this.storeUrl,
+    });
   }
 
   #adminPort(id: string): number {
@@ -528,38 +402,3 @@
     return process.port("adminPort");
   }
 }
-
-const CONTROL_TIMEOUT_MS = 2_000;
-
-async function getJson(url: string): Promise<unknown> {
-  try {
-    const response = await undici.request(url, {
-      signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
-    });
-    return await response.body.json();
-  } catch {
-    return {};
-  }
-}
-
-async function sendJson(
-  method: "PUT" | "POST",
-  url: string,
-  body: object,
-): Promise<void> {
-  const response = await undici.request(url, {
-    method,
-    body: JSON.stringify(body),
-    headers: { "content-type": "application/json" },
-    signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
-  });
-  await response.body.dump();
-}
-
-function putJson(url: string, body: object): Promise<void> {
-  return sendJson("PUT", url, body);
-}
-
-function postJson(url: string, body: object): Promise<void> {
-  return sendJson("POST", url, body);
-}
--- /dev/null
+++ b/packages/bench/src/deployment_plan.ts
@@ -0,0 +1,150 @@
+/** What a small deployment consists of, and the standard one of the tests. */
+import * as bundle from "@jackdawbank/bundle";
+import type * as fakes from "@jackdawbank/fakes";
+
+/** One upstream of a deployment. */
+export interface UpstreamPlan {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly engine?: Partial<fakes.EngineSettings>;
+  readonly orders?: Partial<fakes.OrderSettings>;
+  /** Uses the second port of the store, which can be cut off apart. */
+  readonly usesSecondStorePort?: boolean;
+}
+
+/** One entry of a deployment. */
+export interface EntryPlan {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly usesSecondStorePort?: boolean;
+}
+
+/** What a deployment consists of. */
+export interface DeploymentPlan {
+  readonly entries: readonly EntryPlan[];
+  readonly upstreams: readonly UpstreamPlan[];
+  readonly bundle: bundle.Bundle;
+  readonly listLagMs?: number;
+}
+
+/** Bearer keys of the standard accounts. */
+export const ACCOUNT_KEYS = {
+  counter: "key-of-the-counter-account",
+  hr: "key-of-the-hr-account",
+  narrow: "key-of-the-narrow-account",
+} as const;
+
+/** Secret of the mesh between processes of a test. */
+export const MESH_SECRET = "a-secret-for-tests-only";
+/** The plain service of the standard deployment. */
+export const ORDER_SERVICE = "orders";
+
+/** The standard bundle: two models, one with two versions, and an order service. */
+export function buildStandardBundle(
+  changes: Partial<bundle.Bundle> = {},
+): bundle.Bundle {
+  const verse = {
+    promptPriceMilliPerMillion: 100_000,
+    completionPriceMilliPerMillion: 400_000,
+  };
+  return bundle.bundleSchema.parse({
+    format: 1,
+    revision: 1,
+    baseRevision: 0,
+    limits: { defaultDeadlineMs: 20_000, freshnessBoundMs: 10_000 },
+    models: [
+      {
+        name: "verse-small",
+        ...verse,
+        versions: [{ version: "v1", state: "serving" }],
+        rollout: [{ sinceRevision: 1, sharesPercent: { v1: 100 } }],
+      },
+      {
+        name: "verse-large",
+        ...verse,
+        versions: [
+          { version: "v1", state: "serving" },
+          { version: "v2", state: "rolling" },
+        ],
+        rollout: [{ sinceRevision: 1, sharesPercent: { v1: 50, v2: 50 } }],
+      },
+    ],
+    cascades: [{
+      name: "verse",
+      cheap: "verse-small",
+      large: "verse-large",
+      cheapMaxPromptChars: 200,
+    }],
+    services: [{
+      name: ORDER_SERVICE,
+      repeats: "claim",
+      partitions: 4,
+      pricePerCallMilli: 50,
+    }],
+    accounts: [
+      {
+        name: "counter",
+        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.counter)],
+        models: [{ model: "verse-small" }, { model: "verse-large" }],
+        services: [ORDER_SERVICE],
+      },
+      {
+        name: "hr",
+        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.hr)],
+        models: [{ model: "verse-small" }, { model: "verse-large" }],
+        services: [ORDER_SERVICE],
+      },
+      {
+        name: "narrow",
+        keysSha256: [bundle.computeDigest(ACCOUNT_KEYS.narrow)],
+        models: [{ model: "verse-small" }],
+      },
+    ],
+    ...changes,
+  });
+}
+
+/** The standard plan: two entries, three model replicas, two order replicas. */
+export function buildStandardPlan(
+  changes: Partial<DeploymentPlan> = {},
+): DeploymentPlan {
+  const large = { serves: ["verse-large@v1", "verse-large@v2"] };
+  return {
+    entries: [
+      { id: "entry-a", dataCentre: "bkk-a" },
+      { id: "entry-b", dataCentre: "bkk-b" },
+    ],
+    upstreams: [
+      {
+        id: "model-a",
+        dataCentre: "bkk-a",
+        engine: { serves: ["verse-small@v1"] },
+      },
+      { id: "model-b", dataCentre: "bkk-b", engine: large },
+      { id: "model-c", dataCentre: "bkk-c", engine: large },
+      { id: "order-a", dataCentre: "bkk-a", orders: {} },
+      { id: "order-b", dataCentre: "bkk-b", orders: {} },
+    ],
+    bundle: buildStandardBundle(),
+    ...changes,
+  };
+}
+
+/** Flags that all daemons of a deployment share. */
+export function buildDaemonArgs(
+  plan: EntryPlan,
+  options: { readonly signerKey: string; readonly storeUrl: string },
+): readonly string[] {
+  return [
+    "--process-id",
+    plan.id,
+    "--data-centre",
+    plan.dataCentre,
+    "--store",
+    options.storeUrl,
+    "--signers",
+    options.signerKey,
+    "--mesh-secret",
+    MESH_SECRET,
+  ];
+}
--- /dev/null
+++ b/packages/decisions/src/claim_table.ts
@@ -0,0 +1,80 @@
+/** What is known of the keys of one partition, from the segments read so far. */
+import type * as types from "./claim_types.ts";
+
+/** Entries by key. */
+export class ClaimTable {
+  readonly #entries = new Map<string, types.ClaimEntry>();
+  readonly #retentionMs: number;
+
+  constructor(retentionMs: number) {
+    this.#retentionMs = retentionMs;
+  }
+
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  get(key: string): types.ClaimEntry | undefined {
+    return this.#entries.get(key);
+  }
+
+  /** All entries, in the order in which their keys were first seen. */
+  list(): readonly types.ClaimEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /** Starts over from a snapshot. */
+  load(entries: readonly types.ClaimEntry[]): void {
+    this.#entries.clear();
+    for (const entry of entries) this.#entries.set(entry.key, entry);
+  }
+
+  /** Forgets what has expired, but for the keys that are in use. */
+  prune(nowMs: number, inUse: ReadonlySet<string>): void {
+    for (const entry of this.#entries.values()) {
+      if (!inUse.has(entry.key) && this.isExpired(entry, nowMs)) {
+        this.#entries.delete(entry.key);
+      }
+    }
+  }
+
+  isExpired(entry: types.ClaimEntry, nowMs: number): boolean {
+    return entry.atMs + this.#retentionMs <= nowMs;
+  }
+
+  /** Takes one record. */
+  apply(record: types.ClaimRecord): void {
+    const entry = this.#entries.get(record.key);
+    if (record.type === "claim") {
+      const { key, bodyHash, atMs, claimId } = record;
+      // A void opening may hold claims that were made without knowing earlier ones.
+      if (entry !== undefined && !this.#isReplaceable(entry, record)) return;
+      this.#entries.set(key, {
+        key,
+        bodyHash,
+        atMs,
+        claimId,
+        state: "claimed",
+        answer: undefined,
+      });
+      return;
+    }
+    if (entry === undefined || entry.claimId !== record.claimId) return;
+    if (entry.state !== "claimed") return;
+    this.#entries.set(
+      record.key,
+      record.type === "done"
+        ? { ...entry, state: "done", answer: record.answer }
+        : { ...entry, state: "released" },
+    );
+  }
+
+  #isReplaceable(
+    entry: types.ClaimEntry,
+    claim: Extract<types.ClaimRecord, { type: "claim" }>,
+  ): boolean {
+    if (entry.state === "released") return true;
+    if (entry.state === "done") return this.isExpired(entry, claim.atMs);
+    return claim.replaces === entry.claimId;
+  }
+}
--- a/packages/decisions/src/claims.ts
+++ b/packages/decisions/src/claims.ts
@@ -11,19 +11,14 @@
  * read back: it holds this process's batch, another segment, or nothing.
  */
 import type * as kernel from "@jackdawbank/kernel";
+import * as tables from "./claim_table.ts";
 import type * as types from "./claim_types.ts";
-
-interface PendingClaim {
-  readonly claimId: string;
-  readonly key: string;
-  readonly bodyHash: string;
-  readonly voided: readonly string[];
-}
+import * as waiting from "./claim_waiters.ts";
 
 interface Batch {
   readonly number: number;
   readonly segment: types.Segment;
-  readonly claims: readonly PendingClaim[];
+  readonly claims: readonly waiting.PendingClaim[];
   readonly queuedRecords: readonly types.ClaimRecord[];
 }
 
@@ -40,12 +35,12 @@
 /** The state machine of one partition in one process. */
 export class ClaimJournal {
   readonly #options: types.ClaimJournalOptions;
-  readonly #entries = new Map<string, types.ClaimEntry>();
+  readonly #table: tables.ClaimTable;
   readonly #abandoned = new Set<string>();
   /** Claims granted here that have not ended, by claim id. */
   readonly #running = new Map<string, string>();
-  readonly #waiters = new Map<string, PendingClaim[]>();
-  #pending: PendingClaim[] = [];
+  readonly #waiters = new waiting.ClaimWaiters();
+  #pending: waiting.PendingClaim[] = [];
   #queued: types.ClaimRecord[] = [];
   #phase: Phase = "idle";
   #isOwner = false;
@@ -62,6 +57,7 @@
 
   constructor(options: types.ClaimJournalOptions) {
     this.#options = options;
+    this.#table = new tables.ClaimTable(options.retentionMs);
   }
 
   /** Whether this process appends without taking over first. */
@@ -81,14 +77,12 @@
 
   /** Keys that are remembered. */
   get size(): number {
-    return this.#entries.size;
+    return this.#table.size;
   }
 
   /** Whether a claim waits for another call under its key to end. */
   isWaiting(claimId: string): boolean {
-    return [...this.#waiters.values()].flat().some((waiter) =>
-      waiter.claimId === claimId
-    );
+    return this.#waiters.has(claimId);
   }
 
   /** Takes one event and returns what to do, in order. */
@@ -110,7 +104,10 @@
     }
   }
 
-  #claim(claim: PendingClaim, nowMs: number): readonly types.ClaimEffect[] {
+  #claim(
+    claim: waiting.PendingClaim,
+    nowMs: number,
+  ): readonly types.ClaimEffect[] {
     const { claimId, key, bodyHash, voided } = claim;
     const pending = { claimId, key, bodyHash, voided };
     if (this.#isOwner) {
@@ -130,10 +127,10 @@
     if (key === undefined) return [];
     this.#running.delete(claimId);
     const record: types.ClaimRecord = { type: "done", key, claimId, answer };
-    this.#apply(record);
+    this.#table.apply(record);
     this.#queued.push(record);
-    const replays = this.#takeWaiters(key).map((waiter): types.ClaimEffect =>
-      waiter.bodyHash === this.#entries.get(key)?.bodyHash
+    const replays = this.#waiters.take(key).map((waiter): types.ClaimEffect =>
+      waiter.bodyHash === this.#table.get(key)?.bodyHash
         ? { type: "replay", claimId: waiter.claimId, answer }
         : { type: "refuse", claimId: waiter.claimId, kind: "key-reused" }
     );
@@ -144,12 +141,7 @@
     const key = this.#running.get(claimId);
     if (key !== undefined) return this.#release(claimId, key, nowMs);
     this.#pending = this.#pending.filter((claim) => claim.claimId !== claimId);
-    for (const [waitedKey, waiters] of this.#waiters) {
-      this.#waiters.set(
-        waitedKey,
-        waiters.filter((waiter) => waiter.claimId !== claimId),
-      );
-    }
+    this.#waiters.remove(claimId);
     const isInBatch =
       this.#batch?.claims.some((claim) => claim.claimId === claimId) === true;
     if (isInBatch) this.#abandoned.add(claimId);
@@ -163,9 +155,9 @@
   ): readonly types.ClaimEffect[] {
     this.#running.delete(claimId);
     const record: types.ClaimRecord = { type: "release", key, claimId };
-    this.#apply(record);
+    this.#table.apply(record);
     this.#queued.push(record);
-    this.#pending.push(...this.#takeWaiters(key));
+    this.#pending.push(...this.#waiters.take(key));
     return this.#advance(nowMs);
   }
 
@@ -173,27 +165,21 @@
     const key = this.#running.get(claimId);
     if (key === undefined) return [];
     this.#running.delete(claimId);
-    return this.#takeWaiters(key).map((waiter) => ({
+    return this.#waiters.take(key).map((waiter) => ({
       type: "refuse",
       claimId: waiter.claimId,
       kind: "outcome-unknown",
     }));
   }
 
-  #takeWaiters(key: string): readonly PendingClaim[] {
-    const waiters = this.#waiters.get(key) ?? [];
-    this.#waiters.delete(key);
-    return waiters;
-  }
-
   /** Answers a claim from what is known of its key, unless it can be claimed. */
   #settleFromTable(
-    claim: PendingClaim,
+    claim: waiting.PendingClaim,
     nowMs: number,
   ): readonly types.ClaimEffect[] | "claimable" {
-    const entry = this.#entries.get(claim.key);
+    const entry = this.#table.get(claim.key);
     if (entry === undefined || entry.state === "released") return "claimable";
-    if (entry.state !== "claimed" && this.#isExpired(entry, nowMs)) {
+    if (entry.state !== "claimed" && this.#table.isExpired(entry, nowMs)) {
       return "claimable";
     }
     const refuse = (kind: kernel.ErrorKind): readonly types.ClaimEffect[] => [
@@ -208,17 +194,10 @@
     if (![...this.#running.values()].includes(claim.key)) {
       return refuse("outcome-unknown");
     }
-    this.#waiters.set(claim.key, [
-      ...this.#waiters.get(claim.key) ?? [],
-      claim,
-    ]);
+    this.#waiters.add(claim);
     return [];
   }
 
-  #isExpired(entry: types.ClaimEntry, nowMs: number): boolean {
-    return entry.atMs + this.#options.retentionMs <= nowMs;
-  }
-
   /** Starts the next store call if none is outstanding and there is a reason. */
   #advance(nowMs: number): readonly types.ClaimEffect[] {
     if (this.#phase !== "idle") return [];
@@ -236,9 +215,9 @@
   /** Builds a batch at the tail; claims that the table answers do not enter it. */
   #append(nowMs: number): readonly types.ClaimEffect[] {
     const effects: types.ClaimEffect[] = [];
-    const claims: PendingClaim[] = [];
+    const claims: waiting.PendingClaim[] = [];
     const keys = new Set<string>();
-    const later: PendingClaim[] = [];
+    const later: waiting.PendingClaim[] = [];
     const queuedRecords = this.#queued.slice(0, MAX_BATCH_RECORDS);
     this.#queued = this.#queued.slice(queuedRecords.length);
     this.#isFlushDue = this.#queued.length > 0;
@@ -270,7 +249,7 @@
   }
 
   #buildBatch(
-    claims: readonly PendingClaim[],
+    claims: readonly waiting.PendingClaim[],
     queuedRecords: readonly types.ClaimRecord[],
     nowMs: number,
   ): Batch {
@@ -284,7 +263,7 @@
         atMs: nowMs,
         claimId: claim.claimId,
         replaces: claim.voided.find((voided) =>
-          voided === this.#entries.get(claim.key)?.claimId
+          voided === this.#table.get(claim.key)?.claimId
         ),
       })),
     ];
@@ -330,9 +309,8 @@
 
   #loadSnapshot(snapshot: types.ClaimSnapshot | undefined): void {
     if (snapshot === undefined) return;
-    this.#entries.clear();
     this.#loadedSnapshotNumber = snapshot.number;
-    for (const entry of snapshot.entries) this.#entries.set(entry.key, entry);
+    this.#table.load(snapshot.entries);
     this.#next = snapshot.number + 1;
     this.#removable = [];
     this.#segmentsSinceSnapshot = 0;
@@ -404,7 +382,9 @@
     return [...effects, ...this.#advance(nowMs)];
   }
 
-  #refuseAll(claims: readonly PendingClaim[]): readonly types.ClaimEffect[] {
+  #refuseAll(
+    claims: readonly waiting.PendingClaim[],
+  ): readonly types.ClaimEffect[] {
     return claims.map((claim) => ({
       type: "refuse",
       claimId: claim.claimId,
@@ -474,16 +454,11 @@
   }
 
   #storeSnapshot(nowMs: number): types.ClaimEffect {
-    for (const entry of this.#entries.values()) {
-      const isRunning = [...this.#running.values()].includes(entry.key);
-      if (!isRunning && this.#isExpired(entry, nowMs)) {
-        this.#entries.delete(entry.key);
-      }
-    }
+    this.#table.prune(nowMs, new Set(this.#running.values()));
     this.#phase = "snapshotting";
     const snapshot = {
       number: this.#next - 1,
-      entries: [...this.#entries.values()],
+      entries: this.#table.list(),
     };
     return {
       type: "store-snapshot",
@@ -506,7 +481,7 @@
   }
 
   #applySegment(segment: types.Segment): void {
-    for (const record of segment.records) this.#apply(record);
+    for (const record of segment.records) this.#table.apply(record);
     if (this.#voidedBatches.has(segment.batchId)) this.#releaseVoided(segment);
     const isOwnAppend = this.#isOwner && !segment.isOpening &&
       segment.ownerId === this.#options.ownerId;
@@ -518,46 +493,11 @@
   #releaseVoided(segment: types.Segment): void {
     for (const record of segment.records) {
       if (record.type !== "claim") continue;
-      if (this.#entries.get(record.key)?.claimId !== record.claimId) continue;
+      if (this.#table.get(record.key)?.claimId !== record.claimId) continue;
       const { key, claimId } = record;
       const release: types.ClaimRecord = { type: "release", key, claimId };
-      this.#apply(release);
+      this.#table.apply(release);
       this.#queued.push(release);
     }
   }
-
-  #apply(record: types.ClaimRecord): void {
-    const entry = this.#entries.get(record.key);
-    if (record.type === "claim") {
-      const { key, bodyHash, atMs, claimId } = record;
-      // A void opening may hold claims that were made without knowing earlier ones.
-      if (entry !== undefined && !this.#isReplaceable(entry, record)) return;
-      this.#entries.set(key, {
-        key,
-        bodyHash,
-        atMs,
-        claimId,
-        state: "claimed",
-        answer: undefined,
-      });
-      return;
-    }
-    if (entry === undefined || entry.claimId !== record.claimId) return;
-    if (entry.state !== "claimed") return;
-    this.#entries.set(
-      record.key,
-      record.type === "done"
-        ? { ...entry, state: "done", answer: record.answer }
-        : { ...entry, state: "released" },
-    );
-  }
-
-  #isReplaceable(
-    entry: types.ClaimEntry,
-    claim: Extract<types.ClaimRecord, { type: "claim" }>,
-  ): boolean {
-    if (entry.state === "released") return true;
-    if (entry.state === "done") return this.#isExpired(entry, claim.atMs);
-    return claim.replaces === entry.claimId;
-  }
 }
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -8,6 +8,7 @@
 import * as mesh from "@jackdawbank/mesh";
 import type * as stores from "@jackdawbank/store";
 import * as attempts from "./attempt.ts";
+import * as pinAskers from "./pin_asker.ts";
 
 const PING_INTERVAL_MS = 500;
 const LIST_INTERVAL_MS = 1_000;
@@ -54,7 +55,7 @@
   readonly #table = new decisions.ReplicaTable({
     maxSilenceMs: MAX_SILENCE_MS,
   });
-  readonly #pinWaits = new Map<number, (pin: mesh.FrameOf<"pinned">) => void>();
+  readonly #pins = new pinAskers.PinAsker();
   readonly #spreader: config.BundleSpreader;
   readonly #abort = new AbortController();
   readonly #timer: NodeJS.Timeout;
@@ -154,24 +155,18 @@
   }
 
   /** Asks a session's homes for its pin; the oldest answer counts. */
-  async askPins(
-    pin: { readonly sessionId: string; readonly birthRevision: number },
-    options: {
-      readonly excluded: readonly string[];
-      readonly homes: number;
-      readonly timeoutMs: number;
-    },
+  askPins(
+    pin: pinAskers.AskedPin,
+    options: { readonly homes: number; readonly timeoutMs: number },
   ): Promise<readonly mesh.FrameOf<"pinned">[]> {
-    const ranked = decisions.rankByRendezvous(
+    const homes = decisions.rankByRendezvous(
       [...this.#current.keys()],
       pin.sessionId,
     ).slice(0, options.homes);
-    const asked = ranked.map((processId) => {
-      const member = this.#current.get(processId) as Member;
-      return this.#askPin(member, pin, options);
-    });
-    const answers = await Promise.all(asked);
-    return answers.filter((answer) => answer !== undefined);
+    const connections = homes.map((processId) =>
+      (this.#current.get(processId) as Member).connection
+    );
+    return this.#pins.ask(connections, pin, options.timeoutMs);
   }
 
   /** Tells all upstream processes; those that did not serve a bill ignore it. */
@@ -187,34 +182,6 @@
     await this.#options.vmList.close();
   }
 
-  #askPin(
-    member: Member,
-    pin: { readonly sessionId: string; readonly birthRevision: number },
-    options: {
-      readonly excluded: readonly string[];
-      readonly timeoutMs: number;
-    },
-  ): Promise<mesh.FrameOf<"pinned"> | undefined> {
-    this.#nonce += 1;
-    const nonce = this.#nonce;
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => finish(undefined), options.timeoutMs);
-      const finish = (answer: mesh.FrameOf<"pinned"> | undefined) => {
-        clearTimeout(timer);
-        this.#pinWaits.delete(nonce);
-        resolve(answer);
-      };
-      this.#pinWaits.set(nonce, finish);
-      const { excluded } = options;
-      member.connection.send({
-        type: "pin",
-        nonce,
-        ...pin,
-        excluded: [...excluded],
-      });
-    });
-  }
-
   async #listLoop(): Promise<void> {
     while (!this.#abort.signal.aborted) {
       const read = await this.#options.vmList.read();
@@ -340,7 +307,7 @@
       case "pull":
         return this.#spreader.answerPull(connection, frame.heldRevision);
       case "pinned":
-        this.#pinWaits.get(frame.nonce)?.(frame);
+        this.#pins.take(frame);
         return;
       default:
         return;
--- a/packages/entry/src/http_app.ts
+++ b/packages/entry/src/http_app.ts
@@ -7,48 +7,15 @@
 import * as hono from "hono";
 import * as honoBodyLimit from "hono/body-limit";
 import * as neverthrow from "neverthrow";
-import * as z from "zod";
 import type * as carriers from "./answers.ts";
+import * as callerRequests from "./caller_request.ts";
 import type * as dispatchers from "./dispatch.ts";
 import type * as requests from "./requests.ts";
 import type * as sessionTables from "./sessions.ts";
 import type * as tokens from "./tokens.ts";
 
-const MAX_KEY_CHARS = 256;
-const MIN_DEADLINE_MS = 1;
-const PREFIX_KEY_CHARS = 512;
 const FALLBACK_MAX_BODY_BYTES = 1_048_576;
 
-/** What the routes keep with a request. */
-interface CallerEnvironment {
-  Variables: { isStreamed: boolean };
-}
-
-type CallerContext = hono.Context<CallerEnvironment>;
-
-/** Response headers of ours. */
-const HEADERS = {
-  requestId: "x-jackdaw-request-id",
-  version: "x-jackdaw-version",
-  revision: "x-jackdaw-revision",
-  session: "x-jackdaw-session",
-  movedFrom: "x-jackdaw-moved-from",
-  replayed: "idempotent-replayed",
-  deadline: "x-jackdaw-deadline-ms",
-} as const;
-
-const chatSchema = z.looseObject({
-  model: z.string().min(1).max(128),
-  messages: z.array(z.looseObject({
-    role: z.string().max(32),
-    content: z.unknown(),
-  })).min(1),
-  stream: z.boolean().nullish(),
-  stream_options: z.looseObject({ include_usage: z.boolean().nullish() })
-    .nullish(),
-});
-type ChatBody = z.infer<typeof chatSchema>;
-
 /** What the routes need from the process. */
 export interface HttpOptions {
   readonly services: kernel.KernelServices;
@@ -78,96 +45,6 @@
   readonly signal: AbortSignal;
 }
 
-function createErrorResponse(
-  error: kernel.AppError,
-  requestId: string,
-): Response {
-  const answer = kernel.findAnswer(error.kind);
-  const headers: Record<string, string> = {
-    "content-type": "application/json",
-    [HEADERS.requestId]: requestId,
-  };
-  if (answer.retry === "later" || answer.status === 409) {
-    headers["retry-after"] = "1";
-  }
-  const body = {
-    error: {
-      message: error.message,
-      type: error.kind,
-      code: error.kind,
-      not_run: answer.notRun,
-      retry: answer.retry,
-      request_id: requestId,
-    },
-  };
-  return new Response(JSON.stringify(body), { status: answer.status, headers });
-}
-
-function readDeadline(
-  header: string | undefined,
-  index: decisions.BundleIndex,
-): kernel.Outcome<number> {
-  const { defaultDeadlineMs } = index.bundle.limits;
-  if (header === undefined) return neverthrow.ok(defaultDeadlineMs);
-  const value = Number(header);
-  if (!Number.isFinite(value) || value < MIN_DEADLINE_MS) {
-    return kernel.fail(
-      "bad-request",
-      `${HEADERS.deadline} must be a number of milliseconds`,
-    );
-  }
-  return neverthrow.ok(Math.min(value, defaultDeadlineMs));
-}
-
-function readIdempotencyKey(
-  header: string | undefined,
-): kernel.Outcome<string | undefined> {
-  if (header === undefined) return neverthrow.ok(undefined);
-  if (header.length === 0 || header.length > MAX_KEY_CHARS) {
-    return kernel.fail(
-      "bad-request",
-      `idempotency-key must have 1 to ${MAX_KEY_CHARS} characters`,
-    );
-  }
-  return neverthrow.ok(header);
-}
-
-function authenticate(
-  authorization: string | undefined,
-  index: decisions.BundleIndex,
-): kernel.Outcome<bundle.Account> {
-  const [scheme, key = ""] = (authorization ?? "").split(" ");
-  const digest = crypto.createHash("sha256").update(key).digest("hex");
-  const account = scheme?.toLowerCase() === "bearer"
-    ? index.accountByKey.get(digest)
-    : undefined;
-  if (account !== undefined) return neverthrow.ok(account);
-  return kernel.fail(
-    "unauthenticated",
-    "give the account's key as 'Authorization: Bearer <key>'",
-  );
-}
-
-function countPromptChars(body: ChatBody): number {
-  return body.messages.reduce(
-    (sum, message) => sum + measureContent(message.content),
-    0,
-  );
-}
-
-function measureContent(content: unknown): number {
-  if (typeof content === "string") return content.length;
-  return content === undefined || content === null
-    ? 0
-    : JSON.stringify(content).length;
-}
-
-function readPromptStart(body: ChatBody): string {
-  const first = body.messages[0]?.content;
-  const text = typeof first === "string" ? first : JSON.stringify(first ?? "");
-  return text.slice(0, PREFIX_KEY_CHARS);
-}
-
 /** Builds the callers' routes. */
 export class CallerApp {
   readonly #options: HttpOptions;
@@ -176,8 +53,8 @@
     this.#options = options;
   }
 
-  build(): hono.Hono<CallerEnvironment> {
-    const app = new hono.Hono<CallerEnvironment>();
+  build(): hono.Hono<callerRequests.CallerEnvironment> {
+    const app = new hono.Hono<callerRequests.CallerEnvironment>();
     app.use("*", (context, next) => this.#track(context, next));
     app.use("*", (context, next) => this.#limitBody(context, next));
     app.get("/v1/models", (context) => this.#listModels(context));
@@ -189,26 +66,29 @@
         "not-found",
         `no such path: ${context.req.path}`,
       );
-      return createErrorResponse(error, crypto.randomUUID());
+      return callerRequests.createErrorResponse(error, crypto.randomUUID());
     });
     app.onError((error) => {
       this.#options.services.log.error(
         `request: ${kernel.describeThrown(error)}`,
       );
       const answer = kernel.makeError("internal", "an internal error");
-      return createErrorResponse(answer, crypto.randomUUID());
+      return callerRequests.createErrorResponse(answer, crypto.randomUUID());
     });
     return app;
   }
 
   async #track(
-    context: CallerContext,
+    context: callerRequests.CallerContext,
     next: hono.Next,
   ): Promise<Response | undefined> {
     const { tracker } = this.#options;
     if (tracker.isDraining) {
       const error = kernel.makeError("leaving", "this entry is shutting down");
-      const response = createErrorResponse(error, crypto.randomUUID());
+      const response = callerRequests.createErrorResponse(
+        error,
+        crypto.randomUUID(),
+      );
       response.headers.set("connection", "close");
       return response;
     }
@@ -223,7 +103,7 @@
   }
 
   #limitBody(
-    context: CallerContext,
+    context: callerRequests.CallerContext,
     next: hono.Next,
   ): Promise<Response | void> {
     const maxSize = this.#options.holder.index?.bundle.limits.maxBodyBytes ??
@@ -235,7 +115,10 @@
           "body-too-large",
           `the body is over ${maxSize} bytes`,
         );
-        const response = createErrorResponse(error, crypto.randomUUID());
+        const response = callerRequests.createErrorResponse(
+          error,
+          crypto.randomUUID(),
+        );
         // The rest of the body is not read, so the connection cannot be used again.
         response.headers.set("connection", "close");
         return response;
@@ -244,17 +127,25 @@
     return limit(context, next);
   }
 
-  #readBase(context: CallerContext): kernel.Outcome<CallerBase> {
+  #readBase(context: callerRequests.CallerContext): kernel.Outcome<CallerBase> {
     const { holder, services } = this.#options;
     const index = holder.index;
     if (index === undefined) {
       return kernel.fail("no-bundle", "no bundle is held yet");
     }
-    const account = authenticate(context.req.header("authorization"), index);
+    const account = callerRequests.authenticate(
+      context.req.header("authorization"),
+      index,
+    );
     if (account.isErr()) return neverthrow.err(account.error);
-    const key = readIdempotencyKey(context.req.header("idempotency-key"));
+    const key = callerRequests.readIdempotencyKey(
+      context.req.header("idempotency-key"),
+    );
     if (key.isErr()) return neverthrow.err(key.error);
-    return readDeadline(context.req.header(HEADERS.deadline), index).map((
+    return callerRequests.readDeadline(
+      context.req.header(callerRequests.HEADERS.deadline),
+      index,
+    ).map((
       deadlineMs,
     ) => ({
       account: account.value,
@@ -266,10 +157,13 @@
     }));
   }
 
-  #listModels(context: CallerContext): Response {
+  #listModels(context: callerRequests.CallerContext): Response {
     const base = this.#readBase(context);
     if (base.isErr()) {
-      return createErrorResponse(base.error, crypto.randomUUID());
+      return callerRequests.createErrorResponse(
+        base.error,
+        crypto.randomUUID(),
+      );
     }
     const { index, account } = base.value;
     const data = decisions.listUsableModels(index, account).map((id) => ({
@@ -281,20 +175,27 @@
     return context.json({ object: "list", data });
   }
 
-  async #chat(context: CallerContext): Promise<Response> {
+  async #chat(context: callerRequests.CallerContext): Promise<Response> {
     const base = this.#readBase(context);
     if (base.isErr()) {
-      return createErrorResponse(base.error, crypto.randomUUID());
+      return callerRequests.createErrorResponse(
+        base.error,
+        crypto.randomUUID(),
+      );
     }
     const { requestId } = base.value;
     const bytes = new Uint8Array(await context.req.arrayBuffer());
-    const body = parseChat(bytes);
-    if (body.isErr()) return createErrorResponse(body.error, requestId);
+    const body = callerRequests.parseChat(bytes);
+    if (body.isErr()) {
+      return callerRequests.createErrorResponse(body.error, requestId);
+    }
     const request = await this.#buildModelRequest(context, base.value, {
       bytes,
       body: body.value,
     });
-    if (request.isErr()) return createErrorResponse(request.error, requestId);
+    if (request.isErr()) {
+      return callerRequests.createErrorResponse(request.error, requestId);
+    }
     const response = request.value.isStreamed
       ? await this.#answerStreamed(context, request.value)
       : await this.#answerWhole(request.value);
@@ -302,9 +203,12 @@
   }
 
   async #buildModelRequest(
-    context: CallerContext,
+    context: callerRequests.CallerContext,
     base: CallerBase,
-    input: { readonly bytes: Uint8Array; readonly body: ChatBody },
+    input: {
+      readonly bytes: Uint8Array;
+      readonly body: callerRequests.ChatBody;
+    },
   ): Promise<kernel.Outcome<requests.ModelRequest>> {
     const { body, bytes } = input;
     const { index, account } = base;
@@ -320,17 +224,17 @@
       );
     }
     const session = await this.#options.sessions.resolve(
-      context.req.header(HEADERS.session),
+      context.req.header(callerRequests.HEADERS.session),
       account.name,
     );
-    const promptStart = readPromptStart(body);
+    const promptStart = callerRequests.readPromptStart(body);
     return session.map(({ pin, isNamed }) => ({
       ...base,
       body: bytes,
       model: body.model,
       isStreamed: body.stream === true,
       wantsUsage: body.stream_options?.include_usage === true,
-      promptChars: countPromptChars(body),
+      promptChars: callerRequests.countPromptChars(body),
       promptStart,
       prefixKey: `${account.name}/${body.model}/${promptStart}`,
       arrivedAtMs: this.#options.services.clock.monotonicMs(),
@@ -348,7 +252,7 @@
   }
 
   async #answerStreamed(
-    context: CallerContext,
+    context: callerRequests.CallerContext,
     request: requests.ModelRequest,
   ): Promise<Response> {
     const started = await this.#options.dispatcher.startModel(request);
@@ -373,10 +277,13 @@
     return new Response(stream, { status: started.value.status, headers });
   }
 
-  async #callService(context: CallerContext): Promise<Response> {
+  async #callService(context: callerRequests.CallerContext): Promise<Response> {
     const base = this.#readBase(context);
     if (base.isErr()) {
-      return createErrorResponse(base.error, crypto.randomUUID());
+      return callerRequests.createErrorResponse(
+        base.error,
+        crypto.randomUUID(),
+      );
     }
     const { index, account, requestId } = base.value;
     const name = context.req.param("service") ?? "";
@@ -386,22 +293,22 @@
         "unknown-service",
         `there is no service '${name}'`,
       );
-      return createErrorResponse(error, requestId);
+      return callerRequests.createErrorResponse(error, requestId);
     }
     if (!account.services.includes(name)) {
       const error = kernel.makeError(
         "service-not-allowed",
         `this account may not use '${name}'`,
       );
-      return createErrorResponse(error, requestId);
+      return callerRequests.createErrorResponse(error, requestId);
     }
     const request: requests.ServiceRequest = {
       ...base.value,
       body: new Uint8Array(await context.req.arrayBuffer()),
       service,
       method: context.req.method,
-      path: readServicePath(context.req.url, name),
-      headers: pickRequestHeaders(context),
+      path: callerRequests.readServicePath(context.req.url, name),
+      headers: callerRequests.pickRequestHeaders(context),
     };
     const answer = await this.#options.carrier.gatherService(request);
     if (answer.isErr()) return this.#fail(request, answer.error);
@@ -424,7 +331,7 @@
     this.#options.services.metrics.increment("request.refused", {
       kind: error.kind,
     });
-    return createErrorResponse(error, requestId);
+    return callerRequests.createErrorResponse(error, requestId);
   }
 
   #buildHeaders(
@@ -433,56 +340,19 @@
   ): Record<string, string> {
     const headers: Record<string, string> = {
       ...answer.headers,
-      [HEADERS.requestId]: request.requestId,
-      [HEADERS.version]: answer.item,
-      [HEADERS.revision]: String(this.#options.holder.revision),
+      [callerRequests.HEADERS.requestId]: request.requestId,
+      [callerRequests.HEADERS.version]: answer.item,
+      [callerRequests.HEADERS.revision]: String(this.#options.holder.revision),
     };
     if (answer.pin !== undefined) {
-      headers[HEADERS.session] = this.#options.tokens.mint(answer.pin);
+      headers[callerRequests.HEADERS.session] = this.#options.tokens.mint(
+        answer.pin,
+      );
     }
     if (answer.movedFrom !== undefined) {
-      headers[HEADERS.movedFrom] = answer.movedFrom;
+      headers[callerRequests.HEADERS.movedFrom] = answer.movedFrom;
     }
-    if (answer.isReplay) headers[HEADERS.replayed] = "true";
+    if (answer.isReplay) headers[callerRequests.HEADERS.replayed] = "true";
     return headers;
   }
 }
-
-function parseChat(bytes: Uint8Array): kernel.Outcome<ChatBody> {
-  let data: unknown;
-  try {
-    data = JSON.parse(Buffer.from(bytes).toString());
-  } catch {
-    return kernel.fail("bad-request", "the body is not JSON");
-  }
-  const parsed = chatSchema.safeParse(data);
-  if (parsed.success) return neverthrow.ok(parsed.data);
-  const reasons = parsed.error.issues.map((issue) =>
-    `${issue.path.join(".")}: ${issue.message}`
-  );
-  return kernel.fail("bad-request", reasons.join("; "));
-}
-
-function readServicePath(url: string, service: string): string {
-  const { pathname, search } = new URL(url);
-  const rest = pathname.slice(`/services/${service}`.length);
-  return `${rest === "" ? "/" : rest}${search}`;
-}
-
-const FORWARDED_HEADERS = [
-  "content-type",
-  "accept",
-  "accept-language",
-  "traceparent",
-];
-
-function pickRequestHeaders(
-  context: CallerContext,
-): Readonly<Record<string, string>> {
-  return Object.fromEntries(
-    FORWARDED_HEADERS.flatMap((name) => {
-      const value = context.req.header(name);
-      return value === undefined ? [] : [[name, value] as const];
-    }),
-  );
-}
--- a/packages/entry/src/sessions.ts
+++ b/packages/entry/src/sessions.ts
@@ -71,8 +71,8 @@
     const answers = await this.#options.fleet.askPins({
       sessionId,
       birthRevision,
-    }, {
       excluded,
+    }, {
       homes: PIN_HOMES,
       timeoutMs: PIN_TIMEOUT_MS,
     });
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -3,17 +3,16 @@
  * moment of hand-over, runs it, and answers for what was and was not run.
  */
 import type * as config from "@jackdawbank/config";
-import * as decisions from "@jackdawbank/decisions";
+import type * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import type * as mesh from "@jackdawbank/mesh";
 import type * as stores from "@jackdawbank/store";
 import type * as backends from "./backend.ts";
-import * as claimTasks from "./claim_task.ts";
+import * as claimTasks from "./claim_tasks.ts";
+import * as works from "./gate_work.ts";
 import type * as peerTasks from "./peers.ts";
-import * as sinks from "./sink.ts";
+import * as waiting from "./waiting_work.ts";
 
-const QUEUE_PER_SLOT = 8;
-const MIN_QUEUE_ITEMS = 8;
 const CLAIM_TIMEOUT_MS = 3_000;
 const COMMIT_TIMEOUT_MS = 2_000;
 const REVISION_WAIT_MS = 1_000;
@@ -27,32 +26,6 @@
 const SERVICE_TIME_WEIGHT = 0.1;
 const FIRST_SERVICE_MS = 100;
 
-/** Messages of refusals that need more than "not handed over". */
-const REFUSAL_MESSAGES: Partial<Record<kernel.ErrorKind, string>> = {
-  "key-reused": "this idempotency key was used with another request",
-  "key-in-flight": "a request with this idempotency key is still running",
-  "already-run":
-    "the request with this idempotency key has run; its answer is no longer held",
-  "outcome-unknown":
-    "a request with this idempotency key may have run; its end is not known",
-  "claim-unavailable":
-    "the idempotency key could not be claimed; nothing was handed over",
-  "account-over-share": "the queue is full and this account is over its share",
-};
-const NOT_HANDED_OVER = "refused before any byte went to the upstream";
-
-/** Work between its arrival and its end. */
-interface ActiveWork {
-  readonly frame: mesh.FrameOf<"work">;
-  readonly connection: mesh.MeshConnection;
-  readonly deadlineAtMs: number;
-  readonly abort: AbortController;
-  readonly sink: sinks.AttemptSink;
-  phase: "claiming" | "queued" | "reserved" | "running" | "ended";
-  claimTask: claimTasks.ClaimTask | undefined;
-  onCommit: (() => void) | undefined;
-}
-
 /** What the gate needs from its process. */
 export interface GateOptions {
   readonly holder: config.BundleHolder;
@@ -66,11 +39,9 @@
 export class Gate {
   readonly #services: kernel.KernelServices;
   readonly #options: GateOptions;
-  readonly #active = new Map<string, ActiveWork>();
-  /** Work that waits for its entry to answer a ping. */
-  readonly #held = new Map<mesh.MeshConnection, ActiveWork[]>();
-  readonly #claimTasks = new Map<string, claimTasks.ClaimTask>();
-  #queue = new decisions.FairQueue<ActiveWork>(MIN_QUEUE_ITEMS);
+  readonly #active = new Map<string, works.ActiveWork>();
+  readonly #claims: claimTasks.ClaimTasks;
+  readonly #waiting = new waiting.WaitingWork();
   #state: backends.BackendState = { serves: [], capacity: 0 };
   #running = 0;
   #serviceMs = FIRST_SERVICE_MS;
@@ -80,6 +51,7 @@
   constructor(services: kernel.KernelServices, options: GateOptions) {
     this.#services = services;
     this.#options = options;
+    this.#claims = new claimTasks.ClaimTasks(services, options);
   }
 
   get isLeaving(): boolean {
@@ -96,9 +68,7 @@
 
   /** Store writes made for claims. */
   get claimWrites(): number {
-    let writes = 0;
-    for (const task of this.#claimTasks.values()) writes += task.writes;
-    return writes;
+    return this.#claims.writes;
   }
 
   buildStatus(dataCentre: string): mesh.UpstreamStatus {
@@ -107,7 +77,7 @@
       serves: this.#state.serves,
       capacity: this.#state.capacity,
       running: this.#running,
-      queued: this.#queue.length,
+      queued: this.#waiting.queued,
       serviceMs: this.#serviceMs,
       isLeaving: this.#isLeaving,
       dataCentre,
@@ -119,7 +89,7 @@
     const isChanged = state.capacity !== this.#state.capacity ||
       state.serves.join() !== this.#state.serves.join();
     this.#state = state;
-    if (isChanged) this.#resizeQueue(state.capacity);
+    if (isChanged) this.#waiting.resize(state.capacity);
     this.#pump();
     return isChanged;
   }
@@ -129,13 +99,7 @@
     if (this.#isLeaving) return;
     this.#isLeaving = true;
     this.#services.timeline.record("gate.leaving", { detail: reason });
-    for (const item of this.#queue.remove(() => true)) {
-      this.#refuse(item.value, "leaving");
-    }
-    for (const works of this.#held.values()) {
-      for (const work of works) this.#refuse(work, "leaving");
-    }
-    this.#held.clear();
+    for (const work of this.#waiting.removeAll()) this.#refuse(work, "leaving");
   }
 
   /** Waits until nothing runs, or the time is over. */
@@ -144,15 +108,13 @@
     while (!this.isIdle && this.#services.clock.monotonicMs() < endAtMs) {
       await kernel.sleep(IDLE_CHECK_MS);
     }
-    for (const task of this.#claimTasks.values()) {
-      await task.flush(CLAIM_TIMEOUT_MS);
-    }
+    await this.#claims.flush(CLAIM_TIMEOUT_MS);
     return this.isIdle;
   }
 
   close(): void {
     for (const work of this.#active.values()) work.abort.abort();
-    for (const task of this.#claimTasks.values()) task.close();
+    this.#claims.close();
   }
 
   /** Takes a work frame from an entry. */
@@ -172,8 +134,7 @@
   }
 
   takeCommit(attemptId: string): void {
-    const work = this.#active.get(attemptId);
-    work?.onCommit?.();
+    this.#active.get(attemptId)?.onCommit?.();
   }
 
   takeCredit(attemptId: string, frames: number): void {
@@ -189,13 +150,13 @@
       work.sink.close();
       return;
     }
-    this.#queue.remove((other) => other === work);
+    this.#waiting.remove(work);
     this.#refuse(work, "cancelled");
   }
 
   /** An entry's connection closed. */
   dropConnection(connection: mesh.MeshConnection): void {
-    this.#held.delete(connection);
+    this.#waiting.takeHeld(connection);
     for (const work of [...this.#active.values()]) {
       if (work.connection === connection) this.cancel(work.frame.attemptId);
     }
@@ -204,23 +165,15 @@
   #openWork(
     connection: mesh.MeshConnection,
     frame: mesh.FrameOf<"work">,
-  ): ActiveWork {
-    const work: ActiveWork = {
-      frame,
-      connection,
-      deadlineAtMs: this.#services.clock.monotonicMs() + frame.deadlineInMs,
-      abort: new AbortController(),
-      sink: new sinks.AttemptSink(connection, frame.attemptId),
-      phase: "claiming",
-      claimTask: undefined,
-      onCommit: undefined,
-    };
+  ): works.ActiveWork {
+    const nowMs = this.#services.clock.monotonicMs();
+    const work = works.openWork(connection, frame, nowMs);
     this.#active.set(frame.attemptId, work);
     return work;
   }
 
   /** The effective revision is the higher of the two. */
-  async #alignRevision(work: ActiveWork): Promise<boolean> {
+  async #alignRevision(work: works.ActiveWork): Promise<boolean> {
     const { holder, peers } = this.#options;
     const theirs = work.frame.revision;
     peers.spreader.compare(work.connection, theirs);
@@ -231,47 +184,29 @@
   }
 
   /** Before a stale view refuses work, the entries are asked once. */
-  async #checkFresh(work: ActiveWork): Promise<kernel.ErrorKind | undefined> {
+  async #checkFresh(
+    work: works.ActiveWork,
+  ): Promise<kernel.ErrorKind | undefined> {
     const refusal = this.#check(work);
     if (refusal !== "stale-configuration") return refusal;
     await this.#options.peers.confirmNow(CONFIRM_TIMEOUT_MS);
     return this.#check(work);
   }
 
-  #check(work: ActiveWork): kernel.ErrorKind | undefined {
-    const { call, account } = work.frame;
-    const { deadlineAtMs } = work;
-    const view: decisions.GateView = {
+  #check(work: works.ActiveWork): kernel.ErrorKind | undefined {
+    return works.checkWork(work, {
       index: this.#options.holder.index,
       isLeaving: this.#isLeaving,
       confirmedAgeMs: this.#options.holder.stalenessMs,
       loaded: this.#state.serves,
       nowMs: this.#services.clock.monotonicMs(),
-    };
-    if (call.type === "service") {
-      const { service } = call;
-      if (!this.#state.serves.includes(service)) return "no-upstream";
-      return decisions.refuseWork(view, {
-        type: "service",
-        account,
-        service,
-        deadlineAtMs,
-      });
-    }
-    const { model, version } = call;
-    return decisions.refuseWork(view, {
-      type: "model",
-      account,
-      model,
-      version,
-      deadlineAtMs,
     });
   }
 
-  async #claimIfNeeded(work: ActiveWork): Promise<boolean> {
+  async #claimIfNeeded(work: works.ActiveWork): Promise<boolean> {
     const { call, attemptId } = work.frame;
     if (call.type !== "service" || call.claim === undefined) return true;
-    const task = this.#openClaimTask(call.service, call.claim.partition);
+    const task = this.#claims.open(call.service, call.claim.partition);
     const leftMs = work.deadlineAtMs - this.#services.clock.monotonicMs();
     const result = await task.claim(
       { claimId: attemptId, ...call.claim },
@@ -288,108 +223,53 @@
     return false;
   }
 
-  #openClaimTask(service: string, partition: number): claimTasks.ClaimTask {
-    const name = `${service}/${partition}`;
-    const held = this.#claimTasks.get(name);
-    if (held !== undefined) return held;
-    const { holder, store } = this.#options;
-    const settings = holder.index?.serviceByName.get(service);
-    kernel.invariant(
-      settings !== undefined,
-      "claims are made for services of the bundle",
-    );
-    const task = new claimTasks.ClaimTask(this.#services, {
-      store,
-      journal: { service, partition },
-      retentionMs: settings.keyRetentionMs,
-    });
-    this.#claimTasks.set(name, task);
-    return task;
-  }
-
-  #replay(work: ActiveWork, answer: decisions.KeptAnswer): void {
+  #replay(work: works.ActiveWork, answer: decisions.KeptAnswer): void {
     if (work.phase === "ended") return;
     if (answer.body === undefined) {
       this.#refuse(work, "already-run");
       return;
     }
-    const { body } = answer;
     this.#record("gate.replayed", work);
     this.#end(work);
-    work.sink.onHead(
-      answer.status,
-      { "content-type": answer.contentType },
-      true,
-    );
-    const sent = body.byteLength === 0
-      ? Promise.resolve()
-      : work.sink.onChunk(body);
-    void sent.then(() =>
-      work.sink.sendFinal({ promptTokens: 0, completionTokens: 0 })
-    );
+    works.sendKeptAnswer(work, answer, answer.body);
   }
 
-  #enqueue(work: ActiveWork): void {
+  #enqueue(work: works.ActiveWork): void {
     if (work.phase === "ended") return;
     if (this.#isLeaving) {
       this.#refuse(work, "leaving");
       return;
     }
     work.phase = "queued";
-    const { account, shareWeight, priority } = work.frame;
-    const outcome = this.#queue.push({
-      account,
-      weight: shareWeight,
-      priority,
-      deadlineAtMs: work.deadlineAtMs,
-      value: work,
-    });
-    if (!outcome.isAccepted) this.#refuse(work, "account-over-share");
-    for (const item of outcome.evicted) {
-      this.#refuse(item.value, "account-over-share");
-    }
+    const { isAccepted, evicted } = this.#waiting.push(work);
+    if (!isAccepted) this.#refuse(work, "account-over-share");
+    for (const other of evicted) this.#refuse(other, "account-over-share");
     this.#pump();
   }
 
-  #resizeQueue(capacity: number): void {
-    const queue = new decisions.FairQueue<ActiveWork>(
-      Math.max(MIN_QUEUE_ITEMS, capacity * QUEUE_PER_SLOT),
-    );
-    for (const item of this.#queue.remove(() => true)) queue.push(item);
-    this.#queue = queue;
-  }
-
   /** An entry has answered: what waited for it goes back to the queue. */
   noteHeard(connection: mesh.MeshConnection): void {
-    const works = this.#held.get(connection);
-    if (works === undefined || !this.#isEntryCurrent(connection)) return;
-    this.#held.delete(connection);
-    for (const work of works) {
-      if (work.phase !== "ended") this.#enqueue(work);
-    }
+    if (!this.#isEntryCurrent(connection)) return;
+    for (const work of this.#waiting.takeHeld(connection)) this.#enqueue(work);
   }
 
   /** Whether work of a connection waits or runs here. */
   isBusy(connection: mesh.MeshConnection): boolean {
-    for (const work of this.#active.values()) {
-      if (work.connection === connection) return true;
-    }
-    return false;
+    return [...this.#active.values()].some((work) =>
+      work.connection === connection
+    );
   }
 
   /** Hands work over while slots are free. */
   #pump(): void {
     while (this.#running < this.#state.capacity) {
-      const { item, expired } = this.#queue.pop(
+      const { work, expired } = this.#waiting.pop(
         this.#services.clock.monotonicMs(),
       );
-      for (const late of expired) {
-        this.#refuse(late.value, "deadline-before-run");
-      }
-      if (item === undefined) return;
-      if (this.#isEntryCurrent(item.value.connection)) {
-        void this.#serve(item.value);
-      } else this.#hold(item.value);
+      for (const late of expired) this.#refuse(late, "deadline-before-run");
+      if (work === undefined) return;
+      if (this.#isEntryCurrent(work.connection)) void this.#serve(work);
+      else this.#hold(work);
     }
   }
 
@@ -402,31 +282,26 @@
       MAX_KNOWLEDGE_AGE_MS;
   }
 
-  #hold(work: ActiveWork): void {
-    const { connection } = work;
-    const works = this.#held.get(connection);
-    if (works !== undefined) {
-      works.push(work);
-      return;
-    }
-    this.#held.set(connection, [work]);
-    this.#options.peers.ping(connection);
+  #hold(work: works.ActiveWork): void {
+    if (!this.#waiting.hold(work)) return;
+    this.#options.peers.ping(work.connection);
     this.#record("gate.held", work);
   }
 
-  async #serve(work: ActiveWork): Promise<void> {
+  async #serve(work: works.ActiveWork): Promise<void> {
     this.#running += 1;
     const startedAtMs = this.#services.clock.monotonicMs();
     if (await this.#reserve(work)) {
       await this.#run(work);
-      this.#learnServiceTime(this.#services.clock.monotonicMs() - startedAtMs);
+      const tookMs = this.#services.clock.monotonicMs() - startedAtMs;
+      this.#serviceMs += (tookMs - this.#serviceMs) * SERVICE_TIME_WEIGHT;
     }
     this.#running -= 1;
     this.#pump();
   }
 
   /** For a call that may not be repeated: nothing runs before the entry commits. */
-  async #reserve(work: ActiveWork): Promise<boolean> {
+  async #reserve(work: works.ActiveWork): Promise<boolean> {
     if (!work.frame.isTwoPhase) return true;
     const refusal = this.#check(work);
     if (refusal !== undefined) {
@@ -444,7 +319,7 @@
     return false;
   }
 
-  async #run(work: ActiveWork): Promise<void> {
+  async #run(work: works.ActiveWork): Promise<void> {
     const refusal = this.#check(work);
     if (refusal !== undefined || work.phase === "ended") {
       this.#refuse(work, refusal ?? "cancelled");
@@ -469,27 +344,20 @@
   }
 
   /** The deadline passed in mid-run: the caller is told, a committed call runs on. */
-  #overrun(work: ActiveWork): void {
-    const { attemptId } = work.frame;
-    const kind: kernel.ErrorKind = "deadline-after-run";
-    work.connection.send({
-      type: "refused",
-      attemptId,
-      kind,
-      message: "the deadline passed",
-    });
+  #overrun(work: works.ActiveWork): void {
+    works.sendRefusal(work, "deadline-after-run", "the deadline passed");
     work.sink.close();
     if (!work.frame.isTwoPhase) work.abort.abort();
   }
 
-  #complete(work: ActiveWork, usage: mesh.Usage): void {
+  #complete(work: works.ActiveWork, usage: mesh.Usage): void {
     work.claimTask?.finish(work.frame.attemptId, work.sink.buildKeptAnswer());
     this.#record("gate.completed", work);
     work.sink.sendFinal(usage);
     this.#end(work);
   }
 
-  #failRun(work: ActiveWork, error: kernel.AppError): void {
+  #failRun(work: works.ActiveWork, error: kernel.AppError): void {
     const { claimTask } = work;
     const { attemptId } = work.frame;
     const isUnreached = error.kind === "upstream-unreachable";
@@ -498,44 +366,27 @@
     const isLost = work.frame.isTwoPhase && !isUnreached;
     const kind = isLost ? "outcome-unknown" : error.kind;
     this.#record("gate.failed", work, error.kind);
-    work.connection.send({
-      type: "refused",
-      attemptId,
-      kind,
-      message: error.message,
-    });
+    works.sendRefusal(work, kind, error.message);
     this.#end(work);
   }
 
-  #refuse(work: ActiveWork, kind: kernel.ErrorKind): void {
+  #refuse(work: works.ActiveWork, kind: kernel.ErrorKind): void {
     if (work.phase === "ended") return;
-    const { attemptId } = work.frame;
-    work.claimTask?.abandon(attemptId);
+    work.claimTask?.abandon(work.frame.attemptId);
     this.#record("gate.refused", work, kind);
-    work.connection.send({
-      type: "refused",
-      attemptId,
-      kind,
-      message: REFUSAL_MESSAGES[kind] ?? NOT_HANDED_OVER,
-    });
+    works.sendRefusal(work, kind, works.describeRefusal(kind));
     this.#services.metrics.increment("gate.refused", { kind });
     this.#end(work);
   }
 
-  #end(work: ActiveWork): void {
+  #end(work: works.ActiveWork): void {
     work.phase = "ended";
     this.#active.delete(work.frame.attemptId);
   }
 
-  #learnServiceTime(tookMs: number): void {
-    this.#serviceMs += (tookMs - this.#serviceMs) * SERVICE_TIME_WEIGHT;
-  }
-
-  #record(name: string, work: ActiveWork, detail?: string): void {
+  #record(name: string, work: works.ActiveWork, detail?: string): void {
     const { requestId, attemptId, account, call } = work.frame;
-    const target = call.type === "model"
-      ? `${call.model}@${call.version}`
-      : call.service;
+    const target = works.nameTarget(call);
     this.#services.timeline.record(name, {
       requestId,
       attemptId,
