Reports are quiet again once a trial is over

Found on rereading: the number of failures told was kept from the last trial, so that a process whose roll-out had ended with failures sent a full report at each check, up to its byte budget, from then on. Failing first: "a failure is told at once; when the trial is over, reports are quiet again" (over 6 reports in 5 s).

--- a/packages/peers/src/peer_task.ts
+++ b/packages/peers/src/peer_task.ts
@@ -12,8 +12,8 @@
 
 /** Loads are reported at least so often while there are any. */
 const LOAD_INTERVAL_MS = 300;
-/** Running requests change slowly and are told so often. */
-const RUNNING_INTERVAL_MS = 1_000;
+/** Full reports also tell what changes slowly: running requests, answers of a trial. */
+const FULL_INTERVAL_MS = 1_000;
 /** A process without load is heard at least so often. */
 const IDLE_INTERVAL_MS = 1_000;
 const CHECK_INTERVAL_MS = 100;
@@ -86,7 +86,7 @@
   #checkedAt: decisions.ClockReading;
   #trustsViewsFromMs = -Infinity;
   #sentAtMs = -Infinity;
-  #runningSentAtMs = -Infinity;
+  #fullSentAtMs = -Infinity;
 
   constructor(options: PeerTaskOptions) {
     this.#options = options;
@@ -143,17 +143,20 @@
     const intervalMs = loads.length > 0 || this.#reported.size > 0
       ? LOAD_INTERVAL_MS
       : IDLE_INTERVAL_MS;
+    const failures = sumFailures(counts);
+    const hasNewFailures = failures > this.#reportedFailures;
     const isDue = nowMs - this.#sentAtMs >= intervalMs ||
-      this.#waiting.size > 0 || this.#hasRisen(loads) ||
-      sumFailures(counts) !== this.#reportedFailures;
+      this.#waiting.size > 0 || this.#hasRisen(loads) || hasNewFailures;
     const receivers = this.table.listReceivers();
     if (!isDue || receivers.length === 0) return;
     if (!this.#budget.allows(nowMs)) return;
     this.#sentAtMs = nowMs;
-    // Answers without failures are told with the next full report.
-    const isFull = sumFailures(counts) !== this.#reportedFailures ||
-      nowMs - this.#runningSentAtMs >= RUNNING_INTERVAL_MS;
-    if (isFull) this.#runningSentAtMs = nowMs;
+    const isFull = hasNewFailures ||
+      nowMs - this.#fullSentAtMs >= FULL_INTERVAL_MS;
+    if (isFull) {
+      this.#fullSentAtMs = nowMs;
+      this.#reportedFailures = failures;
+    }
     this.#send(receivers, {
       loads,
       running: isFull ? this.#options.source.listRunning() : undefined,
@@ -209,9 +212,6 @@
     this.#reported = new Map(
       report.loads.map((load) => [load.replicaKey, load.pendingMs]),
     );
-    if (told.counts.length > 0) {
-      this.#reportedFailures = sumFailures(told.counts);
-    }
     const bytes = reports.encodeReport(report);
     this.#budget.spend(bytes.byteLength, receivers.length);
     for (const { host, port } of receivers) {
--- a/packages/peers/src/peer_task_test.ts
+++ b/packages/peers/src/peer_task_test.ts
@@ -26,6 +26,7 @@
   readonly sessions: string[];
   readonly counts: reports.VersionCount[];
   readonly views: reports.PeerView[];
+  readonly ownCounts: reports.VersionCount[];
   readonly seen: string[];
 }
 
@@ -39,6 +40,7 @@
     sessions: [] as string[],
     counts: [] as reports.VersionCount[],
     views: [] as reports.PeerView[],
+    ownCounts: [] as reports.VersionCount[],
     seen: [] as string[],
   };
   const task = new tasks.PeerTask({
@@ -49,7 +51,7 @@
       listLoads: () => setting.loads,
       listRunning: () => [],
       readView: () => undefined,
-      listCounts: () => [],
+      listCounts: () => setting.ownCounts,
     },
     listener: {
       onSession: ({ session, version }) =>
@@ -185,3 +187,24 @@
   tell();
   t.is(setting.views.length, 2);
 });
+
+test("a failure is told at once; when the trial is over, reports are quiet again", (t) => {
+  const setting = start(t);
+  advance(setting, 1_500);
+  const before = setting.channel.sent.length;
+  setting.ownCounts.push({
+    service: "llm",
+    orderRevision: 3,
+    route: "r",
+    answers: 4,
+    failures: [{ replicaKey: 5, count: 1 }],
+  });
+  advance(setting, 20);
+  t.is(setting.channel.sent.length, before + 1);
+  t.is(setting.channel.sent.at(-1)?.counts.length, 1);
+  setting.ownCounts.length = 0;
+  advance(setting, 1_000);
+  const over = setting.channel.sent.length;
+  advance(setting, 5_000);
+  t.true(setting.channel.sent.length - over <= 6);
+});
