A slow entry does not judge a version by its own slowness

Also, a peer's report was taken as all its whole answers first, then all failures in a row, which the sequential test weighs more.

Ruled out: lost answers (none among them), the clocks that had jumped (other entries).

--- a/packages/decisions/src/version_trial.ts
+++ b/packages/decisions/src/version_trial.ts
@@ -181,14 +181,15 @@
   /** Takes what another process saw since it was last heard. */
   takePeer(evidence: RouteEvidence, replicas: number): void {
     const { route, answers, failures } = evidence;
-    const failed = failures.reduce((sum, { count }) => sum + count, 0);
-    for (let at = failed; at < answers; at += 1) {
-      this.#record(route, undefined, replicas);
-    }
-    for (const { replicaKey, count } of failures) {
-      for (let at = 0; at < count; at += 1) {
-        this.#record(route, replicaKey, replicas);
-      }
+    const failing = failures.flatMap(({ replicaKey, count }) =>
+      Array.from({ length: count }, () => replicaKey)
+    );
+    // Spread evenly: their order is not known, and a run of failures weighs more.
+    for (let at = 0; at < answers; at += 1) {
+      const before = Math.floor(at * failing.length / answers);
+      const after = Math.floor((at + 1) * failing.length / answers);
+      const replicaKey = after > before ? failing[before] : undefined;
+      this.#record(route, replicaKey, replicas);
     }
   }
 
--- a/packages/router/src/plain_exchange.ts
+++ b/packages/router/src/plain_exchange.ts
@@ -198,6 +198,8 @@
     if (result.type === "lost") health.recordNoAnswer(nowMs);
     else if (isFailure) health.recordFailedAnswer();
     else health.recordSuccess(nowMs - sent.sentAtMs);
+    // Its pace would be that of this process, not of the replica.
+    if (!isFailure && this.#watchdog.isLagging) return;
     this.#dispatcher.recordVersion(this.#request, sent, {
       model: undefined,
       result: result.type === "lost" ? "lost" : isFailure ? "failed" : "whole",
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -317,6 +317,8 @@
     else if (current.headAtMs !== undefined) {
       health.recordSuccess(current.headAtMs - current.startedAtMs);
     }
+    // Its pace would be that of this process, not of the replica.
+    if (!isFailure && this.#watchdog.isLagging) return;
     const events = current.splitter.count;
     const paceMs = isFailure || current.headAtMs === undefined
       ? undefined
