One piece of code for what the two exchanges and the peers wrote twice

No behaviour changes.

- Both exchanges learnt from an attempt, run or not, by the same lines, and judged an attempt without an answer by the same lines: Dispatcher.learnUnrun and learnRun, and answer_check.judgeUnanswered, serve both.
- Replicas of a version were counted on each answer, also without a roll-out under way, and in two ways: RolloutTask counts them, only during a trial.
- peers.VersionCount and ReplicaCount stood again as RouteEvidence and ReplicaFailures in decisions: one type each.
The idle load stood twice, the reading of both clocks three times.

Tests of VersionTrial pass the number of replicas beside the outcome instead of in it; their assertions are as before.

--- a/packages/decisions/src/freshness.ts
+++ b/packages/decisions/src/freshness.ts
@@ -4,6 +4,7 @@
  * empty confirms the end of its wait. Both clocks are compared: a steady clock
  * stops while a VM is suspended, and the time of day may be set.
  */
+import type * as kernel from "@jackdawbank/kernel";
 
 /** One reading of both clocks. */
 export interface ClockReading {
@@ -11,6 +12,11 @@
   readonly wallMs: number;
 }
 
+/** Reads both clocks. */
+export function readClocks(clock: kernel.Clock): ClockReading {
+  return { steadyMs: clock.monotonicMs(), wallMs: clock.wallMs() };
+}
+
 /** Time since a reading: the larger of both clocks, so that no pause is missed. */
 export function measureAgeMs(since: ClockReading, now: ClockReading): number {
   return Math.max(
--- a/packages/decisions/src/version_trial.ts
+++ b/packages/decisions/src/version_trial.ts
@@ -28,8 +28,6 @@
 export interface VersionOutcome {
   readonly route: string;
   readonly replicaKey: number;
-  /** Replicas of the same version. */
-  readonly replicas: number;
   readonly model: string | undefined;
   readonly result: "whole" | "failed" | "lost";
   /** Time to the first byte, or between events; absent where there is none. */
@@ -51,7 +49,7 @@
 }
 
 /** Failures of one replica that count as evidence against its version. */
-export function limitReplicaFailures(replicas: number): number {
+export function limitReplicaCount(replicas: number): number {
   return Math.max(
     REPLICA_FAILURES,
     Math.ceil(DECISIVE_FAILURES / Math.max(1, replicas)),
@@ -65,8 +63,9 @@
     : Math.max(2, Math.ceil(FAILING_REPLICA_SHARE * replicas));
 }
 
-/** Failures that count, by replica. */
-export interface ReplicaFailures {
+/** A number of requests at a replica. */
+export interface ReplicaCount {
+  /** Hash of the replica's id: five bytes instead of a name. */
   readonly replicaKey: number;
   readonly count: number;
 }
@@ -75,7 +74,7 @@
 export interface RouteEvidence {
   readonly route: string;
   readonly answers: number;
-  readonly failures: readonly ReplicaFailures[];
+  readonly failures: readonly ReplicaCount[];
 }
 
 /** What one process saw on one route. */
@@ -125,8 +124,16 @@
   }
 
   /** Takes an answer of the version under trial, or of the stable one. */
-  take(outcome: VersionOutcome, isTarget: boolean): void {
-    const { route, replicaKey, replicas } = outcome;
+  take(
+    outcome: VersionOutcome,
+    of: {
+      readonly isTarget: boolean;
+      /** Replicas of the version under trial. */
+      readonly replicas: number;
+    },
+  ): void {
+    const { route, replicaKey } = outcome;
+    const { isTarget, replicas } = of;
     if (outcome.result === "lost") {
       if (isTarget) this.#noteLoss(outcome);
       return;
@@ -216,7 +223,7 @@
   /** Whether a failure counts: the replica has not used up its part. */
   #countFailure(replicaKey: number, replicas: number): boolean {
     const count = (this.#failuresByReplica.get(replicaKey) ?? 0) + 1;
-    if (count > limitReplicaFailures(replicas)) return false;
+    if (count > limitReplicaCount(replicas)) return false;
     this.#failuresByReplica.set(replicaKey, count);
     this.#failures += 1;
     return true;
--- a/packages/decisions/src/version_trial_test.ts
+++ b/packages/decisions/src/version_trial_test.ts
@@ -7,7 +7,6 @@
 const GOOD: trials.VersionOutcome = {
   route: "r",
   replicaKey: 1,
-  replicas: 13,
   model: undefined,
   result: "whole",
   paceMs: 50,
@@ -15,9 +14,13 @@
   endedAtMs: 1_100,
 };
 
+const TARGET = { isTarget: true, replicas: 13 };
+
 function start(): trials.VersionTrial {
   const trial = new trials.VersionTrial();
-  for (let at = 0; at < 100; at += 1) trial.take(GOOD, false);
+  for (let at = 0; at < 100; at += 1) {
+    trial.take(GOOD, { isTarget: false, replicas: 13 });
+  }
   return trial;
 }
 
@@ -26,9 +29,13 @@
   trial: trials.VersionTrial,
   count: number,
   outcome: (at: number) => Partial<trials.VersionOutcome>,
+  replicas = 13,
 ): void {
   for (let at = 0; at < count; at += 1) {
-    trial.take({ ...GOOD, replicaKey: at % 13, ...outcome(at) }, true);
+    trial.take(
+      { ...GOOD, replicaKey: at % replicas, ...outcome(at) },
+      { isTarget: true, replicas },
+    );
   }
 }
 
@@ -42,7 +49,7 @@
   const trial = start();
   feed(trial, 150, () => ({}));
   for (let at = 0; at < 20; at += 1) {
-    trial.take({ ...GOOD, replicaKey: 3, result: "failed" }, true);
+    trial.take({ ...GOOD, replicaKey: 3, result: "failed" }, TARGET);
   }
   t.is(trial.verdict, undefined);
 });
@@ -50,12 +57,10 @@
 for (const replicas of [1, 2, 3]) {
   test(`a bad version with ${replicas} replicas is stopped, also when it turns bad late`, (t) => {
     const trial = start();
-    feed(trial, 150, (at) => ({ replicas, replicaKey: at % replicas }));
+    feed(trial, 150, () => ({}), replicas);
     feed(trial, 40, (at) => ({
-      replicas,
-      replicaKey: at % replicas,
       result: at % 2 === 0 || replicas === 2 ? "failed" : "whole",
-    }));
+    }), replicas);
     t.truthy(trial.verdict);
   });
 }
@@ -70,7 +75,7 @@
   const trial = start();
   feed(trial, 60, () => ({}));
   for (let at = 0; at < 9; at += 1) {
-    trial.take({ ...GOOD, replicaKey: at % 3, paceMs: 2_000 }, true);
+    trial.take({ ...GOOD, replicaKey: at % 3, paceMs: 2_000 }, TARGET);
   }
   t.is(trial.verdict, undefined);
 });
--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -28,7 +28,8 @@
   readonly running: number;
 }
 
-const NO_LOAD: PeerLoad = { pendingMs: 0, running: 0 };
+/** The load of a replica where no peer has anything. */
+export const NO_LOAD: PeerLoad = { pendingMs: 0, running: 0 };
 
 interface Heard {
   readonly report: reports.PeerReport;
@@ -44,7 +45,10 @@
   /** When each peer's running requests were told, and which. */
   readonly #running = new Map<
     string,
-    { readonly counts: readonly reports.ReplicaCount[]; readonly atMs: number }
+    {
+      readonly counts: readonly decisions.ReplicaCount[];
+      readonly atMs: number;
+    }
   >();
   readonly #sums = new Map<number, PeerLoad>();
   #receivers: readonly PeerEntry[] | undefined;
--- a/packages/peers/src/peer_task.ts
+++ b/packages/peers/src/peer_task.ts
@@ -39,7 +39,7 @@
   /** Prompts that replicas have still to read. */
   listLoads(): readonly reports.ReplicaLoad[];
   /** Requests under way at the replicas. */
-  listRunning(): readonly reports.ReplicaCount[];
+  listRunning(): readonly decisions.ReplicaCount[];
   /** How current this process's view is; absent before it has one. */
   readView(): reports.PeerView | undefined;
   /** What was seen of versions under trial. */
@@ -94,7 +94,7 @@
     this.table = new tables.PeerTable(name);
     this.#startedAtMs = Math.max(0, Math.floor(clock.wallMs()));
     this.#budget = new budgets.ReportBudget(clock.monotonicMs());
-    this.#checkedAt = this.#readClocks();
+    this.#checkedAt = decisions.readClocks(clock);
     channel.onDatagram = (bytes, host) => this.#take(bytes, host);
     this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     this.#timer.unref();
@@ -135,7 +135,7 @@
   check(): void {
     const nowMs = this.#options.clock.monotonicMs();
     if (this.#wasPaused()) this.#trustsViewsFromMs = nowMs + DISTRUST_MS;
-    this.#checkedAt = this.#readClocks();
+    this.#checkedAt = decisions.readClocks(this.#options.clock);
     const loads = this.#options.source.listLoads().filter((load) =>
       load.pendingMs >= MIN_PENDING_MS
     );
@@ -170,14 +170,12 @@
     this.#options.channel.close();
   }
 
-  #readClocks(): decisions.ClockReading {
-    const { clock } = this.#options;
-    return { steadyMs: clock.monotonicMs(), wallMs: clock.wallMs() };
-  }
-
   /** Reports may then have waited in the socket: their ages are too low. */
   #wasPaused(): boolean {
-    const sinceMs = decisions.measureAgeMs(this.#checkedAt, this.#readClocks());
+    const sinceMs = decisions.measureAgeMs(
+      this.#checkedAt,
+      decisions.readClocks(this.#options.clock),
+    );
     return sinceMs > CHECK_INTERVAL_MS + MAX_CHECK_DELAY_MS;
   }
 
--- a/packages/peers/src/report.ts
+++ b/packages/peers/src/report.ts
@@ -1,21 +1,15 @@
 /** The report that a process sends to its peers, and its encoding. */
+import type * as decisions from "@jackdawbank/decisions";
 import * as msgpackr from "msgpackr";
 import * as z from "zod";
 
 /** Prompts of one process that a replica has still to read. */
 export interface ReplicaLoad {
-  /** Hash of the replica's id: five bytes instead of a name. */
   readonly replicaKey: number;
   /** Time that reading its prompts is still expected to take. */
   readonly pendingMs: number;
 }
 
-/** A number of requests at a replica. */
-export interface ReplicaCount {
-  readonly replicaKey: number;
-  readonly count: number;
-}
-
 /** The version that a session last ran on. */
 export interface SessionVersion {
   readonly service: string;
@@ -24,14 +18,10 @@
 }
 
 /** What one process saw of a version under trial, since its start. */
-export interface VersionCount {
+export interface VersionCount extends decisions.RouteEvidence {
   readonly service: string;
   /** Revision of the order that brought the version. */
   readonly orderRevision: number;
-  readonly route: string;
-  readonly answers: number;
-  /** Failures by replica. */
-  readonly failures: readonly ReplicaCount[];
 }
 
 /** How current a process's view of the control plane is. */
@@ -54,7 +44,7 @@
   /** Replicas with prompts to read. */
   readonly loads: readonly ReplicaLoad[];
   /** Requests at all replicas; only in some reports, since they change slowly. */
-  readonly running: readonly ReplicaCount[] | undefined;
+  readonly running: readonly decisions.ReplicaCount[] | undefined;
   readonly sessions: readonly SessionVersion[];
   readonly counts: readonly VersionCount[];
 }
@@ -115,10 +105,11 @@
 
 /** Encodes a report; one that is too large loses its sessions and counts. */
 export function encodeReport(report: PeerReport): Uint8Array {
-  const bytes = pack(trimReport(report));
+  const trimmed = trimReport(report);
+  const bytes = pack(trimmed);
   return bytes.byteLength <= MAX_REPORT_BYTES
     ? bytes
-    : pack({ ...trimReport(report), sessions: [], counts: [] });
+    : pack({ ...trimmed, sessions: [], counts: [] });
 }
 
 function pack(report: PeerReport): Uint8Array {
@@ -189,11 +180,15 @@
   };
 }
 
-function toPair({ replicaKey, count }: ReplicaCount): readonly number[] {
+function toPair(
+  { replicaKey, count }: decisions.ReplicaCount,
+): readonly number[] {
   return [replicaKey, count];
 }
 
-function readCounts(list: readonly number[]): readonly ReplicaCount[] {
+function readCounts(
+  list: readonly number[],
+): readonly decisions.ReplicaCount[] {
   return readPairs(list).map(([replicaKey, count]) => ({ replicaKey, count }));
 }
 
--- a/packages/router/src/answer_check.ts
+++ b/packages/router/src/answer_check.ts
@@ -51,3 +51,21 @@
 export function isServerError(status: number): boolean {
   return status >= SERVER_ERROR_FROM;
 }
+
+/** How an attempt ended that brought no answer to judge. */
+export type Unanswered =
+  | { readonly type: "not-run"; readonly reason: string }
+  | { readonly type: "lost"; readonly reason: string };
+
+/** Whether an attempt ended without an answer, and if so, whether it may have run. */
+export function judgeUnanswered(
+  end: attempts.AttemptEnd,
+  verdict: HeadVerdict | undefined,
+): Unanswered | undefined {
+  if (end.type === "unsent") return { type: "not-run", reason: end.reason };
+  if (verdict === "misdirected") return { type: "not-run", reason: verdict };
+  if (verdict === "not-run") {
+    return { type: "not-run", reason: "refused by the replica" };
+  }
+  return end.type === "lost" ? { type: "lost", reason: end.reason } : undefined;
+}
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -200,7 +200,7 @@
   async #readAll(): Promise<
     kernel.Outcome<{ readonly hadChanges: boolean }>
   > {
-    const sentAt = this.#age.read();
+    const sentAt = decisions.readClocks(this.#options.clock);
     const snapshot = await this.#options.plane.readAll();
     return snapshot.map(({ items, revision }) => {
       this.#noteSuccess();
@@ -224,7 +224,7 @@
   async #watch(afterRevision: number): Promise<
     kernel.Outcome<{ readonly hadChanges: boolean }>
   > {
-    const sentAt = this.#age.read();
+    const sentAt = decisions.readClocks(this.#options.clock);
     const waitMs = this.#chooseWaitMs();
     const interruption = new AbortController();
     const stop = this.#superviseWatch(waitMs, interruption);
@@ -242,7 +242,8 @@
       this.#noteSuccess();
       this.#needsConfirmation = false;
       for (const item of items) this.#takeItem(item);
-      const waitedMs = this.#age.read().steadyMs - sentAt.steadyMs;
+      const waitedMs = decisions.readClocks(this.#options.clock).steadyMs -
+        sentAt.steadyMs;
       const isFullWait = items.length === 0 && waitedMs >= waitMs;
       this.#age.confirm(
         isFullWait ? decisions.addWait(sentAt, waitMs) : sentAt,
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -58,6 +58,15 @@
   readonly readMs: number;
 }
 
+/** What an attempt that ran tells. */
+export interface AttemptRun
+  extends Pick<decisions.VersionOutcome, "model" | "result" | "paceMs"> {
+  /** Time to the first byte; absent where none came. */
+  readonly delayMs: number | undefined;
+  /** This process was slow itself. */
+  readonly isLagging: boolean;
+}
+
 /** Sends requests of one process. */
 export class Dispatcher {
   readonly parts: DispatcherParts;
@@ -226,23 +235,39 @@
     else log.notable("attempt.ended", fields);
   }
 
-  /** What a version did, as evidence for its roll-out. */
-  recordVersion(
+  /** Learns from an attempt that its replica did not run. */
+  learnUnrun(sent: Sent, reason: string): void {
+    const { table } = this.parts;
+    const { state } = sent;
+    const { nowMs } = this;
+    table.noteBusy(state, nowMs);
+    if (reason === "misdirected") table.noteMisdirected(state, nowMs);
+    if (!sent.attempt.isSent) state.health.recordNoAnswer(nowMs);
+  }
+
+  /** Learns of a replica, and of its version, from an attempt that ran. */
+  learnRun(
     request: requests.AdmittedRequest,
     sent: Sent,
-    outcome: Pick<decisions.VersionOutcome, "model" | "result" | "paceMs">,
+    run: AttemptRun,
   ): void {
-    const { rollouts, table } = this.parts;
-    const { entry, key } = sent.state;
-    rollouts.record({
+    const { nowMs } = this;
+    const { entry, key, health } = sent.state;
+    if (run.result === "lost") health.recordNoAnswer(nowMs);
+    else if (run.result === "failed") health.recordFailedAnswer();
+    else if (run.delayMs !== undefined) health.recordSuccess(run.delayMs);
+    // Its pace would be that of this process, not of the replica.
+    if (run.result === "whole" && run.isLagging) return;
+    this.parts.rollouts.record({
       service: request.service,
       route: request.route.name,
       version: entry.version,
       replicaKey: key,
-      replicas: table.countVersion(entry),
+      model: run.model,
+      result: run.result,
+      paceMs: run.result === "whole" ? run.paceMs : undefined,
       sentAtMs: sent.sentAtMs,
-      endedAtMs: this.nowMs,
-      ...outcome,
+      endedAtMs: nowMs,
     });
   }
 
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -19,8 +19,6 @@
 /** Announcements of processes that start together are spread over this. */
 const START_JITTER_MS = 300;
 
-const NO_LOAD: peers.PeerLoad = { pendingMs: 0, running: 0 };
-
 /** What the fleet needs. */
 export interface FleetOptions {
   readonly settings: ports.RouterSettings;
@@ -125,7 +123,7 @@
 
   /** What the others have under way at a replica. */
   readLoad(replicaKey: number): peers.PeerLoad {
-    return this.#task?.readLoad(replicaKey) ?? NO_LOAD;
+    return this.#task?.readLoad(replicaKey) ?? peers.NO_LOAD;
   }
 
   /** Tells the others which version a session ran on. */
--- a/packages/router/src/plain_exchange.ts
+++ b/packages/router/src/plain_exchange.ts
@@ -27,8 +27,7 @@
     readonly head: attempts.AnswerHead;
     readonly body: Buffer;
   }
-  | { readonly type: "not-run"; readonly reason: string }
-  | { readonly type: "lost"; readonly reason: string };
+  | check.Unanswered;
 
 /** One request with one answer. */
 export class PlainExchange {
@@ -165,18 +164,14 @@
   #learn(sent: dispatchers.Sent, result: TryResult): void {
     const dispatcher = this.#dispatcher;
     const { state } = sent;
-    const { table } = dispatcher.parts;
-    const nowMs = dispatcher.nowMs;
     this.#sends += 1;
     this.#tried.add(state.entry.id);
-    table.noteEnded(state, sent.readMs);
+    dispatcher.parts.table.noteEnded(state, sent.readMs);
     if (result.type === "not-run") {
-      table.noteBusy(state, nowMs);
-      if (result.reason === "misdirected") table.noteMisdirected(state, nowMs);
-      if (!sent.attempt.isSent) state.health.recordNoAnswer(nowMs);
+      dispatcher.learnUnrun(sent, result.reason);
     } else {
       this.#runs += 1;
-      this.#learnRun(sent, result, nowMs);
+      if (!this.#request.signal.aborted) this.#learnRun(sent, result);
     }
     dispatcher.logAttempt(this.#request, sent, {
       outcome: result.type === "answered" ? "whole" : result.type,
@@ -189,21 +184,18 @@
   #learnRun(
     sent: dispatchers.Sent,
     result: Exclude<TryResult, { type: "not-run" }>,
-    nowMs: number,
   ): void {
-    if (this.#request.signal.aborted) return;
-    const { health } = sent.state;
-    const isFailure = result.type === "lost" ||
-      check.isServerError(result.head.status);
-    if (result.type === "lost") health.recordNoAnswer(nowMs);
-    else if (isFailure) health.recordFailedAnswer();
-    else health.recordSuccess(nowMs - sent.sentAtMs);
-    // Its pace would be that of this process, not of the replica.
-    if (!isFailure && this.#watchdog.isLagging) return;
-    this.#dispatcher.recordVersion(this.#request, sent, {
+    const tookMs = this.#dispatcher.nowMs - sent.sentAtMs;
+    this.#dispatcher.learnRun(this.#request, sent, {
       model: undefined,
-      result: result.type === "lost" ? "lost" : isFailure ? "failed" : "whole",
-      paceMs: isFailure ? undefined : nowMs - sent.sentAtMs,
+      result: result.type === "lost"
+        ? "lost"
+        : check.isServerError(result.head.status)
+        ? "failed"
+        : "whole",
+      delayMs: tookMs,
+      paceMs: tookMs,
+      isLagging: this.#watchdog.isLagging,
     });
   }
 
@@ -259,14 +251,8 @@
   head: attempts.AnswerHead | undefined,
   chunks: readonly Buffer[],
 ): TryResult {
-  if (end.type === "unsent") return { type: "not-run", reason: end.reason };
-  if (verdict === "not-run" || verdict === "misdirected") {
-    return {
-      type: "not-run",
-      reason: verdict === "misdirected" ? verdict : "refused by the replica",
-    };
-  }
-  if (end.type === "lost") return { type: "lost", reason: end.reason };
+  const unanswered = check.judgeUnanswered(end, verdict);
+  if (unanswered !== undefined) return unanswered;
   if (head === undefined || verdict === "foreign" || verdict === "unusable") {
     return { type: "lost", reason: `the answer is ${verdict ?? "empty"}` };
   }
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -113,12 +113,10 @@
     );
   }
 
-  /** Replicas of the same service and version. */
-  countVersion(
-    entry: Pick<ports.ReplicaEntry, "service" | "version">,
-  ): number {
-    return this.listService(entry.service).filter((state) =>
-      state.entry.version === entry.version
+  /** Replicas of a version of a service. */
+  countVersion(service: string, version: string): number {
+    return this.listService(service).filter((state) =>
+      state.entry.version === version
     ).length;
   }
 
@@ -251,7 +249,7 @@
   }
 
   /** Requests of this process at each replica. */
-  listRunning(): readonly peers.ReplicaCount[] {
+  listRunning(): readonly decisions.ReplicaCount[] {
     return [...this.#states.values()].flatMap(({ key, inFlight }) =>
       inFlight > 0 ? [{ replicaKey: key, count: inFlight }] : []
     );
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -132,10 +132,14 @@
   record(outcome: VersionEvidence): void {
     const order = this.#options.control.orders.get(outcome.service);
     if (order === undefined || this.#isOver(order)) return;
-    const isTarget = outcome.version === order.targetVersion;
+    const { service, targetVersion } = order;
+    const isTarget = outcome.version === targetVersion;
     const { judge } = this.#trial(order);
     const before = judge.verdict;
-    judge.take(outcome, isTarget);
+    judge.take(outcome, {
+      isTarget,
+      replicas: this.#options.countReplicas(service, targetVersion),
+    });
     const isBad = outcome.result !== "whole";
     if (isTarget && (isBad || before !== judge.verdict)) {
       this.#logEvidence(order, judge, outcome);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -126,7 +126,7 @@
       random,
       exposureShare: settings.exposureShare,
       countReplicas: (service, version) =>
-        this.#table.countVersion({ service, version }),
+        this.#table.countVersion(service, version),
       onOrder: (service) => this.#shareSessions(service),
     });
     this.#watchdog = new watchdogs.Watchdog(clock);
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -280,15 +280,12 @@
     const { sent } = current;
     if (sent === undefined) return;
     const { state } = sent;
-    const { nowMs } = this.#dispatcher;
     const { table } = this.#dispatcher.parts;
     this.#sends += 1;
     this.#tried.add(state.entry.id);
     table.noteEnded(state, current.isRead ? 0 : sent.readMs);
     if (result.type === "not-run") {
-      table.noteBusy(state, nowMs);
-      if (result.reason === "misdirected") table.noteMisdirected(state, nowMs);
-      if (!sent.attempt.isSent) state.health.recordNoAnswer(nowMs);
+      this.#dispatcher.learnUnrun(sent, result.reason);
     } else {
       this.#runs += 1;
       if (!this.#request.signal.aborted) this.#learnRun(current, sent, result);
@@ -308,32 +305,24 @@
     result: tries.TryResult,
   ): void {
     const { nowMs } = this.#dispatcher;
-    const { health } = sent.state;
-    const isServerFailure = result.type === "failed" &&
-      check.isServerError(result.head.status);
-    const isFailure = result.type === "lost" || isServerFailure;
-    if (result.type === "lost") health.recordNoAnswer(nowMs);
-    else if (isServerFailure) health.recordFailedAnswer();
-    else if (current.headAtMs !== undefined) {
-      health.recordSuccess(current.headAtMs - current.startedAtMs);
-    }
-    // Its pace would be that of this process, not of the replica.
-    if (!isFailure && this.#watchdog.isLagging) return;
     const events = current.splitter.count;
-    const paceMs = isFailure || current.headAtMs === undefined
+    const { headAtMs } = current;
+    const delayMs = headAtMs === undefined
       ? undefined
-      : events > 1
-      ? (nowMs - current.headAtMs) / events
-      : current.headAtMs - current.startedAtMs;
-    this.#dispatcher.recordVersion(this.#request, sent, {
+      : headAtMs - current.startedAtMs;
+    const hasPauses = events > 1;
+    this.#dispatcher.learnRun(this.#request, sent, {
       // Pauses between events and waits for the first one differ by nature.
-      model: `${this.#model ?? ""}/${events > 1 ? "pace" : "start"}`,
-      result: result.type === "lost"
-        ? "lost"
-        : isServerFailure
+      model: `${this.#model ?? ""}/${hasPauses ? "pace" : "start"}`,
+      result: result.type === "lost" ? "lost" : result.type === "failed" &&
+          check.isServerError(result.head.status)
         ? "failed"
         : "whole",
-      paceMs,
+      delayMs,
+      paceMs: headAtMs !== undefined && hasPauses
+        ? (nowMs - headAtMs) / events
+        : delayMs,
+      isLagging: this.#watchdog.isLagging,
     });
   }
 
--- a/packages/router/src/stream_try.ts
+++ b/packages/router/src/stream_try.ts
@@ -1,5 +1,5 @@
 /** One attempt at a stream: its state, and what its end means. */
-import type * as check from "./answer_check.ts";
+import * as check from "./answer_check.ts";
 import type * as attempts from "./attempt.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import type * as splitting from "./event_splitter.ts";
@@ -13,8 +13,7 @@
     readonly head: attempts.AnswerHead;
     readonly body: Buffer;
   }
-  | { readonly type: "not-run"; readonly reason: string }
-  | { readonly type: "lost"; readonly reason: string };
+  | check.Unanswered;
 
 /** One attempt's state. */
 export interface Try {
@@ -32,15 +31,9 @@
 
 /** Judges the end of an attempt: a stream is complete only if nothing hints at a cut. */
 export function judgeEnd(current: Try, end: attempts.AttemptEnd): TryResult {
-  if (end.type === "unsent") return { type: "not-run", reason: end.reason };
   const { verdict, head } = current;
-  if (verdict === "not-run" || verdict === "misdirected") {
-    const reason = verdict === "misdirected"
-      ? verdict
-      : "refused by the replica";
-    return { type: "not-run", reason };
-  }
-  if (end.type === "lost") return { type: "lost", reason: end.reason };
+  const unanswered = check.judgeUnanswered(end, verdict);
+  if (unanswered !== undefined) return unanswered;
   if (head === undefined) return { type: "lost", reason: "no answer" };
   if (verdict === "failure") {
     return { type: "failed", head, body: Buffer.concat(current.body) };
--- a/packages/router/src/view_age.ts
+++ b/packages/router/src/view_age.ts
@@ -16,29 +16,28 @@
 
   /** Time since the view was surely current. */
   get ageMs(): number {
-    return this.#confirmedAt === undefined
-      ? Infinity
-      : decisions.measureAgeMs(this.#confirmedAt, this.read());
+    return this.#confirmedAt === undefined ? Infinity : decisions.measureAgeMs(
+      this.#confirmedAt,
+      decisions.readClocks(this.#clock),
+    );
   }
 
   /** Takes a confirmed moment, unless a later one is known. */
   confirm(reading: decisions.ClockReading): void {
-    const ageMs = decisions.measureAgeMs(reading, this.read());
+    const ageMs = decisions.measureAgeMs(
+      reading,
+      decisions.readClocks(this.#clock),
+    );
     if (ageMs < this.ageMs) this.#confirmedAt = reading;
   }
 
   /** Takes a moment that a peer's report confirms. */
   confirmFromPeer(confirmedAgeMs: number): void {
     this.confirm(
-      decisions.addWait(this.read(), -confirmedAgeMs - PEER_DELAY_MS),
+      decisions.addWait(
+        decisions.readClocks(this.#clock),
+        -confirmedAgeMs - PEER_DELAY_MS,
+      ),
     );
   }
-
-  /** Reads both clocks. */
-  read(): decisions.ClockReading {
-    return {
-      steadyMs: this.#clock.monotonicMs(),
-      wallMs: this.#clock.wallMs(),
-    };
-  }
 }
