--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -11,18 +11,11 @@
 
 export * from "./deployment_plan.ts";
 
-/** One upstream with the process beside it. */
-export interface RunningUpstream {
-  readonly plan: plans.UpstreamPlan;
-  readonly backend: processes.TestProcess;
-  process: processes.TestProcess;
-}
-
 /** A running deployment. */
 export class Deployment {
   readonly plan: plans.DeploymentPlan;
   readonly entries = new Map<string, processes.TestProcess>();
-  readonly upstreams = new Map<string, RunningUpstream>();
+  readonly upstreams = new Map<string, plans.RunningUpstream>();
   readonly #started: processes.TestProcess[] = [];
   readonly #keys = crypto.generateKeyPairSync("ed25519");
   readonly #clock = new kernel.SystemClock();
@@ -97,7 +90,7 @@
     return entry;
   }
 
-  upstream(id: string): RunningUpstream {
+  upstream(id: string): plans.RunningUpstream {
     const upstream = this.upstreams.get(id);
     if (upstream === undefined) throw new Error(`no upstream ${id}`);
     return upstream;
@@ -191,7 +184,9 @@
     return entry;
   }
 
-  async startUpstream(plan: plans.UpstreamPlan): Promise<RunningUpstream> {
+  async startUpstream(
+    plan: plans.UpstreamPlan,
+  ): Promise<plans.RunningUpstream> {
     const backend = this.upstreams.get(plan.id)?.backend ??
       await this.#startBackend(plan);
     const type = plan.orders === undefined ? "model" : "service";
--- a/packages/bench/src/deployment_plan.ts
+++ b/packages/bench/src/deployment_plan.ts
@@ -1,6 +1,7 @@
 /** What a small deployment consists of, and the standard one of the tests. */
 import * as bundle from "@jackdawbank/bundle";
 import type * as fakes from "@jackdawbank/fakes";
+import type * as processes from "./processes.ts";
 
 /** One upstream of a deployment. */
 export interface UpstreamPlan {
@@ -19,6 +20,13 @@
   readonly usesSecondStorePort?: boolean;
 }
 
+/** One upstream with the process beside it. */
+export interface RunningUpstream {
+  readonly plan: UpstreamPlan;
+  readonly backend: processes.TestProcess;
+  process: processes.TestProcess;
+}
+
 /** What a deployment consists of. */
 export interface DeploymentPlan {
   readonly entries: readonly EntryPlan[];
--- /dev/null
+++ b/packages/decisions/src/claim_batch.ts
@@ -0,0 +1,43 @@
+/** A batch of claims and facts on its way to be stored as one segment. */
+import type * as tables from "./claim_table.ts";
+import type * as types from "./claim_types.ts";
+import type * as waiting from "./claim_waiters.ts";
+
+/** What is being stored, and what becomes of it if it is not. */
+export interface Batch {
+  readonly number: number;
+  readonly segment: types.Segment;
+  readonly claims: readonly waiting.PendingClaim[];
+  readonly queuedRecords: readonly types.ClaimRecord[];
+}
+
+/** What a batch is built from. */
+export interface BatchInput
+  extends
+    Pick<Batch, "number" | "claims" | "queuedRecords">,
+    Pick<types.Segment, "ownerId" | "batchId" | "isOpening"> {
+  /** Time of day of the claims. */
+  readonly atMs: number;
+}
+
+/** Builds a batch; the facts go before the claims. */
+export function buildBatch(
+  input: BatchInput,
+  table: tables.ClaimTable,
+): Batch {
+  const { number, ownerId, batchId, isOpening, claims, queuedRecords, atMs } =
+    input;
+  const records: readonly types.ClaimRecord[] = [
+    ...queuedRecords,
+    ...claims.map(({ key, bodyHash, claimId, voided }) => ({
+      type: "claim" as const,
+      key,
+      bodyHash,
+      atMs,
+      claimId,
+      replaces: voided.find((other) => other === table.get(key)?.claimId),
+    })),
+  ];
+  const segment = { ownerId, isOpening, batchId, records };
+  return { number, segment, claims, queuedRecords };
+}
--- a/packages/decisions/src/claim_table.ts
+++ b/packages/decisions/src/claim_table.ts
@@ -1,5 +1,7 @@
 /** What is known of the keys of one partition, from the segments read so far. */
+import type * as kernel from "@jackdawbank/kernel";
 import type * as types from "./claim_types.ts";
+import type * as waiting from "./claim_waiters.ts";
 
 /** Entries by key. */
 export class ClaimTable {
@@ -42,6 +44,33 @@
     return entry.atMs + this.#retentionMs <= nowMs;
   }
 
+  /** What a claim meets: nothing, a call that still runs, or an answer to give. */
+  settle(
+    claim: waiting.PendingClaim,
+    of: { readonly nowMs: number; readonly isRunning: () => boolean },
+  ): types.ClaimEffect | "claimable" | "waits" {
+    const entry = this.#entries.get(claim.key);
+    if (entry === undefined || entry.state === "released") return "claimable";
+    if (entry.state !== "claimed" && this.isExpired(entry, of.nowMs)) {
+      return "claimable";
+    }
+    const { claimId } = claim;
+    const refuse = (kind: kernel.ErrorKind): types.ClaimEffect => ({
+      type: "refuse",
+      claimId,
+      kind,
+    });
+    if (entry.bodyHash !== claim.bodyHash) return refuse("key-reused");
+    if (entry.state === "done") {
+      const { answer } = entry;
+      return answer === undefined
+        ? refuse("already-run")
+        : { type: "replay", claimId, answer };
+    }
+    if (claim.voided.includes(entry.claimId)) return "claimable";
+    return of.isRunning() ? "waits" : refuse("outcome-unknown");
+  }
+
   /** Takes one record. */
   apply(record: types.ClaimRecord): void {
     const entry = this.#entries.get(record.key);
--- a/packages/decisions/src/claims.ts
+++ b/packages/decisions/src/claims.ts
@@ -11,17 +11,11 @@
  * read back: it holds this process's batch, another segment, or nothing.
  */
 import type * as kernel from "@jackdawbank/kernel";
-import * as tables from "./claim_table.ts";
+import * as batches from "./claim_batch.ts";
+import * as logs from "./claim_log.ts";
 import type * as types from "./claim_types.ts";
 import * as waiting from "./claim_waiters.ts";
 
-interface Batch {
-  readonly number: number;
-  readonly segment: types.Segment;
-  readonly claims: readonly waiting.PendingClaim[];
-  readonly queuedRecords: readonly types.ClaimRecord[];
-}
-
 type Phase =
   | "idle"
   | "reading-snapshot"
@@ -35,7 +29,7 @@
 /** The state machine of one partition in one process. */
 export class ClaimJournal {
   readonly #options: types.ClaimJournalOptions;
-  readonly #table: tables.ClaimTable;
+  readonly #log: logs.ClaimLog;
   readonly #abandoned = new Set<string>();
   /** Claims granted here that have not ended, by claim id. */
   readonly #running = new Map<string, string>();
@@ -45,19 +39,13 @@
   #phase: Phase = "idle";
   #isOwner = false;
   #hasRead = false;
-  #next = 1;
-  #batch: Batch | undefined;
-  #removable: number[] = [];
-  #segmentsSinceSnapshot = 0;
+  #batch: batches.Batch | undefined;
   #batchCount = 0;
   #isFlushDue = false;
-  #loadedSnapshotNumber = 0;
-  /** Batches whose claims were never granted although they may be stored. */
-  readonly #voidedBatches = new Set<string>();
 
   constructor(options: types.ClaimJournalOptions) {
     this.#options = options;
-    this.#table = new tables.ClaimTable(options.retentionMs);
+    this.#log = new logs.ClaimLog(options.retentionMs);
   }
 
   /** Whether this process appends without taking over first. */
@@ -67,7 +55,7 @@
 
   /** Number of the next segment. */
   get nextNumber(): number {
-    return this.#next;
+    return this.#log.next;
   }
 
   /** Whether facts wait to be stored. */
@@ -77,7 +65,7 @@
 
   /** Keys that are remembered. */
   get size(): number {
-    return this.#table.size;
+    return this.#log.table.size;
   }
 
   /** Whether a claim waits for another call under its key to end. */
@@ -127,10 +115,10 @@
     if (key === undefined) return [];
     this.#running.delete(claimId);
     const record: types.ClaimRecord = { type: "done", key, claimId, answer };
-    this.#table.apply(record);
+    this.#log.table.apply(record);
     this.#queued.push(record);
     const replays = this.#waiters.take(key).map((waiter): types.ClaimEffect =>
-      waiter.bodyHash === this.#table.get(key)?.bodyHash
+      waiter.bodyHash === this.#log.table.get(key)?.bodyHash
         ? { type: "replay", claimId: waiter.claimId, answer }
         : { type: "refuse", claimId: waiter.claimId, kind: "key-reused" }
     );
@@ -155,7 +143,7 @@
   ): readonly types.ClaimEffect[] {
     this.#running.delete(claimId);
     const record: types.ClaimRecord = { type: "release", key, claimId };
-    this.#table.apply(record);
+    this.#log.table.apply(record);
     this.#queued.push(record);
     this.#pending.push(...this.#waiters.take(key));
     return this.#advance(nowMs);
@@ -165,11 +153,7 @@
     const key = this.#running.get(claimId);
     if (key === undefined) return [];
     this.#running.delete(claimId);
-    return this.#waiters.take(key).map((waiter) => ({
-      type: "refuse",
-      claimId: waiter.claimId,
-      kind: "outcome-unknown",
-    }));
+    return refuseAll(this.#waiters.take(key), "outcome-unknown");
   }
 
   /** Answers a claim from what is known of its key, unless it can be claimed. */
@@ -177,23 +161,12 @@
     claim: waiting.PendingClaim,
     nowMs: number,
   ): readonly types.ClaimEffect[] | "claimable" {
-    const entry = this.#table.get(claim.key);
-    if (entry === undefined || entry.state === "released") return "claimable";
-    if (entry.state !== "claimed" && this.#table.isExpired(entry, nowMs)) {
-      return "claimable";
-    }
-    const refuse = (kind: kernel.ErrorKind): readonly types.ClaimEffect[] => [
-      { type: "refuse", claimId: claim.claimId, kind },
-    ];
-    if (entry.bodyHash !== claim.bodyHash) return refuse("key-reused");
-    if (entry.state === "done") {
-      if (entry.answer === undefined) return refuse("already-run");
-      return [{ type: "replay", claimId: claim.claimId, answer: entry.answer }];
-    }
-    if (claim.voided.includes(entry.claimId)) return "claimable";
-    if (![...this.#running.values()].includes(claim.key)) {
-      return refuse("outcome-unknown");
-    }
+    const settled = this.#log.table.settle(claim, {
+      nowMs,
+      isRunning: () => [...this.#running.values()].includes(claim.key),
+    });
+    if (settled === "claimable") return settled;
+    if (settled !== "waits") return [settled];
     this.#waiters.add(claim);
     return [];
   }
@@ -209,7 +182,7 @@
     }
     if (this.#isOwner) return this.#append(nowMs);
     this.#phase = "reading";
-    return [{ type: "read", number: this.#next }];
+    return [{ type: "read", number: this.#log.next }];
   }
 
   /** Builds a batch at the tail; claims that the table answers do not enter it. */
@@ -238,44 +211,25 @@
       this.#phase = "idle";
       return effects;
     }
-    this.#batch = this.#buildBatch(claims, queuedRecords, nowMs);
+    this.#batchCount += 1;
+    this.#batch = batches.buildBatch({
+      number: this.#log.next,
+      ownerId: this.#options.ownerId,
+      batchId: `${this.#options.ownerId}/${this.#batchCount}`,
+      isOpening: !this.#isOwner && claims.length > 0,
+      claims,
+      queuedRecords,
+      atMs: nowMs,
+    }, this.#log.table);
     this.#phase = "appending";
     effects.push({
       type: "create",
-      number: this.#next,
+      number: this.#log.next,
       segment: this.#batch.segment,
     });
     return effects;
   }
 
-  #buildBatch(
-    claims: readonly waiting.PendingClaim[],
-    queuedRecords: readonly types.ClaimRecord[],
-    nowMs: number,
-  ): Batch {
-    this.#batchCount += 1;
-    const records: readonly types.ClaimRecord[] = [
-      ...queuedRecords,
-      ...claims.map((claim) => ({
-        type: "claim" as const,
-        key: claim.key,
-        bodyHash: claim.bodyHash,
-        atMs: nowMs,
-        claimId: claim.claimId,
-        replaces: claim.voided.find((voided) =>
-          voided === this.#table.get(claim.key)?.claimId
-        ),
-      })),
-    ];
-    const segment = {
-      ownerId: this.#options.ownerId,
-      isOpening: !this.#isOwner && claims.length > 0,
-      batchId: `${this.#options.ownerId}/${this.#batchCount}`,
-      records,
-    };
-    return { number: this.#next, segment, claims, queuedRecords };
-  }
-
   #continue(
     outcome: types.StoreOutcome,
     nowMs: number,
@@ -301,38 +255,29 @@
     nowMs: number,
   ): readonly types.ClaimEffect[] {
     if (outcome.type !== "snapshot") return [{ type: "read-snapshot" }];
-    this.#loadSnapshot(outcome.snapshot);
+    this.#log.load(outcome.snapshot);
     this.#hasRead = true;
     this.#phase = "idle";
     return this.#advance(nowMs);
   }
 
-  #loadSnapshot(snapshot: types.ClaimSnapshot | undefined): void {
-    if (snapshot === undefined) return;
-    this.#loadedSnapshotNumber = snapshot.number;
-    this.#table.load(snapshot.entries);
-    this.#next = snapshot.number + 1;
-    this.#removable = [];
-    this.#segmentsSinceSnapshot = 0;
-  }
-
   #continueRead(
     outcome: types.StoreOutcome,
     nowMs: number,
   ): readonly types.ClaimEffect[] {
     if (outcome.type === "found") {
       this.#applySegment(outcome.segment);
-      return [{ type: "read", number: this.#next }];
+      return [{ type: "read", number: this.#log.next }];
     }
     if (outcome.type === "absent") return this.#append(nowMs);
-    return [{ type: "read", number: this.#next }];
+    return [{ type: "read", number: this.#log.next }];
   }
 
   #continueAppend(
     outcome: types.StoreOutcome,
     nowMs: number,
   ): readonly types.ClaimEffect[] {
-    const batch = this.#batch as Batch;
+    const batch = this.#batch as batches.Batch;
     switch (outcome.type) {
       case "created":
         return this.#completeBatch(batch, nowMs);
@@ -354,25 +299,21 @@
 
   /** Another segment stands at the number: nothing of the batch has happened. */
   #yieldNumber(
-    batch: Batch,
+    batch: batches.Batch,
     other: types.Segment,
     nowMs: number,
   ): readonly types.ClaimEffect[] {
     const effects: types.ClaimEffect[] = [];
     const wasOwner = this.#isOwner;
-    this.#batch = undefined;
-    this.#queued = [...batch.queuedRecords, ...this.#queued];
-    const claims = batch.claims.filter((claim) =>
-      !this.#abandoned.delete(claim.claimId)
-    );
+    const claims = this.#takeBack(batch);
     this.#applySegment(other);
     const isDeposed = other.isOpening && (wasOwner || batch.segment.isOpening);
     if (isDeposed) {
       this.#isOwner = false;
       effects.push({ type: "deposed", by: other.ownerId });
       effects.push(
-        ...this.#refuseAll(claims),
-        ...this.#refuseAll(this.#pending),
+        ...refuseAll(claims, "claim-moved"),
+        ...refuseAll(this.#pending, "claim-moved"),
       );
       this.#pending = [];
     } else {
@@ -382,17 +323,19 @@
     return [...effects, ...this.#advance(nowMs)];
   }
 
-  #refuseAll(
-    claims: readonly waiting.PendingClaim[],
-  ): readonly types.ClaimEffect[] {
-    return claims.map((claim) => ({
-      type: "refuse",
-      claimId: claim.claimId,
-      kind: "claim-moved",
-    }));
+  /** Gives the batch up; its records wait again, and its claims are returned. */
+  #takeBack(batch: batches.Batch): readonly waiting.PendingClaim[] {
+    this.#batch = undefined;
+    this.#queued = [...batch.queuedRecords, ...this.#queued];
+    return batch.claims.filter((claim) =>
+      !this.#abandoned.delete(claim.claimId)
+    );
   }
 
-  #completeBatch(batch: Batch, nowMs: number): readonly types.ClaimEffect[] {
+  #completeBatch(
+    batch: batches.Batch,
+    nowMs: number,
+  ): readonly types.ClaimEffect[] {
     if (batch.segment.isOpening) {
       this.#phase = "verifying";
       return [{ type: "read-snapshot" }];
@@ -408,18 +351,13 @@
     outcome: types.StoreOutcome,
     nowMs: number,
   ): readonly types.ClaimEffect[] {
-    const batch = this.#batch as Batch;
+    const batch = this.#batch as batches.Batch;
     if (outcome.type !== "snapshot") return [{ type: "read-snapshot" }];
     const currentNumber = outcome.snapshot?.number ?? 0;
-    if (currentNumber !== this.#loadedSnapshotNumber) {
-      this.#batch = undefined;
-      this.#voidedBatches.add(batch.segment.batchId);
-      this.#queued = [...batch.queuedRecords, ...this.#queued];
-      const claims = batch.claims.filter((claim) =>
-        !this.#abandoned.delete(claim.claimId)
-      );
-      this.#pending = [...claims, ...this.#pending];
-      this.#loadSnapshot(outcome.snapshot);
+    if (currentNumber !== this.#log.loadedSnapshotNumber) {
+      this.#log.voidBatch(batch.segment.batchId);
+      this.#pending = [...this.#takeBack(batch), ...this.#pending];
+      this.#log.load(outcome.snapshot);
       this.#phase = "idle";
       return this.#advance(nowMs);
     }
@@ -430,7 +368,10 @@
     ];
   }
 
-  #grantBatch(batch: Batch, nowMs: number): readonly types.ClaimEffect[] {
+  #grantBatch(
+    batch: batches.Batch,
+    nowMs: number,
+  ): readonly types.ClaimEffect[] {
     const effects: types.ClaimEffect[] = [];
     this.#batch = undefined;
     this.#applySegment(batch.segment);
@@ -446,58 +387,34 @@
     this.#phase = "idle";
     if (
       this.#isOwner &&
-      this.#segmentsSinceSnapshot >= this.#options.snapshotEverySegments
+      this.#log.segmentsSinceSnapshot >= this.#options.snapshotEverySegments
     ) {
-      return [...effects, this.#storeSnapshot(nowMs)];
+      this.#phase = "snapshotting";
+      const keysInUse = new Set(this.#running.values());
+      return [...effects, this.#log.createSnapshot(nowMs, keysInUse)];
     }
     return [...effects, ...this.#advance(nowMs)];
   }
 
-  #storeSnapshot(nowMs: number): types.ClaimEffect {
-    this.#table.prune(nowMs, new Set(this.#running.values()));
-    this.#phase = "snapshotting";
-    const snapshot = {
-      number: this.#next - 1,
-      entries: this.#table.list(),
-    };
-    return {
-      type: "store-snapshot",
-      snapshot,
-      removable: [...this.#removable],
-    };
-  }
-
   #continueSnapshotStore(
     outcome: types.StoreOutcome,
     nowMs: number,
   ): readonly types.ClaimEffect[] {
-    if (outcome.type === "snapshot-stored") {
-      this.#removable = [];
-      this.#loadedSnapshotNumber = this.#next - 1;
-    }
-    this.#segmentsSinceSnapshot = 0;
+    this.#log.endSnapshot(outcome.type === "snapshot-stored");
     this.#phase = "idle";
     return this.#advance(nowMs);
   }
 
   #applySegment(segment: types.Segment): void {
-    for (const record of segment.records) this.#table.apply(record);
-    if (this.#voidedBatches.has(segment.batchId)) this.#releaseVoided(segment);
     const isOwnAppend = this.#isOwner && !segment.isOpening &&
       segment.ownerId === this.#options.ownerId;
-    if (isOwnAppend) this.#removable.push(this.#next);
-    this.#next += 1;
-    this.#segmentsSinceSnapshot += 1;
+    this.#queued.push(...this.#log.take(segment, isOwnAppend));
   }
+}
 
-  #releaseVoided(segment: types.Segment): void {
-    for (const record of segment.records) {
-      if (record.type !== "claim") continue;
-      if (this.#table.get(record.key)?.claimId !== record.claimId) continue;
-      const { key, claimId } = record;
-      const release: types.ClaimRecord = { type: "release", key, claimId };
-      this.#table.apply(release);
-      this.#queued.push(release);
-    }
-  }
+function refuseAll(
+  claims: readonly waiting.PendingClaim[],
+  kind: kernel.ErrorKind,
+): readonly types.ClaimEffect[] {
+  return claims.map(({ claimId }) => ({ type: "refuse", claimId, kind }));
 }
