--- a/packages/decisions/src/platform_rules_test.ts
+++ b/packages/decisions/src/platform_rules_test.ts
@@ -1,6 +1,8 @@
 /** Rules that the router adds: freshness, budgets, health, model and replica choice. */
 import * as ava from "ava";
 import * as fastCheck from "fast-check";
+import * as float64 from "pure-rand/distribution/uniformFloat64";
+import * as xoroshiro from "pure-rand/generator/xoroshiro128plus";
 import * as pace from "./engine_pace.ts";
 import * as freshness from "./freshness.ts";
 import * as models from "./model_choice.ts";
@@ -274,7 +276,8 @@
 test("watches that a change ended together confirm the view in turn from then on", (t) => {
   for (const processes of [2, 4, 10, 27]) {
     const longestGaps = Array.from({ length: 200 }, (_, seed) => {
-      const draw = createDraw(seed + 1);
+      const generator = xoroshiro.xoroshiro128plus(seed);
+      const draw = () => float64.uniformFloat64(generator);
       const ends = Array.from({ length: processes }, () => {
         const list = [0];
         while ((list.at(-1) as number) < 20_000) {
@@ -296,12 +299,3 @@
     );
   }
 });
-
-/** Pseudo-random numbers in [0, 1). */
-function createDraw(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
--- a/packages/router/src/shared_load_test.ts
+++ b/packages/router/src/shared_load_test.ts
@@ -8,6 +8,8 @@
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as peers from "@jackdawbank/peers";
+import * as float64 from "pure-rand/distribution/uniformFloat64";
+import * as xoroshiro from "pure-rand/generator/xoroshiro128plus";
 
 const test = ava.default;
 
@@ -26,19 +28,11 @@
   readonly deliver: () => void;
 }
 
-/** Pseudo-random numbers in [0, 1). */
-function createRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 /** Processes, replicas and datagrams on one clock. */
 class World {
   readonly clock = new kernel.ManualClock();
-  readonly random = createRandom(7);
+  readonly #generator = xoroshiro.xoroshiro128plus(7);
+  readonly random = () => float64.uniformFloat64(this.#generator);
   readonly backlogMs = Array.from({ length: REPLICAS }, () => 0);
   readonly datagrams: Datagram[] = [];
   readonly processes = Array.from({ length: PROCESSES }, () => ({
