--- a/packages/bench/src/stress_test.ts
+++ b/packages/bench/src/stress_test.ts
@@ -130,7 +130,7 @@
   });
   t.true(
     succeeded >= MIN_SUCCESS_BESIDE_FLOOD * others.length,
-    `${succeeded}/${others.length}`,
+    `${succeeded}/${others.length}: ${failures.join("; ")}`,
   );
   t.true(flooded > 0);
 });
