A call that was lost before its head may have run

Cause: an attempt answered 'upstream-unreachable' or 'deadline-before-run', both not_run true, unless it was committed or had a head. A one-phase call runs as soon as the gate takes it, so both can be wrong. Ruled out: two-phase calls; they run only after the commit.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -53,6 +53,8 @@
 export class Attempt {
   readonly attemptId: string;
   readonly connection: mesh.MeshConnection;
+  /** Whether the call runs only after it was reserved and committed. */
+  readonly #isTwoPhase: boolean;
   readonly #onEnd: () => void;
   readonly #events: AttemptEvent[] = [];
   #digest = decisions.EMPTY_ANSWER_DIGEST;
@@ -63,12 +65,13 @@
   #hasReceivedHead = false;
 
   constructor(
-    attemptId: string,
+    call: { readonly attemptId: string; readonly isTwoPhase: boolean },
     connection: mesh.MeshConnection,
     onEnd: () => void,
   ) {
-    this.attemptId = attemptId;
+    this.attemptId = call.attemptId;
     this.connection = connection;
+    this.#isTwoPhase = call.isTwoPhase;
     this.#onEnd = onEnd;
   }
 
@@ -104,12 +107,19 @@
       ? "answer-incomplete"
       : this.#isCommitted
       ? "outcome-unknown"
+      : this.#mayHaveRun
+      ? "upstream-lost"
       : "upstream-unreachable";
     this.#finish(
       createFailure(kind, "the connection to the upstream process closed"),
     );
   }
 
+  /** A call without a reservation may run as soon as it has been sent. */
+  get #mayHaveRun(): boolean {
+    return !this.#isTwoPhase || this.#isCommitted || this.#hasReceivedHead;
+  }
+
   /** Lets a two-phase call run; without a response its outcome is unknown from here on. */
   commit(): boolean {
     this.#isCommitted = true;
@@ -203,8 +213,9 @@
     this.#notifyReader = undefined;
     const event = this.#events.shift();
     if (event !== undefined) return event;
-    const hasStarted = this.#isCommitted || this.#hasReceivedHead;
-    const kind = hasStarted ? "deadline-after-run" : "deadline-before-run";
+    const kind = this.#mayHaveRun
+      ? "deadline-after-run"
+      : "deadline-before-run";
     this.cancel(kind);
     return this.#events.shift() ?? createFailure(kind, "the deadline passed");
   }
--- a/packages/entry/src/dispatch_context.ts
+++ b/packages/entry/src/dispatch_context.ts
@@ -20,6 +20,7 @@
   "overloaded",
   "leaving",
   "upstream-unreachable",
+  "upstream-lost",
   "upstream-failed",
   "answer-incomplete",
 ]);
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -134,10 +134,15 @@
     if (member === undefined) return undefined;
     this.#attemptCount += 1;
     const attemptId = `${this.#services.incarnation}.${this.#attemptCount}`;
-    const attempt = new attempts.Attempt(attemptId, member.connection, () => {
-      this.#attempts.delete(attemptId);
-      onEnd();
-    });
+    const { isTwoPhase } = work;
+    const attempt = new attempts.Attempt(
+      { attemptId, isTwoPhase },
+      member.connection,
+      () => {
+        this.#attempts.delete(attemptId);
+        onEnd();
+      },
+    );
     const revision = this.#options.holder.revision;
     // Recorded before sending, so that the receiver's events are ordered after it.
     this.#services.timeline.record("attempt.sent", {
--- a/packages/entry/src/service_dispatch.ts
+++ b/packages/entry/src/service_dispatch.ts
@@ -12,7 +12,8 @@
     readonly type: "failed";
     readonly error: kernel.AppError;
     readonly isCommitted: boolean;
-    readonly attemptId: string;
+    /** Absent if the call was not sent. */
+    readonly attemptId: string | undefined;
   };
 
 /** Starts service calls of one entry. */
@@ -51,7 +52,9 @@
       if (outcome.type === "started") return neverthrow.ok(outcome.answer);
       lastError = outcome.error;
       if (outcome.isCommitted) return neverthrow.err(lastError);
-      voidedAttemptIds.push(outcome.attemptId);
+      if (outcome.attemptId !== undefined) {
+        voidedAttemptIds.push(outcome.attemptId);
+      }
       if (lastError.kind === "claim-moved") {
         redirects += 1;
         continue;
@@ -110,7 +113,12 @@
         "upstream-unreachable",
         "the connection to the upstream process is closed",
       );
-      return { type: "failed", error, isCommitted: false, attemptId: "none" };
+      return {
+        type: "failed",
+        error,
+        isCommitted: false,
+        attemptId: undefined,
+      };
     }
     let start = await contexts.waitForStart(
       attempt,
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -40,6 +40,7 @@
   "deadline-after-run": { status: 504, notRun: "unknown", retry: "same-key" },
   "upstream-failed": { status: 502, notRun: "unknown", retry: "same-key" },
   "upstream-unreachable": { status: 502, notRun: true, retry: "later" },
+  "upstream-lost": { status: 502, notRun: "unknown", retry: "same-key" },
   "outcome-unknown": { status: 502, notRun: "unknown", retry: "same-key" },
   "answer-incomplete": { status: 502, notRun: "unknown", retry: "same-key" },
   "cancelled": { status: 499, notRun: "unknown", retry: "never" },
