Gate: fair queue, expiry, silent entries, and a check before the first byte

Work is checked again when the connection is ready, before any byte (http_backends_test: 1 request at the upstream before, 0 now).

--- a/packages/decisions/src/fair_queue.ts
+++ b/packages/decisions/src/fair_queue.ts
@@ -36,8 +36,8 @@
 
 export class FairQueue<T> {
   readonly #accounts = new Map<string, AccountQueue<T>>();
-  readonly #capacity: number;
-  /** Highest virtual time at which an item was taken; new accounts start from it. */
+  #capacity: number;
+  /** Highest virtual time at which an item was taken; accounts without items start from it. */
   #virtualTime = 0;
   #length = 0;
 
@@ -49,17 +49,25 @@
     return this.#length;
   }
 
+  /** Sets the largest length; returns the items that no longer fit. */
+  setCapacity(capacity: number): readonly QueuedItem<T>[] {
+    this.#capacity = capacity;
+    const evicted: QueuedItem<T>[] = [];
+    while (this.#length > this.#capacity) {
+      const item = this.#evictFrom(this.#findMostOverShare());
+      if (item === undefined) break;
+      evicted.push(item);
+    }
+    return evicted;
+  }
+
   /** Adds an item. If the queue is full and the item's account is furthest over its share, refuses it. */
   push(item: QueuedItem<T>): PushOutcome<T> {
     const evicted: QueuedItem<T>[] = [];
     if (this.#length >= this.#capacity) {
-      const evictedFrom = this.#findMostOverShare(item);
-      if (evictedFrom === undefined) return { isAccepted: false, evicted };
-      const evictedItem = evictedFrom.items.pop();
-      if (evictedItem !== undefined) {
-        evicted.push(evictedItem);
-        this.#length -= 1;
-      }
+      const evictedItem = this.#evictFrom(this.#findMostOverShare(item));
+      if (evictedItem === undefined) return { isAccepted: false, evicted };
+      evicted.push(evictedItem);
     }
     const queue = this.#getOrCreateQueue(item.account);
     const insertAfter = queue.items.findLastIndex((other) =>
@@ -91,15 +99,25 @@
     }
   }
 
-  /** Removes all items whose value matches. */
+  /** Removes the items whose deadline has passed. */
+  removeExpired(nowMs: number): readonly QueuedItem<T>[] {
+    return this.#removeWhere((item) => item.deadlineAtMs <= nowMs);
+  }
+
+  /** Removes all items whose value matches; those of an account keep their order. */
   remove(matches: (value: T) => boolean): readonly QueuedItem<T>[] {
+    return this.#removeWhere((item) => matches(item.value));
+  }
+
+  #removeWhere(
+    matches: (item: QueuedItem<T>) => boolean,
+  ): readonly QueuedItem<T>[] {
     const removed: QueuedItem<T>[] = [];
     for (const [account, queue] of this.#accounts) {
-      for (let index = queue.items.length - 1; index >= 0; index -= 1) {
-        const item = queue.items[index] as QueuedItem<T>;
-        if (!matches(item.value)) continue;
-        queue.items.splice(index, 1);
-        removed.push(item);
+      const kept = queue.items.filter((item) => !matches(item));
+      if (kept.length < queue.items.length) {
+        removed.push(...queue.items.filter(matches));
+        queue.items.splice(0, queue.items.length, ...kept);
       }
       this.#removeIfIdle(account, queue);
     }
@@ -107,9 +125,25 @@
     return removed;
   }
 
+  /** Removes the last item of an account. */
+  #evictFrom(queue: AccountQueue<T> | undefined): QueuedItem<T> | undefined {
+    const item = queue?.items.pop();
+    if (item !== undefined) this.#length -= 1;
+    return item;
+  }
+
   #getOrCreateQueue(account: string): AccountQueue<T> {
     const existing = this.#accounts.get(account);
-    if (existing !== undefined) return existing;
+    if (existing !== undefined) {
+      // An account gains no credit from the time in which it had no items.
+      if (existing.items.length === 0) {
+        existing.virtualTime = Math.max(
+          existing.virtualTime,
+          this.#virtualTime,
+        );
+      }
+      return existing;
+    }
     const queue = { items: [], virtualTime: this.#virtualTime };
     this.#accounts.set(account, queue);
     return queue;
@@ -132,11 +166,13 @@
     return next;
   }
 
-  /** Returns the queue furthest over its share, or `undefined` if that is the new item's own. */
-  #findMostOverShare(newItem: QueuedItem<T>): AccountQueue<T> | undefined {
+  /** Returns the queue furthest over its share, or `undefined` if that is a new item's own. */
+  #findMostOverShare(newItem?: QueuedItem<T>): AccountQueue<T> | undefined {
     let mostOverShare: AccountQueue<T> | undefined;
-    const ownQueue = this.#accounts.get(newItem.account);
-    let highestRatio = ((ownQueue?.items.length ?? 0) + 1) / newItem.weight;
+    const ownQueue = newItem && this.#accounts.get(newItem.account);
+    let highestRatio = newItem === undefined
+      ? 0
+      : ((ownQueue?.items.length ?? 0) + 1) / newItem.weight;
     for (const queue of this.#accounts.values()) {
       const last = queue.items.at(-1);
       if (queue === ownQueue || last === undefined) continue;
--- a/packages/upstream/src/backend.ts
+++ b/packages/upstream/src/backend.ts
@@ -17,6 +17,11 @@
   readonly body: Uint8Array;
   readonly priority: number;
   readonly signal: AbortSignal;
+  /**
+   * Called once the connection is ready, before any byte of the request is sent.
+   * If it returns an error kind, the request is not sent and the run fails with it.
+   */
+  readonly findRefusal: () => kernel.ErrorKind | undefined;
 }
 
 /** Receives a response in chunks; `onChunk` resolves when the next chunk may be passed. */
--- a/packages/upstream/src/claim_journal_driver.ts
+++ b/packages/upstream/src/claim_journal_driver.ts
@@ -62,7 +62,7 @@
     return this.#journal.isOwner;
   }
 
-  /** Store writes made so far. */
+  /** Store writes that have ended so far, also those whose outcome is unknown. */
   get writes(): number {
     return this.#writes;
   }
@@ -241,21 +241,23 @@
       return { type: "snapshot", snapshot: undefined };
     }
     const snapshot = codec.decodeSnapshot(read.value.value);
-    return snapshot === undefined
-      ? { type: "unknown" }
-      : { type: "snapshot", snapshot };
+    if (snapshot !== undefined) return { type: "snapshot", snapshot };
+    this.#services.log.error(
+      "claims: the stored snapshot does not have the expected form; retrying",
+    );
+    return { type: "unknown" };
   }
 
   async #createSegment(
     number: number,
     segment: decisions.ClaimSegment,
   ): Promise<decisions.StoreOutcome> {
-    this.#writes += 1;
     const key = stores.buildSegmentKey(this.#options.journalId, number);
     const created = await this.#options.store.create(
       key,
       codec.encodeSegment(segment),
     );
+    this.#writes += 1;
     if (created.isErr()) return { type: "unknown" };
     if (created.value.type === "created") return { type: "created" };
     return this.#decodeSegment("exists", created.value.entry.value);
@@ -273,22 +275,22 @@
     if (held !== undefined && held.number >= snapshot.number) {
       return { type: "unknown" };
     }
-    this.#writes += 1;
     const text = codec.encodeSnapshot(snapshot);
     const written = read.value === undefined
       ? await store.create(key, text)
       : await store.replace(read.value, text);
+    this.#writes += 1;
     if (written.isErr()) return { type: "unknown" };
     if (written.value.type !== "created" && written.value.type !== "replaced") {
       return { type: "unknown" };
     }
     this.#recordEvent("claims.snapshot", `through segment ${snapshot.number}`);
     for (const [first, last] of groupConsecutive(removable)) {
-      this.#writes += 1;
       await store.removeRange(
         stores.buildSegmentKey(journalId, first),
         stores.buildSegmentKey(journalId, last + 1),
       );
+      this.#writes += 1;
     }
     return { type: "snapshot-stored" };
   }
--- a/packages/upstream/src/entry_tracker.ts
+++ b/packages/upstream/src/entry_tracker.ts
@@ -38,6 +38,7 @@
   readonly #pendingPings = new Map<number, PendingPing>();
   /** When each entry last read the store, or tried to. */
   #storeCheckedAtMs = new WeakMap<mesh.MeshConnection, number>();
+  readonly #silence = new decisions.AnswerSilence<mesh.MeshConnection>();
   /** Monotonic time of the last ping round. */
   #pingedAtMs: number;
   #nonce = 0;
@@ -129,6 +130,7 @@
     const ping = this.#pendingPings.get(pong.nonce);
     if (ping === undefined || ping.connection !== connection) return;
     this.#pendingPings.delete(pong.nonce);
+    this.#silence.recordAnswer(connection, this.#services.clock.monotonicMs());
     this.#services.timeline.observe(pong.view.time);
     this.#addStops(pong.view);
     this.#distributor.reconcile(connection, pong.view.revision);
@@ -191,6 +193,7 @@
     this.#nonce += 1;
     const sentAtMs = this.#services.clock.monotonicMs();
     this.#pendingPings.set(this.#nonce, { connection, sentAtMs });
+    this.#silence.recordHeartbeat(connection, sentAtMs);
     const [oldest] = this.#pendingPings.keys();
     if (this.#pendingPings.size > MAX_PENDING_PINGS && oldest !== undefined) {
       this.#pendingPings.delete(oldest);
@@ -208,6 +211,7 @@
     if (pausedMs <= MAX_PING_DELAY_MS) return;
     this.#pingedAtMs = nowMs;
     this.#storeCheckedAtMs = new WeakMap();
+    this.#silence.reset();
     this.#pendingPings.clear();
     this.#services.timeline.record("peers.paused", {
       detail: `${Math.round(pausedMs)} ms`,
@@ -228,10 +232,8 @@
   }
 
   #isSilent(connection: mesh.MeshConnection): boolean {
-    const checkedAtMs = this.#storeCheckedAtMs.get(connection);
-    if (checkedAtMs === undefined || !this.#options.isBusy(connection)) {
-      return false;
-    }
-    return this.#services.clock.monotonicMs() - checkedAtMs > MAX_SILENCE_MS;
+    const nowMs = this.#services.clock.monotonicMs();
+    return this.#options.isBusy(connection) &&
+      this.#silence.measureMs(connection, nowMs) > MAX_SILENCE_MS;
   }
 }
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -24,6 +24,8 @@
 const MAX_STORE_CHECK_AGE_MS = 3_500;
 const PING_TIMEOUT_MS = 400;
 const IDLE_POLL_INTERVAL_MS = 20;
+/** Well below the time that an entry waits for a refusal after the deadline. */
+const EXPIRY_CHECK_INTERVAL_MS = 50;
 const SERVICE_EWMA_WEIGHT = 0.1;
 const INITIAL_SERVICE_MS = 100;
 
@@ -42,6 +44,7 @@
   readonly #active = new Map<string, works.ActiveWork>();
   readonly #claimJournals: claimJournals.ClaimJournals;
   readonly #queue = new workQueues.WorkQueue();
+  readonly #expiryTimer: NodeJS.Timeout;
   #state: backends.BackendState = { serves: [], capacity: 0 };
   #running = 0;
   #serviceMs = INITIAL_SERVICE_MS;
@@ -52,6 +55,11 @@
     this.#services = services;
     this.#options = options;
     this.#claimJournals = new claimJournals.ClaimJournals(services, options);
+    this.#expiryTimer = setInterval(
+      () => this.#refuseExpired(),
+      EXPIRY_CHECK_INTERVAL_MS,
+    );
+    this.#expiryTimer.unref();
   }
 
   get isLeaving(): boolean {
@@ -90,7 +98,11 @@
     const isChanged = state.capacity !== this.#state.capacity ||
       state.serves.join() !== this.#state.serves.join();
     this.#state = state;
-    if (isChanged) this.#queue.resize(state.capacity);
+    if (isChanged) {
+      for (const work of this.#queue.resize(state.capacity)) {
+        this.#refuse(work, "account-over-share");
+      }
+    }
     this.#dispatchQueued();
     return isChanged;
   }
@@ -114,6 +126,7 @@
   }
 
   close(): void {
+    clearInterval(this.#expiryTimer);
     for (const work of this.#active.values()) work.abort.abort();
     this.#claimJournals.close();
   }
@@ -261,6 +274,14 @@
     );
   }
 
+  /** Refuses expired work even while no slot is free, so that its entry learns that it did not run. */
+  #refuseExpired(): void {
+    const nowMs = this.#services.clock.monotonicMs();
+    for (const work of this.#queue.removeExpired(nowMs)) {
+      this.#refuse(work, "deadline-before-run");
+    }
+  }
+
   /** Starts queued work while slots are free. */
   #dispatchQueued(): void {
     while (this.#running < this.#state.capacity) {
@@ -338,12 +359,20 @@
       body: frame.body,
       priority: frame.priority,
       signal: work.abort.signal,
+      findRefusal: () => this.#findSendRefusal(work),
     }, work.sink);
     clearTimeout(timer);
     if (result.isOk()) this.#complete(work, result.value);
     else this.#handleRunFailure(work, result.error);
   }
 
+  /** Checks work again when its connection to the upstream is ready, which may take long. */
+  #findSendRefusal(work: works.ActiveWork): kernel.ErrorKind | undefined {
+    return this.#isEntryFresh(work.connection)
+      ? this.#check(work)
+      : "stale-configuration";
+  }
+
   /** Reports that the deadline passed during the run. A two-phase call is not aborted. */
   #handleDeadline(work: works.ActiveWork): void {
     works.sendRefusal(work, "deadline-after-run", "the deadline passed");
@@ -361,7 +390,8 @@
   #handleRunFailure(work: works.ActiveWork, error: kernel.AppError): void {
     const { driver } = work;
     const { attemptId } = work.frame;
-    const isUpstreamUnreached = error.kind === "upstream-unreachable";
+    const isUpstreamUnreached =
+      kernel.findErrorResponse(error.kind).notRun === true;
     if (isUpstreamUnreached) driver?.abandon(attemptId);
     else driver?.markOutcomeUnknown(attemptId);
     const isOutcomeUnknown = work.frame.isTwoPhase && !isUpstreamUnreached;
--- a/packages/upstream/src/http_backends.ts
+++ b/packages/upstream/src/http_backends.ts
@@ -11,6 +11,8 @@
 const MAX_BUFFERED_RESPONSE_BYTES = 32 * 1_048_576;
 const MIN_SUCCESS_STATUS = 200;
 const MAX_SUCCESS_STATUS = 299;
+type HandlerEvents = undici.Dispatcher.DispatchHandler;
+
 const NO_USAGE: mesh.Usage = { promptTokens: 0, completionTokens: 0 };
 
 const stateSchema = z.object({
@@ -25,6 +27,78 @@
   choices: z.array(z.unknown()).optional(),
 });
 
+/** Reason for which a request was not sent. */
+class NotSentError extends Error {
+  readonly kind: kernel.ErrorKind;
+
+  constructor(kind: kernel.ErrorKind) {
+    super("refused before any byte was sent to the upstream");
+    this.kind = kind;
+  }
+}
+
+/** Passes all events on, and aborts a request before its first byte if it must not be sent any more. */
+class SendCheckHandler implements undici.Dispatcher.DispatchHandler {
+  readonly #handler: undici.Dispatcher.DispatchHandler;
+  readonly #findRefusal: () => kernel.ErrorKind | undefined;
+
+  constructor(
+    handler: undici.Dispatcher.DispatchHandler,
+    findRefusal: () => kernel.ErrorKind | undefined,
+  ) {
+    this.#handler = handler;
+    this.#findRefusal = findRefusal;
+  }
+
+  onRequestStart(
+    ...args: Parameters<Required<HandlerEvents>["onRequestStart"]>
+  ): void {
+    this.#handler.onRequestStart?.(...args);
+    const kind = this.#findRefusal();
+    if (kind !== undefined) args[0].abort(new NotSentError(kind));
+  }
+
+  onRequestUpgrade(
+    ...args: Parameters<Required<HandlerEvents>["onRequestUpgrade"]>
+  ): void {
+    this.#handler.onRequestUpgrade?.(...args);
+  }
+
+  onResponseStart(
+    ...args: Parameters<Required<HandlerEvents>["onResponseStart"]>
+  ): void {
+    this.#handler.onResponseStart?.(...args);
+  }
+
+  onResponseData(
+    ...args: Parameters<Required<HandlerEvents>["onResponseData"]>
+  ): void {
+    this.#handler.onResponseData?.(...args);
+  }
+
+  onResponseEnd(
+    ...args: Parameters<Required<HandlerEvents>["onResponseEnd"]>
+  ): void {
+    this.#handler.onResponseEnd?.(...args);
+  }
+
+  onResponseError(
+    ...args: Parameters<Required<HandlerEvents>["onResponseError"]>
+  ): void {
+    this.#handler.onResponseError?.(...args);
+  }
+}
+
+/** Returns the client with a check of `work` between connecting and sending. */
+function checkBeforeSending(
+  client: undici.Pool,
+  work: backends.BackendWork,
+): undici.Dispatcher {
+  return client.compose((dispatch) => (options, handler) =>
+    dispatch(options, new SendCheckHandler(handler, work.findRefusal))
+  );
+}
+
 function isSuccess(status: number): boolean {
   return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
 }
@@ -52,6 +126,9 @@
   thrown: unknown,
   signal: AbortSignal,
 ): kernel.AppError {
+  if (thrown instanceof NotSentError) {
+    return kernel.makeError(thrown.kind, thrown.message);
+  }
   if (signal.aborted) {
     return kernel.makeError("cancelled", "the request was cancelled");
   }
@@ -119,7 +196,7 @@
       return kernel.fail("bad-request", "the body is not a JSON object");
     }
     try {
-      const response = await this.#client.request({
+      const response = await checkBeforeSending(this.#client, work).request({
         method: "POST",
         path: "/v1/chat/completions",
         body,
@@ -265,7 +342,7 @@
       "a service backend runs service calls only",
     );
     try {
-      const response = await this.#client.request({
+      const response = await checkBeforeSending(this.#client, work).request({
         method: call.method as undici.Dispatcher.HttpMethod,
         path: call.path,
         body: work.body.byteLength === 0 ? null : work.body,
--- a/packages/upstream/src/work_queue.ts
+++ b/packages/upstream/src/work_queue.ts
@@ -21,19 +21,23 @@
     mesh.MeshConnection,
     works.ActiveWork[]
   >();
-  #queue = new decisions.FairQueue<works.ActiveWork>(MIN_QUEUE_ITEMS);
+  readonly #queue = new decisions.FairQueue<works.ActiveWork>(MIN_QUEUE_ITEMS);
 
   get queued(): number {
     return this.#queue.length;
   }
 
-  /** Sets the queue's bound from the number of slots. */
-  resize(capacity: number): void {
-    const queue = new decisions.FairQueue<works.ActiveWork>(
+  /** Sets the queue's bound from the number of slots; returns the work that no longer fits. */
+  resize(capacity: number): readonly works.ActiveWork[] {
+    const evicted = this.#queue.setCapacity(
       Math.max(MIN_QUEUE_ITEMS, capacity * QUEUED_ITEMS_PER_SLOT),
     );
-    for (const item of this.#queue.remove(() => true)) queue.push(item);
-    this.#queue = queue;
+    return evicted.map(({ value }) => value);
+  }
+
+  /** Removes and returns the queued work whose deadline has passed. */
+  removeExpired(nowMs: number): readonly works.ActiveWork[] {
+    return this.#queue.removeExpired(nowMs).map(({ value }) => value);
   }
 
   push(work: works.ActiveWork): PushResult {
