Small faults: log lines at close, canceled watches, flags, test deployments

- DecisionLog.close during a write lost the lines added since; it now resolves when they are written (decision_log_test, failed before).
- EtcdStore.watchOnce ignored 'canceled' and waited on.
- A test deployment whose start fails, or a process that prints no ports in time, is killed.
- drain_test: its wait was also met when the status page was gone; it now asks that a new request is not served while the running one still runs.
- order_fault_test: 'deposed or idle' is now checked.

--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -35,10 +35,14 @@
       await deployment.#startStoreAndVmList();
       const rolled = await deployment.roll(plan.bundle);
       if (rolled.isErr()) throw new Error(rolled.error.message);
-      await Promise.all([
+      // Waits for all of them even if one fails, so that `close` kills every process.
+      const started = await Promise.allSettled([
         ...plan.upstreams.map((upstream) => deployment.startUpstream(upstream)),
         ...plan.entries.map((entry) => deployment.startEntry(entry)),
       ]);
+      for (const result of started) {
+        if (result.status === "rejected") throw result.reason;
+      }
       await deployment.publishVmList();
       await deployment.waitUntilReady();
       return deployment;
--- a/packages/bench/src/drain_test.ts
+++ b/packages/bench/src/drain_test.ts
@@ -111,12 +111,14 @@
     async () => (await deployment.listEngineRuns()).length === 1,
   );
   deployment.entry("entry-a").sendSignal("SIGTERM");
-  await processes.waitFor("the entry drains", async () => {
-    const status = await deployment.readStatus("entry-a") as {
-      bundle?: unknown;
-    };
-    return status.bundle === undefined ||
-      (await caller.chat({ model: "verse-small" })).status !== 200;
-  });
+  let isRunning = true;
+  const ended = running.then(() => isRunning = false);
+  await processes.waitFor(
+    "a new request is not served",
+    async () => (await caller.chat({ model: "verse-small" })).status !== 200,
+  );
+  t.true(isRunning, "new requests were served until the running one ended");
+  await ended;
   t.true((await running).isComplete);
+  t.is(await deployment.entry("entry-a").waitForExit(), 0);
 });
--- a/packages/bench/src/order_fault_test.ts
+++ b/packages/bench/src/order_fault_test.ts
@@ -41,25 +41,29 @@
   }
 }
 
+/** Store writes for claims that have ended at a process. */
+async function readClaimWrites(
+  deployment: deployments.Deployment,
+  id: string,
+): Promise<number> {
+  const status = await deployment.readStatus(id) as {
+    gate?: { claimWrites: number };
+  };
+  return status.gate?.claimWrites ?? 0;
+}
+
 /** Finds the process that owns the claim journals: the one that has written claims. */
 async function findOwner(deployment: deployments.Deployment): Promise<string> {
   let owner = "";
   await processes.waitFor("an owner has written a claim", async () => {
     for (const id of deployment.upstreams.keys()) {
-      const status = await deployment.readStatus(id) as {
-        gate?: { claimWrites: number };
-      };
-      if ((status.gate?.claimWrites ?? 0) > 0) owner = id;
+      if (await readClaimWrites(deployment, id) > 0) owner = id;
     }
     return owner !== "";
   });
   return owner;
 }
 
-function getOtherUpstream(id: string): string {
-  return id === "order-a" ? "order-b" : "order-a";
-}
-
 test("concurrent orders with the same key through two entries run once", async (t) => {
   const deployment = await fixtures.deploy(t, buildPlan({ delayMs: 50 }));
   const callerA = fixtures.createCaller(t, deployment);
@@ -208,6 +212,7 @@
   const callerB = fixtures.createCaller(t, deployment, { entry: "entry-b" });
   await callerA.placeOrder("first", { idempotencyKey: "first" });
   const owner = await findOwner(deployment);
+  const writesBefore = await readClaimWrites(deployment, owner);
   const ids = Array.from({ length: 20 }, (_, index) => `order-${index}`);
   const suspendedOwner = deployment.upstream(owner).process;
   suspendedOwner.suspend();
@@ -231,9 +236,13 @@
     ],
   ]));
   await assertOrders(t, deployment, results);
-  await processes.waitFor(
-    "the other upstream process is running",
-    () => deployment.upstream(getOtherUpstream(owner)).process.isRunning,
+  // An append of the owner that was suspended fails, and it is deposed; else it has appended nothing.
+  const events = await deployment.readTimeline();
+  const isDeposed = events.some((event) =>
+    event.processId === owner && event.name === "claims.deposed"
+  );
+  t.true(
+    isDeposed || await readClaimWrites(deployment, owner) === writesBefore,
   );
 });
 
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -79,8 +79,15 @@
       throw new Error(`${name} exited with code ${code}: ${log.join("; ")}`);
     });
     failure.catch(() => {});
-    const line = await Promise.race([firstLine, failure, timeout]);
-    clearTimeout(timer);
+    let line: string;
+    try {
+      line = await Promise.race([firstLine, failure, timeout]);
+    } catch (thrown) {
+      child.kill("SIGKILL");
+      throw thrown;
+    } finally {
+      clearTimeout(timer);
+    }
     const { isReady: _, ...ports } = JSON.parse(line) as Record<string, number>;
     return new TestProcess(name, child, { ports, exitCode, log });
   }
--- a/packages/jackdawctl/src/actions.ts
+++ b/packages/jackdawctl/src/actions.ts
@@ -181,7 +181,7 @@
     const candidate = await prepare(store, signers);
     if (candidate.isErr()) return neverthrow.err(candidate.error);
     const clock = new kernel.SystemClock();
-    const timeoutMs = Number(options.timeoutMs ?? flags.PUBLISH_TIMEOUT_MS);
+    const timeoutMs = options.timeoutMs ?? flags.PUBLISH_TIMEOUT_MS;
     const result = await publishing.publishBundle(candidate.value, {
       store,
       signers,
@@ -195,18 +195,31 @@
   });
   if (published.isErr()) return output.reportError(published.error);
   const { accepted, signed } = published.value;
-  const vms = options.vmList === undefined
-    ? neverthrow.ok([])
-    : await readVms(options);
-  const pushed = await fleet.pushBundle(vms.unwrapOr([]), signed);
+  const pushed = await pushIfListed(options, signed);
+  if (pushed.isErr()) {
+    output.warn(
+      `revision ${accepted.revision} is accepted, but was pushed to no process: ${pushed.error.message}`,
+    );
+  }
   output.printData(
-    { ...accepted, pushedTo: pushed },
+    { ...accepted, pushedTo: pushed.unwrapOr(0) },
     options,
     (result) =>
       `accepted: revision ${result.revision}, received by ${result.pushedTo} processes`,
   );
 }
 
+/** Pushes a bundle to the processes in the VM list; returns how many accepted it. */
+async function pushIfListed(
+  options: flags.CommandOptions,
+  signed: bundle.SignedBundle,
+): Promise<kernel.Outcome<number>> {
+  if (options.vmList === undefined) return neverthrow.ok(0);
+  const vms = await readVms(options);
+  if (vms.isErr()) return neverthrow.err(vms.error);
+  return neverthrow.ok(await fleet.pushBundle(vms.value, signed));
+}
+
 /** Reads and verifies a signed bundle from its file. */
 export function readSignedFile(
   path: string,
--- a/packages/jackdawctl/src/flags.ts
+++ b/packages/jackdawctl/src/flags.ts
@@ -4,6 +4,8 @@
 /** Default time limit for determining whether a bundle was accepted. */
 export const PUBLISH_TIMEOUT_MS = 10_000;
 
+const MAX_TIMEOUT_MS = 3_600_000;
+
 /** Options of all commands, as commander parses them. */
 export interface CommandOptions {
   readonly store?: string;
@@ -14,7 +16,7 @@
   readonly json?: boolean;
   readonly successor?: string;
   readonly request?: string;
-  readonly timeoutMs?: string;
+  readonly timeoutMs?: number;
 }
 
 function createOption(
@@ -79,6 +81,17 @@
   return command.option(
     "--timeout-ms <ms>",
     "time limit for determining whether the bundle was accepted, in milliseconds",
-    String(PUBLISH_TIMEOUT_MS),
+    parseTimeoutMs,
+    PUBLISH_TIMEOUT_MS,
+  );
+}
+
+function parseTimeoutMs(text: string): number {
+  const timeoutMs = Number(text);
+  if (/^\d+$/.test(text) && timeoutMs > 0 && timeoutMs <= MAX_TIMEOUT_MS) {
+    return timeoutMs;
+  }
+  throw new commander.InvalidArgumentError(
+    `must be a whole number of milliseconds from 1 to ${MAX_TIMEOUT_MS}`,
   );
 }
--- a/packages/jackdawctl/src/output.ts
+++ b/packages/jackdawctl/src/output.ts
@@ -32,6 +32,11 @@
   process.stdout.write(text.endsWith("\n") || text === "" ? text : `${text}\n`);
 }
 
+/** Prints a warning; the exit code stays. */
+export function warn(message: string): void {
+  process.stderr.write(`jackdawctl: warning: ${message}\n`);
+}
+
 /** Prints an error and sets the exit code. */
 export function reportError(error: kernel.AppError): void {
   process.stderr.write(`jackdawctl: ${error.message}\n`);
--- a/packages/jackdawd/src/settings.ts
+++ b/packages/jackdawd/src/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of the daemon, from flags and `JACKDAW_*` variables. All invalid settings are reported at once. */
 import * as fs from "node:fs";
 import * as bundle from "@jackdawbank/bundle";
+import * as kernel from "@jackdawbank/kernel";
 import * as commander from "commander";
 import * as neverthrow from "neverthrow";
 import * as z from "zod";
@@ -257,18 +258,22 @@
 }
 
 /**
- * Reads the mesh secret from its file, unless the secret itself is given. If the
- * file cannot be read, the secret is reported as missing.
+ * Reads the mesh secret from its file, unless the secret itself is given. The
+ * error says why the file cannot be read.
  */
-function readSecretFile(
+function readMeshSecret(
   raw: Readonly<Record<string, unknown>>,
-): Readonly<Record<string, unknown>> {
+): neverthrow.Result<unknown, string> {
   const path = raw["meshSecretFile"];
-  if (raw["meshSecret"] !== undefined || typeof path !== "string") return raw;
+  if (raw["meshSecret"] !== undefined || typeof path !== "string") {
+    return neverthrow.ok(raw["meshSecret"]);
+  }
   try {
-    return { ...raw, meshSecret: fs.readFileSync(path, "utf8").trim() };
-  } catch {
-    return raw;
+    return neverthrow.ok(fs.readFileSync(path, "utf8").trim());
+  } catch (thrown) {
+    return neverthrow.err(
+      `--mesh-secret-file cannot be read: ${kernel.describeThrown(thrown)}`,
+    );
   }
 }
 
@@ -284,11 +289,17 @@
   schema: Schema,
   raw: Readonly<Record<string, unknown>>,
 ): neverthrow.Result<z.infer<Schema>, readonly string[]> {
-  const parsed = schema.safeParse(readSecretFile(raw));
+  const meshSecret = readMeshSecret(raw);
+  const parsed = schema.safeParse({
+    ...raw,
+    meshSecret: meshSecret.unwrapOr(undefined),
+  });
   if (parsed.success) return neverthrow.ok(parsed.data);
   return neverthrow.err(
     parsed.error.issues.map((issue) =>
-      `${formatFlag(issue.path)} ${describeIssue(issue)}`
+      issue.path[0] === "meshSecret" && meshSecret.isErr()
+        ? meshSecret.error
+        : `${formatFlag(issue.path)} ${describeIssue(issue)}`
     ),
   );
 }
--- a/packages/router/src/control_task_test.ts
+++ b/packages/router/src/control_task_test.ts
@@ -61,7 +61,7 @@
   task.start();
   t.teardown(async () => {
     await task.close();
-    log.close();
+    void log.close();
   });
   const endAtMs = Date.now() + 3_000;
   while (plane.watches === 0 && Date.now() < endAtMs) await kernel.sleep(5);
--- a/packages/router/src/decision_log.ts
+++ b/packages/router/src/decision_log.ts
@@ -18,6 +18,8 @@
 const NOTABLE_RESERVE_SHARE = 0.4;
 const MAX_BUFFERED_CHARS = 262_144;
 const FLUSH_INTERVAL_MS = 100;
+/** Longest wait for the last lines, for example if standard output is blocked. */
+const MAX_CLOSE_MS = 500;
 const STANDARD_OUTPUT = 1;
 const MS_PER_S = 1_000;
 
@@ -50,6 +52,8 @@
   #tokens = BURST_LINES;
   #refilledAtMs: number;
   #dropped = 0;
+  /** Set by `close`; called when all lines have been handed to the sink. */
+  #onDrained: (() => void) | undefined;
 
   constructor(clock: kernel.Clock, commonFields: LogFields, sink: LineSink) {
     this.#clock = clock;
@@ -85,12 +89,24 @@
       this.#isWriting = false;
       // Lines of a failed write are counted as dropped and not retried.
       if (error !== null) this.#dropped += text.split("\n").length - 1;
+      if (this.#onDrained !== undefined) this.#drain(this.#onDrained);
     });
   }
 
-  close(): void {
+  /** Writes the remaining lines; resolves when they are written, or after a time-out. */
+  close(): Promise<void> {
     clearInterval(this.#timer);
-    this.flush();
+    return new Promise((resolve) => {
+      setTimeout(resolve, MAX_CLOSE_MS).unref();
+      this.#onDrained = resolve;
+      this.#drain(resolve);
+    });
+  }
+
+  #drain(onDrained: () => void): void {
+    if (this.#isWriting) return;
+    if (this.#buffer === "") onDrained();
+    else this.flush();
   }
 
   #add(event: string, fields: LogFields, reservedTokens: number): void {
--- a/packages/router/src/decision_log_test.ts
+++ b/packages/router/src/decision_log_test.ts
@@ -30,7 +30,7 @@
   log.addRoutine("attempt.sent", {});
   log.flush();
   t.true(text.trim().endsWith("}"));
-  log.close();
+  void log.close();
 });
 
 test("a blocked output stalls no caller and uses a bounded buffer", (t) => {
@@ -44,5 +44,28 @@
   }
   t.is(writes, 1);
   t.true(log.droppedLines > 1_000);
-  log.close();
+  void log.close();
+});
+
+test("lines that were added during a write are written before the log is closed", async (t) => {
+  let text = "";
+  let finishWrite: (error: Error | null) => void = () => {};
+  const log = new logs.DecisionLog(new kernel.ManualClock(), {}, {
+    write: (part, onDone) => {
+      text += part;
+      finishWrite = onDone;
+    },
+  });
+  log.addNotable("first", {});
+  log.flush();
+  log.addNotable("last", {});
+  let isClosed = false;
+  const closed = log.close().then(() => isClosed = true);
+  finishWrite(null);
+  t.true(text.includes('"last"'));
+  await Promise.resolve();
+  t.false(isClosed);
+  finishWrite(null);
+  await closed;
+  t.true(isClosed);
 });
--- a/packages/store/src/etcd_store.ts
+++ b/packages/store/src/etcd_store.ts
@@ -192,6 +192,10 @@
             "a watch reply of the store does not have the expected form",
           );
         }
+        if (parsed.data.result.canceled === true) {
+          body.destroy();
+          return kernel.fail("history-lost", "the store canceled the watch");
+        }
         const event = parsed.data.result.events.find((other) =>
           other.type !== "DELETE"
         );
