Router: bytes without end, in a head or a body, are cut off

Cause: a buffered answer, an incomplete event and a failure's body were kept without a bound, and any byte counted as a sign of life of a stream, so that a stalled stream that drips bytes never ended. Ruled out: heads without end (the parser's limit ends them) and chunk extensions (no bytes kept; the time-outs end them). Only a complete event counts as progress of a stream.

--- /dev/null
+++ b/packages/fakes/src/endless_bytes.ts
@@ -0,0 +1,78 @@
+/** Bytes without end in place of a response, or of a part of it. */
+import type * as net from "node:net";
+
+/** The part of the response that never ends. */
+export type EndlessPart =
+  | "garbage"
+  | "header-line"
+  | "headers"
+  | "informational"
+  | "body"
+  | "chunk-extension"
+  | "failure-body"
+  | "event";
+
+/** Large enough to exceed any bound within a second. */
+const BLOCK_BYTES = 65_536;
+
+interface EndlessText {
+  /** Sent once. */
+  readonly start: string;
+  /** Repeated until the connection is closed. */
+  readonly unit: string;
+}
+
+function renderHead(
+  status: number,
+  headers: Readonly<Record<string, string>>,
+): string {
+  const lines = Object.entries(headers).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  return `HTTP/1.1 ${status} Status\r\n${lines.join("")}`;
+}
+
+function buildText(
+  part: EndlessPart,
+  signedHeaders: Readonly<Record<string, string>>,
+): EndlessText {
+  const head = renderHead(200, signedHeaders);
+  const chunked = "transfer-encoding: chunked\r\n\r\n";
+  const chunk = `1000\r\n${"x".repeat(0x1000)}\r\n`;
+  switch (part) {
+    case "garbage":
+      return { start: "", unit: "\u0000?" };
+    case "header-line":
+      return { start: `${head}x-long: `, unit: "x" };
+    case "headers":
+      return { start: head, unit: "x-more: 1\r\n" };
+    case "informational":
+      return { start: "", unit: "HTTP/1.1 103 Early Hints\r\n\r\n" };
+    case "body":
+    case "event":
+      return { start: `${head}${chunked}`, unit: chunk };
+    case "chunk-extension":
+      return { start: `${head}${chunked}1;`, unit: "x" };
+    case "failure-body":
+      return {
+        start: `${renderHead(500, signedHeaders)}${chunked}`,
+        unit: chunk,
+      };
+  }
+}
+
+/** Writes to the socket, as fast as it is read, until it closes. */
+export function sendEndlessBytes(
+  socket: net.Socket,
+  part: EndlessPart,
+  signedHeaders: Readonly<Record<string, string>>,
+): void {
+  const { start, unit } = buildText(part, signedHeaders);
+  const block = unit.repeat(Math.ceil(BLOCK_BYTES / unit.length));
+  const writeMore = () => {
+    while (!socket.destroyed && socket.write(block));
+  };
+  socket.on("drain", writeMore);
+  socket.write(start);
+  writeMore();
+}
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as endless from "./endless_bytes.ts";
 
 /** How the replica handles one request. */
 export type ReplicaBehaviour =
@@ -28,6 +29,10 @@
   | { readonly type: "extra" }
   /** Responds without the replica's signature. */
   | { readonly type: "unsigned"; readonly status: number }
+  /** Sends bytes without end, until the connection is closed. */
+  | { readonly type: "endless"; readonly part: endless.EndlessPart }
+  /** Sends a single byte of an event now and then, without end. */
+  | { readonly type: "drip"; readonly intervalMs: number }
   | {
     readonly type: "stream";
     readonly events: number;
@@ -210,6 +215,26 @@
           "unsigned",
         );
         return;
+      case "endless":
+        if (response.socket !== null) {
+          endless.sendEndlessBytes(
+            response.socket,
+            behaviour.part,
+            signedHeaders,
+          );
+        }
+        return;
+      case "drip":
+        response.writeHead(200, {
+          ...signedHeaders,
+          "content-type": "text/event-stream",
+        });
+        response.write("id: 1\ndata: piece 1\n\nid: 2\ndata: ");
+        while (!response.destroyed) {
+          response.write("x");
+          await sleep(behaviour.intervalMs);
+        }
+        return;
       case "stream":
         return await this.#stream(
           received,
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -6,6 +6,10 @@
 
 /** Time-out for the connection; when it expires, no part of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 500;
+/** Informational responses (1xx) accepted before the response itself. */
+const MAX_INFORMATIONAL_RESPONSES = 8;
+
+const MIN_FINAL_STATUS = 200;
 
 /** Request sent to a replica. */
 export interface AttemptRequest {
@@ -62,6 +66,7 @@
   #controller: undici.Dispatcher.DispatchController | undefined;
   #isSent = false;
   #isOver = false;
+  #informationalResponses = 0;
 
   constructor(
     pool: connections.ConnectionPool,
@@ -116,7 +121,11 @@
           clearTimeout(this.#connectTimer);
         },
         onResponseStart: (controller, status, headers) => {
-          if (this.#isOver || status < 200) return;
+          if (this.#isOver) return;
+          if (status < MIN_FINAL_STATUS) {
+            this.#countInformationalResponse();
+            return;
+          }
           this.#listener.onHead({
             status,
             headers: headerMaps.joinHeaders(headers),
@@ -143,6 +152,12 @@
     }
   }
 
+  #countInformationalResponse(): void {
+    this.#informationalResponses += 1;
+    if (this.#informationalResponses <= MAX_INFORMATIONAL_RESPONSES) return;
+    this.cancel("too many informational responses");
+  }
+
   #finish(end: AttemptEnd): void {
     if (this.#isOver) return;
     this.#isOver = true;
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -16,6 +16,8 @@
 const MIN_RETRY_SHARE = 0.3;
 /** Attempts beyond the route's limit, after earlier ones were provably not run. */
 const MAX_ATTEMPTS_BEYOND_LIMIT = 2;
+/** A longer response is given up, because it is kept in memory until it is complete. */
+const MAX_RESPONSE_BYTES = 8 * 1_048_576;
 const OVERLOADED_RETRY_AFTER_MS = 200;
 const DEADLINE_RETRY_AFTER_MS = 300;
 
@@ -51,13 +53,18 @@
   }
 
   async run(): Promise<requests.RequestOutcome> {
-    const { route } = this.#request;
+    const request = this.#request;
+    const { route } = request;
     let last: AttemptResult | undefined;
     for (;;) {
       const tried = await this.#runAttempt();
-      if (tried.type === "refused") return this.#refuse(tried.refusal, last);
+      if (tried.type === "refused") {
+        return request.signal.aborted
+          ? { outcome: "caller-gone" }
+          : this.#refuse(tried.refusal, last);
+      }
       last = tried.result;
-      if (this.#request.signal.aborted) return { outcome: "caller-gone" };
+      if (request.signal.aborted) return { outcome: "caller-gone" };
       if (
         last.type === "answered" && !this.#shouldRetryResponse(last)
       ) {
@@ -96,6 +103,13 @@
   > {
     const request = this.#request;
     const dispatcher = this.#dispatcher;
+    const options = {
+      model: request.fields.model,
+      lastEventId: request.fields.lastEventId,
+      excluded: this.#triedReplicaIds,
+      earlierSends: this.#sendCount,
+    };
+    const queriedKeys = await dispatcher.queryLoads(request, options);
     const outcome = await new Promise<
       | { sent: dispatchers.SentAttempt; result: AttemptResult }
       | admissions.Refusal
@@ -103,12 +117,8 @@
       let head: attempts.ResponseHead | undefined;
       let verdict: check.HeadVerdict | undefined;
       const chunks: Buffer[] = [];
-      const sendResult = dispatcher.send(request, {
-        model: request.fields.model,
-        lastEventId: request.fields.lastEventId,
-        excluded: this.#triedReplicaIds,
-        earlierSends: this.#sendCount,
-      }, {
+      let receivedBytes = 0;
+      const sendResult = dispatcher.send(request, { ...options, queriedKeys }, {
         onHead: (received) => {
           head = received;
           const { codec } = dispatcher.dependencies;
@@ -124,8 +134,10 @@
           }
         },
         onData: (chunk) => {
-          chunks.push(chunk);
+          receivedBytes += chunk.length;
           recordActivity();
+          if (receivedBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
+          else sent?.attempt.cancel("the response is too long");
         },
         onEnd: (end) => {
           stopWatching?.();
--- a/packages/router/src/event_splitter.ts
+++ b/packages/router/src/event_splitter.ts
@@ -5,6 +5,8 @@
 import * as eventsource from "eventsource-parser";
 
 const LINE_FEED = 0x0a;
+/** Longest event; a stream with a longer one is not a stream of events. */
+const MAX_EVENT_BYTES = 1_048_576;
 
 /** Bytes of one or more complete events. */
 export interface CompleteEvents {
@@ -39,6 +41,11 @@
     return this.#partialEvent.length > 0;
   }
 
+  /** Whether the incomplete event is longer than any valid one. */
+  get isEventTooLong(): boolean {
+    return this.#partialEvent.length > MAX_EVENT_BYTES;
+  }
+
   /** Adds bytes and returns the events that are now complete. */
   push(chunk: Buffer): CompleteEvents | undefined {
     const data = this.#partialEvent.length === 0
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -24,9 +24,11 @@
   readonly splitter: splitting.EventSplitter;
   /** Body of a failure response; events of a successful one are in `splitter`. */
   readonly body: Buffer[];
+  bodyBytes: number;
   readonly startedAtMs: number;
   headAtMs: number | undefined;
-  lastDataAtMs: number;
+  /** Time of the newest event, or of the head; bytes that complete no event do not count. */
+  lastEventAtMs: number;
   /** The replica has processed the prompt. */
   isPrefilled: boolean;
 }
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -62,6 +62,9 @@
     let last: streamAttempts.StreamAttemptResult | undefined;
     for (;;) {
       const tried = await this.#runAttempt();
+      if (this.#request.signal.aborted && tried.type === "refused") {
+        return { outcome: "caller-gone" };
+      }
       if (tried.type === "refused") return this.#refuse(tried.refusal, last);
       last = tried.result;
       if (last.type === "complete") {
@@ -94,6 +97,16 @@
     }
     | { readonly type: "refused"; readonly refusal: admissions.Refusal }
   > {
+    const options = {
+      model: this.#model,
+      lastEventId: this.#lastEventId,
+      excluded: this.#triedReplicaIds,
+      earlierSends: this.#sendCount,
+    };
+    const queriedKeys = await this.#dispatcher.queryLoads(
+      this.#request,
+      options,
+    );
     const startedAtMs = this.#dispatcher.nowMs;
     const current: streamAttempts.StreamAttempt = {
       sent: undefined,
@@ -102,18 +115,17 @@
       result: undefined,
       splitter: new splitting.EventSplitter(),
       body: [],
+      bodyBytes: 0,
       startedAtMs,
       headAtMs: undefined,
-      lastDataAtMs: startedAtMs,
+      lastEventAtMs: startedAtMs,
       isPrefilled: false,
     };
     const refusal = await new Promise<admissions.Refusal | undefined>(
       (resolve) => {
         const sendResult = this.#dispatcher.send(this.#request, {
-          model: this.#model,
-          lastEventId: this.#lastEventId,
-          excluded: this.#triedReplicaIds,
-          earlierSends: this.#sendCount,
+          ...options,
+          queriedKeys,
         }, {
           onHead: (head) => this.#handleHead(current, head),
           onData: (chunk) => this.#handleData(current, chunk),
@@ -151,7 +163,7 @@
     const response = codec.decodeResponse(head.headers);
     current.head = head;
     current.headAtMs = nowMs;
-    current.lastDataAtMs = nowMs;
+    current.lastEventAtMs = nowMs;
     sent.state.lastByteAtMs = nowMs;
     current.verdict = check.classifyHead(
       this.#request,
@@ -227,14 +239,20 @@
     const { sent, head } = current;
     if (sent === undefined || head === undefined) return;
     sent.state.lastByteAtMs = nowMs;
-    current.lastDataAtMs = nowMs;
     if (current.verdict !== "success") {
-      const size = current.body.reduce((sum, part) => sum + part.length, 0);
-      if (size < MAX_FAILURE_BODY_BYTES) current.body.push(chunk);
+      current.bodyBytes += chunk.length;
+      if (current.bodyBytes <= MAX_FAILURE_BODY_BYTES) current.body.push(chunk);
+      else sent.attempt.cancel("the failure response is too long");
       return;
     }
     const completeEvents = current.splitter.push(chunk);
-    if (completeEvents === undefined) return;
+    if (completeEvents === undefined) {
+      if (current.splitter.isEventTooLong) {
+        sent.attempt.cancel("an event is too long");
+      }
+      return;
+    }
+    if (completeEvents.count > 0) current.lastEventAtMs = nowMs;
     this.#startResponse(head);
     this.#lastEventId = current.splitter.lastEventId ?? this.#lastEventId;
     if (this.#writer.write(completeEvents.bytes)) return;
@@ -242,7 +260,7 @@
     sent.attempt.pause();
     this.#writer.onDrain(() => {
       this.#isWaitingForCaller = false;
-      current.lastDataAtMs = this.#dispatcher.nowMs;
+      current.lastEventAtMs = this.#dispatcher.nowMs;
       sent.attempt.resume();
     });
   }
@@ -273,7 +291,7 @@
       const { sent } = current;
       const lastByteAtMs = sent?.state.lastByteAtMs ?? nowMs;
       const isStalled = decisions.isStreamStalled({
-        waitedMs: nowMs - current.lastDataAtMs,
+        waitedMs: nowMs - current.lastEventAtMs,
         limitMs: current.headAtMs === undefined
           ? firstByteTimeoutMs
           : route.maxGapMs,
