--- a/packages/bench/src/platform_harness.ts
+++ b/packages/bench/src/platform_harness.ts
@@ -24,6 +24,7 @@
   readiness: { host: "127.0.0.1", port: 0 },
   peerPort: 0,
   graceMs: 3_000,
+  changeBoundMs: 1_500,
   revocationBoundMs: 5_000,
   retryRatio: 0.9,
   retryWindowMs: 10_000,
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -3,18 +3,16 @@
 import * as readline from "node:readline";
 import * as url from "node:url";
 
-const PROGRAMS = {
-  jackdawd: "../../jackdawd/dist/main.js",
-  jackdawctl: "../../jackdawctl/dist/main.js",
-  fakes: "../../fakes/dist/main.js",
-} as const;
+/** Programs that tests start; `bundle_programs.ts` makes one file of each. */
+export const PROGRAM_NAMES = ["jackdawd", "jackdawctl", "fakes"] as const;
 
-export type ProgramName = keyof typeof PROGRAMS;
+export type ProgramName = typeof PROGRAM_NAMES[number];
 
 const START_TIMEOUT_MS = 15_000;
 
-function findProgram(name: ProgramName): string {
-  return url.fileURLToPath(new URL(PROGRAMS[name], import.meta.url));
+/** Path of a program's bundle. */
+export function findProgram(name: ProgramName): string {
+  return url.fileURLToPath(new URL(`programs/${name}.mjs`, import.meta.url));
 }
 
 export class TestProcess {
--- a/packages/decisions/src/freshness.ts
+++ b/packages/decisions/src/freshness.ts
@@ -40,9 +40,12 @@
 export const DEFAULT_WATCH_WAIT_MS = 1_000;
 /** Shortest wait of a watch where peers tell each other what they confirmed. */
 const MIN_SHARED_WAIT_MS = 600;
-/** With peers, the longest wait grows by this for each process, up to the limit below. */
+/** With few peers, the longest wait grows by this for each process. */
 const MAX_WAIT_PER_PROCESS_MS = 800;
-const MAX_WATCH_WAIT_MS = 8_000;
+/** With more processes than reach this wait, it grows by less for each further one. */
+const SHORT_FLEET_WAIT_MS = 8_000;
+const WAIT_PER_FURTHER_PROCESS_MS = 250;
+const MAX_WATCH_WAIT_MS = 25_000;
 
 /**
  * Chooses how long a watch waits, given the number of peers that share their
@@ -51,15 +54,34 @@
  */
 export function chooseWatchWaitMs(peers: number, random: number): number {
   if (peers === 0) return DEFAULT_WATCH_WAIT_MS;
+  const processes = peers + 1;
+  const fewProcesses = SHORT_FLEET_WAIT_MS / MAX_WAIT_PER_PROCESS_MS;
   const maxWaitMs = Math.min(
     MAX_WATCH_WAIT_MS,
-    MAX_WAIT_PER_PROCESS_MS * (peers + 1),
+    MAX_WAIT_PER_PROCESS_MS * Math.min(processes, fewProcesses) +
+      WAIT_PER_FURTHER_PROCESS_MS * Math.max(0, processes - fewProcesses),
   );
   return Math.round(
     MIN_SHARED_WAIT_MS + random * (maxWaitMs - MIN_SHARED_WAIT_MS),
   );
 }
 
+/** Share of the bound for changes that a watch may pause, so that one call brings many changes. */
+const WATCH_PAUSE_SHARE = 0.3;
+const MIN_WATCH_PAUSE_MS = 200;
+const MAX_WATCH_PAUSE_MS = 1_200;
+
+/**
+ * Pause after a watch that returned changes. A change that comes during the pause
+ * is known at its end; the rest of the bound is kept for the call and its effect.
+ */
+export function computeWatchPauseMs(changeBoundMs: number): number {
+  return Math.min(
+    MAX_WATCH_PAUSE_MS,
+    Math.max(MIN_WATCH_PAUSE_MS, WATCH_PAUSE_SHARE * changeBoundMs),
+  );
+}
+
 /** Bounds of the age of the view at which a process ends a long watch to confirm the view itself. */
 const MIN_SELF_CONFIRM_AGE_MS = 1_600;
 const MAX_SELF_CONFIRM_AGE_MS = 2_400;
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses a replica by a predicted cost in milliseconds. The cost is made of the
  * prompts already waiting for prefill there, the prefill of the tokens that are
- * not cached there, the delay that this causes to running streams, the distance
- * between data centres, and the replica's failures and slowness.
+ * not cached there, the delay that this causes to running streams, the wait for a
+ * slot, the distance between data centres, and the replica's failures and slowness.
  */
 import * as hash from "./hash.ts";
 
@@ -39,6 +39,8 @@
 const PREFILL_SHARE_PER_STREAM = 0.08;
 /** Delay that a running request adds to the next one; replicas of more than 8 slots add less. */
 const RUNNING_REQUEST_COST_MS = 8;
+/** Wait for a slot, for each request in flight beyond the replica's slots. */
+const SLOT_WAIT_COST_MS = 120;
 /** Cost of a replica in another data centre. */
 const REMOTE_COST_MS = 6;
 /** Cost of a replica that fails all its requests. */
@@ -78,6 +80,7 @@
     candidate.inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
     candidate.inFlight * RUNNING_REQUEST_COST_MS *
       (8 / Math.max(8, candidate.slots)) +
+    Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS +
     (candidate.isLocal ? 0 : REMOTE_COST_MS) +
     candidate.failureRate * FAILURE_COST_MS +
     excessLatencyMs * SLOWNESS_WEIGHT;
--- a/packages/decisions/src/router_rules_test.ts
+++ b/packages/decisions/src/router_rules_test.ts
@@ -263,6 +263,21 @@
   );
 });
 
+test("at nearly full slots, a free slot elsewhere is taken rather than a cached prefix behind a queue", (t) => {
+  const full = {
+    ...CANDIDATE,
+    slots: 16,
+    inFlight: 18,
+    cachedTokens: 3_500,
+  };
+  const free = { ...CANDIDATE, id: "r2", slots: 16, inFlight: 15 };
+  const pick = (candidates: readonly choice.ReplicaCandidate[]) =>
+    choice.chooseReplica(candidates, PLACEMENT, () => 0)?.id;
+  t.is(pick([full, free]), "r2");
+  // With a slot left, the prefix is worth more than a few running requests.
+  t.is(pick([{ ...full, inFlight: 15 }, { ...free, inFlight: 10 }]), "r1");
+});
+
 test("a very long prompt avoids replicas with many streams; a short one does not", (t) => {
   const busy = { ...CANDIDATE, inFlight: 12 };
   const idle = { ...CANDIDATE, id: "r2", pendingMs: 150 };
@@ -301,8 +316,21 @@
   t.is(new Set(picks).size, 1);
 });
 
+test("the pause of a watch leaves most of the bound for changes to the call and its effect", (t) => {
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.integer({ min: 1_000, max: 60_000 }),
+      (boundMs) => {
+        const pauseMs = freshness.computeWatchPauseMs(boundMs);
+        return pauseMs <= 0.3 * boundMs && pauseMs >= 200;
+      },
+    ),
+  );
+  t.pass();
+});
+
 test("after a change ended all watches at once, the confirmations of the processes are spread in time", (t) => {
-  for (const processes of [2, 4, 10, 27]) {
+  for (const processes of [2, 4, 10, 27, 68, 300]) {
     const longestGaps = Array.from({ length: 200 }, (_, seed) => {
       const generator = xoroshiro.xoroshiro128plus(seed);
       const draw = () => float64.uniformFloat64(generator);
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -20,8 +20,6 @@
 const CONFIRM_WAIT_MS = 100;
 /** Time for which peers may report newer revisions before the watch is considered dead. */
 const MAX_BEHIND_MS = 1_500;
-/** Pause after a watch that returned changes, so that the next call batches many. */
-const WATCH_PAUSE_MS = 400;
 /** Wait of a watch while the control plane fails; short, so that even a slow answer is in time. */
 const PROBE_WAIT_MS = 50;
 const FIRST_RETRY_MS = 100;
@@ -50,6 +48,8 @@
   readonly random: () => number;
   /** Number of peers that recently reported the age of their view. */
   readonly countConfirmingPeers: () => number;
+  /** Time after which a change must be in force. */
+  readonly changeBoundMs: number;
 }
 
 /** Reads and watches the control plane. */
@@ -76,11 +76,13 @@
   /** The next watch waits only briefly, to confirm the view. */
   #needsConfirmation = false;
   #loop: Promise<void> | undefined;
+  readonly #pauseMs: number;
 
   constructor(options: ControlTaskOptions) {
     this.#options = options;
     this.#viewAge = new ages.ViewAge(options.clock);
     this.#removals = new removals.RemovalDelay(options.clock);
+    this.#pauseMs = decisions.computeWatchPauseMs(options.changeBoundMs);
   }
 
   get routeIndex(): bundle.RouteIndex | undefined {
@@ -183,7 +185,7 @@
       if (signal.aborted) return;
       if (result.isOk()) {
         retryMs = FIRST_RETRY_MS;
-        if (result.value.needsPause) await kernel.sleep(WATCH_PAUSE_MS, signal);
+        if (result.value.needsPause) await kernel.sleep(this.#pauseMs, signal);
         continue;
       }
       if (result.error.kind === "history-lost") {
--- a/packages/router/src/control_task_test.ts
+++ b/packages/router/src/control_task_test.ts
@@ -50,6 +50,7 @@
     telemetry: new telemetry.Telemetry(),
     random: () => 0.5,
     countConfirmingPeers: () => 3,
+    changeBoundMs: 2_000,
     listener: {
       onReplica: () => {},
       onReplicaRemoved: () => {},
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -26,6 +26,8 @@
   readonly peerPort: number | undefined;
   /** Time between SIGTERM and SIGKILL. */
   readonly graceMs: number;
+  /** Time after which a change of configuration or membership must be in force. */
+  readonly changeBoundMs: number;
   /** Time after its revocation by which a key must no longer be accepted. */
   readonly revocationBoundMs: number;
   /** Retries allowed per request within the retry window. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -112,6 +112,7 @@
       telemetry: this.#telemetry,
       random,
       countConfirmingPeers: () => this.#fleet.countConfirmingPeers(),
+      changeBoundMs: settings.changeBoundMs,
       listener: {
         onReplica: (entry) => this.#table.put(entry),
         onReplicaRemoved: (id) => this.#table.remove(id),
