--- a/packages/decisions/src/load_ledger.ts
+++ b/packages/decisions/src/load_ledger.ts
@@ -12,12 +12,15 @@
   readonly running: number;
   /** Predicted time until the prompts in flight are prefilled. */
   readonly pendingMs: number;
+  /** Time since any of them received a byte from the replica. */
+  readonly silentMs: number;
   readonly evidence: evidence.EvidenceSums;
 }
 
 export const NO_LOAD_STATE: ReplicaLoadState = {
   running: 0,
   pendingMs: 0,
+  silentMs: Infinity,
   evidence: evidence.NO_EVIDENCE,
 };
 
@@ -46,6 +49,7 @@
   return {
     running: a.running + b.running,
     pendingMs: a.pendingMs + b.pendingMs,
+    silentMs: Math.min(a.silentMs, b.silentMs),
     evidence: evidence.addEvidence(a.evidence, b.evidence),
   };
 }
@@ -92,6 +96,7 @@
       else if (sender !== exceptSender) {
         total = addLoads(total, {
           ...state,
+          silentMs: state.silentMs + ageMs,
           evidence: evidence.decayEvidence(state.evidence, ageMs),
         });
       }
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -47,6 +47,8 @@
 const FAILURE_COST_MS = 2_000;
 /** Candidates whose load is asked for; each costs a message and its answer. */
 const MAX_QUERY_CANDIDATES = 4;
+/** Candidates for a request without a prompt, for which a wait of milliseconds counts. */
+const MAX_PLAIN_CANDIDATES = 2;
 /** Candidates among them that are chosen by the prompt's prefix. */
 const QUERIED_HOMES = 2;
 /** Random sample from which the others are chosen. */
@@ -106,7 +108,10 @@
   placement: PromptPlacement,
   random: () => number,
 ): readonly C[] {
-  if (candidates.length <= MAX_QUERY_CANDIDATES) return candidates;
+  const maxCandidates = placement.promptTokens === 0
+    ? MAX_PLAIN_CANDIDATES
+    : MAX_QUERY_CANDIDATES;
+  if (candidates.length <= maxCandidates) return candidates;
   const byId = new Map(candidates.map((each) => [each.id, each]));
   const homes = placement.affinityKey === undefined
     ? []
@@ -129,7 +134,7 @@
   })).toSorted((a, b) => a.costMs - b.costMs);
   return [
     ...chosen,
-    ...ranked.slice(0, MAX_QUERY_CANDIDATES - chosen.length).map((
+    ...ranked.slice(0, maxCandidates - chosen.length).map((
       { candidate },
     ) => candidate),
   ];
--- a/packages/decisions/src/stream_silence.ts
+++ b/packages/decisions/src/stream_silence.ts
@@ -10,7 +10,7 @@
   readonly waitedMs: number;
   /** Longest usual wait at this point: for the start of the stream, or for its next event. */
   readonly limitMs: number;
-  /** Time since the replica sent anything to this process, at most since the stream was sent. */
+  /** Time since the replica sent anything to any process, at most since the stream was sent. */
   readonly replicaSilentMs: number;
   /** Predicted time until the prompts known to wait there are prefilled. */
   readonly pendingPrefillMs: number;
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -14,9 +14,13 @@
 /** Changes within this time share one message to their owner. */
 const UPDATE_DELAY_MS = 2;
 /** States are repeated, since datagrams may be lost and owners may change. */
-const REFRESH_INTERVAL_MS = 1_000;
-/** Longest wait for the owners' answers before a choice; several round trips between data centres. */
-const ANSWER_TIMEOUT_MS = 12;
+export const REFRESH_INTERVAL_MS = 1_000;
+/** Longest wait for the owners' answers before a choice; a few round trips between data centres. */
+const ANSWER_TIMEOUT_MS = 8;
+/** Owners of which one need not have answered: with fewer, the choice would be too small. */
+const MIN_OWNERS_TO_LEAVE_OUT = 3;
+/** An answer of this age still counts as the answer to the latest question. */
+const CURRENT_ANSWER_MS = 50;
 /** An owner is not asked again within this time to keep its answer fresh. */
 const FRESH_ANSWER_MS = 200;
 /** An answer older than this is not used. */
@@ -41,6 +45,7 @@
 }
 
 interface OpenQuery {
+  /** Answers that are still waited for. */
   missing: number;
   readonly finish: () => void;
 }
@@ -102,9 +107,25 @@
     );
   }
 
-  /** Asks the owners of the replicas; resolves when all have answered, or after a time-out. */
-  query(replicaKeys: readonly number[]): Promise<void> {
-    const keysByOwner = this.#groupByOwner(replicaKeys);
+  /**
+   * Asks the owners of the replicas; resolves with the replicas whose load is known
+   * now. It does not wait for the last of several owners, nor beyond a time-out.
+   */
+  async query(replicaKeys: readonly number[]): Promise<readonly number[]> {
+    await this.#ask(this.#groupByOwner(replicaKeys));
+    return replicaKeys.filter((key) => this.#isCurrent(key));
+  }
+
+  #isCurrent(replicaKey: number): boolean {
+    if (this.#options.owners.find(replicaKey) === undefined) return true;
+    const answer = this.#answers.get(replicaKey);
+    return answer !== undefined &&
+      this.#options.clock.monotonicMs() - answer.atMs <= CURRENT_ANSWER_MS;
+  }
+
+  #ask(
+    keysByOwner: ReadonlyMap<tables.PeerEndpoint, readonly number[]>,
+  ): Promise<void> {
     if (keysByOwner.size === 0) return Promise.resolve();
     this.#queryCount += 1;
     const queryId = this.#queryCount;
@@ -124,7 +145,11 @@
         this.#queries.delete(queryId);
         resolve();
       };
-      this.#queries.set(queryId, { missing: keysByOwner.size, finish });
+      const leftOut = keysByOwner.size >= MIN_OWNERS_TO_LEAVE_OUT ? 1 : 0;
+      this.#queries.set(queryId, {
+        missing: keysByOwner.size - leftOut,
+        finish,
+      });
       for (const [owner, keys] of keysByOwner) {
         this.#send(owner, {
           type: "query",
@@ -154,7 +179,11 @@
     const ageMs = nowMs - answer.atMs;
     if (ageMs > ANSWER_TTL_MS) return undefined;
     const { load } = answer;
-    return { ...load, pendingMs: Math.max(0, load.pendingMs - ageMs) };
+    return {
+      ...load,
+      pendingMs: Math.max(0, load.pendingMs - ageMs),
+      silentMs: load.silentMs + ageMs,
+    };
   }
 
   /** Loads of all processes, this one included, at the replicas that this process owns. */
--- a/packages/peers/src/load_message.ts
+++ b/packages/peers/src/load_message.ts
@@ -41,7 +41,9 @@
 const TYPE_CODES = { update: 1, query: 2, totals: 3 } as const;
 /** Replicas in one message; keeps a message within one packet. */
 export const MAX_LOADS_PER_MESSAGE = 32;
-const NUMBERS_PER_LOAD = 6;
+const NUMBERS_PER_LOAD = 7;
+/** A longer silence is sent as this one. */
+const MAX_SILENT_MS = 600_000;
 const MAX_MESSAGE_BYTES = 1_200;
 /** Decayed counts are sent as whole numbers of this fraction. */
 const COUNT_SCALE = 10;
@@ -113,11 +115,12 @@
 }
 
 function flattenLoad({ replicaKey, load }: KeyedLoad): readonly number[] {
-  const { running, pendingMs, evidence } = load;
+  const { running, pendingMs, silentMs, evidence } = load;
   return [
     replicaKey,
     running,
     Math.round(pendingMs),
+    Math.round(Math.min(MAX_SILENT_MS, silentMs)),
     Math.round(evidence.attempts * COUNT_SCALE),
     Math.round(evidence.failures * COUNT_SCALE),
     Math.round(evidence.latencyMs),
@@ -127,7 +130,15 @@
 function parseLoads(list: readonly number[]): readonly KeyedLoad[] {
   return Array.from({ length: list.length / NUMBERS_PER_LOAD }, (_, at) => {
     const start = at * NUMBERS_PER_LOAD;
-    const [replicaKey, running, pendingMs, attempts, failures, latencyMs] = list
+    const [
+      replicaKey,
+      running,
+      pendingMs,
+      silentMs,
+      attempts,
+      failures,
+      latencyMs,
+    ] = list
       .slice(start, start + NUMBERS_PER_LOAD) as [
         number,
         number,
@@ -135,12 +146,14 @@
         number,
         number,
         number,
+        number,
       ];
     return {
       replicaKey,
       load: {
         running,
         pendingMs,
+        silentMs: silentMs >= MAX_SILENT_MS ? Infinity : silentMs,
         evidence: {
           attempts: attempts / COUNT_SCALE,
           failures: failures / COUNT_SCALE,
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -4,6 +4,7 @@
  */
 import * as decisions from "@jackdawbank/decisions";
 import type * as kernel from "@jackdawbank/kernel";
+import * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
 import * as admissions from "./admission.ts";
 import * as attempts from "./attempt.ts";
@@ -112,7 +113,8 @@
 
   /**
    * Asks for the loads of the replicas that the request would best be sent to;
-   * resolves with their keys. It takes about a round trip between processes.
+   * resolves with the keys of those that are known. It takes about a round trip
+   * between processes.
    */
   async queryLoads(
     request: requests.AdmittedRequest,
@@ -120,8 +122,7 @@
   ): Promise<ReadonlySet<number>> {
     const { table, fleet } = this.dependencies;
     const keys = table.listQueryKeys(this.#buildPlacement(request, options));
-    await fleet.queryLoads(keys);
-    return new Set(keys);
+    return new Set(await fleet.queryLoads(keys));
   }
 
   /** Sends a request to the best replica that is not excluded. */
@@ -226,11 +227,29 @@
     );
   }
 
-  /** Predicted prefill time of the prompts that all processes have pending at a replica. */
-  measurePendingPrefillMs(state: replicas.ReplicaState): number {
+  /** What all processes together know of a replica at which a request waits. */
+  observeReplica(state: replicas.ReplicaState, sinceMs: number): {
+    /** Predicted prefill time of the pending prompts. */
+    readonly pendingPrefillMs: number;
+    /** Time for which no process has received a byte from it, at most since `sinceMs`. */
+    readonly silentMs: number;
+  } {
     const { fleet } = this.dependencies;
+    const { nowMs } = this;
     fleet.keepLoadFresh(state.key);
-    return state.pendingMs + fleet.readLoad(state.key).pendingMs;
+    const others = fleet.readLoad(state.key);
+    const ownSilentMs = nowMs - Math.max(state.lastByteAtMs, sinceMs);
+    // Others may have received a byte since they last told the owner.
+    const othersSilentMs = Math.max(
+      0,
+      others.silentMs - peers.REFRESH_INTERVAL_MS,
+    );
+    return {
+      pendingPrefillMs: state.pendingMs + others.pendingMs,
+      silentMs: others.running > 0
+        ? Math.min(ownSilentMs, othersSilentMs)
+        : ownSilentMs,
+    };
   }
 
   logAttempt(
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -166,9 +166,11 @@
     this.#loads?.recordChange(replicaKey);
   }
 
-  /** Asks the owners of some replicas for their load; resolves soon, answered or not. */
-  async queryLoads(replicaKeys: readonly number[]): Promise<void> {
-    await this.#loads?.query(replicaKeys);
+  /** Asks the owners of some replicas for their load; resolves soon with the answered ones. */
+  async queryLoads(
+    replicaKeys: readonly number[],
+  ): Promise<readonly number[]> {
+    return await this.#loads?.query(replicaKeys) ?? replicaKeys;
   }
 
   /** Asks again for the load of a replica if the last answer is old; for one that is read often. */
@@ -188,6 +190,7 @@
     return {
       running: Math.max(0, reported.running - own.running),
       pendingMs: Math.max(0, reported.pendingMs - own.pendingMs),
+      silentMs: Infinity,
       evidence: decisions.NO_EVIDENCE,
     };
   }
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -284,8 +284,13 @@
   readOwnLoad(replicaKey: number, nowMs: number): decisions.ReplicaLoadState {
     const state = this.#stateByKey.get(replicaKey);
     if (state === undefined) return decisions.NO_LOAD_STATE;
-    const { inFlight, pendingMs, evidence } = state;
-    return { running: inFlight, pendingMs, evidence: evidence.read(nowMs) };
+    const { inFlight, pendingMs, lastByteAtMs, evidence } = state;
+    return {
+      running: inFlight,
+      pendingMs,
+      silentMs: nowMs - lastByteAtMs,
+      evidence: evidence.read(nowMs),
+    };
   }
 
   /** Sets the services' connection limits, which may arrive after their replicas. */
--- a/packages/router/src/shared_load_test.ts
+++ b/packages/router/src/shared_load_test.ts
@@ -21,6 +21,7 @@
 const LATE_START_MS = 1_000;
 const LINK_DELAY_MS = 2;
 const REFRESH_INTERVAL_MS = 1_000;
+const ANSWER_TIMEOUT_MS = 8;
 /** IPv4 and UDP headers of a datagram. */
 const HEADER_BYTES = 28;
 /** The target for the control traffic of one node. */
@@ -94,8 +95,7 @@
         this.#startPrompt(drawMs());
       }
       // Lets the processes go on whose queries have been answered.
-      await Promise.resolve();
-      await Promise.resolve();
+      for (let turn = 0; turn < 6; turn += 1) await Promise.resolve();
     }
     for (const { exchange } of this.#processes) exchange.close();
     return this.outcome;
@@ -181,24 +181,23 @@
       placement,
       this.random,
     ).map(({ id }) => Number(id));
-    const choose = () =>
+    let isSent = false;
+    const sendOnce = (known: readonly number[]) => {
+      if (isSent) return;
+      isSent = true;
+      const usable = known.length > 0 ? known : queried;
       this.#send(
         process,
         prefillMs,
         this.#listCandidates(process).filter(({ id }) =>
-          queried.includes(Number(id))
+          usable.includes(Number(id))
         ),
         placement,
       );
-    let isSent = false;
-    const sendOnce = () => {
-      if (isSent) return;
-      isSent = true;
-      choose();
     };
     void process.exchange.query(queried).then(sendOnce);
     // In place of the exchange's own time-out, which runs in real time.
-    this.#schedule(12, sendOnce);
+    this.#schedule(ANSWER_TIMEOUT_MS, () => sendOnce(queried));
   }
 
   #listCandidates(process: Process): readonly decisions.ReplicaCandidate[] {
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -302,15 +302,16 @@
       const limitMs = current.headAtMs === undefined
         ? firstByteTimeoutMs
         : route.maxGapMs;
-      if (waitedMs < LOAD_QUERY_SHARE * limitMs) return;
-      const lastByteAtMs = sent?.state.lastByteAtMs ?? nowMs;
+      if (sent === undefined || waitedMs < LOAD_QUERY_SHARE * limitMs) return;
+      const replica = this.#dispatcher.observeReplica(
+        sent.state,
+        current.startedAtMs,
+      );
       const isStalled = decisions.isStreamStalled({
         waitedMs,
         limitMs,
-        replicaSilentMs: nowMs - Math.max(lastByteAtMs, current.startedAtMs),
-        pendingPrefillMs: sent === undefined
-          ? 0
-          : this.#dispatcher.measurePendingPrefillMs(sent.state),
+        replicaSilentMs: replica.silentMs,
+        pendingPrefillMs: replica.pendingPrefillMs,
       });
       // A stalled stream is kept unless it can be resumed at another replica.
       if (isStalled && this.#canReroute(current)) attempt?.cancel("stalled");
