--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -47,7 +47,7 @@
 const FAILURE_COST_MS = 2_000;
 /** Candidates whose load is asked for; each costs a message and its answer. */
 const MAX_QUERY_CANDIDATES = 4;
-/** Candidates for a request without a prompt, for which a wait of milliseconds counts. */
+/** The same for a request without a prompt. */
 const MAX_PLAIN_CANDIDATES = 2;
 /** Candidates among them that are chosen by the prompt's prefix. */
 const QUERIED_HOMES = 2;
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -13,6 +13,8 @@
 
 /** Changes within this time share one message to their owner. */
 const UPDATE_DELAY_MS = 2;
+/** The same for changes that only lower the load, which may be known later. */
+const DECREASE_DELAY_MS = 15;
 /** States are repeated, since datagrams may be lost and owners may change. */
 export const REFRESH_INTERVAL_MS = 1_000;
 /** Longest wait for the owners' answers before a choice; a few round trips between data centres. */
@@ -23,8 +25,10 @@
 const CURRENT_ANSWER_MS = 50;
 /** An owner is not asked again within this time to keep its answer fresh. */
 const FRESH_ANSWER_MS = 200;
-/** An answer older than this is not used. */
+/** The load in an answer older than this is not used. */
 const ANSWER_TTL_MS = 800;
+/** The evidence in an answer is used for longer, as it changes more slowly. */
+const EVIDENCE_TTL_MS = 5_000;
 const MAX_KNOWN_REPLICAS = 4_096;
 
 /** Provides what this process has at a replica. */
@@ -61,6 +65,7 @@
   readonly #ledger = new decisions.LoadLedger();
   readonly #refreshTimer: NodeJS.Timeout;
   #updateTimer: NodeJS.Timeout | undefined;
+  #updateDueAtMs = Infinity;
   readonly #changedKeys = new Set<number>();
   readonly #queries = new Map<number, OpenQuery>();
   /** Newest answers of owners, by replica. */
@@ -82,10 +87,17 @@
     this.#refreshTimer.unref();
   }
 
-  /** Schedules a message to the replica's owner. */
-  recordChange(replicaKey: number): void {
+  /** Schedules a message to the replica's owner; a decrease may wait longer. */
+  recordChange(replicaKey: number, isDecrease = false): void {
     this.#changedKeys.add(replicaKey);
-    this.#updateTimer ??= setTimeout(() => this.flush(), UPDATE_DELAY_MS);
+    const delayMs = isDecrease ? DECREASE_DELAY_MS : UPDATE_DELAY_MS;
+    const dueAtMs = this.#options.clock.monotonicMs() + delayMs;
+    if (this.#updateTimer !== undefined && dueAtMs >= this.#updateDueAtMs) {
+      return;
+    }
+    clearTimeout(this.#updateTimer);
+    this.#updateDueAtMs = dueAtMs;
+    this.#updateTimer = setTimeout(() => this.flush(), delayMs);
   }
 
   /** Sends the changed states to their owners. */
@@ -186,6 +198,19 @@
     };
   }
 
+  /** Evidence of all other processes about a replica, as its owner last told it. */
+  readEvidence(replicaKey: number): decisions.EvidenceSums {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (this.#options.owners.find(replicaKey) === undefined) {
+      return this.#ledger.read(replicaKey, nowMs).evidence;
+    }
+    const answer = this.#answers.get(replicaKey);
+    const ageMs = nowMs - (answer?.atMs ?? -Infinity);
+    return answer === undefined || ageMs > EVIDENCE_TTL_MS
+      ? decisions.NO_EVIDENCE
+      : decisions.decayEvidence(answer.load.evidence, ageMs);
+  }
+
   /** Loads of all processes, this one included, at the replicas that this process owns. */
   listOwned(): readonly messages.KeyedLoad[] {
     const { owners, source, clock } = this.#options;
--- a/packages/peers/src/load_message.ts
+++ b/packages/peers/src/load_message.ts
@@ -4,7 +4,6 @@
  */
 import type * as decisions from "@jackdawbank/decisions";
 import * as msgpackr from "msgpackr";
-import * as z from "zod";
 
 /** State of a replica with its key. */
 export interface KeyedLoad {
@@ -48,27 +47,9 @@
 /** Decayed counts are sent as whole numbers of this fraction. */
 const COUNT_SCALE = 10;
 
-const wholeSchema = z.int().min(0);
-const nameSchema = z.string().min(1).max(128);
-const loadsSchema = z.array(wholeSchema)
-  .max(NUMBERS_PER_LOAD * MAX_LOADS_PER_MESSAGE)
-  .refine((list) => list.length % NUMBERS_PER_LOAD === 0);
-const layoutSchema = z.union([
-  z.tuple([
-    z.literal(FORMAT_VERSION),
-    z.union([z.literal(TYPE_CODES.update), z.literal(TYPE_CODES.totals)]),
-    nameSchema,
-    wholeSchema,
-    loadsSchema,
-  ]),
-  z.tuple([
-    z.literal(FORMAT_VERSION),
-    z.literal(TYPE_CODES.query),
-    nameSchema,
-    wholeSchema,
-    z.array(wholeSchema).max(MAX_LOADS_PER_MESSAGE),
-  ]),
-]);
+/** Elements of the list that a message is encoded as. */
+const LAYOUT_LENGTH = 5;
+const MAX_NAME_CHARS = 128;
 
 const packer = new msgpackr.Packr({ useRecords: false });
 
@@ -96,24 +77,40 @@
     // Not a message; the caller counts dropped datagrams.
     return undefined;
   }
-  const parsed = layoutSchema.safeParse(data);
-  if (!parsed.success) return undefined;
-  const [, code, name, number, list] = parsed.data;
+  // Checked by hand: each request causes several messages, and a schema costs more than the rest.
+  if (!Array.isArray(data) || data.length !== LAYOUT_LENGTH) return undefined;
+  const [version, code, name, number, list] = data as readonly unknown[];
+  if (
+    version !== FORMAT_VERSION || !isName(name) || !isWhole(number) ||
+    !Array.isArray(list) || !list.every(isWhole)
+  ) return undefined;
   switch (code) {
-    case TYPE_CODES.update:
-      return {
-        type: "update",
-        name,
-        sequence: number,
-        loads: parseLoads(list),
-      };
-    case TYPE_CODES.totals:
-      return { type: "totals", name, queryId: number, loads: parseLoads(list) };
+    case TYPE_CODES.update: {
+      const loads = parseLoads(list);
+      return loads && { type: "update", name, sequence: number, loads };
+    }
+    case TYPE_CODES.totals: {
+      const loads = parseLoads(list);
+      return loads && { type: "totals", name, queryId: number, loads };
+    }
     case TYPE_CODES.query:
-      return { type: "query", name, queryId: number, replicaKeys: list };
+      return list.length > MAX_LOADS_PER_MESSAGE
+        ? undefined
+        : { type: "query", name, queryId: number, replicaKeys: list };
+    default:
+      return undefined;
   }
 }
 
+function isName(value: unknown): value is string {
+  return typeof value === "string" && value.length > 0 &&
+    value.length <= MAX_NAME_CHARS;
+}
+
+function isWhole(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 function flattenLoad({ replicaKey, load }: KeyedLoad): readonly number[] {
   const { running, pendingMs, silentMs, evidence } = load;
   return [
@@ -127,7 +124,12 @@
   ];
 }
 
-function parseLoads(list: readonly number[]): readonly KeyedLoad[] {
+function parseLoads(
+  list: readonly number[],
+): readonly KeyedLoad[] | undefined {
+  const isValid = list.length % NUMBERS_PER_LOAD === 0 &&
+    list.length <= NUMBERS_PER_LOAD * MAX_LOADS_PER_MESSAGE;
+  if (!isValid) return undefined;
   return Array.from({ length: list.length / NUMBERS_PER_LOAD }, (_, at) => {
     const start = at * NUMBERS_PER_LOAD;
     const [
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -24,6 +24,8 @@
 const BASE_ENGINE_PRIORITY = 2;
 const MAX_ENGINE_PRIORITY = 9;
 
+const NO_QUERIED_KEYS: ReadonlySet<number> = new Set();
+
 /** Dependencies of the dispatcher. */
 export interface DispatcherDependencies {
   readonly clock: kernel.Clock;
@@ -114,7 +116,7 @@
   /**
    * Asks for the loads of the replicas that the request would best be sent to;
    * resolves with the keys of those that are known. It takes about a round trip
-   * between processes.
+   * between processes for a prompt, and no time for a plain request.
    */
   async queryLoads(
     request: requests.AdmittedRequest,
@@ -122,7 +124,13 @@
   ): Promise<ReadonlySet<number>> {
     const { table, fleet } = this.dependencies;
     const keys = table.listQueryKeys(this.#buildPlacement(request, options));
-    return new Set(await fleet.queryLoads(keys));
+    if (request.fields.promptTokens > 0) {
+      return new Set(await fleet.queryLoads(keys));
+    }
+    // A plain request would wait longer for the answers than it gains by them: they
+    // serve the next ones, which learn from them which replicas are slow or fail.
+    for (const key of keys) fleet.keepLoadFresh(key);
+    return NO_QUERIED_KEYS;
   }
 
   /** Sends a request to the best replica that is not excluded. */
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -162,8 +162,8 @@
   }
 
   /** Tells the replica's owner that this process's load there has changed. */
-  recordLoadChange(replicaKey: number): void {
-    this.#loads?.recordChange(replicaKey);
+  recordLoadChange(replicaKey: number, isDecrease: boolean): void {
+    this.#loads?.recordChange(replicaKey, isDecrease);
   }
 
   /** Asks the owners of some replicas for their load; resolves soon with the answered ones. */
@@ -191,7 +191,7 @@
       running: Math.max(0, reported.running - own.running),
       pendingMs: Math.max(0, reported.pendingMs - own.pendingMs),
       silentMs: Infinity,
-      evidence: decisions.NO_EVIDENCE,
+      evidence: this.#loads?.readEvidence(replicaKey) ?? decisions.NO_EVIDENCE,
     };
   }
 
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -71,7 +71,7 @@
   /** Load that peers have in flight at a replica. */
   readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
   /** Called when this process's load at a replica, or its evidence, has changed. */
-  readonly onLoadChanged: (replicaKey: number) => void;
+  readonly onLoadChanged: (replicaKey: number, isDecrease: boolean) => void;
 }
 
 interface Candidate extends decisions.ReplicaCandidate {
@@ -230,7 +230,7 @@
   recordSent(state: ReplicaState, prefillMs: number): void {
     state.inFlight += 1;
     state.pendingMs += prefillMs;
-    this.#options.onLoadChanged(state.key);
+    this.#options.onLoadChanged(state.key, false);
   }
 
   /** Records that a prompt was processed: it is no longer pending, and its parts are cached. */
@@ -244,7 +244,7 @@
     },
   ): void {
     state.pendingMs = Math.max(0, state.pendingMs - prefill.prefillMs);
-    this.#options.onLoadChanged(state.key);
+    this.#options.onLoadChanged(state.key, true);
     for (const part of prefill.parts) {
       const key = buildCacheKey(prefill.model, part.id);
       state.prefilledAtMsByPart.delete(key);
@@ -261,7 +261,7 @@
   recordEnd(state: ReplicaState, remainingPrefillMs: number): void {
     state.inFlight = Math.max(0, state.inFlight - 1);
     state.pendingMs = Math.max(0, state.pendingMs - remainingPrefillMs);
-    this.#options.onLoadChanged(state.key);
+    this.#options.onLoadChanged(state.key, true);
   }
 
   markBusy(state: ReplicaState, nowMs: number): void {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -81,7 +81,8 @@
       random,
       onConnectionOpened: () => this.#telemetry.countEvent("connection.opened"),
       readPeerLoad: (key) => this.#fleet.readLoad(key),
-      onLoadChanged: (key) => this.#fleet.recordLoadChange(key),
+      onLoadChanged: (key, isDecrease) =>
+        this.#fleet.recordLoadChange(key, isDecrease),
     });
     this.#fleet = new fleets.Fleet({
       settings,
