--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -47,8 +47,11 @@
 const FAILURE_COST_MS = 2_000;
 /** Candidates whose load is asked for; each costs a message and its answer. */
 const MAX_QUERY_CANDIDATES = 4;
-/** The same for a request without a prompt. */
-const MAX_PLAIN_CANDIDATES = 2;
+/**
+ * Candidates for a request without a prompt. Two at random: its choice uses loads
+ * that are not quite new, and by those all processes would prefer the same replica.
+ */
+const PLAIN_CANDIDATES = 2;
 /** Candidates among them that are chosen by the prompt's prefix. */
 const QUERIED_HOMES = 2;
 /** Random sample from which the others are chosen. */
@@ -97,6 +100,18 @@
   return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
 
+function drawSample<T>(
+  items: readonly T[],
+  count: number,
+  random: () => number,
+): readonly T[] {
+  const remaining = [...items];
+  return Array.from(
+    { length: Math.min(count, remaining.length) },
+    () => remaining.splice(Math.floor(random() * remaining.length), 1)[0] as T,
+  );
+}
+
 /**
  * Chooses the candidates whose load is asked for before the choice: the first two
  * in the order of the prompt's prefix, so that it is cached at few replicas, and
@@ -108,10 +123,10 @@
   placement: PromptPlacement,
   random: () => number,
 ): readonly C[] {
-  const maxCandidates = placement.promptTokens === 0
-    ? MAX_PLAIN_CANDIDATES
-    : MAX_QUERY_CANDIDATES;
-  if (candidates.length <= maxCandidates) return candidates;
+  if (placement.promptTokens === 0) {
+    return drawSample(candidates, PLAIN_CANDIDATES, random);
+  }
+  if (candidates.length <= MAX_QUERY_CANDIDATES) return candidates;
   const byId = new Map(candidates.map((each) => [each.id, each]));
   const homes = placement.affinityKey === undefined
     ? []
@@ -119,11 +134,7 @@
       .slice(0, QUERIED_HOMES);
   const chosen = homes.map((id) => byId.get(id) as C);
   for (const id of homes) byId.delete(id);
-  const others = [...byId.values()];
-  const sample = Array.from(
-    { length: Math.min(QUERY_SAMPLE, others.length) },
-    () => others.splice(Math.floor(random() * others.length), 1)[0] as C,
-  );
+  const sample = drawSample([...byId.values()], QUERY_SAMPLE, random);
   const context = {
     affinityReplicaId: undefined,
     medianLatencyMs: findMedianLatencyMs(candidates),
@@ -134,7 +145,7 @@
   })).toSorted((a, b) => a.costMs - b.costMs);
   return [
     ...chosen,
-    ...ranked.slice(0, maxCandidates - chosen.length).map((
+    ...ranked.slice(0, MAX_QUERY_CANDIDATES - chosen.length).map((
       { candidate },
     ) => candidate),
   ];
--- a/packages/decisions/src/router_rules_test.ts
+++ b/packages/decisions/src/router_rules_test.ts
@@ -263,6 +263,26 @@
   );
 });
 
+test("processes that share the same evidence do not all send plain requests to the fastest replica", (t) => {
+  const generator = xoroshiro.xoroshiro128plus(3);
+  const draw = () => float64.uniformFloat64(generator);
+  const plain = { ...PLACEMENT, promptTokens: 0 };
+  const pool = [40, 50, 60, 70, 400].map((meanLatencyMs, at) => ({
+    ...CANDIDATE,
+    id: `r${at}`,
+    meanLatencyMs,
+  }));
+  const counts = new Map<string, number>();
+  for (let process = 0; process < 1_000; process += 1) {
+    const candidates = choice.chooseQueryCandidates(pool, plain, draw);
+    const id = choice.chooseReplica(candidates, plain, draw)?.id ?? "";
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  t.true(Math.max(...counts.values()) < 500, `${[...counts]}`);
+  // The slow one is met only beside another, and never preferred.
+  t.is(counts.get("r4"), undefined);
+});
+
 test("at nearly full slots, a free slot elsewhere is taken rather than a cached prefix behind a queue", (t) => {
   const full = {
     ...CANDIDATE,
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -24,8 +24,6 @@
 const BASE_ENGINE_PRIORITY = 2;
 const MAX_ENGINE_PRIORITY = 9;
 
-const NO_QUERIED_KEYS: ReadonlySet<number> = new Set();
-
 /** Dependencies of the dispatcher. */
 export interface DispatcherDependencies {
   readonly clock: kernel.Clock;
@@ -130,7 +128,7 @@
     // A plain request would wait longer for the answers than it gains by them: they
     // serve the next ones, which learn from them which replicas are slow or fail.
     for (const key of keys) fleet.keepLoadFresh(key);
-    return NO_QUERIED_KEYS;
+    return new Set(keys);
   }
 
   /** Sends a request to the best replica that is not excluded. */
