--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -91,13 +91,14 @@
     excessLatencyMs * SLOWNESS_WEIGHT;
 }
 
+/** Lower median, so that the slower one of two candidates is recognised. */
 function findMedianLatencyMs(
   candidates: readonly ReplicaCandidate[],
 ): number {
   const sorted = candidates.flatMap(({ meanLatencyMs }) =>
     meanLatencyMs === undefined ? [] : [meanLatencyMs]
   ).toSorted((a, b) => a - b);
-  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
 }
 
 function drawSample<T>(
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -17,6 +17,8 @@
 
 /** Time-out for the first byte, in multiples of the route's target latency. */
 const FIRST_BYTE_TIMEOUT_FACTOR = 1;
+/** With more prefill ahead of a prompt, the time to its first byte is no pace of its version. */
+const MAX_QUEUED_FOR_PACE_MS = 50;
 /** Share of a stream's time-out after which the load of its replica is watched closely. */
 const LOAD_QUERY_SHARE = 0.5;
 /** Prefill rate of an engine that also serves other requests; extends that time-out. */
@@ -374,7 +376,9 @@
       paceMs: headAtMs !== undefined && hasEventGaps
         ? (nowMs - headAtMs) / events
         // The wait behind other prompts says nothing about the version.
-        : latencyMs && Math.max(0, latencyMs - sent.queuedMs),
+        : sent.queuedMs <= MAX_QUEUED_FOR_PACE_MS
+        ? latencyMs
+        : undefined,
       isLagging: this.#watchdog.isLagging,
     });
   }
