--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -46,7 +46,7 @@
 /** Cost of a replica that fails all its requests. */
 const FAILURE_COST_MS = 2_000;
 /** Candidates whose load is asked for; each costs a message and its answer. */
-const MAX_QUERY_CANDIDATES = 4;
+const MAX_QUERY_CANDIDATES = 3;
 /**
  * Candidates for a request without a prompt. Two at random: its choice uses loads
  * that are not quite new, and by those all processes would prefer the same replica.
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -23,8 +23,6 @@
 const MIN_OWNERS_TO_LEAVE_OUT = 3;
 /** An answer of this age still counts as the answer to the latest question. */
 const CURRENT_ANSWER_MS = 50;
-/** An owner is not asked again within this time to keep its answer fresh. */
-const FRESH_ANSWER_MS = 200;
 /** The load in an answer older than this is not used. */
 const ANSWER_TTL_MS = 800;
 /** The evidence in an answer is used for longer, as it changes more slowly. */
@@ -173,11 +171,11 @@
     });
   }
 
-  /** Asks the replica's owner unless it was asked a short time ago. */
-  keepFresh(replicaKey: number): void {
+  /** Asks the replica's owner unless it was asked within `intervalMs`. */
+  keepFresh(replicaKey: number, intervalMs: number): void {
     const nowMs = this.#options.clock.monotonicMs();
     const askedAtMs = this.#askedAtMs.get(replicaKey) ?? -Infinity;
-    if (nowMs - askedAtMs >= FRESH_ANSWER_MS) void this.query([replicaKey]);
+    if (nowMs - askedAtMs >= intervalMs) void this.query([replicaKey]);
   }
 
   /** Load of all other processes at a replica; `undefined` if its owner has not answered lately. */
--- a/packages/peers/src/peer_reporter.ts
+++ b/packages/peers/src/peer_reporter.ts
@@ -9,10 +9,8 @@
 import * as reports from "./report.ts";
 import * as budgets from "./report_budget.ts";
 
-/** Longest interval between reports while there is load to report. */
-const LOAD_INTERVAL_MS = 300;
-/** Longest interval between reports without load. */
-const IDLE_INTERVAL_MS = 1_000;
+/** Longest interval between reports. */
+const REPORT_INTERVAL_MS = 1_000;
 const CHECK_INTERVAL_MS = 100;
 /** Smaller loads are not reported, since they hardly delay other requests. */
 const MIN_PENDING_MS = 10;
@@ -70,8 +68,6 @@
   >();
   /** Newest outcomes by peer, service, roll-out order and route. */
   readonly #latestOutcomes = new Map<string, reports.VersionOutcomes>();
-  /** The last report contained loads, so one without them is due soon. */
-  #hasReportedLoads = false;
   #reportedFailures = 0;
   #number = 0;
   #checkedAt: decisions.ClockReading;
@@ -125,12 +121,9 @@
       load.pendingMs >= MIN_PENDING_MS
     );
     const outcomes = this.#options.source.listVersionOutcomes();
-    const intervalMs = loads.length > 0 || this.#hasReportedLoads
-      ? LOAD_INTERVAL_MS
-      : IDLE_INTERVAL_MS;
     const failures = sumFailures(outcomes);
     const hasNewFailures = failures > this.#reportedFailures;
-    const isDue = nowMs - this.#sentAtMs >= intervalMs ||
+    const isDue = nowMs - this.#sentAtMs >= REPORT_INTERVAL_MS ||
       this.#queuedSessions.size > 0 || hasNewFailures;
     const receivers = this.table.listReceivers();
     if (!isDue || receivers.length === 0) return;
@@ -184,7 +177,6 @@
       // Moves to the end of the map, behind sessions that were sent less often.
       if (queued.remainingSends > 0) this.#queuedSessions.set(key, queued);
     }
-    this.#hasReportedLoads = report.loads.length > 0;
     const bytes = reports.encodeReport(report);
     this.#budget.consume(bytes.byteLength, receivers.length);
     for (const { host, port } of receivers) {
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -24,6 +24,11 @@
 const BASE_ENGINE_PRIORITY = 2;
 const MAX_ENGINE_PRIORITY = 9;
 
+/** Interval at which the evidence about a plain service's replica is asked for. */
+const EVIDENCE_QUERY_INTERVAL_MS = 1_000;
+/** Interval at which the load of a replica is asked for while a stream waits there for long. */
+const STALL_QUERY_INTERVAL_MS = 200;
+
 /** Dependencies of the dispatcher. */
 export interface DispatcherDependencies {
   readonly clock: kernel.Clock;
@@ -127,7 +132,9 @@
     }
     // A plain request would wait longer for the answers than it gains by them: they
     // serve the next ones, which learn from them which replicas are slow or fail.
-    for (const key of keys) fleet.keepLoadFresh(key);
+    for (const key of keys) {
+      fleet.keepLoadFresh(key, EVIDENCE_QUERY_INTERVAL_MS);
+    }
     return new Set(keys);
   }
 
@@ -242,7 +249,7 @@
   } {
     const { fleet } = this.dependencies;
     const { nowMs } = this;
-    fleet.keepLoadFresh(state.key);
+    fleet.keepLoadFresh(state.key, STALL_QUERY_INTERVAL_MS);
     const others = fleet.readLoad(state.key);
     const ownSilentMs = nowMs - Math.max(state.lastByteAtMs, sinceMs);
     // Others may have received a byte since they last told the owner.
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -173,9 +173,9 @@
     return await this.#loads?.query(replicaKeys) ?? replicaKeys;
   }
 
-  /** Asks again for the load of a replica if the last answer is old; for one that is read often. */
-  keepLoadFresh(replicaKey: number): void {
-    this.#loads?.keepFresh(replicaKey);
+  /** Asks for the load of a replica without waiting, at most once in `intervalMs`. */
+  keepLoadFresh(replicaKey: number, intervalMs: number): void {
+    this.#loads?.keepFresh(replicaKey, intervalMs);
   }
 
   /**
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -70,7 +70,7 @@
   readonly onConnectionOpened: () => void;
   /** Load that peers have in flight at a replica. */
   readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
-  /** Called when this process's load at a replica, or its evidence, has changed. */
+  /** Called when this process's load at a model engine, or its evidence, has changed. */
   readonly onLoadChanged: (replicaKey: number, isDecrease: boolean) => void;
 }
 
@@ -230,7 +230,7 @@
   recordSent(state: ReplicaState, prefillMs: number): void {
     state.inFlight += 1;
     state.pendingMs += prefillMs;
-    this.#options.onLoadChanged(state.key, false);
+    if (this.#isEngine(state)) this.#options.onLoadChanged(state.key, false);
   }
 
   /** Records that a prompt was processed: it is no longer pending, and its parts are cached. */
@@ -261,7 +261,12 @@
   recordEnd(state: ReplicaState, remainingPrefillMs: number): void {
     state.inFlight = Math.max(0, state.inFlight - 1);
     state.pendingMs = Math.max(0, state.pendingMs - remainingPrefillMs);
-    this.#options.onLoadChanged(state.key, true);
+    if (this.#isEngine(state)) this.#options.onLoadChanged(state.key, true);
+  }
+
+  /** Requests of plain services end too soon for others to learn of each of them. */
+  #isEngine({ entry }: ReplicaState): boolean {
+    return this.#services.get(entry.service)?.engine !== undefined;
   }
 
   markBusy(state: ReplicaState, nowMs: number): void {
