Evidence goes with the refresh; only replicas with requests are repeated

Cause: a state was repeated each second while it held any evidence, which decays but never ends: 65 messages a second for an entry that uses 65 replicas. shared_load_test: 1.7 to 1.4 KB/s at 24 entries, lateness unchanged.

--- a/packages/decisions/src/load_ledger.ts
+++ b/packages/decisions/src/load_ledger.ts
@@ -24,8 +24,10 @@
   evidence: evidence.NO_EVIDENCE,
 };
 
-/** A state expires unless its sender repeats it within this time. */
-const STATE_TTL_MS = 3_000;
+/** The load in a state expires unless its sender repeats it within this time. */
+const LOAD_TTL_MS = 3_000;
+/** Its evidence is kept until it has decayed to a small part. */
+const EVIDENCE_TTL_MS = 12_000;
 /** Bounds the memory for keys of replicas that no longer exist. */
 const MAX_REPLICAS = 4_096;
 
@@ -37,7 +39,7 @@
 }
 
 /** Whether a sender has nothing at a replica, and nothing to say about it. */
-export function isEmptyLoad({ running, evidence }: ReplicaLoadState): boolean {
+function isEmptyLoad({ running, evidence }: ReplicaLoadState): boolean {
   return running === 0 && evidence.attempts === 0;
 }
 
@@ -69,7 +71,7 @@
       new Map<string, SentState>();
     const previous = states.get(sender);
     const isLive = previous !== undefined &&
-      sent.atMs - previous.atMs <= STATE_TTL_MS;
+      sent.atMs - previous.atMs <= LOAD_TTL_MS;
     // After its silence a sender may have restarted with its clock set back.
     if (isLive && sent.sequence <= previous.sequence) return false;
     if (isEmptyLoad(sent.state)) states.delete(sender);
@@ -92,10 +94,12 @@
     let total = NO_LOAD_STATE;
     for (const [sender, { state, atMs }] of states ?? []) {
       const ageMs = nowMs - atMs;
-      if (ageMs > STATE_TTL_MS) states?.delete(sender);
+      if (ageMs > EVIDENCE_TTL_MS) states?.delete(sender);
       else if (sender !== exceptSender) {
+        const isLoadValid = ageMs <= LOAD_TTL_MS;
         total = addLoads(total, {
-          ...state,
+          running: isLoadValid ? state.running : 0,
+          pendingMs: isLoadValid ? state.pendingMs : 0,
           silentMs: state.silentMs + ageMs,
           evidence: evidence.decayEvidence(state.evidence, ageMs),
         });
--- a/packages/decisions/src/load_ledger_test.ts
+++ b/packages/decisions/src/load_ledger_test.ts
@@ -56,6 +56,7 @@
   t.is(ledger.read(1, 2_900).running, 5);
   t.is(ledger.read(1, 3_100).running, 3);
   t.is(ledger.read(1, 6_000).running, 0);
+  t.is(ledger.read(1, 15_000).running, 0);
   t.deepEqual(ledger.listReplicaKeys(), []);
 });
 
@@ -97,6 +98,19 @@
   t.is(Math.round(evidence.estimateMeanLatencyMs(pooled) ?? 0), 40);
 });
 
+test("the evidence of a sender is kept after its requests have ended", (t) => {
+  const ledger = new ledgers.LoadLedger();
+  const state = {
+    ...buildState(0),
+    evidence: { attempts: 4, failures: 4, latencyMs: 0 },
+  };
+  ledger.record(1, "a", { state, sequence: 1, atMs: 0 });
+  const later = ledger.read(1, 4_000);
+  t.is(later.running, 0);
+  t.true(evidence.estimateFailureRate(later.evidence) > 0.3);
+  t.is(ledger.read(1, 13_000).evidence.attempts, 0);
+});
+
 test("evidence that is not renewed is forgotten, so that a replica is tried again", (t) => {
   const own = new evidence.ReplicaEvidence();
   for (let at = 0; at < 10; at += 1) own.recordFailure(0);
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -29,6 +29,9 @@
 const EVIDENCE_TTL_MS = 5_000;
 const MAX_KNOWN_REPLICAS = 4_096;
 
+/** What has changed at a replica. */
+export type LoadChange = "increase" | "decrease" | "evidence";
+
 /** Provides what this process has at a replica. */
 export interface LoadSource {
   readLoad(replicaKey: number): decisions.ReplicaLoadState;
@@ -65,6 +68,8 @@
   #updateTimer: NodeJS.Timeout | undefined;
   #updateDueAtMs = Infinity;
   readonly #changedKeys = new Set<number>();
+  /** Replicas about which there is new evidence, for the next refresh. */
+  readonly #evidenceKeys = new Set<number>();
   readonly #queries = new Map<number, OpenQuery>();
   /** Newest answers of owners, by replica. */
   readonly #answers = new Map<number, Answer>();
@@ -85,10 +90,14 @@
     this.#refreshTimer.unref();
   }
 
-  /** Schedules a message to the replica's owner; a decrease may wait longer. */
-  recordChange(replicaKey: number, isDecrease = false): void {
+  /** Schedules a message to the replica's owner; evidence alone waits for the refresh. */
+  recordChange(replicaKey: number, change: LoadChange): void {
+    if (change === "evidence") {
+      this.#evidenceKeys.add(replicaKey);
+      return;
+    }
     this.#changedKeys.add(replicaKey);
-    const delayMs = isDecrease ? DECREASE_DELAY_MS : UPDATE_DELAY_MS;
+    const delayMs = change === "decrease" ? DECREASE_DELAY_MS : UPDATE_DELAY_MS;
     const dueAtMs = this.#options.clock.monotonicMs() + delayMs;
     if (this.#updateTimer !== undefined && dueAtMs >= this.#updateDueAtMs) {
       return;
@@ -107,14 +116,15 @@
     this.#sendStates(keys);
   }
 
-  /** Repeats the states of all replicas at which this process has something. */
+  /** Repeats the states of all replicas at which this process has requests, or new evidence. */
   refresh(): void {
     const { source } = this.#options;
     this.#sendStates(
       source.listReplicaKeys().filter((key) =>
-        !decisions.isEmptyLoad(source.readLoad(key))
+        source.readLoad(key).running > 0 || this.#evidenceKeys.has(key)
       ),
     );
+    this.#evidenceKeys.clear();
   }
 
   /**
--- a/packages/peers/src/load_exchange_test.ts
+++ b/packages/peers/src/load_exchange_test.ts
@@ -78,7 +78,7 @@
 
   setRunning(key: number, count: number): void {
     this.running.set(key, count);
-    this.exchange.recordChange(key);
+    this.exchange.recordChange(key, "increase");
     this.exchange.flush();
   }
 }
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -162,8 +162,8 @@
   }
 
   /** Tells the replica's owner that this process's load there has changed. */
-  recordLoadChange(replicaKey: number, isDecrease: boolean): void {
-    this.#loads?.recordChange(replicaKey, isDecrease);
+  recordLoadChange(replicaKey: number, change: peers.LoadChange): void {
+    this.#loads?.recordChange(replicaKey, change);
   }
 
   /** Asks the owners of some replicas for their load; resolves soon with the answered ones. */
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -4,6 +4,7 @@
  */
 import type * as bundle from "@jackdawbank/bundle";
 import * as decisions from "@jackdawbank/decisions";
+import type * as peers from "@jackdawbank/peers";
 import * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
 
@@ -70,8 +71,11 @@
   readonly onConnectionOpened: () => void;
   /** Load that peers have in flight at a replica. */
   readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
-  /** Called when this process's load at a model engine, or its evidence, has changed. */
-  readonly onLoadChanged: (replicaKey: number, isDecrease: boolean) => void;
+  /** Called when this process's load at a replica, or its evidence, has changed. */
+  readonly onLoadChanged: (
+    replicaKey: number,
+    change: peers.LoadChange,
+  ) => void;
 }
 
 interface Candidate extends decisions.ReplicaCandidate {
@@ -230,7 +234,9 @@
   recordSent(state: ReplicaState, prefillMs: number): void {
     state.inFlight += 1;
     state.pendingMs += prefillMs;
-    if (this.#isEngine(state)) this.#options.onLoadChanged(state.key, false);
+    if (this.#isEngine(state)) {
+      this.#options.onLoadChanged(state.key, "increase");
+    }
   }
 
   /** Records that a prompt was processed: it is no longer pending, and its parts are cached. */
@@ -244,7 +250,7 @@
     },
   ): void {
     state.pendingMs = Math.max(0, state.pendingMs - prefill.prefillMs);
-    this.#options.onLoadChanged(state.key, true);
+    this.#options.onLoadChanged(state.key, "decrease");
     for (const part of prefill.parts) {
       const key = buildCacheKey(prefill.model, part.id);
       state.prefilledAtMsByPart.delete(key);
@@ -261,7 +267,10 @@
   recordEnd(state: ReplicaState, remainingPrefillMs: number): void {
     state.inFlight = Math.max(0, state.inFlight - 1);
     state.pendingMs = Math.max(0, state.pendingMs - remainingPrefillMs);
-    if (this.#isEngine(state)) this.#options.onLoadChanged(state.key, true);
+    this.#options.onLoadChanged(
+      state.key,
+      this.#isEngine(state) ? "decrease" : "evidence",
+    );
   }
 
   /** Requests of plain services end too soon for others to learn of each of them. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -81,8 +81,7 @@
       random,
       onConnectionOpened: () => this.#telemetry.countEvent("connection.opened"),
       readPeerLoad: (key) => this.#fleet.readLoad(key),
-      onLoadChanged: (key, isDecrease) =>
-        this.#fleet.recordLoadChange(key, isDecrease),
+      onLoadChanged: (key, change) => this.#fleet.recordLoadChange(key, change),
     });
     this.#fleet = new fleets.Fleet({
       settings,
--- a/packages/router/src/shared_load_test.ts
+++ b/packages/router/src/shared_load_test.ts
@@ -247,7 +247,9 @@
     const remainingMs = (pendingMs.get(key) ?? 0) + change.prefillMs;
     pendingMs.set(key, Math.max(0, remainingMs));
     running.set(key, (running.get(key) ?? 0) + change.requests);
-    if (this.#isSharing) exchange.recordChange(key);
+    if (this.#isSharing) {
+      exchange.recordChange(key, change.requests > 0 ? "increase" : "decrease");
+    }
   }
 }
 
