--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -40,9 +40,8 @@
         ...plan.upstreams.map((upstream) => deployment.startUpstream(upstream)),
         ...plan.entries.map((entry) => deployment.startEntry(entry)),
       ]);
-      for (const result of started) {
-        if (result.status === "rejected") throw result.reason;
-      }
+      const failure = started.find(({ status }) => status === "rejected");
+      if (failure?.status === "rejected") throw failure.reason;
       await deployment.publishVmList();
       await deployment.waitUntilReady();
       return deployment;
@@ -341,12 +340,9 @@
       const data = await calls.getJson(
         `http://127.0.0.1:${upstream.backend.port("port")}/control/runs`,
       );
-      for (
-        const [id, runs] of Object.entries(
-          (data as { runs: Record<string, number> }).runs,
-        )
-      ) {
-        counts.set(id, (counts.get(id) ?? 0) + runs);
+      const { runs } = data as { readonly runs: Record<string, number> };
+      for (const [id, count] of Object.entries(runs)) {
+        counts.set(id, (counts.get(id) ?? 0) + count);
       }
     }
     return new Map([...counts].toSorted(([a], [b]) => a.localeCompare(b)));
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -120,8 +120,8 @@
     key: string,
     excluded: ReadonlySet<string>,
   ): decisions.Replica | undefined {
-    const nowMs = this.#services.clock.monotonicMs();
-    return this.#table.pickByRendezvous(name, key, { nowMs, excluded });
+    const options = { nowMs: this.#services.clock.monotonicMs(), excluded };
+    return this.#table.pickByRendezvous(name, key, options);
   }
 
   /** Sends work to a replica; `undefined` if its connection is closed. */
@@ -134,16 +134,13 @@
     if (member === undefined) return undefined;
     this.#attemptCount += 1;
     const attemptId = `${this.#services.incarnation}.${this.#attemptCount}`;
-    const { isTwoPhase } = work;
-    const attempt = new attempts.Attempt(
-      { attemptId, isTwoPhase },
-      member.connection,
-      () => {
-        this.#attempts.delete(attemptId);
-        onEnd();
-      },
-    );
-    const revision = this.#options.holder.revision;
+    const { revision } = this.#options.holder;
+    const forget = () => {
+      this.#attempts.delete(attemptId);
+      onEnd();
+    };
+    const call = { attemptId, isTwoPhase: work.isTwoPhase };
+    const attempt = new attempts.Attempt(call, member.connection, forget);
     // Recorded before sending, so that the receiver's events are ordered after it.
     this.#services.timeline.record("attempt.sent", {
       requestId: work.requestId,
@@ -166,10 +163,9 @@
     proposal: pinLookups.PinProposal,
     options: { readonly copies: number; readonly timeoutMs: number },
   ): Promise<readonly mesh.FrameOf<"pinned">[]> {
-    const processIds = decisions.rankByRendezvous(
-      [...this.#currentMembers.keys()],
-      proposal.sessionId,
-    ).slice(0, options.copies);
+    const ids = [...this.#currentMembers.keys()];
+    const processIds = decisions.rankByRendezvous(ids, proposal.sessionId)
+      .slice(0, options.copies);
     const connections = processIds.map((processId) =>
       (this.#currentMembers.get(processId) as Member).connection
     );
@@ -312,8 +308,7 @@
       case "pull":
         return this.#distributor.handlePull(connection, frame.heldRevision);
       case "pinned":
-        this.#pinLookup.handleReply(frame);
-        return;
+        return this.#pinLookup.handleReply(frame);
       default:
         return;
     }
@@ -324,7 +319,7 @@
     frame: Extract<mesh.Frame, { attemptId: string }>,
   ): void {
     const attempt = this.#attempts.get(frame.attemptId);
-    if (attempt === undefined || attempt.connection !== connection) {
+    if (attempt?.connection !== connection) {
       this.#services.metrics.increment("mesh.late-frame");
       return;
     }
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -7,6 +7,7 @@
 import type * as attempts from "./attempt.ts";
 import type * as admissions from "./admission.ts";
 import type * as dispatchers from "./dispatcher.ts";
+import type * as sends from "./send.ts";
 import type * as requests from "./request.ts";
 import type * as watchdogs from "./watchdog.ts";
 
@@ -111,7 +112,7 @@
     };
     const queriedKeys = await dispatcher.queryLoads(request, options);
     const outcome = await new Promise<
-      | { sent: dispatchers.SentAttempt; result: AttemptResult }
+      | { sent: sends.SentAttempt; result: AttemptResult }
       | admissions.Refusal
     >((resolve) => {
       let head: attempts.ResponseHead | undefined;
@@ -161,7 +162,7 @@
   }
 
   /** Cancels the attempt on a time-out, at the deadline, or when the caller disconnects. */
-  #watchAttempt(sent: dispatchers.SentAttempt): () => void {
+  #watchAttempt(sent: sends.SentAttempt): () => void {
     const { route, deadlineAtMs, signal } = this.#request;
     const isIdempotent = route.kind === "idempotent";
     const responseTimeoutAtMs = sent.sentAtMs +
@@ -178,7 +179,7 @@
     }, signal);
   }
 
-  #recordResult(sent: dispatchers.SentAttempt, result: AttemptResult): void {
+  #recordResult(sent: sends.SentAttempt, result: AttemptResult): void {
     const dispatcher = this.#dispatcher;
     const { state } = sent;
     this.#sendCount += 1;
@@ -199,7 +200,7 @@
   }
 
   #recordRun(
-    sent: dispatchers.SentAttempt,
+    sent: sends.SentAttempt,
     result: Exclude<AttemptResult, { type: "not-run" }>,
   ): void {
     const tookMs = this.#dispatcher.nowMs - sent.sentAtMs;
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -76,13 +76,11 @@
   /** The next watch waits only briefly, to confirm the view. */
   #needsConfirmation = false;
   #loop: Promise<void> | undefined;
-  readonly #pauseMs: number;
 
   constructor(options: ControlTaskOptions) {
     this.#options = options;
     this.#viewAge = new ages.ViewAge(options.clock);
     this.#removals = new removals.RemovalDelay(options.clock);
-    this.#pauseMs = decisions.computeWatchPauseMs(options.changeBoundMs);
   }
 
   get routeIndex(): bundle.RouteIndex | undefined {
@@ -121,12 +119,10 @@
   /** Waits for the first read; returns at once while the control plane fails. */
   async waitForView(timeoutMs: number): Promise<void> {
     if (this.#hasView || this.#failingSinceMs !== undefined) return;
-    const timeoutAbort = new AbortController();
-    await Promise.race([
-      this.#firstRead,
-      kernel.sleep(timeoutMs, timeoutAbort.signal),
-    ]);
-    timeoutAbort.abort();
+    const timeout = new AbortController();
+    const slept = kernel.sleep(timeoutMs, timeout.signal);
+    await Promise.race([this.#firstRead, slept]);
+    timeout.abort();
   }
 
   /**
@@ -176,7 +172,9 @@
 
   async #run(): Promise<void> {
     const { signal } = this.#abort;
-    await kernel.sleep(this.#options.random() * START_JITTER_MS, signal);
+    const { random, changeBoundMs } = this.#options;
+    const pauseMs = decisions.computeWatchPauseMs(changeBoundMs);
+    await kernel.sleep(random() * START_JITTER_MS, signal);
     let retryMs = FIRST_RETRY_MS;
     while (!signal.aborted) {
       const result = this.#revision === undefined
@@ -185,7 +183,7 @@
       if (signal.aborted) return;
       if (result.isOk()) {
         retryMs = FIRST_RETRY_MS;
-        if (result.value.needsPause) await kernel.sleep(this.#pauseMs, signal);
+        if (result.value.needsPause) await kernel.sleep(pauseMs, signal);
         continue;
       }
       if (result.error.kind === "history-lost") {
@@ -196,7 +194,7 @@
         continue;
       }
       this.#recordFailure(result.error);
-      await kernel.sleep(retryMs * (0.5 + this.#options.random()), signal);
+      await kernel.sleep(retryMs * (0.5 + random()), signal);
       retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
     }
   }
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -15,6 +15,7 @@
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import type * as rollouts from "./rollout_task.ts";
+import type * as sends from "./send.ts";
 import type * as sessions from "./sessions.ts";
 import type * as telemetry from "./telemetry.ts";
 
@@ -45,39 +46,6 @@
   readonly random: () => number;
 }
 
-/** Options of one attempt. */
-export interface SendOptions {
-  readonly model: string | undefined;
-  readonly lastEventId: string | undefined;
-  /** IDs of replicas that must not be used. */
-  readonly excluded: ReadonlySet<string>;
-  /** Number of earlier attempts of this request. */
-  readonly earlierSends: number;
-  /** Result of `queryLoads`. */
-  readonly queriedKeys: ReadonlySet<number>;
-}
-
-/** An attempt in flight at a replica. */
-export interface SentAttempt {
-  readonly attempt: attempts.Attempt;
-  readonly state: replicas.ReplicaState;
-  readonly sentAtMs: number;
-  readonly cachedTokens: number;
-  /** Predicted prefill time of the prompt tokens that are not cached. */
-  readonly prefillMs: number;
-  /** Predicted prefill time of the prompts that were ahead of this one. */
-  readonly queuedMs: number;
-}
-
-/** Outcome of an attempt that its replica ran, or may have run. */
-export interface RunOutcome
-  extends Pick<decisions.VersionOutcome, "model" | "result" | "paceMs"> {
-  /** Time to the headers of a stream, or to the end of a buffered response; absent if none. */
-  readonly latencyMs: number | undefined;
-  /** This process itself was short of CPU time, so its measurements may be too high. */
-  readonly isLagging: boolean;
-}
-
 /** Sends the requests of one process. */
 export class Dispatcher {
   readonly dependencies: DispatcherDependencies;
@@ -123,7 +91,7 @@
    */
   async queryLoads(
     request: requests.AdmittedRequest,
-    options: Omit<SendOptions, "queriedKeys">,
+    options: Omit<sends.SendOptions, "queriedKeys">,
   ): Promise<ReadonlySet<number>> {
     const { table, fleet } = this.dependencies;
     const keys = table.listQueryKeys(this.#buildPlacement(request, options));
@@ -141,9 +109,9 @@
   /** Sends a request to the best replica that is not excluded. */
   send(
     request: requests.AdmittedRequest,
-    options: SendOptions,
+    options: sends.SendOptions,
     listener: attempts.AttemptListener,
-  ): neverthrow.Result<SentAttempt, admissions.Refusal> {
+  ): neverthrow.Result<sends.SentAttempt, admissions.Refusal> {
     const { table, codec, clock } = this.dependencies;
     const refusal = request.signal.aborted
       ? admissions.CALLER_GONE_REFUSAL
@@ -267,7 +235,7 @@
 
   logAttempt(
     request: requests.AdmittedRequest,
-    sent: SentAttempt,
+    sent: sends.SentAttempt,
     result: {
       readonly outcome: string;
       readonly reason?: string;
@@ -288,7 +256,7 @@
   }
 
   /** Records an attempt that its replica did not run. */
-  recordNotRun(sent: SentAttempt, reason: string): void {
+  recordNotRun(sent: sends.SentAttempt, reason: string): void {
     const { table } = this.dependencies;
     const { state } = sent;
     const { nowMs } = this;
@@ -300,8 +268,8 @@
   /** Records an attempt that ran: updates its replica's health and the evidence on its version. */
   recordRun(
     request: requests.AdmittedRequest,
-    sent: SentAttempt,
-    run: RunOutcome,
+    sent: sends.SentAttempt,
+    run: sends.RunOutcome,
   ): void {
     const { nowMs } = this;
     const { entry, key, health, evidence } = sent.state;
@@ -329,7 +297,7 @@
 
   #buildPlacement(
     request: requests.AdmittedRequest,
-    options: Pick<SendOptions, "model" | "excluded">,
+    options: Pick<sends.SendOptions, "model" | "excluded">,
   ): replicas.PlacementRequest {
     const { fields, service, route } = request;
     return {
@@ -375,7 +343,7 @@
 
   #chooseEnginePriority(
     request: requests.AdmittedRequest,
-    options: SendOptions,
+    options: sends.SendOptions,
   ): number | undefined {
     if (options.model === undefined) return undefined;
     const priority = request.account?.priority ?? request.route.priority;
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -1,15 +1,14 @@
 /**
  * The replicas that this process knows: their connections, load in flight,
- * health, and the prompt parts that they probably have in their caches.
+ * health, and the prompt prefixes that they probably have in their caches.
  */
 import type * as bundle from "@jackdawbank/bundle";
 import * as decisions from "@jackdawbank/decisions";
 import type * as peers from "@jackdawbank/peers";
 import * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
+import * as prefixes from "./prefix_memory.ts";
 
-/** Largest number of prompt parts remembered per replica. */
-const MAX_CACHED_PARTS = 4_000;
 /** Time in which a replica is avoided after an attempt that it did not run. */
 const AVOID_BUSY_MS = 150;
 /** Time in which a replica is avoided after its address answered as another replica. */
@@ -26,8 +25,7 @@
   readonly health: decisions.ReplicaHealth;
   /** What this process tells others about the replica's answers. */
   readonly evidence: decisions.ReplicaEvidence;
-  /** Time of the last prefill by cache key, least recent first. */
-  readonly prefilledAtMsByPart: Map<string, number>;
+  readonly prefixes: prefixes.PrefixMemory;
   inFlight: number;
   /** Predicted prefill time of this process's pending prompts. */
   pendingMs: number;
@@ -82,26 +80,6 @@
   readonly state: ReplicaState;
 }
 
-/** Cache key of a prompt part; engines cache per model. */
-function buildCacheKey(model: string | undefined, partId: string): string {
-  return `${model ?? ""}/${partId}`;
-}
-
-/**
- * Prompt prefix that other requests probably share: all parts but the last. `key`
- * is the ID of the last shared part.
- */
-export function findSharedPrefix(
-  parts: readonly ports.PromptPart[],
-): { readonly key: string | undefined; readonly tokens: number } {
-  const shared = parts.slice(0, -1);
-  const last = shared.at(-1);
-  return {
-    key: last?.id,
-    tokens: shared.reduce((sum, part) => sum + part.tokens, 0),
-  };
-}
-
 function isAvailable(state: ReplicaState, nowMs: number): boolean {
   return !state.health.isEjected(nowMs) && state.avoidUntilMs <= nowMs;
 }
@@ -251,16 +229,7 @@
   ): void {
     state.pendingMs = Math.max(0, state.pendingMs - prefill.prefillMs);
     this.#options.onLoadChanged(state.key, "decrease");
-    for (const part of prefill.parts) {
-      const key = buildCacheKey(prefill.model, part.id);
-      state.prefilledAtMsByPart.delete(key);
-      state.prefilledAtMsByPart.set(key, prefill.nowMs);
-    }
-    while (state.prefilledAtMsByPart.size > MAX_CACHED_PARTS) {
-      const [oldest] = state.prefilledAtMsByPart.keys();
-      if (oldest === undefined) break;
-      state.prefilledAtMsByPart.delete(oldest);
-    }
+    state.prefixes.record(prefill);
   }
 
   /** Records the end of an attempt and subtracts the prefill time that it still had pending. */
@@ -343,7 +312,7 @@
       }),
       health: new decisions.ReplicaHealth(),
       evidence: new decisions.ReplicaEvidence(),
-      prefilledAtMsByPart: new Map(),
+      prefixes: new prefixes.PrefixMemory(),
       inFlight: 0,
       pendingMs: 0,
       lastByteAtMs: -Infinity,
@@ -372,13 +341,13 @@
   }
 
   #buildPlacement(request: PlacementRequest): decisions.PromptPlacement {
-    const sharedPrefix = findSharedPrefix(request.parts);
+    const sharedPrefix = prefixes.findSharedPrefix(request.parts);
     return {
       promptTokens: request.promptTokens,
       prefillMsPerToken: request.prefillMsPerToken,
       affinityKey: sharedPrefix.key === undefined
         ? undefined
-        : buildCacheKey(request.model, sharedPrefix.key),
+        : prefixes.buildCacheKey(request.model, sharedPrefix.key),
       sharedTokens: sharedPrefix.tokens,
     };
   }
@@ -396,7 +365,10 @@
       inFlight: state.inFlight + peerLoad.running,
       pendingMs: state.pendingMs + peerLoad.pendingMs,
       slots: state.entry.slots,
-      cachedTokens: this.#countCachedTokens(state, request),
+      cachedTokens: state.prefixes.countTokens(
+        request,
+        this.#options.prefixReuseWindowMs,
+      ),
       failureRate: Math.max(
         state.health.failureRate,
         decisions.estimateFailureRate(evidence),
@@ -405,20 +377,4 @@
         state.health.meanLatencyMs,
     };
   }
-
-  /** Tokens of leading prompt parts that the replica recently processed for this model. */
-  #countCachedTokens(state: ReplicaState, request: PlacementRequest): number {
-    let tokens = 0;
-    for (const part of request.parts) {
-      const prefilledAtMs = state.prefilledAtMsByPart.get(
-        buildCacheKey(request.model, part.id),
-      );
-      if (
-        prefilledAtMs === undefined ||
-        request.nowMs - prefilledAtMs > this.#options.prefixReuseWindowMs
-      ) break;
-      tokens += part.tokens;
-    }
-    return tokens;
-  }
 }
--- /dev/null
+++ b/packages/router/src/send.ts
@@ -0,0 +1,37 @@
+/** One send of a request to a replica: its options, its state and its outcome. */
+import type * as decisions from "@jackdawbank/decisions";
+import type * as attempts from "./attempt.ts";
+import type * as replicas from "./replica_table.ts";
+
+/** Options of one attempt. */
+export interface SendOptions {
+  readonly model: string | undefined;
+  readonly lastEventId: string | undefined;
+  /** IDs of replicas that must not be used. */
+  readonly excluded: ReadonlySet<string>;
+  /** Number of earlier attempts of this request. */
+  readonly earlierSends: number;
+  /** Result of `queryLoads`. */
+  readonly queriedKeys: ReadonlySet<number>;
+}
+
+/** An attempt in flight at a replica. */
+export interface SentAttempt {
+  readonly attempt: attempts.Attempt;
+  readonly state: replicas.ReplicaState;
+  readonly sentAtMs: number;
+  readonly cachedTokens: number;
+  /** Predicted prefill time of the prompt tokens that are not cached. */
+  readonly prefillMs: number;
+  /** Predicted prefill time of the prompts that were ahead of this one. */
+  readonly queuedMs: number;
+}
+
+/** Outcome of an attempt that its replica ran, or may have run. */
+export interface RunOutcome
+  extends Pick<decisions.VersionOutcome, "model" | "result" | "paceMs"> {
+  /** Time to the headers of a stream, or to the end of a buffered response; absent if none. */
+  readonly latencyMs: number | undefined;
+  /** This process itself was short of CPU time, so its measurements may be too high. */
+  readonly isLagging: boolean;
+}
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -1,9 +1,11 @@
 /** State of one attempt of a stream exchange, and the classification of its end. */
 import * as check from "./response_check.ts";
 import type * as attempts from "./attempt.ts";
-import type * as dispatchers from "./dispatcher.ts";
-import type * as splitting from "./event_splitter.ts";
+import type * as sends from "./send.ts";
+import * as splitting from "./event_splitter.ts";
 
+/** With more prefill ahead of a prompt, the time to its first byte is no pace of its version. */
+const MAX_QUEUED_FOR_PACE_MS = 50;
 /** Result of one attempt. */
 export type StreamAttemptResult =
   | { readonly type: "complete" }
@@ -17,7 +19,7 @@
 
 /** State of one attempt. */
 export interface StreamAttempt {
-  sent: dispatchers.SentAttempt | undefined;
+  sent: sends.SentAttempt | undefined;
   verdict: check.HeadVerdict | undefined;
   head: attempts.ResponseHead | undefined;
   result: StreamAttemptResult | undefined;
@@ -33,6 +35,23 @@
   isPrefilled: boolean;
 }
 
+/** Creates the state of an attempt that is about to be sent. */
+export function createStreamAttempt(startedAtMs: number): StreamAttempt {
+  return {
+    sent: undefined,
+    verdict: undefined,
+    head: undefined,
+    result: undefined,
+    splitter: new splitting.EventSplitter(),
+    body: [],
+    bodyBytes: 0,
+    startedAtMs,
+    headAtMs: undefined,
+    lastEventAtMs: startedAtMs,
+    isPrefilled: false,
+  };
+}
+
 /** Classifies the end of an attempt; a possibly truncated stream counts as lost. */
 export function classifyEnd(
   current: StreamAttempt,
@@ -52,3 +71,25 @@
     ? { type: "complete" }
     : { type: "lost", reason: "unframed response; it may be truncated" };
 }
+
+/** Time to the head of an attempt's response, and its pace as evidence on the version. */
+export function measurePace(current: StreamAttempt, nowMs: number): {
+  readonly latencyMs: number | undefined;
+  /** Time between events, or to the head if there was none; absent if it says nothing. */
+  readonly paceMs: number | undefined;
+  readonly hasEventGaps: boolean;
+} {
+  const { headAtMs, startedAtMs, sent, splitter } = current;
+  const hasEventGaps = splitter.count > 1;
+  if (headAtMs === undefined) {
+    return { latencyMs: undefined, paceMs: undefined, hasEventGaps };
+  }
+  const latencyMs = headAtMs - startedAtMs;
+  if (hasEventGaps) {
+    const paceMs = (nowMs - headAtMs) / splitter.count;
+    return { latencyMs, paceMs, hasEventGaps };
+  }
+  // The wait behind other prompts says nothing about the version.
+  const hasWaited = (sent?.queuedMs ?? 0) > MAX_QUEUED_FOR_PACE_MS;
+  return { latencyMs, paceMs: hasWaited ? undefined : latencyMs, hasEventGaps };
+}
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -10,15 +10,13 @@
 import type * as attempts from "./attempt.ts";
 import type * as admissions from "./admission.ts";
 import type * as dispatchers from "./dispatcher.ts";
-import * as splitting from "./event_splitter.ts";
+import type * as sends from "./send.ts";
 import type * as requests from "./request.ts";
 import * as streamAttempts from "./stream_attempt.ts";
 import type * as watchdogs from "./watchdog.ts";
 
 /** Time-out for the first byte, in multiples of the route's target latency. */
 const FIRST_BYTE_TIMEOUT_FACTOR = 1;
-/** With more prefill ahead of a prompt, the time to its first byte is no pace of its version. */
-const MAX_QUEUED_FOR_PACE_MS = 50;
 /** Share of a stream's time-out after which the load of its replica is watched closely. */
 const LOAD_QUERY_SHARE = 0.5;
 /** Prefill rate of an engine that also serves other requests; extends that time-out. */
@@ -112,19 +110,7 @@
       options,
     );
     const startedAtMs = this.#dispatcher.nowMs;
-    const current: streamAttempts.StreamAttempt = {
-      sent: undefined,
-      verdict: undefined,
-      head: undefined,
-      result: undefined,
-      splitter: new splitting.EventSplitter(),
-      body: [],
-      bodyBytes: 0,
-      startedAtMs,
-      headAtMs: undefined,
-      lastEventAtMs: startedAtMs,
-      isPrefilled: false,
-    };
+    const current = streamAttempts.createStreamAttempt(startedAtMs);
     const refusal = await new Promise<admissions.Refusal | undefined>(
       (resolve) => {
         const sendResult = this.#dispatcher.send(this.#request, {
@@ -355,16 +341,14 @@
 
   #recordRun(
     current: streamAttempts.StreamAttempt,
-    sent: dispatchers.SentAttempt,
+    sent: sends.SentAttempt,
     result: streamAttempts.StreamAttemptResult,
   ): void {
     const { nowMs } = this.#dispatcher;
-    const events = current.splitter.count;
-    const { headAtMs } = current;
-    const latencyMs = headAtMs === undefined
-      ? undefined
-      : headAtMs - current.startedAtMs;
-    const hasEventGaps = events > 1;
+    const { latencyMs, paceMs, hasEventGaps } = streamAttempts.measurePace(
+      current,
+      nowMs,
+    );
     this.#dispatcher.recordRun(this.#request, sent, {
       // Event intervals and first-byte times differ in scale and are compared separately.
       model: `${this.#model ?? ""}/${hasEventGaps ? "pace" : "start"}`,
@@ -373,12 +357,7 @@
         ? "failed"
         : "whole",
       latencyMs,
-      paceMs: headAtMs !== undefined && hasEventGaps
-        ? (nowMs - headAtMs) / events
-        // The wait behind other prompts says nothing about the version.
-        : sent.queuedMs <= MAX_QUEUED_FOR_PACE_MS
-        ? latencyMs
-        : undefined,
+      paceMs,
       isLagging: this.#watchdog.isLagging,
     });
   }
--- a/packages/upstream/src/entry_tracker.ts
+++ b/packages/upstream/src/entry_tracker.ts
@@ -15,6 +15,13 @@
 /** A ping round that is later than this means that the process was paused. */
 const MAX_PING_DELAY_MS = 500;
 
+/**
+ * Work is held if its entry last checked the store longer ago than this. A
+ * withdrawal then takes effect within its bound of 4 s even if this process or
+ * the entry was paused or partitioned.
+ */
+const MAX_STORE_CHECK_AGE_MS = 3_500;
+
 interface PendingPing {
   readonly connection: mesh.MeshConnection;
   readonly sentAtMs: number;
@@ -66,13 +73,21 @@
    * a socket while this process was paused. After a pause the age is infinite
    * until the entry has answered again, since a newer bundle may be buffered too.
    */
-  readStoreCheckAgeMs(connection: mesh.MeshConnection): number {
+  #readStoreCheckAgeMs(connection: mesh.MeshConnection): number {
     this.#resetAfterPause();
     const checkedAtMs = this.#storeCheckedAtMs.get(connection) ??
       Number.NEGATIVE_INFINITY;
     return this.#services.clock.monotonicMs() - checkedAtMs;
   }
 
+  /**
+   * Whether an entry checked the store recently. If not, it or this process may
+   * have missed a bundle, and it may no longer be there to receive the response.
+   */
+  isFresh(connection: mesh.MeshConnection): boolean {
+    return this.#readStoreCheckAgeMs(connection) <= MAX_STORE_CHECK_AGE_MS;
+  }
+
   close(): void {
     clearInterval(this.#timer);
     void this.#teardown();
--- a/packages/upstream/src/gate.ts
+++ b/packages/upstream/src/gate.ts
@@ -16,12 +16,6 @@
 const CLAIM_TIMEOUT_MS = 3_000;
 const COMMIT_TIMEOUT_MS = 2_000;
 const REVISION_WAIT_MS = 1_000;
-/**
- * Work is held if its entry last checked the store longer ago than this. A
- * withdrawal then takes effect within its bound of 4 s even if this process or
- * the entry was paused or partitioned.
- */
-const MAX_STORE_CHECK_AGE_MS = 3_500;
 const PING_TIMEOUT_MS = 400;
 const IDLE_POLL_INTERVAL_MS = 20;
 /** Well below the time that an entry waits for a refusal after the deadline. */
@@ -136,7 +130,9 @@
     connection: mesh.MeshConnection,
     frame: mesh.FrameOf<"work">,
   ): Promise<void> {
-    const work = this.#addWork(connection, frame);
+    const nowMs = this.#services.clock.monotonicMs();
+    const work = works.createWork(connection, frame, nowMs);
+    this.#active.set(frame.attemptId, work);
     if (!await this.#waitForEntryRevision(work)) return;
     const refusal = await this.#findRefusalWithFreshView(work);
     if (refusal !== undefined) {
@@ -176,16 +172,6 @@
     }
   }
 
-  #addWork(
-    connection: mesh.MeshConnection,
-    frame: mesh.FrameOf<"work">,
-  ): works.ActiveWork {
-    const nowMs = this.#services.clock.monotonicMs();
-    const work = works.createWork(connection, frame, nowMs);
-    this.#active.set(frame.attemptId, work);
-    return work;
-  }
-
   /** Waits until the bundle is at least as new as the entry's; refuses the work on a timeout. */
   async #waitForEntryRevision(work: works.ActiveWork): Promise<boolean> {
     const { holder, entries } = this.#options;
@@ -263,7 +249,7 @@
 
   /** Queues the work held for an entry again if the entry has now checked the store. */
   releaseHeldWork(connection: mesh.MeshConnection): void {
-    if (!this.#isEntryFresh(connection)) return;
+    if (!this.#options.entries.isFresh(connection)) return;
     for (const work of this.#queue.removeHeld(connection)) this.#enqueue(work);
   }
 
@@ -290,20 +276,12 @@
       );
       for (const item of expired) this.#refuse(item, "deadline-before-run");
       if (work === undefined) return;
-      if (this.#isEntryFresh(work.connection)) void this.#reserveAndRun(work);
-      else this.#hold(work);
+      if (this.#options.entries.isFresh(work.connection)) {
+        void this.#reserveAndRun(work);
+      } else this.#hold(work);
     }
   }
 
-  /**
-   * Whether the entry checked the store recently. If not, it or this process may
-   * have missed a bundle, and it may no longer be there to receive the response.
-   */
-  #isEntryFresh(connection: mesh.MeshConnection): boolean {
-    return this.#options.entries.readStoreCheckAgeMs(connection) <=
-      MAX_STORE_CHECK_AGE_MS;
-  }
-
   #hold(work: works.ActiveWork): void {
     if (!this.#queue.hold(work)) return;
     this.#options.entries.ping(work.connection);
@@ -359,20 +337,16 @@
       body: frame.body,
       priority: frame.priority,
       signal: work.abort.signal,
-      findRefusal: () => this.#findSendRefusal(work),
+      findRefusal: () =>
+        this.#options.entries.isFresh(work.connection)
+          ? this.#check(work)
+          : "stale-configuration",
     }, work.sink);
     clearTimeout(timer);
     if (result.isOk()) this.#complete(work, result.value);
     else this.#handleRunFailure(work, result.error);
   }
 
-  /** Checks work again when its connection to the upstream is ready, which may take long. */
-  #findSendRefusal(work: works.ActiveWork): kernel.ErrorKind | undefined {
-    return this.#isEntryFresh(work.connection)
-      ? this.#check(work)
-      : "stale-configuration";
-  }
-
   /** Reports that the deadline passed during the run. A two-phase call is not aborted. */
   #handleDeadline(work: works.ActiveWork): void {
     works.sendRefusal(work, "deadline-after-run", "the deadline passed");
@@ -416,15 +390,10 @@
   }
 
   #recordEvent(name: string, work: works.ActiveWork, detail?: string): void {
-    const { requestId, attemptId, account, call } = work.frame;
-    const target = works.formatTarget(call);
-    this.#services.timeline.record(name, {
-      requestId,
-      attemptId,
-      account,
-      target,
-      revision: this.#options.holder.revision,
-      ...(detail === undefined ? {} : { detail }),
-    });
+    const { revision } = this.#options.holder;
+    this.#services.timeline.record(
+      name,
+      works.describeEvent(work, revision, detail),
+    );
   }
 }
--- a/packages/upstream/src/gate_work.ts
+++ b/packages/upstream/src/gate_work.ts
@@ -90,6 +90,23 @@
   return call.type === "model" ? `${call.model}@${call.version}` : call.service;
 }
 
+/** Fields of a timeline event about work. */
+export function describeEvent(
+  work: ActiveWork,
+  revision: number,
+  detail: string | undefined,
+): kernel.EventFields {
+  const { requestId, attemptId, account, call } = work.frame;
+  return {
+    requestId,
+    attemptId,
+    account,
+    target: formatTarget(call),
+    revision,
+    ...(detail === undefined ? {} : { detail }),
+  };
+}
+
 /** Tells the entry that work was refused or has failed. */
 export function sendRefusal(
   work: ActiveWork,
