--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -3,16 +3,20 @@
 import * as readline from "node:readline";
 import * as url from "node:url";
 
-/** Programs that tests start; `bundle_programs.ts` makes one file of each. */
+/** Programs that tests start; `bundle_programs.ts` bundles them. */
 export const PROGRAM_NAMES = ["jackdawd", "jackdawctl", "fakes"] as const;
 
 export type ProgramName = typeof PROGRAM_NAMES[number];
 
 const START_TIMEOUT_MS = 15_000;
 
-/** Path of a program's bundle. */
-export function findProgram(name: ProgramName): string {
-  return url.fileURLToPath(new URL(`programs/${name}.mjs`, import.meta.url));
+/** Folder of the programs' bundles. */
+export const PROGRAM_FOLDER = url.fileURLToPath(
+  new URL("programs", import.meta.url),
+);
+
+function findProgram(name: ProgramName): string {
+  return `${PROGRAM_FOLDER}/${name}.mjs`;
 }
 
 export class TestProcess {
