Peers are told only what the store itself confirmed

A process passed on the age that it had learnt from a peer plus 300 ms. Ruled out: the longer waits and pauses of watches, which confirm the moment of their sending.

--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -69,7 +69,6 @@
   readonly #firstRead = new Promise<void>((resolve) => {
     this.#resolveFirstRead = resolve;
   });
-  /** Newest applied revision of the control plane. */
   #revision: number | undefined;
   #behindSinceMs: number | undefined;
   #interruptWatch: ((reason: string) => void) | undefined;
@@ -107,9 +106,10 @@
 
   /** View reported to peers; absent before the first read. */
   get view(): peers.ControlPlaneView | undefined {
-    return this.#revision === undefined || !this.#hasView
+    const confirmedAgeMs = this.#viewAge.directAgeMs;
+    return this.#revision === undefined || !Number.isFinite(confirmedAgeMs)
       ? undefined
-      : { revision: this.#revision, confirmedAgeMs: this.viewAgeMs };
+      : { revision: this.#revision, confirmedAgeMs };
   }
 
   start(): void {
