drain_test: probes that take a fraction of the running request

A probe took as long as the request that it ran beside (30 tokens of 30 ms), so one that was accepted just before the signal outlasted it.

--- a/packages/bench/src/drain_test.ts
+++ b/packages/bench/src/drain_test.ts
@@ -115,7 +115,9 @@
   const ended = running.then(() => isRunning = false);
   await processes.waitFor(
     "a new request is not served",
-    async () => (await caller.chat({ model: "verse-small" })).status !== 200,
+    async () =>
+      (await caller.chat({ model: "verse-small", maxTokens: 1 })).status !==
+        200,
   );
   t.true(isRunning, "new requests were served until the running one ended");
   await ended;
