--- a/packages/peers/src/peer_reporter.ts
+++ b/packages/peers/src/peer_reporter.ts
@@ -117,9 +117,6 @@
     const nowMs = this.#options.clock.monotonicMs();
     if (this.#wasPaused()) this.#trustsViewsFromMs = nowMs + DISTRUST_MS;
     this.#checkedAt = decisions.readClocks(this.#options.clock);
-    const loads = this.#options.source.listLoads().filter((load) =>
-      load.pendingMs >= MIN_PENDING_MS
-    );
     const outcomes = this.#options.source.listVersionOutcomes();
     const failures = sumFailures(outcomes);
     const hasNewFailures = failures > this.#reportedFailures;
@@ -128,6 +125,9 @@
     const receivers = this.table.listReceivers();
     if (!isDue || receivers.length === 0) return;
     if (!this.#budget.canSend(nowMs)) return;
+    const loads = this.#options.source.listLoads().filter((load) =>
+      load.pendingMs >= MIN_PENDING_MS
+    );
     this.#sentAtMs = nowMs;
     this.#reportedFailures = failures;
     this.#send(receivers, {
