Control task: logs tell how late a change came and why

What made a late change late could not be told from the logs: control.caught-up gives the time since a peer first knew more (a lost watch), heldBackMs of replica.gone the time that a removal waited after an outage. The supervision of the watch moves to a file of its own; its rules are unchanged.

--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -14,12 +14,10 @@
 import * as removals from "./removal_delay.ts";
 import type * as telemetry from "./telemetry.ts";
 import * as ages from "./view_age.ts";
+import * as supervisors from "./watch_supervisor.ts";
 
-const CONFIRMATION_CHECK_INTERVAL_MS = 100;
 /** Wait of a watch whose only purpose is to confirm the view soon. */
 const CONFIRM_WAIT_MS = 100;
-/** Time for which peers may report newer revisions before the watch is considered dead. */
-const MAX_BEHIND_MS = 1_500;
 /** Wait of a watch while the control plane fails; short, so that even a slow answer is in time. */
 const PROBE_WAIT_MS = 50;
 const FIRST_RETRY_MS = 100;
@@ -70,8 +68,7 @@
     this.#resolveFirstRead = resolve;
   });
   #revision: number | undefined;
-  #behindSinceMs: number | undefined;
-  #interruptWatch: ((reason: string) => void) | undefined;
+  readonly #supervisor: supervisors.WatchSupervisor;
   /** The next watch waits only briefly, to confirm the view. */
   #needsConfirmation = false;
   #loop: Promise<void> | undefined;
@@ -80,6 +77,10 @@
     this.#options = options;
     this.#viewAge = new ages.ViewAge(options.clock);
     this.#removals = new removals.RemovalDelay(options.clock);
+    this.#supervisor = new supervisors.WatchSupervisor({
+      ...options,
+      readViewAgeMs: () => this.viewAgeMs,
+    });
   }
 
   get routeIndex(): bundle.RouteIndex | undefined {
@@ -132,13 +133,8 @@
    */
   applyPeerView(view: peers.ControlPlaneView): void {
     if (this.#revision === undefined || !this.#hasView) return;
-    const nowMs = this.#options.clock.monotonicMs();
     if (view.revision > this.#revision) {
-      this.#behindSinceMs ??= nowMs;
-      if (nowMs - this.#behindSinceMs <= MAX_BEHIND_MS) return;
-      this.#behindSinceMs = undefined;
-      this.#interruptWatch?.("a peer reports a newer revision");
-      return;
+      return this.#supervisor.recordNews(view.revision);
     }
     this.#viewAge.confirmFromPeer(view.confirmedAgeMs);
   }
@@ -218,6 +214,7 @@
       this.#hasView = true;
       this.#resolveFirstRead();
       this.#revision = revision;
+      this.#supervisor.recordCaughtUp(revision);
       this.#viewAge.confirm(sentAt);
       return { needsPause: true };
     });
@@ -229,7 +226,7 @@
     const sentAt = decisions.readClocks(this.#options.clock);
     const waitMs = this.#chooseWaitMs();
     const interruption = new AbortController();
-    const stop = this.#superviseWatch(waitMs, interruption);
+    const stop = this.#supervisor.supervise(waitMs, interruption);
     const changes = await this.#options.controlPlane.waitForChanges(
       afterRevision,
       waitMs,
@@ -251,7 +248,7 @@
         isFullWait ? decisions.addDuration(sentAt, waitMs) : sentAt,
       );
       this.#revision = Math.max(afterRevision, revision);
-      this.#behindSinceMs = undefined;
+      this.#supervisor.recordCaughtUp(this.#revision);
       return { needsPause: items.length > 0 || !isFullWait };
     });
   }
@@ -264,35 +261,6 @@
       : decisions.chooseWatchWaitMs(countConfirmingPeers(), random());
   }
 
-  /** Interrupts a long watch when no peer confirms the view, or peers have a newer one. */
-  #superviseWatch(
-    waitMs: number,
-    interruption: AbortController,
-  ): () => void {
-    const selfConfirmAgeMs = decisions.chooseSelfConfirmAgeMs(
-      this.#options.random(),
-    );
-    const interrupt = (reason: string) => {
-      if (interruption.signal.aborted) return;
-      this.#options.log.addNotable("control.watch-interrupted", {
-        reason,
-        viewAgeMs: Math.round(this.viewAgeMs),
-      });
-      interruption.abort();
-    };
-    this.#interruptWatch = interrupt;
-    const isShortWatch = waitMs <= decisions.DEFAULT_WATCH_WAIT_MS;
-    const timer = setInterval(() => {
-      if (!isShortWatch && this.viewAgeMs > selfConfirmAgeMs) {
-        interrupt("no peer confirmed the view");
-      }
-    }, CONFIRMATION_CHECK_INTERVAL_MS);
-    return () => {
-      clearInterval(timer);
-      this.#interruptWatch = undefined;
-    };
-  }
-
   #applyItem(item: ports.ControlItem): void {
     const { log } = this.#options;
     switch (item.type) {
@@ -367,9 +335,15 @@
 
   #removeReplica(id: string, reason: string): void {
     if (!this.#replicas.has(id) || this.#removals.isPending(id)) return;
+    const { clock, log } = this.#options;
+    const knownAtMs = clock.monotonicMs();
     this.#removals.schedule(id, () => {
       this.#replicas.delete(id);
-      this.#options.log.addNotable("replica.gone", { replica: id, reason });
+      log.addNotable("replica.gone", {
+        replica: id,
+        reason,
+        heldBackMs: Math.round(clock.monotonicMs() - knownAtMs),
+      });
       this.#options.listener.onReplicaRemoved(id);
     });
   }
