A lost watch is noticed within the bound for changes

Cause: all changes come by one watch. If its answer is lost, only the reports of peers tell. The patience with them was fixed (1,500 ms), looked at only when a report arrived (up to a second apart), and came on top of the pause of the peers (0.3 of the bound): up to 3.1 s and a call, against bounds of 2 and 3 s. Class: time limits that stand beside each other and were never added up against the bound that they share.

Now the patience is a share of the bound, counted from the sending of the watch and checked by a timer; it doubles while new watches do not answer either. In small fleets a new revision is reported within about 100 ms.

Ruled out: that requests are bound to an old table when read late (they are bound at admission, which follows the request's last byte or its head), and the wait for a connection (500 ms at most).

--- /dev/null
+++ b/packages/bench/src/platform_change_test.ts
@@ -0,0 +1,91 @@
+/** Tests that changes of the control plane are in force within their bound. */
+import * as ava from "ava";
+import * as kernel from "@jackdawbank/kernel";
+import type * as router from "@jackdawbank/router";
+import * as harnesses from "./platform_harness.ts";
+
+// Serial, because concurrent tests would distort the delays that they check.
+const test = ava.default.serial;
+const { ROUTES, withHarness } = harnesses;
+
+/** Bound for changes, as on the installations that have the shortest one. */
+const CHANGE_BOUND_MS = 2_000;
+
+/** Passes calls on, and on demand loses the answer of the watch that is waiting. */
+class LossyWatches {
+  isLosing = false;
+  hasLost = false;
+
+  wrap(plane: router.ControlPlane): router.ControlPlane {
+    return new Proxy(plane, {
+      get: (target, property) => {
+        if (property === "waitForChanges") {
+          return async (
+            ...call: Parameters<router.ControlPlane["waitForChanges"]>
+          ) => {
+            const result = await target.waitForChanges(...call);
+            const signal = call[2];
+            if (!this.isLosing || result.isErr()) return result;
+            this.isLosing = false;
+            this.hasLost = true;
+            await kernel.sleep(60_000, signal);
+            return result;
+          };
+        }
+        const value: unknown = Reflect.get(target, property);
+        return typeof value === "function" ? value.bind(target) : value;
+      },
+    });
+  }
+}
+
+// Guards against CONFIG and DRAIN: a machine whose watch got no answer kept the old routes
+// and used leaving replicas for longer than the bound, though its peers knew better.
+test("a machine whose watch was lost takes a configuration and a leaving mark within the bound", (t) =>
+  withHarness(async (harness) => {
+    const leaving = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    const staying = await harness.addReplica(
+      "i-2",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    const settings = { changeBoundMs: CHANGE_BOUND_MS };
+    const watches = new LossyWatches();
+    await harness.start(settings, (plane) => watches.wrap(plane));
+    const otherEntry = new harnesses.PlatformHarness(harness.store, "edge-2");
+    t.teardown(() => otherEntry.router.close());
+    await otherEntry.startRouter(settings);
+    for (const entry of [harness, otherEntry]) {
+      await entry.waitFor(() => entry.findLogLines("peer.known").length >= 2);
+    }
+    await kernel.sleep(1_500);
+    watches.isLosing = true;
+    harness.store.putConfiguration(
+      harnesses.buildConfiguration({ version: 41, tenants: [] }),
+    );
+    harness.store.put(
+      "servers/i-1",
+      leaving.buildEntry("desk", { state: "draining" }),
+    );
+    const changedAtMs = performance.now();
+    await harness.waitFor(() => watches.hasLost);
+    await harness.waitFor(() =>
+      harness.findLogLines("config.taken").some(({ tableRevision }) =>
+        tableRevision === 41
+      )
+    );
+    await harness.waitFor(() =>
+      harness.findLogLines("replica.known").some(({ replica, isDraining }) =>
+        replica === "i-1" && isDraining === true
+      )
+    );
+    const tookMs = performance.now() - changedAtMs;
+    t.true(tookMs < CHANGE_BOUND_MS, `${Math.round(tookMs)} ms`);
+    t.is(harness.findLogLines("control.watch-interrupted").length, 1);
+    t.is((await harness.call(ROUTES.check)).status, 200);
+    t.is(staying.received.length, 1);
+  }));
--- a/packages/bench/src/platform_harness.ts
+++ b/packages/bench/src/platform_harness.ts
@@ -107,15 +107,20 @@
 
   async startRouter(
     overrides: Partial<router.RouterSettings> = {},
+    wrapControlPlane: (plane: router.ControlPlane) => router.ControlPlane = (
+      plane,
+    ) => plane,
   ): Promise<void> {
     const clock = new kernel.SystemClock();
     this.#log = new router.DecisionLog(clock, { vm: this.#vmName }, this.#sink);
     this.#router = new router.Router({
       settings: { ...BASE_SETTINGS, vmName: this.#vmName, ...overrides },
-      controlPlane: new platform.PlatformStore({
-        host: "127.0.0.1",
-        port: this.store.port,
-      }),
+      controlPlane: wrapControlPlane(
+        new platform.PlatformStore({
+          host: "127.0.0.1",
+          port: this.store.port,
+        }),
+      ),
       codec: new platform.PlatformCodec(),
       clock,
       log: this.#log,
@@ -126,11 +131,14 @@
   }
 
   /** Stores a configuration unless there is one, starts the router and waits until it is ready. */
-  async start(overrides: Partial<router.RouterSettings> = {}): Promise<void> {
+  async start(
+    overrides: Partial<router.RouterSettings> = {},
+    wrapControlPlane?: (plane: router.ControlPlane) => router.ControlPlane,
+  ): Promise<void> {
     if (!this.store.hasConfiguration) {
       this.store.putConfiguration(buildConfiguration());
     }
-    await this.startRouter(overrides);
+    await this.startRouter(overrides, wrapControlPlane);
     await this.waitFor(() => this.router.isReady);
   }
 
--- a/packages/decisions/src/freshness.ts
+++ b/packages/decisions/src/freshness.ts
@@ -82,6 +82,18 @@
   );
 }
 
+/** Share of the bound for changes for which a watch may stay without the change that a peer knows. */
+const WATCH_PATIENCE_SHARE = 0.15;
+
+/**
+ * Time after a peer's news of a change after which the watch that has not brought it
+ * is sent again. The change comes in time even if the peer itself learnt of it after
+ * a pause, its report took some time, and the first new watch is lost as well.
+ */
+export function computeWatchPatienceMs(changeBoundMs: number): number {
+  return WATCH_PATIENCE_SHARE * changeBoundMs;
+}
+
 /** Bounds of the age of the view at which a process ends a long watch to confirm the view itself. */
 const MIN_SELF_CONFIRM_AGE_MS = 1_600;
 const MAX_SELF_CONFIRM_AGE_MS = 2_400;
--- a/packages/peers/src/peer_reporter.ts
+++ b/packages/peers/src/peer_reporter.ts
@@ -11,6 +11,8 @@
 
 /** Longest interval between reports. */
 const REPORT_INTERVAL_MS = 1_000;
+/** A new revision is reported after this time for each receiver, at most after the interval. */
+const NEWS_DELAY_PER_RECEIVER_MS = 30;
 const CHECK_INTERVAL_MS = 100;
 /** Smaller loads are not reported, since they hardly delay other requests. */
 const MIN_PENDING_MS = 10;
@@ -69,6 +71,7 @@
   /** Newest outcomes by peer, service, roll-out order and route. */
   readonly #latestOutcomes = new Map<string, reports.VersionOutcomes>();
   #reportedFailures = 0;
+  #reportedRevision: number | undefined;
   #number = 0;
   #checkedAt: decisions.ClockReading;
   #trustsViewsFromMs = -Infinity;
@@ -120,9 +123,16 @@
     const outcomes = this.#options.source.listVersionOutcomes();
     const failures = sumFailures(outcomes);
     const hasNewFailures = failures > this.#reportedFailures;
-    const isDue = nowMs - this.#sentAtMs >= REPORT_INTERVAL_MS ||
-      this.#queuedSessions.size > 0 || hasNewFailures;
     const receivers = this.table.listReceivers();
+    const revision = this.#options.source.readView()?.revision;
+    const intervalMs = revision === this.#reportedRevision
+      ? REPORT_INTERVAL_MS
+      : Math.min(
+        REPORT_INTERVAL_MS,
+        NEWS_DELAY_PER_RECEIVER_MS * receivers.length,
+      );
+    const isDue = nowMs - this.#sentAtMs >= intervalMs ||
+      this.#queuedSessions.size > 0 || hasNewFailures;
     if (!isDue || receivers.length === 0) return;
     if (!this.#budget.canSend(nowMs)) return;
     const loads = this.#options.source.listLoads().filter((load) =>
@@ -130,6 +140,7 @@
     );
     this.#sentAtMs = nowMs;
     this.#reportedFailures = failures;
+    this.#reportedRevision = revision;
     this.#send(receivers, {
       loads,
       running: this.#options.source.listRunning(),
--- a/packages/peers/src/peer_reporter_test.ts
+++ b/packages/peers/src/peer_reporter_test.ts
@@ -30,6 +30,8 @@
   readonly sessions: string[];
   readonly peerOutcomes: reports.VersionOutcomes[];
   readonly views: reports.ControlPlaneView[];
+  /** View of the reporting process itself; mutable. */
+  readonly own: { view: reports.ControlPlaneView | undefined };
   readonly localOutcomes: reports.VersionOutcomes[];
   readonly reportEvents: string[];
 }
@@ -44,6 +46,7 @@
     sessions: [] as string[],
     peerOutcomes: [] as reports.VersionOutcomes[],
     views: [] as reports.ControlPlaneView[],
+    own: { view: undefined as reports.ControlPlaneView | undefined },
     localOutcomes: [] as reports.VersionOutcomes[],
     reportEvents: [] as string[],
   };
@@ -54,7 +57,7 @@
     source: {
       listLoads: () => setting.loads,
       listRunning: () => [],
-      readView: () => undefined,
+      readView: () => setting.own.view,
       listVersionOutcomes: () => setting.localOutcomes,
     },
     listener: {
@@ -247,3 +250,37 @@
   advance(setting, 5_000);
   t.true(setting.channel.sent.length - sentAfterRollout <= 6);
 });
+
+// Guards against CONFIG and DRAIN: a peer whose watch was lost heard of a change up to a second
+// later, which was half of the bound for changes.
+test("a new revision is reported soon in a small fleet, and once", (t) => {
+  const setting = startReporter(t);
+  setting.own.view = { revision: 9, confirmedAgeMs: 10 };
+  advance(setting, 1_500);
+  const sentBefore = setting.channel.sent.length;
+  setting.own.view = { revision: 10, confirmedAgeMs: 10 };
+  advance(setting, 110);
+  t.is(setting.channel.sent.length, sentBefore + 1);
+  t.is(setting.channel.sent.at(-1)?.view?.revision, 10);
+  advance(setting, 500);
+  t.is(setting.channel.sent.length, sentBefore + 1);
+});
+
+test("in a large fleet new revisions do not add reports, as peers hear of them from others", (t) => {
+  const setting = startReporter(t);
+  for (let at = 3; at <= 69; at += 1) {
+    setting.reporter.table.put({
+      name: `edge-${at}`,
+      host: `10.0.0.${at}`,
+      port: 9,
+    });
+  }
+  let revision = 0;
+  for (let second = 0; second < 5; second += 1) {
+    revision += 1;
+    setting.own.view = { revision, confirmedAgeMs: 10 };
+    advance(setting, 1_000);
+  }
+  const receiversOfOne = 23;
+  t.true(setting.channel.sent.length <= 6 * receiversOfOne);
+});
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -214,7 +214,7 @@
       this.#hasView = true;
       this.#resolveFirstRead();
       this.#revision = revision;
-      this.#supervisor.recordCaughtUp(revision);
+      this.#supervisor.recordAnswer(revision);
       this.#viewAge.confirm(sentAt);
       return { needsPause: true };
     });
@@ -248,7 +248,7 @@
         isFullWait ? decisions.addDuration(sentAt, waitMs) : sentAt,
       );
       this.#revision = Math.max(afterRevision, revision);
-      this.#supervisor.recordCaughtUp(this.#revision);
+      this.#supervisor.recordAnswer(this.#revision);
       return { needsPause: items.length > 0 || !isFullWait };
     });
   }
--- a/packages/router/src/control_task_test.ts
+++ b/packages/router/src/control_task_test.ts
@@ -88,15 +88,20 @@
 
 test("a peer at a newer revision does not confirm the view, and a dead watch is interrupted", async (t) => {
   const { clock, plane, task } = await start(t);
-  for (let passedMs = 0; passedMs <= 1_400; passedMs += 200) {
+  for (let passedMs = 0; passedMs < 1_400; passedMs += 200) {
     clock.advance(200);
+    task.applyPeerView({ revision: 20, confirmedAgeMs: 10 });
+  }
+  const ageMs = task.viewAgeMs;
+  for (let passedMs = 0; passedMs < 200; passedMs += 50) {
     task.applyPeerView({ revision: 21, confirmedAgeMs: 10 });
+    clock.advance(50);
   }
-  t.true(task.viewAgeMs >= 1_400);
+  await kernel.sleep(120);
+  t.true(task.viewAgeMs >= ageMs + 200);
   t.is(plane.watches, 1);
-  clock.advance(400);
-  task.applyPeerView({ revision: 21, confirmedAgeMs: 10 });
-  await kernel.sleep(20);
+  clock.advance(200);
+  await kernel.sleep(120);
   t.is(plane.watches, 2);
 });
 
--- a/packages/router/src/watch_supervisor.ts
+++ b/packages/router/src/watch_supervisor.ts
@@ -7,15 +7,17 @@
 import type * as kernel from "@jackdawbank/kernel";
 import type * as logs from "./decision_log.ts";
 
-const CHECK_INTERVAL_MS = 100;
-/** Time for which peers may report newer revisions before the watch is considered dead. */
-const MAX_BEHIND_MS = 1_500;
+const CHECK_INTERVAL_MS = 50;
+/** Longest patience with a watch, after several were interrupted in vain. */
+const MAX_PATIENCE_MS = 1_500;
 
 /** Dependencies of the supervisor. */
 export interface WatchSupervisorOptions {
   readonly clock: kernel.Clock;
   readonly log: logs.DecisionLog;
   readonly random: () => number;
+  /** Time after which a change must be in force. */
+  readonly changeBoundMs: number;
   /** Time since the view was last confirmed as current. */
   readonly readViewAgeMs: () => number;
 }
@@ -23,61 +25,72 @@
 /** Interrupts a watch whose answer seems to be lost. */
 export class WatchSupervisor {
   readonly #options: WatchSupervisorOptions;
-  #interrupt: ((reason: string) => void) | undefined;
-  #behindSinceMs: number | undefined;
   /** Newest revision that peers reported, and when they first knew more than this process. */
   #news: { readonly revision: number; readonly atMs: number } | undefined;
+  /** Monotonic time at which the newest watch was sent. */
+  #watchSentAtMs = -Infinity;
+  #patienceMs: number;
 
   constructor(options: WatchSupervisorOptions) {
     this.#options = options;
+    this.#patienceMs = this.#firstPatienceMs;
   }
 
   /** Records that a peer knows a newer revision than this process. */
   recordNews(revision: number): void {
-    const nowMs = this.#options.clock.monotonicMs();
     this.#news = {
       revision: Math.max(revision, this.#news?.revision ?? 0),
-      atMs: this.#news?.atMs ?? nowMs,
+      atMs: this.#news?.atMs ?? this.#options.clock.monotonicMs(),
     };
-    this.#behindSinceMs ??= nowMs;
-    if (nowMs - this.#behindSinceMs <= MAX_BEHIND_MS) return;
-    this.#behindSinceMs = undefined;
-    this.#interrupt?.("a peer reports a newer revision");
   }
 
-  /** Records that changes up to a revision are in force. */
-  recordCaughtUp(revision: number): void {
-    this.#behindSinceMs = undefined;
-    if (this.#news === undefined || revision < this.#news.revision) return;
-    this.#options.log.addNotable("control.caught-up", {
-      revision,
-      behindMs: Math.round(this.#options.clock.monotonicMs() - this.#news.atMs),
-    });
-    this.#news = undefined;
+  /** Records an answer of the control plane: changes up to a revision are in force. */
+  recordAnswer(revision: number): void {
+    this.#patienceMs = this.#firstPatienceMs;
+    const news = this.#news;
+    if (news === undefined) return;
+    if (revision >= news.revision) {
+      const { clock, log } = this.#options;
+      log.addNotable("control.caught-up", {
+        revision,
+        behindMs: Math.round(clock.monotonicMs() - news.atMs),
+      });
+    }
+    // The answer to a watch that was sent after the news includes all that peers knew then.
+    const isOutdated = this.#watchSentAtMs > news.atMs;
+    if (revision >= news.revision || isOutdated) this.#news = undefined;
   }
 
   /** Starts to supervise a watch; returns the function that ends this. */
   supervise(waitMs: number, interruption: AbortController): () => void {
-    const { random, log, readViewAgeMs } = this.#options;
+    const { clock, random, log, readViewAgeMs } = this.#options;
     const selfConfirmAgeMs = decisions.chooseSelfConfirmAgeMs(random());
-    const interrupt = (reason: string) => {
-      if (interruption.signal.aborted) return;
+    const sentAtMs = clock.monotonicMs();
+    this.#watchSentAtMs = sentAtMs;
+    const isShortWatch = waitMs <= decisions.DEFAULT_WATCH_WAIT_MS;
+    const interrupt = (reason: string, behindMs?: number) => {
       log.addNotable("control.watch-interrupted", {
         reason,
         viewAgeMs: Math.round(readViewAgeMs()),
+        behindMs,
       });
       interruption.abort();
     };
-    this.#interrupt = interrupt;
-    const isShortWatch = waitMs <= decisions.DEFAULT_WATCH_WAIT_MS;
     const timer = setInterval(() => {
-      if (!isShortWatch && readViewAgeMs() > selfConfirmAgeMs) {
+      if (interruption.signal.aborted) return;
+      const behindMs = clock.monotonicMs() -
+        Math.max(sentAtMs, this.#news?.atMs ?? Infinity);
+      if (behindMs > this.#patienceMs) {
+        this.#patienceMs = Math.min(MAX_PATIENCE_MS, 2 * this.#patienceMs);
+        interrupt("a peer reports a newer revision", Math.round(behindMs));
+      } else if (!isShortWatch && readViewAgeMs() > selfConfirmAgeMs) {
         interrupt("no peer confirmed the view");
       }
     }, CHECK_INTERVAL_MS);
-    return () => {
-      clearInterval(timer);
-      this.#interrupt = undefined;
-    };
+    return () => clearInterval(timer);
+  }
+
+  get #firstPatienceMs(): number {
+    return decisions.computeWatchPatienceMs(this.#options.changeBoundMs);
   }
 }
