Replicas whose entries are missing after an outage give way to the others

One way to that: for 2 s after a process regains the store, a removed entry stays in full use, as its lease may have lapsed in the outage. A process that was cut off alone did the same; with its calls' time limits that reached 3.6 s after the cut, and machines count as in touch again after 3 s on the small installations (after 4 s on the others).

Cause: an outage of the store and the loss of one's own way to it were told apart by nothing. Class: a grace for one fault granted to another.

Now such replicas are doubtful: used only if fewer than half of their service's are certain, which is the mark of an outage. What is known of them is kept, and they count again once they are registered.

Ruled out: asking peers whether the store was away; their confirmations are up to 3 s old in small fleets.

--- a/packages/bench/src/platform_change_test.ts
+++ b/packages/bench/src/platform_change_test.ts
@@ -89,3 +89,37 @@
     t.is((await harness.call(ROUTES.check)).status, 200);
     t.is(staying.received.length, 1);
   }));
+
+// Guards against DRAIN: a machine that had been cut off alone used a replica that had left in
+// the meantime for 2 s more, as if the store's outage had ended the replica's lease.
+test("a machine that was cut off alone sends nothing to a replica that left in the meantime", (t) =>
+  withHarness(async (harness) => {
+    const leaving = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    for (const id of ["i-2", "i-3"]) {
+      await harness.addReplica(id, "desk", () => ({ type: "ok" }));
+    }
+    await harness.start();
+    harness.store.mode = "silent";
+    await harness.waitFor(() =>
+      harness.findLogLines("control.lost").length > 0
+    );
+    await kernel.sleep(800);
+    harness.store.remove("servers/i-1");
+    harness.store.mode = "up";
+    await harness.waitFor(() =>
+      harness.findLogLines("control.regained").length > 0
+    );
+    await harness.waitFor(() =>
+      harness.findLogLines("replica.doubtful").length > 0
+    );
+    const before = leaving.received.length;
+    for (let call = 0; call < 12; call += 1) {
+      t.is((await harness.call(ROUTES.check)).status, 200);
+    }
+    t.is(leaving.received.length, before);
+    t.is(harness.findLogLines("replica.gone").length, 0);
+  }));
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -30,6 +30,8 @@
 /** Called for each change of the view. */
 export interface ControlListener {
   onReplica(replica: ports.ReplicaEntry): void;
+  /** The replica's entry is missing, perhaps only because its lease expired in an outage. */
+  onReplicaDoubtful(id: string): void;
   onReplicaRemoved(id: string): void;
   onRouteTable(index: bundle.RouteIndex): void;
   onPeer(peer: ports.PeerEntry): void;
@@ -346,6 +348,9 @@
       });
       this.#options.listener.onReplicaRemoved(id);
     });
+    if (!this.#removals.isPending(id)) return;
+    log.addNotable("replica.doubtful", { replica: id, reason });
+    this.#options.listener.onReplicaDoubtful(id);
   }
 
   #recordFailure(error: kernel.AppError): void {
--- a/packages/router/src/control_task_test.ts
+++ b/packages/router/src/control_task_test.ts
@@ -53,6 +53,7 @@
     changeBoundMs: 2_000,
     listener: {
       onReplica: () => {},
+      onReplicaDoubtful: () => {},
       onReplicaRemoved: () => {},
       onRouteTable: () => {},
       onPeer: () => {},
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -13,6 +13,8 @@
 const AVOID_BUSY_MS = 150;
 /** Time in which a replica is avoided after its address answered as another replica. */
 const AVOID_MISDIRECTED_MS = 1_000;
+/** With a smaller share of certain replicas, the doubtful ones are used as well. */
+const MIN_CERTAIN_SHARE = 0.5;
 /** Assumed number of processes that share a replica's connections, until peers are known. */
 const DEFAULT_PROCESS_COUNT = 6;
 
@@ -32,6 +34,8 @@
   /** Monotonic time at which the newest byte was received from the replica. */
   lastByteAtMs: number;
   avoidUntilMs: number;
+  /** Its entry is missing, perhaps only because its lease expired in an outage. */
+  isDoubtful: boolean;
   isRemoved: boolean;
 }
 
@@ -101,11 +105,18 @@
     return this.#states.size;
   }
 
-  /** Replicas of a service that are not draining. */
+  /**
+   * Replicas of a service that are not draining. Doubtful ones are left out unless
+   * so many are that an outage must be the reason.
+   */
   listActive(service: string): readonly ReplicaState[] {
-    return [...this.#statesByService.get(service) ?? []].filter((state) =>
-      !state.entry.isDraining
-    );
+    const active = [...this.#statesByService.get(service) ?? []].filter((
+      state,
+    ) => !state.entry.isDraining);
+    const certain = active.filter((state) => !state.isDoubtful);
+    return certain.length >= MIN_CERTAIN_SHARE * active.length
+      ? certain
+      : active;
   }
 
   countReplicas(service: string, version: string): number {
@@ -124,7 +135,7 @@
       existing.entry.address.port === entry.address.port;
     if (existing !== undefined && !isSameProcess) this.remove(entry.id);
     const state: ReplicaState = isSameProcess
-      ? Object.assign(existing, { entry })
+      ? Object.assign(existing, { entry, isDoubtful: false })
       : this.#createState(entry);
     this.#states.set(entry.id, state);
     this.#stateByKey.set(state.key, state);
@@ -143,6 +154,12 @@
     this.#statesByService.get(state.entry.service)?.delete(state);
   }
 
+  /** Marks a replica whose entry is missing after an outage of the control plane. */
+  markDoubtful(id: string): void {
+    const state = this.#states.get(id);
+    if (state !== undefined) state.isDoubtful = true;
+  }
+
   /** Whether an available replica that is not excluded has a free connection. */
   hasAvailable(
     service: string,
@@ -317,6 +334,7 @@
       pendingMs: 0,
       lastByteAtMs: -Infinity,
       avoidUntilMs: -Infinity,
+      isDoubtful: false,
       isRemoved: false,
     };
   }
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -136,3 +136,21 @@
   t.is(table.pick(buildRequest()), undefined);
   table.close();
 });
+
+// Guards against DRAIN: after an outage, a replica whose entry was missing was used like the others.
+ava.default(
+  "a doubtful replica is used only if most of its service are doubtful",
+  (t) => {
+    const table = createTable();
+    for (const id of ["r1", "r2", "r3", "r4"]) table.put(buildEntry(id));
+    const listIds = () => table.listActive("llm").map(({ entry }) => entry.id);
+    table.markDoubtful("r1");
+    t.deepEqual(listIds(), ["r2", "r3", "r4"]);
+    table.markDoubtful("r2");
+    t.deepEqual(listIds(), ["r3", "r4"]);
+    table.markDoubtful("r3");
+    t.deepEqual(listIds(), ["r1", "r2", "r3", "r4"]);
+    table.put(buildEntry("r3"));
+    t.deepEqual(listIds(), ["r3", "r4"]);
+  },
+);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -115,6 +115,7 @@
       changeBoundMs: settings.changeBoundMs,
       listener: {
         onReplica: (entry) => this.#table.put(entry),
+        onReplicaDoubtful: (id) => this.#table.markDoubtful(id),
         onReplicaRemoved: (id) => this.#table.remove(id),
         onRouteTable: (index) => {
           this.#table.setServices(index.serviceByName);
