--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -240,6 +240,10 @@
       readonly outcome: string;
       readonly reason?: string;
       readonly status?: number;
+      /** Complete events of a stream. */
+      readonly events?: number;
+      /** Time from the send to the head of the response. */
+      readonly headMs?: number | undefined;
     },
   ): void {
     const { log, telemetry } = this.dependencies;
@@ -252,7 +256,13 @@
       ...result,
     };
     if (result.outcome === "whole") log.addRoutine("attempt.ended", fields);
-    else log.addNotable("attempt.ended", fields);
+    else {
+      const promptParts = request.fields.promptParts.map(({ id }) => id);
+      log.addNotable("attempt.ended", {
+        ...fields,
+        ...(promptParts.length === 0 ? {} : { promptParts }),
+      });
+    }
   }
 
   /** Records an attempt that its replica did not run. */
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -72,6 +72,15 @@
     : { type: "lost", reason: "unframed response; it may be truncated" };
 }
 
+/** Time from the start of an attempt to the head of its response, in whole milliseconds. */
+export function measureHeadMs(
+  { headAtMs, startedAtMs }: StreamAttempt,
+): number | undefined {
+  return headAtMs === undefined
+    ? undefined
+    : Math.round(headAtMs - startedAtMs);
+}
+
 /** Time to the head of an attempt's response, and its pace as evidence on the version. */
 export function measurePace(current: StreamAttempt, nowMs: number): {
   readonly latencyMs: number | undefined;
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -336,6 +336,8 @@
       outcome: result.type === "complete" ? "whole" : result.type,
       ...("reason" in result ? { reason: result.reason } : {}),
       ...(result.type === "failed" ? { status: result.head.status } : {}),
+      events: current.splitter.count,
+      headMs: streamAttempts.measureHeadMs(current),
     });
   }
 
