Parts of prompts on which replicas crash are quarantined

Cause: nothing connected a crash with what was asked. A lost answer counted against its replica and its version only, at each entry by itself. Class: evidence that is kept under one key although the fault belongs to another.

Now a part (never the last) is blamed for crashes that came before the answer began, since the last answer that did begin; recent answers raise the number that it takes, so that a shared first part is not condemned. Requests with the part are refused at once, as not run, also before a second attempt.

--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -24,6 +24,7 @@
 export * from "./versions.ts";
 export * from "./freshness.ts";
 export * from "./model_choice.ts";
+export * from "./prompt_blame.ts";
 export * from "./replica_choice.ts";
 export * from "./replica_evidence.ts";
 export * from "./replica_health.ts";
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -33,6 +33,7 @@
   "no-upstream": { status: 503, notRun: true, retry: "later" },
   "overloaded": { status: 503, notRun: true, retry: "later" },
   "stale-configuration": { status: 503, notRun: true, retry: "later" },
+  "prompt-quarantined": { status: 503, notRun: true, retry: "later" },
   "leaving": { status: 503, notRun: true, retry: "later" },
   "claim-unavailable": { status: 503, notRun: true, retry: "same-key" },
   "claim-moved": { status: 503, notRun: true, retry: "same-key" },
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -4,6 +4,8 @@
 export * from "./load_message.ts";
 export * from "./peer_table.ts";
 export * from "./peer_reporter.ts";
+export * from "./prompt_exchange.ts";
+export * from "./prompt_message.ts";
 export * from "./report.ts";
 export * from "./report_budget.ts";
 export * from "./replica_owners.ts";
--- a/packages/peers/src/replica_owners.ts
+++ b/packages/peers/src/replica_owners.ts
@@ -32,6 +32,11 @@
     return this.#peers.get(this.#findName(replicaKey));
   }
 
+  /** All announced peers. */
+  list(): readonly tables.PeerEndpoint[] {
+    return [...this.#peers.values()];
+  }
+
   /** Announced peer of a name, if its datagrams come from this host. */
   findSender(name: string, host: string): tables.PeerEndpoint | undefined {
     const peer = this.#peers.get(name);
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -36,7 +36,12 @@
   /** A complete response was received. */
   | { readonly type: "whole" }
   /** The request was sent, but no complete response was received. */
-  | { readonly type: "lost"; readonly reason: string };
+  | {
+    readonly type: "lost";
+    readonly reason: string;
+    /** This process ended it, not the replica or the connection. */
+    readonly isGivenUp: boolean;
+  };
 
 /** Receives the response as it arrives; `onEnd` is called exactly once. */
 export interface AttemptListener {
@@ -91,7 +96,9 @@
   /** Aborts the attempt; closing the connection makes the replica stop. */
   cancel(reason: string): void {
     this.#finish(
-      this.#isSent ? { type: "lost", reason } : { type: "unsent", reason },
+      this.#isSent
+        ? { type: "lost", reason, isGivenUp: true }
+        : { type: "unsent", reason },
     );
   }
 
@@ -141,7 +148,7 @@
         onResponseError: (_controller, error) =>
           this.#finish(
             this.#isSent
-              ? { type: "lost", reason: error.message }
+              ? { type: "lost", reason: error.message, isGivenUp: false }
               : { type: "unsent", reason: error.message },
           ),
       });
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -36,6 +36,8 @@
   onRouteTable(index: bundle.RouteIndex): void;
   onPeer(peer: ports.PeerEntry): void;
   onPeerRemoved(name: string): void;
+  onQuarantinedPart(partId: string): void;
+  onQuarantinedPartRemoved(partId: string): void;
 }
 
 /** Dependencies of the task. */
@@ -286,6 +288,10 @@
         return this.#applyOrder(item.order);
       case "rollout-record":
         return this.applyRecord(item.record);
+      case "quarantined-part":
+        return this.#options.listener.onQuarantinedPart(item.partId);
+      case "quarantined-part-gone":
+        return this.#options.listener.onQuarantinedPartRemoved(item.partId);
       case "unreadable":
         log.addNotable("control.unreadable", { reason: item.reason });
         return;
--- a/packages/router/src/control_task_test.ts
+++ b/packages/router/src/control_task_test.ts
@@ -58,6 +58,8 @@
       onRouteTable: () => {},
       onPeer: () => {},
       onPeerRemoved: () => {},
+      onQuarantinedPart: () => {},
+      onQuarantinedPartRemoved: () => {},
     },
   });
   task.start();
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -12,6 +12,7 @@
 import type * as fleets from "./fleet.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
+import type * as quarantines from "./prompt_quarantine.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import type * as rollouts from "./rollout_task.ts";
@@ -39,6 +40,7 @@
   readonly admission: admissions.Admission;
   readonly table: replicas.ReplicaTable;
   readonly rollouts: rollouts.RolloutTask;
+  readonly quarantine: quarantines.PromptQuarantine;
   readonly fleet: fleets.Fleet;
   readonly sessions: sessions.SessionTable;
   readonly log: logs.DecisionLog;
@@ -72,9 +74,7 @@
     excluded: ReadonlySet<string>,
   ): boolean {
     if (!this.canRetry(request.service)) return false;
-    if (
-      this.dependencies.admission.checkConfigurationAge(request) !== undefined
-    ) return false;
+    if (this.#findRefusal(request) !== undefined) return false;
     const versionPreference = this.#chooseVersionPreference(request);
     const { table } = this.dependencies;
     return table.hasAvailable(request.service, {
@@ -113,9 +113,7 @@
     listener: attempts.AttemptListener,
   ): neverthrow.Result<sends.SentAttempt, admissions.Refusal> {
     const { table, codec, clock } = this.dependencies;
-    const refusal = request.signal.aborted
-      ? admissions.CALLER_GONE_REFUSAL
-      : this.dependencies.admission.checkConfigurationAge(request);
+    const refusal = this.#findRefusal(request);
     if (refusal !== undefined) return neverthrow.err(refusal);
     const { fields, service } = request;
     const latencyTracker = this.getLatencyTracker(service);
@@ -305,6 +303,16 @@
     });
   }
 
+  /** Why a request must not be sent now, whatever the replicas are. */
+  #findRefusal(
+    request: requests.AdmittedRequest,
+  ): admissions.Refusal | undefined {
+    if (request.signal.aborted) return admissions.CALLER_GONE_REFUSAL;
+    const { admission, quarantine } = this.dependencies;
+    return admission.checkConfigurationAge(request) ??
+      quarantine.check(request);
+  }
+
   #buildPlacement(
     request: requests.AdmittedRequest,
     options: Pick<sends.SendOptions, "model" | "excluded">,
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -25,10 +25,17 @@
   extends Omit<peers.ReportSource, "listLoads" | "listRunning"> {
   /** Keys of all known replicas. */
   listReplicaKeys(): readonly number[];
+  /** What peers should know of suspected parts of prompts. */
+  listPromptTallies(): readonly peers.PartTally[];
   /** What this process has at a replica. */
   readOwnLoad(replicaKey: number): decisions.ReplicaLoadState;
 }
 
+/** Receives what peers tell. */
+export interface FleetListener extends peers.ReportListener {
+  onPromptTallies(message: peers.PromptMessage): void;
+}
+
 /** Dependencies of the fleet. */
 export interface FleetOptions {
   readonly settings: ports.RouterSettings;
@@ -38,7 +45,7 @@
   readonly telemetry: telemetry.Telemetry;
   readonly random: () => number;
   readonly source: FleetSource;
-  readonly listener: peers.ReportListener;
+  readonly listener: FleetListener;
   /** Called when the number of announced processes changes. */
   readonly onSizeChange: (processes: number) => void;
 }
@@ -50,6 +57,7 @@
   readonly #abort = new AbortController();
   #reporter: peers.PeerReporter | undefined;
   #loads: peers.LoadExchange | undefined;
+  #prompts: peers.PromptExchange | undefined;
   readonly #owners: peers.ReplicaOwners;
   #lease: ports.PeerLease | undefined;
   #sleepAbort: AbortController | undefined;
@@ -100,6 +108,15 @@
       onMessage: (what) => telemetry.countEvent(`loads.${what}`),
     });
     this.#loads = loads;
+    this.#prompts = new peers.PromptExchange({
+      name: settings.vmName,
+      clock,
+      channel: channels.prompts,
+      listPeers: () => this.#owners.list(),
+      findSender: (name, host) => this.#owners.findSender(name, host),
+      listTallies: () => source.listPromptTallies(),
+      onTallies: (message) => listener.onPromptTallies(message),
+    });
     this.#reporter = new peers.PeerReporter({
       name: settings.vmName,
       clock,
@@ -195,6 +212,11 @@
     };
   }
 
+  /** Tells peers of suspected parts of prompts. */
+  recordSuspicion(): void {
+    this.#prompts?.recordChange();
+  }
+
   /** Tells peers which version a session runs on. */
   shareSession(item: peers.SessionVersion): void {
     this.#reporter?.shareSession(item);
@@ -215,6 +237,7 @@
       kernel.sleep(MAX_WITHDRAWAL_WAIT_MS),
     ]);
     this.#loads?.close();
+    this.#prompts?.close();
     this.#reporter?.close();
   }
 
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -75,6 +75,9 @@
   | { readonly type: "peer-gone"; readonly name: string }
   | { readonly type: "rollout-order"; readonly order: RolloutOrder }
   | { readonly type: "rollout-record"; readonly record: RolloutRecord }
+  /** A part of prompts on which replicas crash. */
+  | { readonly type: "quarantined-part"; readonly partId: string }
+  | { readonly type: "quarantined-part-gone"; readonly partId: string }
   | { readonly type: "unreadable"; readonly reason: string }
   | { readonly type: "other" };
 
@@ -109,6 +112,11 @@
   writeRollout(
     record: RolloutRecord,
   ): Promise<kernel.Outcome<RolloutWriteResult>>;
+  /** Stores that a part of prompts is quarantined for a time; succeeds also if it was stored before. */
+  writeQuarantine(
+    partId: string,
+    durationMs: number,
+  ): Promise<kernel.Outcome<void>>;
   /** Announces this process to its peers. */
   announcePeer(peer: PeerEntry): Promise<kernel.Outcome<PeerLease>>;
   /** Resolves to false if the lease has expired. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -9,6 +9,7 @@
 import * as fleets from "./fleet.ts";
 import * as callerServers from "./caller_server.ts";
 import type * as ports from "./ports.ts";
+import * as quarantines from "./prompt_quarantine.ts";
 import * as replicas from "./replica_table.ts";
 import * as rollouts from "./rollout_task.ts";
 import * as sessions from "./sessions.ts";
@@ -61,6 +62,7 @@
   readonly #control: controls.ControlTask;
   readonly #rollouts: rollouts.RolloutTask;
   readonly #fleet: fleets.Fleet;
+  readonly #quarantine: quarantines.PromptQuarantine;
   readonly #sessions: sessions.SessionTable;
   readonly #watchdog: watchdogs.Watchdog;
   readonly #callerServer: callerServers.CallerServer;
@@ -83,6 +85,13 @@
       readPeerLoad: (key) => this.#fleet.readLoad(key),
       onLoadChanged: (key, change) => this.#fleet.recordLoadChange(key, change),
     });
+    this.#quarantine = new quarantines.PromptQuarantine({
+      clock,
+      controlPlane,
+      log,
+      telemetry: this.#telemetry,
+      onSuspicion: () => this.#fleet.recordSuspicion(),
+    });
     this.#fleet = new fleets.Fleet({
       settings,
       clock,
@@ -96,12 +105,15 @@
           this.#table.readOwnLoad(key, this.#options.clock.monotonicMs()),
         readView: () => this.#control.view,
         listVersionOutcomes: () => this.#rollouts.listVersionOutcomes(),
+        listPromptTallies: () => this.#quarantine.listTallies(),
       },
       listener: {
         onSession: (item) => this.#recordPeerSession(item),
         onView: (view) => this.#control.applyPeerView(view),
         onVersionOutcomes: (outcomes) =>
           this.#rollouts.recordPeerOutcomes(outcomes),
+        onPromptTallies: (message) =>
+          this.#quarantine.recordPeerTallies(message),
       },
       onSizeChange: (processes) => this.#table.setProcessCount(processes),
     });
@@ -123,6 +135,8 @@
         },
         onPeer: (peer) => this.#fleet.put(peer),
         onPeerRemoved: (name) => this.#fleet.remove(name),
+        onQuarantinedPart: (id) => this.#quarantine.applyStored(id),
+        onQuarantinedPartRemoved: (id) => this.#quarantine.lift(id),
       },
     });
     this.#rollouts = new rollouts.RolloutTask({
@@ -146,6 +160,7 @@
         admission: new admissions.Admission(this.#control, settings),
         table: this.#table,
         rollouts: this.#rollouts,
+        quarantine: this.#quarantine,
         fleet: this.#fleet,
         sessions: this.#sessions,
         log,
@@ -232,6 +247,7 @@
     this.#readiness.closeAllConnections();
     this.#metrics?.close();
     this.#rollouts.close();
+    this.#quarantine.close();
     this.#watchdog.close();
     this.#table.close();
     await this.#fleet.close();
@@ -282,6 +298,7 @@
   #updateGauges(): void {
     this.#telemetry.setGauge("requests_in_flight", this.#callerServer.inFlight);
     this.#telemetry.setGauge("replicas", this.#table.size);
+    this.#telemetry.setGauge("quarantined_parts", this.#quarantine.size);
     this.#telemetry.setGauge(
       "view_age_ms",
       Math.min(MAX_VIEW_AGE_GAUGE_MS, this.#control.viewAgeMs),
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -33,6 +33,8 @@
   lastEventAtMs: number;
   /** The replica has processed the prompt. */
   isPrefilled: boolean;
+  /** The replica or the connection ended the attempt, not this process. */
+  isBrokenOff: boolean;
 }
 
 /** Creates the state of an attempt that is about to be sent. */
@@ -49,9 +51,17 @@
     headAtMs: undefined,
     lastEventAtMs: startedAtMs,
     isPrefilled: false,
+    isBrokenOff: false,
   };
 }
 
+/** Whether the replica broke off the attempt before the first event of its answer. */
+export function isLostBeforeAnswer(
+  { result, isBrokenOff, splitter }: StreamAttempt,
+): boolean {
+  return result?.type === "lost" && isBrokenOff && splitter.count === 0;
+}
+
 /** Classifies the end of an attempt; a possibly truncated stream counts as lost. */
 export function classifyEnd(
   current: StreamAttempt,
--- /dev/null
+++ b/packages/router/src/stream_escalation.ts
@@ -0,0 +1,51 @@
+/** Whether a larger model is asked, once the head of a stream shows the smaller one's confidence. */
+import * as decisions from "@jackdawbank/decisions";
+import type * as dispatchers from "./dispatcher.ts";
+import type * as requests from "./request.ts";
+
+/** Share of the retry budget that escalations may use; the rest is kept for failures. */
+const ESCALATION_BUDGET_SHARE = 0.6;
+
+/** State of the exchange that the choice depends on. */
+export interface EscalationInput {
+  /** Model whose answer has begun. */
+  readonly model: string | undefined;
+  /** The model's confidence in its own answer, 0 to 100. */
+  readonly confidence: number | undefined;
+  /** Shortage of engine capacity; see `Dispatcher.measurePressure`. */
+  readonly pressure: number;
+  /** Attempts that replicas ran before. */
+  readonly runCount: number;
+  /** The caller has received a part of the answer. */
+  readonly isAnswerStarted: boolean;
+}
+
+/** Chooses the model to ask instead; `undefined` keeps the answer. */
+export function chooseEscalationModel(
+  dispatcher: dispatchers.Dispatcher,
+  request: requests.AdmittedRequest,
+  input: EscalationInput,
+): string | undefined {
+  const { route, account, fields, service } = request;
+  const { nowMs } = dispatcher;
+  const latencyTracker = dispatcher.getLatencyTracker(service);
+  const predictedMs = nowMs - request.receivedAtMs +
+    latencyTracker.predictFirstByteMs(
+      route.candidateModels.at(-1),
+      fields.promptTokens,
+      nowMs,
+    );
+  const canChangeModel = !input.isAnswerStarted &&
+    fields.lastEventId === undefined && fields.model === undefined;
+  return decisions.chooseEscalation({
+    sizes: route.candidateModels,
+    model: input.model,
+    confidence: input.confidence,
+    priority: account?.priority ?? route.priority,
+    canResend: canChangeModel && route.isResumable &&
+      input.runCount + 1 < route.maxAttempts &&
+      dispatcher.canRetry(service, ESCALATION_BUDGET_SHARE),
+    pressure: input.pressure,
+    predictedLatencyRatio: predictedMs / route.targetLatencyMs,
+  });
+}
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -13,6 +13,7 @@
 import type * as sends from "./send.ts";
 import type * as requests from "./request.ts";
 import * as streamAttempts from "./stream_attempt.ts";
+import * as escalations from "./stream_escalation.ts";
 import type * as watchdogs from "./watchdog.ts";
 
 /** Time-out for the first byte, in multiples of the route's target latency. */
@@ -21,8 +22,6 @@
 const LOAD_QUERY_SHARE = 0.5;
 /** Prefill rate of an engine that also serves other requests; extends that time-out. */
 const SHARED_PREFILL_TOKENS_PER_MS = 20;
-/** Share of the retry budget that escalations may use; the rest is kept for failures. */
-const ESCALATION_BUDGET_SHARE = 0.6;
 /** Attempts beyond the route's limit, after earlier ones were provably not run. */
 const MAX_ATTEMPTS_BEYOND_LIMIT = 2;
 const OVERLOADED_RETRY_AFTER_MS = 300;
@@ -121,6 +120,8 @@
           onData: (chunk) => this.#handleData(current, chunk),
           onEnd: (end) => {
             stopWatching?.();
+            current.isBrokenOff = end.type === "whole" ||
+              end.type === "lost" && !end.isGivenUp;
             current.result ??= streamAttempts.classifyEnd(current, end);
             if (current.result.type === "complete" && current.head) {
               this.#startResponse(current.head);
@@ -182,7 +183,17 @@
       nowMs,
     });
     const pressure = this.#dispatcher.measurePressure(service);
-    const model = this.#chooseEscalation(response.confidence, pressure);
+    const model = escalations.chooseEscalationModel(
+      this.#dispatcher,
+      this.#request,
+      {
+        model: this.#model,
+        confidence: response.confidence,
+        pressure,
+        runCount: this.#runCount,
+        isAnswerStarted: this.#writer.isStarted,
+      },
+    );
     this.#dispatcher.dependencies.log.addRoutine("answer.judged", {
       requestId: this.#request.requestId,
       replica: sent.state.entry.id,
@@ -203,34 +214,6 @@
     sent.attempt.cancel("escalated to a larger model");
   }
 
-  #chooseEscalation(
-    confidence: number | undefined,
-    pressure: number,
-  ): string | undefined {
-    const { route, account, fields, service } = this.#request;
-    const { nowMs } = this.#dispatcher;
-    const latencyTracker = this.#dispatcher.getLatencyTracker(service);
-    const predictedMs = nowMs - this.#request.receivedAtMs +
-      latencyTracker.predictFirstByteMs(
-        route.candidateModels.at(-1),
-        fields.promptTokens,
-        nowMs,
-      );
-    const canChangeModel = !this.#writer.isStarted &&
-      fields.lastEventId === undefined && fields.model === undefined;
-    return decisions.chooseEscalation({
-      sizes: route.candidateModels,
-      model: this.#model,
-      confidence,
-      priority: account?.priority ?? route.priority,
-      canResend: canChangeModel && route.isResumable &&
-        this.#runCount + 1 < route.maxAttempts &&
-        this.#dispatcher.canRetry(service, ESCALATION_BUDGET_SHARE),
-      pressure,
-      predictedLatencyRatio: predictedMs / route.targetLatencyMs,
-    });
-  }
-
   #handleData(current: streamAttempts.StreamAttempt, chunk: Buffer): void {
     const { nowMs } = this.#dispatcher;
     const { sent, head } = current;
@@ -250,6 +233,9 @@
       return;
     }
     if (completeEvents.count > 0) current.lastEventAtMs = nowMs;
+    if (completeEvents.count === current.splitter.count) {
+      this.#dispatcher.dependencies.quarantine.recordBegun(this.#request);
+    }
     this.#startResponse(head);
     this.#lastEventId = current.splitter.lastEventId ?? this.#lastEventId;
     if (this.#writer.write(completeEvents.bytes)) return;
@@ -320,7 +306,7 @@
     const { sent } = current;
     if (sent === undefined) return;
     const { state } = sent;
-    const { table } = this.#dispatcher.dependencies;
+    const { table, quarantine } = this.#dispatcher.dependencies;
     this.#sendCount += 1;
     this.#triedReplicaIds.add(state.entry.id);
     table.recordEnd(state, current.isPrefilled ? 0 : sent.prefillMs);
@@ -330,6 +316,12 @@
       this.#runCount += 1;
       if (!this.#request.signal.aborted) this.#recordRun(current, sent, result);
     }
+    if (streamAttempts.isLostBeforeAnswer(current)) {
+      quarantine.recordCrash(this.#request, {
+        replicaKey: state.key,
+        hadHead: current.verdict === "success",
+      });
+    }
     // A response dropped for low confidence is no reason to exclude its replica.
     if (result.type === "escalate") this.#triedReplicaIds.clear();
     this.#dispatcher.logAttempt(this.#request, sent, {
