Streams judge a version while they run, by the gaps between their events

Cause: the pace of a stream was known at its end, and slow streams end 10 s after their heads, after the trial. It was compared by route with streams of replicas under ten times the load: an idle bad replica (85 to 117 ms a gap) looked only twice as slow as the stable one (30 to 57 ms). Class: evidence that is the later, the worse it is.

Now the first seven gaps are judged by their median, which a long prompt at the replica does not change, against the newest streams of the stable version on the same model; a nearly idle replica is compared with the quick ones among them. A good version showed 19 to 26 ms in the trial and 23 to 38 ms after the move.

--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./engine_latency.ts";
 export * from "./fair_queue.ts";
 export * from "./rollout_guard.ts";
+export * from "./gap_baseline.ts";
 export * from "./hash.ts";
 export * from "./load_ledger.ts";
 export * from "./replica_table.ts";
--- a/packages/decisions/src/version_trial.ts
+++ b/packages/decisions/src/version_trial.ts
@@ -3,6 +3,7 @@
  * together, against the stable version. Only few failures of each replica count,
  * so that one faulty replica does not stop its version.
  */
+import * as gaps from "./gap_baseline.ts";
 import * as guards from "./rollout_guard.ts";
 
 /** Answers of the new version that are needed before its failures can stop it. */
@@ -42,6 +43,20 @@
   readonly endedAtMs: number;
 }
 
+/** Pace of a stream as evidence on its version. */
+export interface StreamEvidence
+  extends Pick<VersionOutcome, "route" | "replicaKey" | "model"> {
+  readonly pace: gaps.StreamPace;
+}
+
+/** What a version is to a trial. */
+export interface VersionContext {
+  /** Whether it is the version under trial. */
+  readonly isTarget: boolean;
+  /** Number of replicas of the version under trial. */
+  readonly replicas: number;
+}
+
 /** Answers lost at a replica that may have crashed. */
 interface PendingLoss {
   readonly routes: string[];
@@ -93,6 +108,7 @@
 export class VersionTrial {
   readonly #guards = new Map<string, guards.RolloutGuard>();
   readonly #paceBaselines = new Map<string, PaceBaseline>();
+  readonly #gapBaselines = new Map<string | undefined, gaps.GapBaseline>();
   readonly #failuresByReplica = new Map<number, number>();
   readonly #localCounts = new Map<string, RouteCounts>();
   readonly #losses = new Map<number, PendingLoss>();
@@ -133,12 +149,7 @@
   /** Records an answer of the version under trial or of the stable version. */
   recordOutcome(
     outcome: VersionOutcome,
-    context: {
-      /** Whether the answer is of the version under trial. */
-      readonly isTarget: boolean;
-      /** Number of replicas of the version under trial. */
-      readonly replicas: number;
-    },
+    context: VersionContext,
   ): void {
     const { route, replicaKey } = outcome;
     const { isTarget, replicas } = context;
@@ -148,11 +159,7 @@
     }
     const isBad = outcome.result === "failed" ||
       this.#isSlow(outcome, isTarget);
-    if (!isTarget) {
-      this.#guard(route).recordStableOutcome(isBad);
-      this.#guard(ALL_ROUTES).recordStableOutcome(isBad);
-      return;
-    }
+    if (!isTarget) return this.#recordStable(route, isBad);
     const pendingLoss = this.#losses.get(replicaKey);
     if (
       pendingLoss !== undefined && outcome.sentAtMs > pendingLoss.newestAtMs
@@ -165,6 +172,26 @@
     this.#recordLocal(route, { replicaKey, replicas, isBad });
   }
 
+  /** Judges the pace of a stream, which may still be under way; returns whether it is slow. */
+  recordStream(evidence: StreamEvidence, context: VersionContext): boolean {
+    const { route, replicaKey, model, pace } = evidence;
+    const { isTarget, replicas } = context;
+    const baseline = this.#gapBaselines.get(model) ?? new gaps.GapBaseline();
+    this.#gapBaselines.set(model, baseline);
+    const isBad = pace.medianGapMs > baseline.computeLimitMs(pace.load);
+    if (isTarget) this.#recordLocal(route, { replicaKey, replicas, isBad });
+    else {
+      baseline.add(pace);
+      this.#recordStable(route, isBad);
+    }
+    return isBad;
+  }
+
+  #recordStable(route: string, isBad: boolean): void {
+    this.#guard(route).recordStableOutcome(isBad);
+    this.#guard(ALL_ROUTES).recordStableOutcome(isBad);
+  }
+
   /**
    * Keeps a lost answer back until the replica answers a request that was sent
    * later. If the replica crashed, its losses say nothing about the version.
--- a/packages/decisions/src/version_trial_test.ts
+++ b/packages/decisions/src/version_trial_test.ts
@@ -141,3 +141,83 @@
   t.is(receiver.verdict, undefined);
   t.like(receiver.evidence, { samples: 40, failures: 4 });
 });
+
+/** Records streams over eight replicas. */
+function recordStreams(
+  trial: trials.VersionTrial,
+  streams: readonly { readonly medianGapMs: number; readonly load: number }[],
+  isTarget: boolean,
+): void {
+  for (const [at, pace] of streams.entries()) {
+    trial.recordStream({
+      route: `r${at % 3}`,
+      replicaKey: at % 8,
+      model: "small",
+      pace,
+    }, { isTarget, replicas: 8 });
+  }
+}
+
+/** Streams of a stable version whose replicas are in use: their gaps grow with the load. */
+const STABLE_STREAMS = Array.from({ length: 60 }, (_, at) => ({
+  medianGapMs: 24 + (at % 12) * 3,
+  load: 6 + at % 12,
+}));
+
+// Guards against EXPOSURE: a slow version's streams were judged at their ends, 10 s and more
+// after their heads, and against those of replicas with ten times their load.
+test("a version whose idle replicas write several times slower is stopped by its first streams", (t) => {
+  const trial = new trials.VersionTrial();
+  recordStreams(trial, STABLE_STREAMS, false);
+  const slowStreams = Array.from({ length: 6 }, () => ({
+    medianGapMs: 85,
+    load: 1,
+  }));
+  recordStreams(trial, slowStreams, true);
+  t.regex(trial.verdict ?? "", /bad/);
+});
+
+test("a version that writes slowly under load is stopped as well", (t) => {
+  const trial = new trials.VersionTrial();
+  recordStreams(trial, STABLE_STREAMS, false);
+  const streams = Array.from({ length: 12 }, (_, at) => ({
+    medianGapMs: at % 2 === 0 ? 200 : 45,
+    load: 13,
+  }));
+  recordStreams(trial, streams, true);
+  t.truthy(trial.verdict);
+});
+
+// Guards against false stops: good versions take over with empty caches and uneven load.
+test("a version whose streams are as fast, or twice as slow under load, is not stopped", (t) => {
+  const trial = new trials.VersionTrial();
+  recordStreams(trial, STABLE_STREAMS, false);
+  const streams = Array.from({ length: 200 }, (_, at) => ({
+    medianGapMs: at % 4 === 0 ? 20 : at % 4 === 1 ? 36 : 70,
+    load: at % 4 < 2 ? 1 + at % 4 : 14,
+  }));
+  recordStreams(trial, streams, true);
+  t.is(trial.verdict, undefined);
+});
+
+test("paces that the stable version shows as often do not stop a version", (t) => {
+  const trial = new trials.VersionTrial();
+  const streams = Array.from({ length: 200 }, (_, at) => ({
+    medianGapMs: at % 12 === 0 ? 400 : 35,
+    load: 10,
+  }));
+  recordStreams(trial, streams, false);
+  recordStreams(trial, streams.slice(0, 60), true);
+  t.is(trial.verdict, undefined);
+});
+
+test("nothing is judged before enough streams of the stable version are known", (t) => {
+  const trial = new trials.VersionTrial();
+  recordStreams(trial, STABLE_STREAMS.slice(0, 5), false);
+  recordStreams(
+    trial,
+    Array.from({ length: 20 }, () => ({ medianGapMs: 900, load: 1 })),
+    true,
+  );
+  t.is(trial.verdict, undefined);
+});
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -213,6 +213,7 @@
         : "whole",
       latencyMs: tookMs,
       paceMs: tookMs,
+      isPaceJudged: false,
       isLagging: this.#watchdog.isLagging,
     });
   }
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -289,7 +289,7 @@
       evidence.recordSuccess(run.latencyMs, nowMs);
     }
     // The measured pace would reflect the lag of this process, not the replica.
-    if (run.result === "whole" && run.isLagging) return;
+    if (run.result === "whole" && (run.isLagging || run.isPaceJudged)) return;
     this.dependencies.rollouts.record({
       service: request.service,
       route: request.route.name,
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -23,6 +23,12 @@
   readonly version: string;
 }
 
+/** Pace of a stream as evidence for the version that runs it. */
+export interface ServiceStreamEvidence extends decisions.StreamEvidence {
+  readonly service: string;
+  readonly version: string;
+}
+
 /** Evaluation of an order's target version by this process. */
 interface Trial {
   readonly orderRevision: number;
@@ -137,6 +143,35 @@
     this.check();
   }
 
+  /**
+   * Records the pace of a stream as evidence while a roll-out is active. Returns
+   * whether one is: then the end of a whole answer is no further evidence.
+   */
+  recordStream(evidence: ServiceStreamEvidence): boolean {
+    const { service, version } = evidence;
+    const order = this.#options.control.orders.get(service);
+    if (order === undefined || this.#isOver(order)) return false;
+    const { targetVersion } = order;
+    const isTarget = version === targetVersion;
+    const { evaluator } = this.#getTrial(order);
+    const previous = evaluator.verdict;
+    const isSlow = evaluator.recordStream(evidence, {
+      isTarget,
+      replicas: this.#options.countReplicas(service, targetVersion),
+    });
+    if (isTarget && isSlow) {
+      const { route, replicaKey, pace } = evidence;
+      this.#logEvidence(order, evaluator, {
+        route,
+        replicaKey,
+        result: "slow",
+        paceMs: pace.medianGapMs,
+      });
+    }
+    if (previous === undefined && evaluator.verdict !== undefined) this.check();
+    return true;
+  }
+
   /** Records an outcome as evidence while a roll-out is active. */
   record(outcome: ServiceVersionOutcome): void {
     const order = this.#options.control.orders.get(outcome.service);
@@ -177,7 +212,9 @@
   #logEvidence(
     order: ports.RolloutOrder,
     evaluator: decisions.VersionTrial,
-    outcome?: ServiceVersionOutcome,
+    outcome?:
+      & Pick<ServiceVersionOutcome, "route" | "replicaKey" | "paceMs">
+      & { readonly result: ServiceVersionOutcome["result"] | "slow" },
   ): void {
     this.#options.log.addNotable("rollout.evidence", {
       service: order.service,
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -32,6 +32,8 @@
   extends Pick<decisions.VersionOutcome, "model" | "result" | "paceMs"> {
   /** Time to the headers of a stream, or to the end of a buffered response; absent if none. */
   readonly latencyMs: number | undefined;
+  /** Its pace was judged before its end; a whole answer is no further evidence. */
+  readonly isPaceJudged: boolean;
   /** This process itself was short of CPU time, so its measurements may be too high. */
   readonly isLagging: boolean;
 }
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -3,6 +3,7 @@
 import type * as attempts from "./attempt.ts";
 import type * as sends from "./send.ts";
 import * as splitting from "./event_splitter.ts";
+import * as paces from "./stream_pace.ts";
 
 /** With more prefill ahead of a prompt, the time to its first byte is no pace of its version. */
 const MAX_QUEUED_FOR_PACE_MS = 50;
@@ -33,6 +34,7 @@
   lastEventAtMs: number;
   /** The replica has processed the prompt. */
   isPrefilled: boolean;
+  readonly pace: paces.StreamPaceTracker;
   /** The replica or the connection ended the attempt, not this process. */
   isBrokenOff: boolean;
 }
@@ -51,6 +53,7 @@
     headAtMs: undefined,
     lastEventAtMs: startedAtMs,
     isPrefilled: false,
+    pace: new paces.StreamPaceTracker(),
     isBrokenOff: false,
   };
 }
@@ -91,24 +94,18 @@
     : Math.round(headAtMs - startedAtMs);
 }
 
-/** Time to the head of an attempt's response, and its pace as evidence on the version. */
-export function measurePace(current: StreamAttempt, nowMs: number): {
+/** Time to the head of an attempt's response, and what it says about the version's pace. */
+export function measureStart(current: StreamAttempt): {
   readonly latencyMs: number | undefined;
-  /** Time between events, or to the head if there was none; absent if it says nothing. */
+  /** Time to the head; absent if it says nothing. */
   readonly paceMs: number | undefined;
-  readonly hasEventGaps: boolean;
 } {
-  const { headAtMs, startedAtMs, sent, splitter } = current;
-  const hasEventGaps = splitter.count > 1;
+  const { headAtMs, startedAtMs, sent } = current;
   if (headAtMs === undefined) {
-    return { latencyMs: undefined, paceMs: undefined, hasEventGaps };
+    return { latencyMs: undefined, paceMs: undefined };
   }
   const latencyMs = headAtMs - startedAtMs;
-  if (hasEventGaps) {
-    const paceMs = (nowMs - headAtMs) / splitter.count;
-    return { latencyMs, paceMs, hasEventGaps };
-  }
   // The wait behind other prompts says nothing about the version.
   const hasWaited = (sent?.queuedMs ?? 0) > MAX_QUEUED_FOR_PACE_MS;
-  return { latencyMs, paceMs: hasWaited ? undefined : latencyMs, hasEventGaps };
+  return { latencyMs, paceMs: hasWaited ? undefined : latencyMs };
 }
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -14,6 +14,7 @@
 import type * as requests from "./request.ts";
 import * as streamAttempts from "./stream_attempt.ts";
 import * as escalations from "./stream_escalation.ts";
+import * as paces from "./stream_pace.ts";
 import type * as watchdogs from "./watchdog.ts";
 
 /** Time-out for the first byte, in multiples of the route's target latency. */
@@ -156,11 +157,7 @@
     current.headAtMs = nowMs;
     current.lastEventAtMs = nowMs;
     sent.state.lastByteAtMs = nowMs;
-    current.verdict = check.classifyHead(
-      this.#request,
-      head,
-      response,
-    );
+    current.verdict = check.classifyHead(this.#request, head, response);
     if (current.verdict === "mismatched" || current.verdict === "unusable") {
       sent.attempt.cancel(`response rejected as ${current.verdict}`);
       return;
@@ -232,7 +229,11 @@
       }
       return;
     }
-    if (completeEvents.count > 0) current.lastEventAtMs = nowMs;
+    if (completeEvents.count > 0) {
+      current.lastEventAtMs = nowMs;
+      current.pace.recordEvents(completeEvents.count, nowMs);
+      this.#offerPace(current, false);
+    }
     if (completeEvents.count === current.splitter.count) {
       this.#dispatcher.dependencies.quarantine.recordBegun(this.#request);
     }
@@ -244,6 +245,7 @@
     this.#writer.onDrain(() => {
       this.#isWaitingForCaller = false;
       current.lastEventAtMs = this.#dispatcher.nowMs;
+      current.pace.resume(current.lastEventAtMs);
       sent.attempt.resume();
     });
   }
@@ -292,6 +294,16 @@
     }, signal);
   }
 
+  #offerPace(
+    { sent, pace }: streamAttempts.StreamAttempt,
+    hasEnded: boolean,
+  ): void {
+    if (sent === undefined) return;
+    const { isLagging } = this.#watchdog;
+    const options = { sent, model: this.#model, hasEnded, isLagging };
+    paces.offerPace(pace, this.#dispatcher, this.#request, options);
+  }
+
   #canReroute(current: streamAttempts.StreamAttempt): boolean {
     const id = current.sent?.state.entry.id;
     const excluded = new Set(this.#triedReplicaIds);
@@ -338,20 +350,17 @@
     sent: sends.SentAttempt,
     result: streamAttempts.StreamAttemptResult,
   ): void {
-    const { nowMs } = this.#dispatcher;
-    const { latencyMs, paceMs, hasEventGaps } = streamAttempts.measurePace(
-      current,
-      nowMs,
-    );
+    this.#offerPace(current, true);
+    const { latencyMs, paceMs } = streamAttempts.measureStart(current);
     this.#dispatcher.recordRun(this.#request, sent, {
-      // Event intervals and first-byte times differ in scale and are compared separately.
-      model: `${this.#model ?? ""}/${hasEventGaps ? "pace" : "start"}`,
+      model: this.#model,
       result: result.type === "lost" ? "lost" : result.type === "failed" &&
           check.isServerError(result.head.status)
         ? "failed"
         : "whole",
       latencyMs,
       paceMs,
+      isPaceJudged: current.pace.isJudged,
       isLagging: this.#watchdog.isLagging,
     });
   }
