An answer of the store that has begun is read to its end

Cause: a large configuration takes long over the slow links of small machines. It was then sent again, over the same link, and the next changes, leaving marks among them, came after it. Class: a limit on the whole of something whose size is not bounded, instead of on its progress.

Evidence: control.watch-interrupted on ten small machines between 20.3 and 20.6 s, 0.5 s after a big_config at 19.8 s; control.caught-up 1.9 to 2.1 s behind on these, 0.65 s on the large ones; a second round of interruptions from 22.2 s on.

A check that comes late, after a pause of the process, does not interrupt.

Ruled out: delayed removals (heldBackMs 0, no replica.doubtful).

--- a/packages/bench/src/platform_change_test.ts
+++ b/packages/bench/src/platform_change_test.ts
@@ -123,3 +123,42 @@
     t.is(leaving.received.length, before);
     t.is(harness.findLogLines("replica.gone").length, 0);
   }));
+
+// Guards against CONFIG and DRAIN: a large configuration takes long over a slow link; its answer
+// was given up while it arrived, by the limit of the call and by peers that knew it, and sent again.
+test("a configuration that takes long to arrive is taken, and a leaving mark after it, within the bound", (t) =>
+  withHarness(async (harness) => {
+    const leaving = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    const settings = { changeBoundMs: 3_000 };
+    await harness.start(settings);
+    const otherEntry = new harnesses.PlatformHarness(harness.store, "edge-2");
+    t.teardown(() => otherEntry.router.close());
+    await otherEntry.startRouter(settings);
+    await kernel.sleep(1_200);
+    harness.store.watchTransferMs = 1_300;
+    const changedAtMs = performance.now();
+    harness.store.putConfiguration(
+      harnesses.buildConfiguration({ version: 41 }),
+    );
+    harness.store.put(
+      "servers/i-1",
+      leaving.buildEntry("desk", { state: "draining" }),
+    );
+    await harness.waitFor(
+      () =>
+        harness.findLogLines("config.taken").some(({ tableRevision }) =>
+          tableRevision === 41
+        ) &&
+        harness.findLogLines("replica.known").some(({ replica, isDraining }) =>
+          replica === "i-1" && isDraining === true
+        ),
+      8_000,
+    );
+    const tookMs = performance.now() - changedAtMs;
+    t.true(tookMs < 3_000, `${Math.round(tookMs)} ms`);
+    t.deepEqual(harness.findLogLines("control.lost"), []);
+  }));
--- a/packages/fakes/src/platform_store.ts
+++ b/packages/fakes/src/platform_store.ts
@@ -53,6 +53,8 @@
   mode: PlatformStoreMode = "up";
   /** Delay before each response. */
   delayMs = 0;
+  /** Time over which the body of a watch's answer is sent, in small pieces, as over a slow link. */
+  watchTransferMs = 0;
   /** Number of calls by path, without the query. */
   readonly callCounts = new Map<string, number>();
   readonly #items = new Map<string, Item>();
@@ -235,7 +237,7 @@
       if (events.length > 0 || Date.now() >= deadlineMs) {
         // A watch that waited while the mode became a failure gets no response.
         if (this.mode !== "up" && this.mode !== "lost-writes") return;
-        send(response, 200, {
+        await sendSlowly(response, this.watchTransferMs, {
           events: events.map(({ key, revision, item }) =>
             item ?? { key, revision, deleted: true }
           ),
@@ -286,3 +288,22 @@
   response.writeHead(status, { "content-type": "application/json" });
   response.end(JSON.stringify(data));
 }
+
+const PIECES = 20;
+
+/** Sends a body over `durationMs`; at once if that is 0. */
+async function sendSlowly(
+  response: http.ServerResponse,
+  durationMs: number,
+  data: unknown,
+): Promise<void> {
+  if (durationMs === 0) return send(response, 200, data);
+  const body = Buffer.from(JSON.stringify(data));
+  response.writeHead(200, { "content-type": "application/json" });
+  const size = Math.ceil(body.length / PIECES);
+  for (let at = 0; at < body.length && !response.destroyed; at += size) {
+    response.write(body.subarray(at, at + size));
+    await new Promise((resolve) => setTimeout(resolve, durationMs / PIECES));
+  }
+  response.end();
+}
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -237,7 +237,7 @@
       interruption.signal,
     );
     stop();
-    if (interruption.signal.aborted) {
+    if (interruption.signal.aborted && changes.isErr()) {
       this.#needsConfirmation = true;
       return neverthrow.ok({ needsPause: false });
     }
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -102,7 +102,10 @@
 export interface ControlPlane {
   /** Reads all items. */
   readAll(): Promise<kernel.Outcome<ControlUpdate>>;
-  /** Long poll: resolves at the first change, or without items after `waitMs`. */
+  /**
+   * Long poll: resolves at the first change, or without items after `waitMs`. The
+   * signal ends the wait; an answer that has begun is read to its end.
+   */
   waitForChanges(
     afterRevision: number,
     waitMs: number,
--- a/packages/router/src/watch_supervisor.ts
+++ b/packages/router/src/watch_supervisor.ts
@@ -8,6 +8,8 @@
 import type * as logs from "./decision_log.ts";
 
 const CHECK_INTERVAL_MS = 50;
+/** Longer gaps between two checks show that the process was paused or lagged. */
+const MAX_CHECK_GAP_MS = 4 * CHECK_INTERVAL_MS;
 /** Longest patience with a watch, after several were interrupted in vain. */
 const MAX_PATIENCE_MS = 1_500;
 
@@ -76,8 +78,13 @@
       });
       interruption.abort();
     };
+    let checkedAtMs = sentAtMs;
     const timer = setInterval(() => {
+      const sinceCheckMs = clock.monotonicMs() - checkedAtMs;
+      checkedAtMs = clock.monotonicMs();
       if (interruption.signal.aborted) return;
+      // After a pause of this process, the answer may wait in the socket.
+      if (sinceCheckMs > MAX_CHECK_GAP_MS) return;
       const behindMs = clock.monotonicMs() -
         Math.max(sentAtMs, this.#news?.atMs ?? Infinity);
       if (behindMs > this.#patienceMs) {
