Reports of a stopping peer are taken until it falls silent

Cause: an entry that stops withdraws its announcement first and serves for up to 8 s more; its peers dropped its reports from then on, and what it had seen of the version ended with it. Class: a member is taken for gone when it says that it will go.

Now such a peer is heard from its host until it has been silent for 3.5 s; it does not count as a peer, and nothing is sent to it.

The new test failed on the code before.

--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -18,6 +18,7 @@
 const LOAD_TTL_MS = 800;
 /** Lifetime of the reported counts of requests in flight; repeated like loads. */
 const RUNNING_TTL_MS = 3_000;
+const MAX_FORMER_PEERS = 4_096;
 /** A report is accepted regardless of its number after a silence longer than this. */
 const RESTART_DETECTION_MS = 3_500;
 
@@ -42,6 +43,11 @@
   readonly #self: string;
   /** Announced peers by name. */
   readonly #entries = new Map<string, PeerEndpoint>();
+  /**
+   * Hosts of peers whose announcements have ended. One that is stopping still serves
+   * for a while, and what it has seen ends with it unless it is heard until then.
+   */
+  readonly #formerHosts = new Map<string, string>();
   /** Kept after an announcement expires, so that late reports are still recognised. */
   readonly #received = new Map<string, ReceivedReport>();
   /** Newest counts of requests in flight by peer; not every report carries them. */
@@ -66,10 +72,15 @@
   put(endpoint: PeerEndpoint): void {
     if (endpoint.name === this.#self) return;
     this.#entries.set(endpoint.name, endpoint);
+    this.#formerHosts.delete(endpoint.name);
     this.#rotation = undefined;
   }
 
+  /** Removes a peer; its reports are still taken while they do not pause. */
   remove(name: string): void {
+    const endpoint = this.#entries.get(name);
+    if (endpoint !== undefined) this.#formerHosts.set(name, endpoint.host);
+    if (this.#formerHosts.size > MAX_FORMER_PEERS) this.#formerHosts.clear();
     this.#entries.delete(name);
     this.#rotation = undefined;
   }
@@ -118,11 +129,13 @@
     host: string,
     nowMs: number,
   ): boolean {
-    if (this.#entries.get(report.name)?.host !== host) return false;
     const previous = this.#received.get(report.name);
     // After a silence the sender may have restarted with its clock set back.
     const wasSilent = previous === undefined ||
       nowMs - previous.atMs > RESTART_DETECTION_MS;
+    const knownHost = this.#entries.get(report.name)?.host ??
+      (wasSilent ? undefined : this.#formerHosts.get(report.name));
+    if (knownHost !== host) return false;
     if (!wasSilent && !isNewer(report, previous.report)) return false;
     this.#received.set(report.name, { report, atMs: nowMs });
     if (report.running !== undefined) {
--- a/packages/peers/src/peer_table_test.ts
+++ b/packages/peers/src/peer_table_test.ts
@@ -93,3 +93,19 @@
   // 12 KB/s is the target for control traffic of one node.
   t.true(bytes / 60 <= 12_000 * 1.02, `${bytes} bytes in a minute`);
 });
+
+// Guards against EXPOSURE: what an entry that was being restarted had seen of a bad version was
+// dropped by the others, so that a version was never stopped while all were restarted in turn.
+test("a peer that has withdrawn its announcement is heard until it falls silent", (t) => {
+  const table = buildTable();
+  t.true(table.acceptReport(buildReport(), "10.0.0.2", 0));
+  table.remove("edge-2");
+  t.is(table.size, 1);
+  t.false(table.acceptReport(buildReport({ number: 2 }), "10.0.0.9", 900));
+  t.true(table.acceptReport(buildReport({ number: 2 }), "10.0.0.2", 1_000));
+  t.true(table.acceptReport(buildReport({ number: 3 }), "10.0.0.2", 2_000));
+  t.false(table.acceptReport(buildReport({ number: 4 }), "10.0.0.2", 6_000));
+  t.false(
+    table.acceptReport(buildReport({ name: "edge-3" }), "10.0.0.2", 6_000),
+  );
+});
