--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./answer_digest.ts";
 export * from "./answer_silence.ts";
 export * from "./billing.ts";
+export * from "./bounded_map.ts";
 export * from "./cascade.ts";
 export * from "./claim_types.ts";
 export * from "./claims.ts";
--- a/packages/decisions/src/prompt_blame.ts
+++ b/packages/decisions/src/prompt_blame.ts
@@ -5,6 +5,7 @@
  * several replicas, and since its last answer that did begin; recent answers raise
  * the number of crashes that it takes. Evidence of several processes is pooled.
  */
+import * as bounded from "./bounded_map.ts";
 
 /** A crash that a request with the part may have caused. */
 export interface BlamedCrash {
@@ -155,7 +156,7 @@
     byPeer.set(peer, evidence);
     this.#peerEvidence.delete(partId);
     this.#peerEvidence.set(partId, byPeer);
-    trimOldest(this.#peerEvidence, MAX_PARTS);
+    bounded.trimOldest(this.#peerEvidence, MAX_PARTS);
   }
 
   /** What this process itself knows of a part. */
@@ -181,16 +182,7 @@
     const record = this.#records.get(partId) ?? { ...NO_EVIDENCE };
     this.#records.delete(partId);
     this.#records.set(partId, record);
-    trimOldest(this.#records, MAX_PARTS);
+    bounded.trimOldest(this.#records, MAX_PARTS);
     return record;
   }
 }
-
-/** Bounds a map whose keys are in the order of their last use. */
-function trimOldest(map: Map<string, unknown>, maxSize: number): void {
-  while (map.size > maxSize) {
-    const [oldest] = map.keys();
-    if (oldest === undefined) return;
-    map.delete(oldest);
-  }
-}
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -154,7 +154,7 @@
       this.#askedAtMs.delete(key);
       this.#askedAtMs.set(key, nowMs);
     }
-    trimOldest(this.#askedAtMs);
+    decisions.trimOldest(this.#askedAtMs, MAX_KNOWN_REPLICAS);
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.#options.onMessage("missed");
@@ -337,19 +337,10 @@
       this.#answers.delete(replicaKey);
       this.#answers.set(replicaKey, { load, atMs });
     }
-    trimOldest(this.#answers);
+    decisions.trimOldest(this.#answers, MAX_KNOWN_REPLICAS);
     const query = this.#queries.get(message.queryId);
     if (query === undefined) return;
     query.missing -= 1;
     if (query.missing <= 0) query.finish();
   }
 }
-
-/** Bounds a map whose keys are in the order of their last use. */
-function trimOldest(map: Map<number, unknown>): void {
-  while (map.size > MAX_KNOWN_REPLICAS) {
-    const [oldest] = map.keys();
-    if (oldest === undefined) return;
-    map.delete(oldest);
-  }
-}
--- a/packages/router/src/prompt_quarantine.ts
+++ b/packages/router/src/prompt_quarantine.ts
@@ -176,10 +176,7 @@
   #suspect(partId: string, nowMs: number): void {
     this.#suspects.delete(partId);
     this.#suspects.set(partId, nowMs);
-    while (this.#suspects.size > MAX_SUSPECTS) {
-      const [oldest] = this.#suspects.keys();
-      this.#suspects.delete(oldest as string);
-    }
+    decisions.trimOldest(this.#suspects, MAX_SUSPECTS);
   }
 
   #quarantine(partId: string, cause: string): void {
