A request's key is looked up again when it is sent

Cause: a key is looked up when a request is admitted; at the send only the age of the view is checked. In between, the machine read the newer configuration, and the view was young again. So too with second attempts and larger models, seconds later. Class: a check of one fact by the freshness of another that replaced it.

Now the account's key must still be in the configuration in force at each send.

--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -104,7 +104,8 @@
 
   /**
    * Refuses requests with an account if the configuration was not confirmed
-   * recently enough: the account's key may have been revoked since.
+   * recently enough, as the account's key may have been revoked since, or if the key
+   * is not in the configuration any more: it may have changed since the admission.
    */
   checkConfigurationAge(
     request: requests.AdmittedRequest,
@@ -112,7 +113,15 @@
     if (request.account === undefined) return undefined;
     const { revocationBoundMs } = this.#settings;
     const limitMs = decisions.computeMaxKeyedAgeMs(revocationBoundMs);
-    if (this.#control.viewAgeMs <= limitMs) return undefined;
+    if (this.#control.viewAgeMs <= limitMs) {
+      const { keySha256 = "" } = request.fields;
+      const account = this.#control.routeIndex?.accountByKeySha256.get(
+        keySha256,
+      );
+      return account?.name === request.account.name
+        ? undefined
+        : this.#makeUnknownRefusal("unauthenticated", "the key was revoked");
+    }
     return makeRefusal(
       "stale-configuration",
       "the configuration was not confirmed recently enough",
