Demands that replicas state in their answers are decoded and logged

What callers saw: nothing changes yet. The platform's headers are decoded to one record, the state of an incarnation keeps it also while its entry is gone, and `replica.demands` is logged at each change. No decision reads it yet.

--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -28,6 +28,7 @@
 export * from "./model_choice.ts";
 export * from "./prompt_blame.ts";
 export * from "./replica_choice.ts";
+export * from "./replica_demands.ts";
 export * from "./replica_evidence.ts";
 export * from "./replica_health.ts";
 export * from "./sliding_retry_budget.ts";
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -55,6 +55,8 @@
   readonly path: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
+  /** Monotonic time of its arrival. */
+  readonly atMs: number;
   /** Whether the connection closed before the response was complete. */
   wasCancelled: boolean;
 }
@@ -67,6 +69,8 @@
   /** Chooses the behaviour for a request; `count` includes this request. */
   answer: (request: ReceivedRequest, count: number) => ReplicaBehaviour;
   port = 0;
+  /** Added to the headers of its own answers. */
+  extraHeaders: Readonly<Record<string, string>> = {};
   readonly #sockets = new Set<net.Socket>();
   readonly #server = http.createServer((request, response) => {
     void this.#serve(request, response);
@@ -132,6 +136,7 @@
       path: request.url ?? "",
       headers: request.headers,
       body: Buffer.concat(chunks).toString("utf8"),
+      atMs: performance.now(),
       wasCancelled: false,
     };
     response.on("close", () => {
@@ -152,6 +157,7 @@
   ): Promise<void> {
     const attemptId = String(received.headers[ATTEMPT_ID] ?? "");
     const signedHeaders = {
+      ...this.extraHeaders,
       [ATTEMPT_ID]: attemptId,
       "x-jackdawbank-response-signature":
         `receipt-${this.id}-${this.received.length}`,
@@ -172,6 +178,7 @@
         return;
       case "not-run":
         response.writeHead(behaviour.status, {
+          ...this.extraHeaders,
           [ATTEMPT_ID]: attemptId,
           "x-jackdawbank-not-executed": "1",
         }).end();
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -123,11 +123,11 @@
         onHead: (received) => {
           head = received;
           const { codec } = dispatcher.dependencies;
-          verdict = check.classifyHead(
-            request,
-            received,
-            codec.decodeResponse(received.headers),
-          );
+          const response = codec.decodeResponse(received.headers);
+          verdict = check.classifyHead(request, received, response);
+          if (sent !== undefined) {
+            dispatcher.recordDemands(request, sent, received, response);
+          }
           recordActivity();
           // Further data on the connection may belong to another request.
           if (verdict === "mismatched" || verdict === "unusable") {
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -26,6 +26,10 @@
 const BASE_ENGINE_PRIORITY = 2;
 const MAX_ENGINE_PRIORITY = 9;
 
+/** Status of a refusal that may ask for a pause. */
+const UNAVAILABLE = 503;
+/** Status of another replica, which has the address now. */
+const MISDIRECTED = 421;
 /** Interval at which the evidence about a plain service's replica is asked for. */
 const EVIDENCE_QUERY_INTERVAL_MS = 1_000;
 /** Interval at which the load of a replica is asked for while a stream waits there for long. */
@@ -263,6 +267,39 @@
     }
   }
 
+  /** Records what a replica demands in the head of its answer to an attempt. */
+  recordDemands(
+    request: requests.AdmittedRequest,
+    sent: sends.SentAttempt,
+    head: attempts.ResponseHead,
+    response: ports.ResponseFields,
+  ): void {
+    const isOwnAnswer = response.attemptId !== undefined &&
+      response.attemptId === request.fields.attemptId;
+    if (!isOwnAnswer || head.status === MISDIRECTED) return;
+    const { entry, demands } = sent.state;
+    const { nowMs } = this;
+    // With other statuses the header speaks of the request, not of the replica.
+    const pauseMs = head.status === UNAVAILABLE
+      ? response.demands.pauseMs
+      : undefined;
+    const isChanged = demands.record({ ...response.demands, pauseMs }, {
+      sentAtMs: sent.sentAtMs,
+      nowMs,
+    });
+    if (!isChanged) return;
+    const { log, telemetry } = this.dependencies;
+    telemetry.countEvent("replica.demands");
+    log.addNotable("replica.demands", {
+      replica: entry.id,
+      service: entry.service,
+      status: head.status,
+      requestsPerS: demands.rate,
+      isLeaving: demands.isLeaving,
+      pausedMs: Math.max(0, Math.round(demands.pausedUntilMs - nowMs)),
+    });
+  }
+
   /** Records an attempt that its replica did not run. */
   recordNotRun(sent: sends.SentAttempt, reason: string): void {
     const { table } = this.dependencies;
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -59,6 +59,7 @@
 
 export type PeerEntry = peers.PeerEndpoint;
 export type RolloutOrder = decisions.RolloutOrder;
+export type NamedRate = decisions.NamedRate;
 export type RolloutRecord = decisions.RolloutRecord;
 
 /** One decoded entry, or the removal of one, from the control plane. */
@@ -180,6 +181,8 @@
   /** The model's confidence in its own response, 0 to 100. */
   readonly confidence: number | undefined;
   readonly hasContentEncoding: boolean;
+  /** What the replica asks of its callers; a pause counts only in a refusal. */
+  readonly demands: decisions.ReplicaDemands;
 }
 
 /** Converts between headers and the router's fields. */
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -18,6 +18,9 @@
 /** Assumed number of processes that share a replica's connections, until peers are known. */
 const DEFAULT_PROCESS_COUNT = 6;
 
+/** Incarnations of replicas whose demands are kept, also after their removal. */
+const MAX_INCARNATIONS = 4_096;
+
 /** Local state of one replica. */
 export interface ReplicaState {
   readonly entry: ports.ReplicaEntry;
@@ -27,6 +30,7 @@
   readonly health: decisions.ReplicaHealth;
   /** What this process tells others about the replica's answers. */
   readonly evidence: decisions.ReplicaEvidence;
+  readonly demands: decisions.ReplicaDemandState;
   readonly prefixes: prefixes.PrefixMemory;
   inFlight: number;
   /** Predicted prefill time of this process's pending prompts. */
@@ -94,6 +98,10 @@
   readonly #states = new Map<string, ReplicaState>();
   readonly #stateByKey = new Map<number, ReplicaState>();
   readonly #statesByService = new Map<string, Set<ReplicaState>>();
+  readonly #demandsByIncarnation = new Map<
+    string,
+    decisions.ReplicaDemandState
+  >();
   #services: ReadonlyMap<string, bundle.RouteTableService> = new Map();
   #processes: number | undefined;
 
@@ -329,6 +337,7 @@
       }),
       health: new decisions.ReplicaHealth(),
       evidence: new decisions.ReplicaEvidence(),
+      demands: this.#findDemands(entry),
       prefixes: new prefixes.PrefixMemory(),
       inFlight: 0,
       pendingMs: 0,
@@ -339,6 +348,17 @@
     };
   }
 
+  /** Demands outlast the entry, which may be removed and come back. */
+  #findDemands(entry: ports.ReplicaEntry): decisions.ReplicaDemandState {
+    const incarnation = `${entry.id} ${entry.startedAtMs ?? ""}`;
+    const demands = this.#demandsByIncarnation.get(incarnation) ??
+      new decisions.ReplicaDemandState();
+    this.#demandsByIncarnation.delete(incarnation);
+    this.#demandsByIncarnation.set(incarnation, demands);
+    decisions.trimOldest(this.#demandsByIncarnation, MAX_INCARNATIONS);
+    return demands;
+  }
+
   #choose(
     states: readonly ReplicaState[],
     request: PlacementRequest,
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -158,6 +158,7 @@
     current.lastEventAtMs = nowMs;
     sent.state.lastByteAtMs = nowMs;
     current.verdict = check.classifyHead(this.#request, head, response);
+    this.#dispatcher.recordDemands(this.#request, sent, head, response);
     if (current.verdict === "mismatched" || current.verdict === "unusable") {
       sent.attempt.cancel(`response rejected as ${current.verdict}`);
       return;
