--- /dev/null
+++ b/packages/bench/src/platform_demands_test.ts
@@ -0,0 +1,135 @@
+/** Tests that what replicas demand in their answers is kept by all entries together. */
+import * as ava from "ava";
+import type * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
+import * as harnesses from "./platform_harness.ts";
+
+const test = ava.default.serial;
+const { ROUTES, DRAFT, withHarness } = harnesses;
+
+const ENTRIES = 3;
+const CALL_INTERVAL_MS = 25;
+const OBSERVED_MS = 5_500;
+/** An entry must keep to a demand from this time after it has passed it on. */
+const REACTION_MS = 500;
+const WINDOW_MS = 4_000;
+/** Requests in a window that a rate allows, as the operators count. */
+function countAllowed(requestsPerS: number): number {
+  return 1.5 * requestsPerS * WINDOW_MS / 1_000 + 5;
+}
+
+/** Largest number of requests that a replica received within a window. */
+function findBusiestWindow(
+  received: readonly fakes.ReceivedRequest[],
+  fromMs: number,
+): number {
+  const times = received.map(({ atMs }) => atMs).filter((at) => at >= fromMs);
+  return Math.max(
+    0,
+    ...times.map((start) =>
+      times.filter((at) => at >= start && at < start + WINDOW_MS).length
+    ),
+  );
+}
+
+/** Starts further entries beside the harness's own; all know each other. */
+async function startEntries(
+  t: ava.ExecutionContext,
+  harness: harnesses.PlatformHarness,
+): Promise<readonly harnesses.PlatformHarness[]> {
+  await harness.start();
+  const entries = [harness];
+  for (let at = 2; at <= ENTRIES; at += 1) {
+    const entry = new harnesses.PlatformHarness(harness.store, `edge-${at}`);
+    t.teardown(() => entry.router.close());
+    await entry.startRouter();
+    await entry.waitFor(() => entry.router.isReady);
+    entries.push(entry);
+  }
+  for (const entry of entries) {
+    await entry.waitFor(() =>
+      entry.findLogLines("peer.known").length >= ENTRIES
+    );
+  }
+  return entries;
+}
+
+/** Calls the entries in turn at a constant rate; returns the statuses of the answers. */
+async function callInTurn(
+  entries: readonly harnesses.PlatformHarness[],
+  call: (
+    entry: harnesses.PlatformHarness,
+    at: number,
+  ) => Promise<fakes.CallerResponse>,
+  durationMs: number,
+): Promise<readonly number[]> {
+  const calls: Promise<fakes.CallerResponse>[] = [];
+  const endAtMs = performance.now() + durationMs;
+  while (performance.now() < endAtMs) {
+    const at = calls.length;
+    calls.push(
+      call(entries[at % entries.length] as harnesses.PlatformHarness, at),
+    );
+    await kernel.sleep(CALL_INTERVAL_MS);
+  }
+  return (await Promise.all(calls)).map(({ status }) => status);
+}
+
+function answerStream(): fakes.ReplicaBehaviour {
+  return { type: "stream", events: 3, confidence: 90 };
+}
+
+function callDraft(entry: harnesses.PlatformHarness, at: number) {
+  const own = (0xc000 + at).toString(16);
+  return entry.call(ROUTES.draft, {
+    ...DRAFT,
+    headers: {
+      ...DRAFT.headers,
+      "x-jackdawbank-attempt-id": `draft-${at}`,
+      "x-jackdawbank-prefix-hash": `a1:100,b2:400,${own}:100`,
+    },
+  });
+}
+
+function callCheck(entry: harnesses.PlatformHarness, at: number) {
+  const headers = { "x-jackdawbank-attempt-id": `check-${at}` };
+  return entry.call(ROUTES.check, { headers });
+}
+
+// Guards against LIMIT: a replica that named a rate for all entries together went on getting
+// as many requests as before, since no entry read the rate.
+for (
+  const { kind, service, answer, call } of [
+    { kind: "prompts", service: "llm", answer: answerStream, call: callDraft },
+    {
+      kind: "plain requests",
+      service: "desk",
+      answer: () => ({ type: "ok" }) as const,
+      call: callCheck,
+    },
+  ]
+) {
+  test(`all entries together keep to the rate that a replica names: ${kind}`, (t) =>
+    withHarness(async (harness) => {
+      const limited = await harness.addReplica("i-1", service, answer);
+      const other = await harness.addReplica("i-2", service, answer);
+      limited.extraHeaders = { "server-limit": "1.5" };
+      const entries = await startEntries(t, harness);
+      const startedAtMs = performance.now();
+      const statuses = await callInTurn(entries, call, OBSERVED_MS);
+      t.deepEqual([...new Set(statuses)], [200]);
+      const busiest = findBusiestWindow(
+        limited.received,
+        startedAtMs + REACTION_MS,
+      );
+      t.true(busiest <= countAllowed(1.5), `${busiest} requests in 4 s`);
+      // Without requests nobody would learn that the rate is no longer named.
+      t.true(busiest > 1, `${busiest} requests in 4 s`);
+      limited.extraHeaders = {};
+      const before = limited.received.length;
+      await callInTurn(entries, call, 3_000);
+      const later = limited.received.length - before;
+      t.true(later > 20, `${later} requests after the end of the limit`);
+      t.true(other.received.length > 0);
+    }));
+}
