--- a/packages/bench/src/platform_demands_test.ts
+++ b/packages/bench/src/platform_demands_test.ts
@@ -86,7 +86,8 @@
     headers: {
       ...DRAFT.headers,
       "x-jackdawbank-attempt-id": `draft-${at}`,
-      "x-jackdawbank-prefix-hash": `a1:100,b2:400,${own}:100`,
+      // No shared parts, so that no replica is preferred for what it has cached.
+      "x-jackdawbank-prefix-hash": `a${own}:100,b${own}:400,${own}:100`,
     },
   });
 }
@@ -125,11 +126,20 @@
       t.true(busiest <= countAllowed(1.5), `${busiest} requests in 4 s`);
       // Without requests nobody would learn that the rate is no longer named.
       t.true(busiest > 1, `${busiest} requests in 4 s`);
-      limited.extraHeaders = {};
-      const before = limited.received.length;
-      await callInTurn(entries, call, 3_000);
-      const later = limited.received.length - before;
-      t.true(later > 20, `${later} requests after the end of the limit`);
       t.true(other.received.length > 0);
+      limited.extraHeaders = {};
+      await callInTurn(entries, call, 2_000);
+      harness.store.putReplica(
+        "i-2",
+        other.buildEntry(service, { state: "draining" }),
+      );
+      for (const entry of entries) {
+        await entry.waitFor(() =>
+          entry.findLogLines("replica.known").some((line) => line["isDraining"])
+        );
+      }
+      // Each entry has noticed that the rate is no longer named.
+      const last = await callInTurn(entries, call, 1_000);
+      t.deepEqual([...new Set(last)], [200]);
     }));
 }
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -27,6 +27,7 @@
 export * from "./freshness.ts";
 export * from "./model_choice.ts";
 export * from "./prompt_blame.ts";
+export * from "./rate_account.ts";
 export * from "./replica_choice.ts";
 export * from "./replica_demands.ts";
 export * from "./replica_evidence.ts";
--- a/packages/decisions/src/replica_demands.ts
+++ b/packages/decisions/src/replica_demands.ts
@@ -19,10 +19,8 @@
 /** A longer pause is cut to this one. */
 const MAX_PAUSE_MS = 3_600_000;
 
-/** Demands of one incarnation, as far as this process has heard them. */
+/** Whether one incarnation takes requests of this process, by what it was told. */
 export class ReplicaDemandState {
-  #rate: number | undefined;
-  #rateHeardAtMs = -Infinity;
   #isLeaving = false;
   #pausedUntilMs = -Infinity;
 
@@ -34,39 +32,16 @@
     return this.#pausedUntilMs;
   }
 
-  /** Requests per second that the replica takes; absent without a limit. */
-  get rate(): number | undefined {
-    return this.#rate;
-  }
-
-  /**
-   * Records the demands of an answer to a request sent at `sentAtMs`; returns
-   * whether they changed. Only an answer to a request that was sent after the rate
-   * was heard ends it, since answers overtake each other.
-   */
-  record(
-    demands: ReplicaDemands,
-    { sentAtMs, nowMs }: { readonly sentAtMs: number; readonly nowMs: number },
-  ): boolean {
-    const { rate, isLeaving, pauseMs } = demands;
-    let isChanged = isLeaving && !this.#isLeaving;
+  /** Records the demands of an answer; returns whether they changed. */
+  record({ isLeaving, pauseMs }: ReplicaDemands, nowMs: number): boolean {
+    const wasLeaving = this.#isLeaving;
+    const previousUntilMs = this.#pausedUntilMs;
     this.#isLeaving ||= isLeaving;
     if (pauseMs !== undefined) {
       const untilMs = nowMs + Math.min(MAX_PAUSE_MS, pauseMs);
-      isChanged ||= untilMs > this.#pausedUntilMs;
-      this.#pausedUntilMs = Math.max(this.#pausedUntilMs, untilMs);
-    }
-    if (typeof rate === "number") {
-      isChanged ||= rate !== this.#rate;
-      this.#rate = rate;
-      this.#rateHeardAtMs = nowMs;
-    } else if (
-      rate === "none" && this.#rate !== undefined &&
-      sentAtMs > this.#rateHeardAtMs
-    ) {
-      isChanged = true;
-      this.#rate = undefined;
+      this.#pausedUntilMs = Math.max(previousUntilMs, untilMs);
     }
-    return isChanged;
+    return this.#isLeaving !== wasLeaving ||
+      this.#pausedUntilMs !== previousUntilMs;
   }
 }
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -46,6 +46,11 @@
   readonly owners: owners.ReplicaOwners;
   readonly source: LoadSource;
   /** Called for each message that was sent, and each that was accepted or dropped. */
+  /** Called before a query about replicas that this process owns is answered. */
+  readonly onQuery?: (
+    sender: tables.PeerEndpoint,
+    replicaKeys: readonly number[],
+  ) => void;
   readonly onMessage: (what: "sent" | "taken" | "dropped" | "missed") => void;
 }
 
@@ -313,8 +318,9 @@
     sender: tables.PeerEndpoint,
     message: Extract<messages.LoadMessage, { type: "query" }>,
   ): void {
-    const { source, clock, name } = this.#options;
+    const { source, clock, name, onQuery } = this.#options;
     const nowMs = clock.monotonicMs();
+    onQuery?.(sender, message.replicaKeys);
     this.#send(sender, {
       type: "totals",
       name,
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -6,6 +6,8 @@
 export * from "./peer_reporter.ts";
 export * from "./prompt_exchange.ts";
 export * from "./prompt_message.ts";
+export * from "./rate_exchange.ts";
+export * from "./rate_message.ts";
 export * from "./report.ts";
 export * from "./report_budget.ts";
 export * from "./replica_owners.ts";
--- a/packages/peers/src/split_channel.ts
+++ b/packages/peers/src/split_channel.ts
@@ -3,15 +3,17 @@
 
 /** A byte that no msgpack value starts with. */
 const MARK = 0xc1;
-/** Marks of load messages and, as no load message starts with a second mark, of prompt messages. */
+/** Marks of the kinds of messages; the number of marks tells them apart. */
 const LOAD_MARKS = [MARK] as const;
 const PROMPT_MARKS = [MARK, MARK] as const;
+const RATE_MARKS = [MARK, MARK, MARK] as const;
 
 /** Channels of one process; closing any of them closes the socket. */
 export interface SplitChannels {
   readonly reports: channels.PeerChannel;
   readonly loads: channels.PeerChannel;
   readonly prompts: channels.PeerChannel;
+  readonly rates: channels.PeerChannel;
 }
 
 function createChannel(
@@ -35,11 +37,12 @@
   const reports = createChannel(channel, []);
   const loads = createChannel(channel, LOAD_MARKS);
   const prompts = createChannel(channel, PROMPT_MARKS);
+  const rates = createChannel(channel, RATE_MARKS);
+  const channelByMarks = [reports, loads, prompts, rates];
   channel.onDatagram = (bytes, host) => {
-    if (bytes[0] !== MARK) return reports.onDatagram?.(bytes, host);
-    const target = bytes[1] === MARK ? prompts : loads;
-    const marks = bytes[1] === MARK ? PROMPT_MARKS : LOAD_MARKS;
-    target.onDatagram?.(bytes.subarray(marks.length), host);
+    const first = bytes.findIndex((byte) => byte !== MARK);
+    const marks = Math.min(Math.max(0, first), RATE_MARKS.length);
+    channelByMarks[marks]?.onDatagram?.(bytes.subarray(marks), host);
   };
-  return { reports, loads, prompts };
+  return { reports, loads, prompts, rates };
 }
--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -40,9 +40,12 @@
 );
 
 /** Creates the refusal of a request for which no replica is available. */
-export function makeNoReplicaRefusal(service: string): Refusal {
+export function makeNoReplicaRefusal(
+  service: string,
+  retryAfterMs = NO_REPLICA_RETRY_AFTER_MS,
+): Refusal {
   const reason = `no replica of '${service}' is available`;
-  return makeRefusal("no-upstream", reason, NO_REPLICA_RETRY_AFTER_MS);
+  return makeRefusal("no-upstream", reason, retryAfterMs);
 }
 
 /** Admits requests by the current configuration. */
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -110,7 +110,7 @@
       excluded: this.#triedReplicaIds,
       earlierSends: this.#sendCount,
     };
-    const queriedKeys = await dispatcher.queryLoads(request, options);
+    const preparation = await dispatcher.prepare(request, options);
     const outcome = await new Promise<
       | { sent: sends.SentAttempt; result: AttemptResult }
       | admissions.Refusal
@@ -119,14 +119,17 @@
       let verdict: check.HeadVerdict | undefined;
       const chunks: Buffer[] = [];
       let receivedBytes = 0;
-      const sendResult = dispatcher.send(request, { ...options, queriedKeys }, {
+      const sendResult = dispatcher.send(request, {
+        ...options,
+        ...preparation,
+      }, {
         onHead: (received) => {
           head = received;
           const { codec } = dispatcher.dependencies;
           const response = codec.decodeResponse(received.headers);
           verdict = check.classifyHead(request, received, response);
           if (sent !== undefined) {
-            dispatcher.recordDemands(request, sent, received, response);
+            dispatcher.demands.record(request, sent, received, response);
           }
           recordActivity();
           // Further data on the connection may belong to another request.
@@ -186,12 +189,12 @@
     this.#triedReplicaIds.add(state.entry.id);
     dispatcher.dependencies.table.recordEnd(state, sent.prefillMs);
     if (result.type === "not-run") {
-      dispatcher.recordNotRun(sent, result.reason);
+      dispatcher.recorder.recordNotRun(sent, result.reason);
     } else {
       this.#runCount += 1;
       if (!this.#request.signal.aborted) this.#recordRun(sent, result);
     }
-    dispatcher.logAttempt(this.#request, sent, {
+    dispatcher.recorder.logAttempt(this.#request, sent, {
       outcome: result.type === "answered" ? "whole" : result.type,
       ...(result.type === "answered"
         ? { status: result.head.status }
@@ -204,7 +207,7 @@
     result: Exclude<AttemptResult, { type: "not-run" }>,
   ): void {
     const tookMs = this.#dispatcher.nowMs - sent.sentAtMs;
-    this.#dispatcher.recordRun(this.#request, sent, {
+    this.#dispatcher.recorder.recordRun(this.#request, sent, {
       model: undefined,
       result: result.type === "lost"
         ? "lost"
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -8,30 +8,30 @@
 import * as neverthrow from "neverthrow";
 import * as admissions from "./admission.ts";
 import * as attempts from "./attempt.ts";
+import * as recorders from "./attempt_recorder.ts";
 import type * as control from "./control_task.ts";
+import * as demandTrackers from "./demand_tracker.ts";
 import type * as fleets from "./fleet.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 import type * as quarantines from "./prompt_quarantine.ts";
+import type * as groups from "./replica_group.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
+import * as retries from "./retry_budgets.ts";
 import type * as rollouts from "./rollout_task.ts";
 import type * as sends from "./send.ts";
 import type * as sessions from "./sessions.ts";
 import type * as telemetry from "./telemetry.ts";
 
-/** Share of the retry slack that a process uses while it knows no peers. */
-const SOLE_PROCESS_SLACK_SHARE = 0.1;
 /** Engine priority of the most urgent requests; retries are scheduled one level ahead. */
 const BASE_ENGINE_PRIORITY = 2;
 const MAX_ENGINE_PRIORITY = 9;
 
-/** Status of a refusal that may ask for a pause. */
-const UNAVAILABLE = 503;
-/** Status of another replica, which has the address now. */
-const MISDIRECTED = 421;
 /** Interval at which the evidence about a plain service's replica is asked for. */
 const EVIDENCE_QUERY_INTERVAL_MS = 1_000;
+/** Replicas with a rate that are asked for one request, one after the other. */
+const MAX_RATE_QUESTIONS = 2;
 /** Interval at which the load of a replica is asked for while a stream waits there for long. */
 const STALL_QUERY_INTERVAL_MS = 200;
 
@@ -52,13 +52,17 @@
   readonly random: () => number;
 }
 
+/** Rank of a request; 0 is the most urgent. */
+function getPriority({ account, route }: requests.AdmittedRequest): number {
+  return account?.priority ?? route.priority;
+}
+
 /** Sends the requests of one process. */
 export class Dispatcher {
   readonly dependencies: DispatcherDependencies;
-  readonly #retryBudgetByService = new Map<
-    string,
-    decisions.SlidingRetryBudget
-  >();
+  readonly demands: demandTrackers.DemandTracker;
+  readonly recorder: recorders.AttemptRecorder;
+  readonly #retryBudgets: retries.RetryBudgets;
   readonly #latencyTrackerByService = new Map<
     string,
     decisions.EngineLatencyTracker
@@ -66,6 +70,14 @@
 
   constructor(dependencies: DispatcherDependencies) {
     this.dependencies = dependencies;
+    const { clock, settings, fleet } = dependencies;
+    this.recorder = new recorders.AttemptRecorder(dependencies);
+    this.demands = new demandTrackers.DemandTracker(dependencies);
+    this.#retryBudgets = new retries.RetryBudgets(
+      clock,
+      settings,
+      () => fleet.size,
+    );
   }
 
   get nowMs(): number {
@@ -89,31 +101,24 @@
   }
 
   /**
-   * Asks for the loads of the replicas that the request would best be sent to;
-   * resolves with the keys of those that are known. It takes about a round trip
-   * between processes for a prompt, and no time for a plain request.
+   * Asks the other processes what a good choice needs: the loads of the best
+   * replicas and, where the best one has a rate, whether it may get this request.
    */
-  async queryLoads(
+  async prepare(
     request: requests.AdmittedRequest,
-    options: Omit<sends.SendOptions, "queriedKeys">,
-  ): Promise<ReadonlySet<number>> {
-    const { table, fleet } = this.dependencies;
-    const keys = table.listQueryKeys(this.#buildPlacement(request, options));
-    if (request.fields.promptTokens > 0) {
-      return new Set(await fleet.queryLoads(keys));
-    }
-    // A plain request would wait longer for the answers than it gains by them: they
-    // serve the next ones, which learn from them which replicas are slow or fail.
-    for (const key of keys) {
-      fleet.keepLoadFresh(key, EVIDENCE_QUERY_INTERVAL_MS);
-    }
-    return new Set(keys);
+    options: sends.SendOptions,
+  ): Promise<sends.Preparation> {
+    const queriedKeys = await this.#queryLoads(request, options);
+    const grantedKey = this.dependencies.table.hasRates(request.service)
+      ? await this.#takeAtRate(request, options, queriedKeys)
+      : undefined;
+    return { queriedKeys, grantedKey };
   }
 
   /** Sends a request to the best replica that is not excluded. */
   send(
     request: requests.AdmittedRequest,
-    options: sends.SendOptions,
+    options: sends.SendOptions & sends.Preparation,
     listener: attempts.AttemptListener,
   ): neverthrow.Result<sends.SentAttempt, admissions.Refusal> {
     const { table, codec, clock } = this.dependencies;
@@ -121,12 +126,20 @@
     if (refusal !== undefined) return neverthrow.err(refusal);
     const { fields, service } = request;
     const latencyTracker = this.getLatencyTracker(service);
-    const placement = this.#buildPlacement(request, options);
+    const { queriedKeys, grantedKey } = options;
+    const placement = {
+      ...this.#buildPlacement(request, options),
+      queriedKeys,
+      grantedKey,
+    };
     const { needsNewConnection, versionPreference, nowMs } = placement;
-    const pick = table.pick({ ...placement, queriedKeys: options.queriedKeys });
+    const pick = table.pick(placement);
     const connection = pick?.state.pool.acquire(needsNewConnection);
     if (pick === undefined || connection === undefined) {
-      return neverthrow.err(admissions.makeNoReplicaRefusal(service));
+      const retryAfterMs = table.findRetryAfterMs(placement);
+      return neverthrow.err(
+        admissions.makeNoReplicaRefusal(service, retryAfterMs),
+      );
     }
     const { state } = pick;
     const remainingMs = request.deadlineAtMs - nowMs;
@@ -138,7 +151,7 @@
       enginePriority: this.#chooseEnginePriority(request, options),
       lastEventId: options.lastEventId,
     });
-    this.#recordInRetryBudget(service, options.earlierSends);
+    this.#retryBudgets.recordSend(service, options.earlierSends);
     const prefillMs = latencyTracker.predictPrefillMs(
       options.model,
       Math.max(0, fields.promptTokens - pick.cachedTokens),
@@ -186,11 +199,7 @@
 
   /** Whether a retry stays within a share of the service's retry budget. */
   canRetry(service: string, share = 1): boolean {
-    const processes = this.dependencies.fleet.size;
-    return this.#getRetryBudget(service).canSendExtra(this.nowMs, {
-      share,
-      slackShare: processes > 1 ? 1 / processes : SOLE_PROCESS_SLACK_SHARE,
-    });
+    return this.#retryBudgets.canRetry(service, share);
   }
 
   getLatencyTracker(service: string): decisions.EngineLatencyTracker {
@@ -211,7 +220,7 @@
   }
 
   /** What all processes together know of a replica at which a request waits. */
-  observeReplica(state: replicas.ReplicaState, sinceMs: number): {
+  observeReplica(state: groups.ReplicaState, sinceMs: number): {
     /** Predicted prefill time of the pending prompts. */
     readonly pendingPrefillMs: number;
     /** Time for which no process has received a byte from it, at most since `sinceMs`. */
@@ -235,125 +244,62 @@
     };
   }
 
-  logAttempt(
+  /** Why a request must not be sent now, whatever the replicas are. */
+  #findRefusal(
     request: requests.AdmittedRequest,
-    sent: sends.SentAttempt,
-    result: {
-      readonly outcome: string;
-      readonly reason?: string;
-      readonly status?: number;
-      /** Complete events of a stream. */
-      readonly events?: number;
-      /** Time from the send to the head of the response. */
-      readonly headMs?: number | undefined;
-    },
-  ): void {
-    const { log, telemetry } = this.dependencies;
-    telemetry.countAttempt(request.service, result.outcome);
-    const fields = {
-      requestId: request.requestId,
-      replica: sent.state.entry.id,
-      version: sent.state.entry.version,
-      tookMs: Math.round(this.nowMs - sent.sentAtMs),
-      ...result,
-    };
-    if (result.outcome === "whole") log.addRoutine("attempt.ended", fields);
-    else {
-      const promptParts = request.fields.promptParts.map(({ id }) => id);
-      log.addNotable("attempt.ended", {
-        ...fields,
-        ...(promptParts.length === 0 ? {} : { promptParts }),
-      });
-    }
+  ): admissions.Refusal | undefined {
+    if (request.signal.aborted) return admissions.CALLER_GONE_REFUSAL;
+    const { admission, quarantine } = this.dependencies;
+    return admission.checkConfigurationAge(request) ??
+      quarantine.check(request);
   }
 
-  /** Records what a replica demands in the head of its answer to an attempt. */
-  recordDemands(
+  /** Resolves with the keys of the replicas whose load is known. */
+  async #queryLoads(
     request: requests.AdmittedRequest,
-    sent: sends.SentAttempt,
-    head: attempts.ResponseHead,
-    response: ports.ResponseFields,
-  ): void {
-    const isOwnAnswer = response.attemptId !== undefined &&
-      response.attemptId === request.fields.attemptId;
-    if (!isOwnAnswer || head.status === MISDIRECTED) return;
-    const { entry, demands } = sent.state;
-    const { nowMs } = this;
-    // With other statuses the header speaks of the request, not of the replica.
-    const pauseMs = head.status === UNAVAILABLE
-      ? response.demands.pauseMs
-      : undefined;
-    const isChanged = demands.record({ ...response.demands, pauseMs }, {
-      sentAtMs: sent.sentAtMs,
-      nowMs,
-    });
-    if (!isChanged) return;
-    const { log, telemetry } = this.dependencies;
-    telemetry.countEvent("replica.demands");
-    log.addNotable("replica.demands", {
-      replica: entry.id,
-      service: entry.service,
-      status: head.status,
-      requestsPerS: demands.rate,
-      isLeaving: demands.isLeaving,
-      pausedMs: Math.max(0, Math.round(demands.pausedUntilMs - nowMs)),
+    options: sends.SendOptions,
+  ): Promise<ReadonlySet<number>> {
+    const { table, fleet } = this.dependencies;
+    const keys = table.listQueryKeys({
+      ...this.#buildPlacement(request, options),
+      mayAskForRate: true,
     });
-  }
-
-  /** Records an attempt that its replica did not run. */
-  recordNotRun(sent: sends.SentAttempt, reason: string): void {
-    const { table } = this.dependencies;
-    const { state } = sent;
-    const { nowMs } = this;
-    table.markBusy(state, nowMs);
-    if (reason === "misdirected") table.markMisdirected(state, nowMs);
-    if (!sent.attempt.isSent) state.health.recordNoAnswer(nowMs);
-  }
-
-  /** Records an attempt that ran: updates its replica's health and the evidence on its version. */
-  recordRun(
-    request: requests.AdmittedRequest,
-    sent: sends.SentAttempt,
-    run: sends.RunOutcome,
-  ): void {
-    const { nowMs } = this;
-    const { entry, key, health, evidence } = sent.state;
-    if (run.result === "lost") health.recordNoAnswer(nowMs);
-    else if (run.result === "failed") health.recordFailedAnswer();
-    else if (run.latencyMs !== undefined) health.recordSuccess(run.latencyMs);
-    if (run.result !== "whole") evidence.recordFailure(nowMs);
-    else if (run.latencyMs !== undefined) {
-      evidence.recordSuccess(run.latencyMs, nowMs);
+    if (request.fields.promptTokens > 0) {
+      return new Set(await fleet.queryLoads(keys));
     }
-    // The measured pace would reflect the lag of this process, not the replica.
-    if (run.result === "whole" && (run.isLagging || run.isPaceJudged)) return;
-    this.dependencies.rollouts.record({
-      service: request.service,
-      route: request.route.name,
-      version: entry.version,
-      replicaKey: key,
-      model: run.model,
-      result: run.result,
-      paceMs: run.result === "whole" ? run.paceMs : undefined,
-      sentAtMs: sent.sentAtMs,
-      endedAtMs: nowMs,
-    });
+    // A plain request would wait longer for the answers than it gains by them: they
+    // serve the next ones, which learn from them which replicas are slow or fail.
+    for (const key of keys) {
+      fleet.keepLoadFresh(key, EVIDENCE_QUERY_INTERVAL_MS);
+    }
+    return new Set(keys);
   }
 
-  /** Why a request must not be sent now, whatever the replicas are. */
-  #findRefusal(
+  /** Takes a request at a replica with a rate if that is the best choice and grants it. */
+  async #takeAtRate(
     request: requests.AdmittedRequest,
-  ): admissions.Refusal | undefined {
-    if (request.signal.aborted) return admissions.CALLER_GONE_REFUSAL;
-    const { admission, quarantine } = this.dependencies;
-    return admission.checkConfigurationAge(request) ??
-      quarantine.check(request);
+    options: sends.SendOptions,
+    queriedKeys: ReadonlySet<number>,
+  ): Promise<number | undefined> {
+    const { table, fleet } = this.dependencies;
+    for (let questions = 0; questions < MAX_RATE_QUESTIONS; questions += 1) {
+      const placement = this.#buildPlacement(request, options);
+      const pick = table.pick({
+        ...placement,
+        queriedKeys,
+        mayAskForRate: true,
+      });
+      const key = pick?.state.key;
+      if (key === undefined || fleet.readRate(key) === undefined) break;
+      if (await fleet.takeRequest(key, placement.reserved)) return key;
+    }
+    return undefined;
   }
 
   #buildPlacement(
     request: requests.AdmittedRequest,
     options: Pick<sends.SendOptions, "model" | "excluded">,
-  ): replicas.PlacementRequest {
+  ): groups.PlacementRequest {
     const { fields, service, route } = request;
     return {
       service,
@@ -367,6 +313,7 @@
       excluded: options.excluded,
       needsNewConnection: route.kind === "non-idempotent",
       versionPreference: this.#chooseVersionPreference(request),
+      reserved: getPriority(request) === 0 ? 0 : 1,
       nowMs: this.nowMs,
     };
   }
@@ -401,7 +348,7 @@
     options: sends.SendOptions,
   ): number | undefined {
     if (options.model === undefined) return undefined;
-    const priority = request.account?.priority ?? request.route.priority;
+    const priority = getPriority(request);
     const retryBoost = options.earlierSends > 0 ? 1 : 0;
     return Math.max(
       0,
@@ -411,24 +358,4 @@
       ),
     );
   }
-
-  #recordInRetryBudget(service: string, earlierSends: number): void {
-    const budget = this.#getRetryBudget(service);
-    if (earlierSends === 0) budget.recordRequest(this.nowMs);
-    else budget.recordExtraSend(this.nowMs);
-  }
-
-  #getRetryBudget(service: string): decisions.SlidingRetryBudget {
-    const existing = this.#retryBudgetByService.get(service);
-    if (existing !== undefined) return existing;
-    const { retryWindowMs, retryRatio, retrySlack } =
-      this.dependencies.settings;
-    const budget = new decisions.SlidingRetryBudget({
-      windowMs: retryWindowMs,
-      ratio: retryRatio,
-      slack: retrySlack,
-    });
-    this.#retryBudgetByService.set(service, budget);
-    return budget;
-  }
 }
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -59,6 +59,8 @@
   #loads: peers.LoadExchange | undefined;
   #prompts: peers.PromptExchange | undefined;
   readonly #owners: peers.ReplicaOwners;
+  readonly #rates: peers.RateExchange;
+  #rateChannel: peers.PeerChannel | undefined;
   #lease: ports.PeerLease | undefined;
   #sleepAbort: AbortController | undefined;
   #announceLoop: Promise<void> | undefined;
@@ -67,7 +69,16 @@
 
   constructor(options: FleetOptions) {
     this.#options = options;
-    this.#owners = new peers.ReplicaOwners(options.settings.vmName);
+    const { settings, clock, random } = options;
+    this.#owners = new peers.ReplicaOwners(settings.vmName);
+    this.#rates = new peers.RateExchange({
+      name: settings.vmName,
+      clock,
+      owners: this.#owners,
+      random,
+      send: (bytes, { host, port }) =>
+        this.#rateChannel?.send(bytes, host, port),
+    });
   }
 
   /** Number of announced processes, including this one. */
@@ -105,9 +116,13 @@
         readLoad: (key) => source.readOwnLoad(key),
         listReplicaKeys: () => source.listReplicaKeys(),
       },
+      onQuery: (sender, keys) => this.#rates.notify(sender, keys),
       onMessage: (what) => telemetry.countEvent(`loads.${what}`),
     });
     this.#loads = loads;
+    this.#rateChannel = channels.rates;
+    channels.rates.onDatagram = (bytes, host) =>
+      this.#rates.handleDatagram(bytes, host);
     this.#prompts = new peers.PromptExchange({
       name: settings.vmName,
       clock,
@@ -212,6 +227,40 @@
     };
   }
 
+  /** Rate that a replica takes from all processes together, in requests per second. */
+  readRate(replicaKey: number): number | undefined {
+    return this.#rates.readRate(replicaKey);
+  }
+
+  /** Time until a request to a replica with a rate may be asked for. */
+  findRateWaitMs(
+    replicaKey: number,
+    reserved: peers.ReservedRequests,
+  ): number {
+    return this.#rates.findWaitMs(replicaKey, reserved);
+  }
+
+  /** Records what an answer says of its replica's rate; returns whether it has changed. */
+  recordRate(
+    replicaKey: number,
+    answer: { readonly rate: number | undefined; readonly sentAtMs: number },
+  ): boolean {
+    return this.#rates.recordAnswer(replicaKey, answer);
+  }
+
+  /** Forgets the rate of a replica that has started again. */
+  resetRate(replicaKey: number): void {
+    this.#rates.reset(replicaKey);
+  }
+
+  /** Asks the owner of a replica for one request at its rate. */
+  takeRequest(
+    replicaKey: number,
+    reserved: peers.ReservedRequests,
+  ): Promise<boolean> {
+    return this.#rates.take(replicaKey, reserved);
+  }
+
   /** Tells peers of suspected parts of prompts. */
   recordSuspicion(): void {
     this.#prompts?.recordChange();
@@ -237,6 +286,7 @@
       kernel.sleep(MAX_WITHDRAWAL_WAIT_MS),
     ]);
     this.#loads?.close();
+    this.#rates.close();
     this.#prompts?.close();
     this.#reporter?.close();
   }
--- /dev/null
+++ b/packages/router/src/replica_group.ts
@@ -0,0 +1,119 @@
+/** Which replicas a request may be sent to: the group from which one is chosen. */
+import type * as decisions from "@jackdawbank/decisions";
+import type * as peers from "@jackdawbank/peers";
+import type * as connections from "./connections.ts";
+import type * as ports from "./ports.ts";
+import type * as prefixes from "./prefix_memory.ts";
+
+/** Local state of one replica. */
+export interface ReplicaState {
+  readonly entry: ports.ReplicaEntry;
+  /** Hash of the replica's ID, which identifies it in peer reports. */
+  readonly key: number;
+  readonly pool: connections.ConnectionPool;
+  readonly health: decisions.ReplicaHealth;
+  /** What this process tells others about the replica's answers. */
+  readonly evidence: decisions.ReplicaEvidence;
+  readonly demands: decisions.ReplicaDemandState;
+  readonly prefixes: prefixes.PrefixMemory;
+  inFlight: number;
+  /** Predicted prefill time of this process's pending prompts. */
+  pendingMs: number;
+  /** Monotonic time at which the newest byte was received from the replica. */
+  lastByteAtMs: number;
+  avoidUntilMs: number;
+  /** Its entry is missing, perhaps only because its lease expired in an outage. */
+  isDoubtful: boolean;
+  isRemoved: boolean;
+}
+
+/** A request for which a replica is chosen. */
+export interface PlacementRequest {
+  readonly service: string;
+  readonly model: string | undefined;
+  readonly promptTokens: number;
+  /** Predicted prefill time of one token. */
+  readonly prefillMsPerToken: number;
+  readonly parts: readonly ports.PromptPart[];
+  /** IDs of replicas that must not be used. */
+  readonly excluded: ReadonlySet<string>;
+  readonly needsNewConnection: boolean;
+  readonly versionPreference: decisions.VersionPreference;
+  /** Keys of the replicas whose load was asked for; others are used only if none of these can be. */
+  readonly queriedKeys?: ReadonlySet<number> | undefined;
+  /** Requests at a replica's rate that are left for more urgent ones. */
+  readonly reserved: peers.ReservedRequests;
+  /** Replica with a rate at which the request has been granted. */
+  readonly grantedKey?: number | undefined;
+  /** Whether replicas with a rate are considered too, as one of them may grant the request. */
+  readonly mayAskForRate?: boolean;
+  readonly nowMs: number;
+}
+
+/** The rates that replicas name, as all processes know them. */
+export interface ReplicaRates {
+  /** Requests per second that a replica takes; absent without a limit. */
+  readRate(replicaKey: number): number | undefined;
+  /** Time until a request may be asked for; 0 without a limit. */
+  findWaitMs(replicaKey: number, reserved: peers.ReservedRequests): number;
+  /** Called when a replica has started again. */
+  reset(replicaKey: number): void;
+}
+
+/** Whether a replica is expected to answer soon. */
+export function isAvailable(state: ReplicaState, nowMs: number): boolean {
+  return !state.health.isEjected(nowMs) && state.avoidUntilMs <= nowMs;
+}
+
+function isWithinRate(
+  { key }: ReplicaState,
+  request: PlacementRequest,
+  rates: ReplicaRates,
+): boolean {
+  if (rates.readRate(key) === undefined || key === request.grantedKey) {
+    return true;
+  }
+  return request.mayAskForRate === true &&
+    rates.findWaitMs(key, request.reserved) === 0;
+}
+
+/** The best group of usable replicas that is not empty. */
+export function findGroup(
+  states: readonly ReplicaState[],
+  request: PlacementRequest,
+  rates: ReplicaRates,
+): readonly ReplicaState[] | undefined {
+  const { nowMs } = request;
+  const usable = states.filter((state) =>
+    !request.excluded.has(state.entry.id) &&
+    !request.versionPreference.banned.includes(state.entry.version) &&
+    (request.needsNewConnection || !state.pool.isFull) &&
+    isWithinRate(state, request, rates)
+  );
+  const { target, prefersTarget } = request.versionPreference;
+  const isPreferred = (state: ReplicaState) =>
+    target === undefined ||
+    (state.entry.version === target) === prefersTarget;
+  const preferred = usable.filter(isPreferred);
+  const groups = [
+    preferred.filter((state) => isAvailable(state, nowMs)),
+    // Keeping a session on its version matters more than avoiding an unavailable replica.
+    preferred,
+    usable.filter((state) => isAvailable(state, nowMs)),
+    usable,
+  ];
+  return groups.find((group) => group.length > 0);
+}
+
+/** Time after which a replica would take a request that none takes now; absent if unknown. */
+export function findRetryAfterMs(
+  states: readonly ReplicaState[],
+  request: PlacementRequest,
+  rates: ReplicaRates,
+): number | undefined {
+  const waits = states.map(({ key }) =>
+    rates.findWaitMs(key, request.reserved)
+  );
+  const shortestMs = Math.min(...waits);
+  return Number.isFinite(shortestMs) && shortestMs > 0 ? shortestMs : undefined;
+}
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -7,6 +7,7 @@
 import type * as peers from "@jackdawbank/peers";
 import * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
+import * as groups from "./replica_group.ts";
 import * as prefixes from "./prefix_memory.ts";
 
 /** Time in which a replica is avoided after an attempt that it did not run. */
@@ -21,48 +22,9 @@
 /** Incarnations of replicas whose demands are kept, also after their removal. */
 const MAX_INCARNATIONS = 4_096;
 
-/** Local state of one replica. */
-export interface ReplicaState {
-  readonly entry: ports.ReplicaEntry;
-  /** Hash of the replica's ID, which identifies it in peer reports. */
-  readonly key: number;
-  readonly pool: connections.ConnectionPool;
-  readonly health: decisions.ReplicaHealth;
-  /** What this process tells others about the replica's answers. */
-  readonly evidence: decisions.ReplicaEvidence;
-  readonly demands: decisions.ReplicaDemandState;
-  readonly prefixes: prefixes.PrefixMemory;
-  inFlight: number;
-  /** Predicted prefill time of this process's pending prompts. */
-  pendingMs: number;
-  /** Monotonic time at which the newest byte was received from the replica. */
-  lastByteAtMs: number;
-  avoidUntilMs: number;
-  /** Its entry is missing, perhaps only because its lease expired in an outage. */
-  isDoubtful: boolean;
-  isRemoved: boolean;
-}
-
-/** A request for which a replica is chosen. */
-export interface PlacementRequest {
-  readonly service: string;
-  readonly model: string | undefined;
-  readonly promptTokens: number;
-  /** Predicted prefill time of one token. */
-  readonly prefillMsPerToken: number;
-  readonly parts: readonly ports.PromptPart[];
-  /** IDs of replicas that must not be used. */
-  readonly excluded: ReadonlySet<string>;
-  readonly needsNewConnection: boolean;
-  readonly versionPreference: decisions.VersionPreference;
-  /** Keys of the replicas whose load was asked for; others are used only if none of these can be. */
-  readonly queriedKeys?: ReadonlySet<number> | undefined;
-  readonly nowMs: number;
-}
-
 /** A chosen replica, with the inputs of the choice for the log. */
 export interface PickedReplica {
-  readonly state: ReplicaState;
+  readonly state: groups.ReplicaState;
   /** Prompt tokens that are probably cached at the replica. */
   readonly cachedTokens: number;
   /** Number of replicas that were considered. */
@@ -75,6 +37,7 @@
   readonly prefixReuseWindowMs: number;
   readonly random: () => number;
   readonly onConnectionOpened: () => void;
+  readonly rates: groups.ReplicaRates;
   /** Load that peers have in flight at a replica. */
   readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
   /** Called when this process's load at a replica, or its evidence, has changed. */
@@ -85,19 +48,15 @@
 }
 
 interface Candidate extends decisions.ReplicaCandidate {
-  readonly state: ReplicaState;
-}
-
-function isAvailable(state: ReplicaState, nowMs: number): boolean {
-  return !state.health.isEjected(nowMs) && state.avoidUntilMs <= nowMs;
+  readonly state: groups.ReplicaState;
 }
 
 /** The replicas of all services. */
 export class ReplicaTable {
   readonly #options: ReplicaTableOptions;
-  readonly #states = new Map<string, ReplicaState>();
-  readonly #stateByKey = new Map<number, ReplicaState>();
-  readonly #statesByService = new Map<string, Set<ReplicaState>>();
+  readonly #states = new Map<string, groups.ReplicaState>();
+  readonly #stateByKey = new Map<number, groups.ReplicaState>();
+  readonly #statesByService = new Map<string, Set<groups.ReplicaState>>();
   readonly #demandsByIncarnation = new Map<
     string,
     decisions.ReplicaDemandState
@@ -117,7 +76,7 @@
    * Replicas of a service that are not draining. Doubtful ones are left out unless
    * so many are that an outage must be the reason.
    */
-  listActive(service: string): readonly ReplicaState[] {
+  listActive(service: string): readonly groups.ReplicaState[] {
     const active = [...this.#statesByService.get(service) ?? []].filter((
       state,
     ) => !state.entry.isDraining);
@@ -141,8 +100,11 @@
       existing.entry.service === entry.service &&
       existing.entry.address.host === entry.address.host &&
       existing.entry.address.port === entry.address.port;
-    if (existing !== undefined && !isSameProcess) this.remove(entry.id);
-    const state: ReplicaState = isSameProcess
+    if (existing !== undefined && !isSameProcess) {
+      this.remove(entry.id);
+      this.#options.rates.reset(existing.key);
+    }
+    const state: groups.ReplicaState = isSameProcess
       ? Object.assign(existing, { entry, isDoubtful: false })
       : this.#createState(entry);
     this.#states.set(entry.id, state);
@@ -171,12 +133,17 @@
   /** Whether an available replica that is not excluded has a free connection. */
   hasAvailable(
     service: string,
-    options: Pick<PlacementRequest, "excluded" | "versionPreference" | "nowMs">,
+    options: Pick<
+      groups.PlacementRequest,
+      "excluded" | "versionPreference" | "nowMs"
+    >,
   ): boolean {
+    const { rates } = this.#options;
     return this.listActive(service).some((state) =>
       !options.excluded.has(state.entry.id) &&
       !options.versionPreference.banned.includes(state.entry.version) &&
-      !state.pool.isFull && isAvailable(state, options.nowMs)
+      !state.pool.isFull && groups.isAvailable(state, options.nowMs) &&
+      rates.readRate(state.key) === undefined
     );
   }
 
@@ -185,7 +152,9 @@
     let running = 0;
     let slots = 0;
     for (const state of this.listActive(service)) {
-      if (!isAvailable(state, nowMs)) continue;
+      const isInUse = groups.isAvailable(state, nowMs) &&
+        this.#options.rates.readRate(state.key) === undefined;
+      if (!isInUse) continue;
       running += state.inFlight +
         this.#options.readPeerLoad(state.key).running;
       slots += state.entry.slots;
@@ -194,15 +163,38 @@
   }
 
   /** Picks a replica of the preferred version, or else of another permitted one. */
-  pick(request: PlacementRequest): PickedReplica | undefined {
+  pick(request: groups.PlacementRequest): PickedReplica | undefined {
     const group = this.#findGroup(request);
     if (group === undefined) return undefined;
+    const granted = group.filter(({ key }) => key === request.grantedKey);
     const queried = group.filter(({ key }) => request.queriedKeys?.has(key));
-    return this.#choose(queried.length > 0 ? queried : group, request);
+    const preferred = granted.length > 0 ? granted : queried;
+    return this.#choose(preferred.length > 0 ? preferred : group, request);
+  }
+
+  /** Whether any replica of a service names a rate. */
+  hasRates(service: string): boolean {
+    const { rates } = this.#options;
+    return this.listActive(service).some(({ key }) =>
+      rates.readRate(key) !== undefined
+    );
+  }
+
+  /** Time after which a replica would take a request that none takes now; absent if unknown. */
+  findRetryAfterMs(request: groups.PlacementRequest): number | undefined {
+    const states = this.listActive(request.service);
+    return groups.findRetryAfterMs(states, request, this.#options.rates);
+  }
+
+  #findGroup(
+    request: groups.PlacementRequest,
+  ): readonly groups.ReplicaState[] | undefined {
+    const states = this.listActive(request.service);
+    return groups.findGroup(states, request, this.#options.rates);
   }
 
   /** Keys of the replicas whose load should be asked for before `pick`. */
-  listQueryKeys(request: PlacementRequest): readonly number[] {
+  listQueryKeys(request: groups.PlacementRequest): readonly number[] {
     const group = this.#findGroup(request) ?? [];
     if (group.length < 2) return [];
     return decisions.chooseQueryCandidates(
@@ -212,29 +204,7 @@
     ).map(({ state }) => state.key);
   }
 
-  /** The best group of usable replicas that is not empty. */
-  #findGroup(request: PlacementRequest): readonly ReplicaState[] | undefined {
-    const usable = this.listActive(request.service).filter((state) =>
-      !request.excluded.has(state.entry.id) &&
-      !request.versionPreference.banned.includes(state.entry.version) &&
-      (request.needsNewConnection || !state.pool.isFull)
-    );
-    const { target, prefersTarget } = request.versionPreference;
-    const isPreferred = (state: ReplicaState) =>
-      target === undefined ||
-      (state.entry.version === target) === prefersTarget;
-    const preferred = usable.filter(isPreferred);
-    const groups = [
-      preferred.filter((state) => isAvailable(state, request.nowMs)),
-      // Keeping a session on its version matters more than avoiding an unavailable replica.
-      preferred,
-      usable.filter((state) => isAvailable(state, request.nowMs)),
-      usable,
-    ];
-    return groups.find((states) => states.length > 0);
-  }
-
-  recordSent(state: ReplicaState, prefillMs: number): void {
+  recordSent(state: groups.ReplicaState, prefillMs: number): void {
     state.inFlight += 1;
     state.pendingMs += prefillMs;
     if (this.#isEngine(state)) {
@@ -244,7 +214,7 @@
 
   /** Records that a prompt was processed: it is no longer pending, and its parts are cached. */
   recordPrefill(
-    state: ReplicaState,
+    state: groups.ReplicaState,
     prefill: {
       readonly model: string | undefined;
       readonly parts: readonly ports.PromptPart[];
@@ -258,7 +228,7 @@
   }
 
   /** Records the end of an attempt and subtracts the prefill time that it still had pending. */
-  recordEnd(state: ReplicaState, remainingPrefillMs: number): void {
+  recordEnd(state: groups.ReplicaState, remainingPrefillMs: number): void {
     state.inFlight = Math.max(0, state.inFlight - 1);
     state.pendingMs = Math.max(0, state.pendingMs - remainingPrefillMs);
     this.#options.onLoadChanged(
@@ -268,15 +238,15 @@
   }
 
   /** Requests of plain services end too soon for others to learn of each of them. */
-  #isEngine({ entry }: ReplicaState): boolean {
+  #isEngine({ entry }: groups.ReplicaState): boolean {
     return this.#services.get(entry.service)?.engine !== undefined;
   }
 
-  markBusy(state: ReplicaState, nowMs: number): void {
+  markBusy(state: groups.ReplicaState, nowMs: number): void {
     state.avoidUntilMs = nowMs + AVOID_BUSY_MS;
   }
 
-  markMisdirected(state: ReplicaState, nowMs: number): void {
+  markMisdirected(state: groups.ReplicaState, nowMs: number): void {
     state.avoidUntilMs = nowMs + AVOID_MISDIRECTED_MS;
   }
 
@@ -327,7 +297,7 @@
     );
   }
 
-  #createState(entry: ports.ReplicaEntry): ReplicaState {
+  #createState(entry: ports.ReplicaEntry): groups.ReplicaState {
     return {
       entry,
       key: decisions.hashText(entry.id),
@@ -360,8 +330,8 @@
   }
 
   #choose(
-    states: readonly ReplicaState[],
-    request: PlacementRequest,
+    states: readonly groups.ReplicaState[],
+    request: groups.PlacementRequest,
   ): PickedReplica | undefined {
     const candidates = states.map((state) =>
       this.#buildCandidate(state, request)
@@ -378,7 +348,7 @@
     };
   }
 
-  #buildPlacement(request: PlacementRequest): decisions.PromptPlacement {
+  #buildPlacement(request: groups.PlacementRequest): decisions.PromptPlacement {
     const sharedPrefix = prefixes.findSharedPrefix(request.parts);
     return {
       promptTokens: request.promptTokens,
@@ -390,7 +360,10 @@
     };
   }
 
-  #buildCandidate(state: ReplicaState, request: PlacementRequest): Candidate {
+  #buildCandidate(
+    state: groups.ReplicaState,
+    request: groups.PlacementRequest,
+  ): Candidate {
     const peerLoad = this.#options.readPeerLoad(state.key);
     const evidence = decisions.addEvidence(
       state.evidence.read(request.nowMs),
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -1,5 +1,6 @@
 import * as ava from "ava";
 import * as decisions from "@jackdawbank/decisions";
+import type * as groups from "./replica_group.ts";
 import * as replicas from "./replica_table.ts";
 
 const NO_PREFERENCE = { target: undefined, prefersTarget: false, banned: [] };
@@ -10,6 +11,11 @@
     prefixReuseWindowMs: 10_000,
     random: () => 0.5,
     onConnectionOpened: () => {},
+    rates: {
+      readRate: () => undefined,
+      findWaitMs: () => 0,
+      reset: () => {},
+    },
     readPeerLoad: () => decisions.NO_LOAD_STATE,
     onLoadChanged: () => {},
   });
@@ -17,7 +23,7 @@
 
 function buildEntry(
   id: string,
-  overrides: Partial<replicas.ReplicaState["entry"]> = {},
+  overrides: Partial<groups.ReplicaState["entry"]> = {},
 ) {
   return {
     id,
@@ -33,8 +39,8 @@
 }
 
 function buildRequest(
-  overrides: Partial<replicas.PlacementRequest> = {},
-): replicas.PlacementRequest {
+  overrides: Partial<groups.PlacementRequest> = {},
+): groups.PlacementRequest {
   return {
     service: "llm",
     model: "small",
@@ -44,6 +50,7 @@
     excluded: new Set(),
     needsNewConnection: false,
     versionPreference: NO_PREFERENCE,
+    reserved: 0,
     nowMs: 0,
     ...overrides,
   };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -82,6 +82,12 @@
       prefixReuseWindowMs: settings.prefixReuseWindowMs,
       random,
       onConnectionOpened: () => this.#telemetry.countEvent("connection.opened"),
+      rates: {
+        readRate: (key) => this.#fleet.readRate(key),
+        findWaitMs: (key, reserved) =>
+          this.#fleet.findRateWaitMs(key, reserved),
+        reset: (key) => this.#fleet.resetRate(key),
+      },
       readPeerLoad: (key) => this.#fleet.readLoad(key),
       onLoadChanged: (key, change) => this.#fleet.recordLoadChange(key, change),
     });
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -1,7 +1,7 @@
 /** One send of a request to a replica: its options, its state and its outcome. */
 import type * as decisions from "@jackdawbank/decisions";
 import type * as attempts from "./attempt.ts";
-import type * as replicas from "./replica_table.ts";
+import type * as groups from "./replica_group.ts";
 
 /** Options of one attempt. */
 export interface SendOptions {
@@ -11,14 +11,20 @@
   readonly excluded: ReadonlySet<string>;
   /** Number of earlier attempts of this request. */
   readonly earlierSends: number;
-  /** Result of `queryLoads`. */
+}
+
+/** What the other processes answered before the choice of a replica. */
+export interface Preparation {
+  /** Keys of the replicas whose load is known now. */
   readonly queriedKeys: ReadonlySet<number>;
+  /** Replica with a rate that may get this request. */
+  readonly grantedKey: number | undefined;
 }
 
 /** An attempt in flight at a replica. */
 export interface SentAttempt {
   readonly attempt: attempts.Attempt;
-  readonly state: replicas.ReplicaState;
+  readonly state: groups.ReplicaState;
   readonly sentAtMs: number;
   readonly cachedTokens: number;
   /** Predicted prefill time of the prompt tokens that are not cached. */
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -105,17 +105,14 @@
       excluded: this.#triedReplicaIds,
       earlierSends: this.#sendCount,
     };
-    const queriedKeys = await this.#dispatcher.queryLoads(
-      this.#request,
-      options,
-    );
+    const preparation = await this.#dispatcher.prepare(this.#request, options);
     const startedAtMs = this.#dispatcher.nowMs;
     const current = streamAttempts.createStreamAttempt(startedAtMs);
     const refusal = await new Promise<admissions.Refusal | undefined>(
       (resolve) => {
         const sendResult = this.#dispatcher.send(this.#request, {
           ...options,
-          queriedKeys,
+          ...preparation,
         }, {
           onHead: (head) => this.#handleHead(current, head),
           onData: (chunk) => this.#handleData(current, chunk),
@@ -158,7 +155,7 @@
     current.lastEventAtMs = nowMs;
     sent.state.lastByteAtMs = nowMs;
     current.verdict = check.classifyHead(this.#request, head, response);
-    this.#dispatcher.recordDemands(this.#request, sent, head, response);
+    this.#dispatcher.demands.record(this.#request, sent, head, response);
     if (current.verdict === "mismatched" || current.verdict === "unusable") {
       sent.attempt.cancel(`response rejected as ${current.verdict}`);
       return;
@@ -324,7 +321,7 @@
     this.#triedReplicaIds.add(state.entry.id);
     table.recordEnd(state, current.isPrefilled ? 0 : sent.prefillMs);
     if (result.type === "not-run") {
-      this.#dispatcher.recordNotRun(sent, result.reason);
+      this.#dispatcher.recorder.recordNotRun(sent, result.reason);
     } else {
       this.#runCount += 1;
       if (!this.#request.signal.aborted) this.#recordRun(current, sent, result);
@@ -337,7 +334,7 @@
     }
     // A response dropped for low confidence is no reason to exclude its replica.
     if (result.type === "escalate") this.#triedReplicaIds.clear();
-    this.#dispatcher.logAttempt(this.#request, sent, {
+    this.#dispatcher.recorder.logAttempt(this.#request, sent, {
       outcome: result.type === "complete" ? "whole" : result.type,
       ...("reason" in result ? { reason: result.reason } : {}),
       ...(result.type === "failed" ? { status: result.head.status } : {}),
@@ -353,7 +350,7 @@
   ): void {
     this.#offerPace(current, true);
     const { latencyMs, paceMs } = streamAttempts.measureStart(current);
-    this.#dispatcher.recordRun(this.#request, sent, {
+    this.#dispatcher.recorder.recordRun(this.#request, sent, {
       model: this.#model,
       result: result.type === "lost" ? "lost" : result.type === "failed" &&
           check.isServerError(result.head.status)
