A replica whose answers say that it leaves gets no further request (DRAIN)

What callers saw: requests went on to a replica that had said in its answers (Server-Leaving) that it leaves, until the list of replicas said so, and were broken off when it ended. Cause: the answers' statement was not used; only the list decided. Ruled out: choices made before the statement and sent after it, which end within the wait for an owner (8 ms) and a connection (500 ms).

Why this works: the statement is kept with the incarnation, outlasts a removed entry, is checked where the group of replicas is formed, which every send passes, and ends with a new start of the replica.

--- a/packages/bench/src/platform_demands_test.ts
+++ b/packages/bench/src/platform_demands_test.ts
@@ -143,3 +143,58 @@
       t.deepEqual([...new Set(last)], [200]);
     }));
 }
+
+const MAX_CALLS = 200;
+
+/** Sends prompts one after the other until a condition is met. */
+async function callUntil(
+  entry: harnesses.PlatformHarness,
+  condition: () => boolean,
+): Promise<void> {
+  for (let calls = 0; !condition(); calls += 1) {
+    if (calls > MAX_CALLS) throw new Error("condition not met");
+    await callDraft(entry, 1_000 + calls);
+  }
+}
+
+/** Time for which only the other replica should be used. */
+const ALONE_MS = 1_500;
+
+// Guards against DRAIN: a replica that said in its answers that it leaves went on getting
+// requests until the list of replicas said so, too.
+test("a replica whose answers say that it leaves gets no further request, whatever the list says", (t) =>
+  withHarness(async (harness) => {
+    const leaving = await harness.addReplica("i-1", "llm", answerStream);
+    const other = await harness.addReplica("i-2", "llm", answerStream);
+    await harness.start();
+    await callInTurn([harness], callDraft, 500);
+    t.true(leaving.received.length > 0);
+    leaving.extraHeaders = { "server-leaving": "1" };
+    await callUntil(
+      harness,
+      () => harness.findLogLines("replica.demands").length > 0,
+    );
+    await kernel.sleep(REACTION_MS);
+    const before = leaving.received.length;
+    // A heartbeat, and an entry that lapses and comes back: the same process both times.
+    harness.store.putReplica("i-1", leaving.buildEntry("llm", { sequence: 2 }));
+    harness.store.remove("servers/i-1");
+    await harness.waitFor(() =>
+      harness.findLogLines("replica.gone").length > 0
+    );
+    harness.store.putReplica("i-1", leaving.buildEntry("llm", { sequence: 3 }));
+    await harness.waitFor(() =>
+      harness.findLogLines("replica.known").length >= 3
+    );
+    const statuses = await callInTurn([harness], callDraft, ALONE_MS);
+    t.deepEqual([...new Set(statuses)], [200]);
+    t.is(leaving.received.length, before);
+    // A new process under the same id knows nothing of that.
+    leaving.extraHeaders = {};
+    harness.store.putReplica("i-1", leaving.buildEntry("llm", { born: 2 }));
+    harness.store.putReplica(
+      "i-2",
+      other.buildEntry("llm", { state: "draining" }),
+    );
+    await callUntil(harness, () => leaving.received.length > before);
+  }));
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -65,6 +65,11 @@
   return !state.health.isEjected(nowMs) && state.avoidUntilMs <= nowMs;
 }
 
+/** Whether a replica takes requests of this process at all. */
+export function isOpen({ demands }: Pick<ReplicaState, "demands">): boolean {
+  return !demands.isLeaving;
+}
+
 function isWithinRate(
   { key }: ReplicaState,
   request: PlacementRequest,
@@ -88,7 +93,7 @@
     !request.excluded.has(state.entry.id) &&
     !request.versionPreference.banned.includes(state.entry.version) &&
     (request.needsNewConnection || !state.pool.isFull) &&
-    isWithinRate(state, request, rates)
+    isOpen(state) && isWithinRate(state, request, rates)
   );
   const { target, prefersTarget } = request.versionPreference;
   const isPreferred = (state: ReplicaState) =>
@@ -111,7 +116,7 @@
   request: PlacementRequest,
   rates: ReplicaRates,
 ): number | undefined {
-  const waits = states.map(({ key }) =>
+  const waits = states.filter(isOpen).map(({ key }) =>
     rates.findWaitMs(key, request.reserved)
   );
   const shortestMs = Math.min(...waits);
