--- a/packages/bench/src/platform_demands_test.ts
+++ b/packages/bench/src/platform_demands_test.ts
@@ -198,3 +198,54 @@
     );
     await callUntil(harness, () => leaving.received.length > before);
   }));
+
+const PAUSE_S = 1.5;
+/** Requests that may reach a replica within its pause, as the operators count. */
+const MAX_WITHIN_PAUSE = 2;
+
+// Guards against BUDGET: a replica that refused with 503 and Retry-After was only left out for
+// 150 ms, and got all requests that no other replica took.
+for (
+  const { kind, service, call } of [
+    { kind: "prompts", service: "llm", call: callDraft },
+    { kind: "plain requests", service: "desk", call: callCheck },
+  ]
+) {
+  test(`a replica that asks for a pause gets none, and callers are told for how long: ${kind}`, (t) =>
+    withHarness(async (harness) => {
+      const ok = () =>
+        service === "llm" ? answerStream() : { type: "ok" } as const;
+      const refusals: number[] = [];
+      const replica = await harness.addReplica("i-1", service, () => {
+        if (replica.extraHeaders["retry-after"] === undefined) return ok();
+        refusals.push(performance.now());
+        return { type: "not-run", status: 503 };
+      });
+      await harness.start();
+      t.deepEqual(
+        [...new Set(await callInTurn([harness], call, 300))],
+        [200],
+      );
+      replica.extraHeaders = { "retry-after": String(PAUSE_S) };
+      t.is((await call(harness, 900)).status, 503);
+      replica.extraHeaders = {};
+      const pausedAtMs = refusals[0] as number;
+      const before = replica.received.length;
+      const refused = await call(harness, 901);
+      t.is(refused.status, 503);
+      const retryAfterS = Number(refused.headers["retry-after"]);
+      t.true(
+        retryAfterS > 0.5 * PAUSE_S && retryAfterS <= PAUSE_S,
+        `retry after ${retryAfterS} s`,
+      );
+      const leftMs = PAUSE_S * 1_000 - (performance.now() - pausedAtMs);
+      const during = await callInTurn([harness], call, leftMs - 150);
+      t.deepEqual([...new Set(during)], [503]);
+      t.true(replica.received.length - before <= MAX_WITHIN_PAUSE);
+      await kernel.sleep(300);
+      t.deepEqual(
+        [...new Set(await callInTurn([harness], call, 300))],
+        [200],
+      );
+    }));
+}
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -66,8 +66,11 @@
 }
 
 /** Whether a replica takes requests of this process at all. */
-export function isOpen({ demands }: Pick<ReplicaState, "demands">): boolean {
-  return !demands.isLeaving;
+export function isOpen(
+  { demands }: Pick<ReplicaState, "demands">,
+  nowMs: number,
+): boolean {
+  return !demands.isLeaving && demands.pausedUntilMs <= nowMs;
 }
 
 function isWithinRate(
@@ -93,7 +96,7 @@
     !request.excluded.has(state.entry.id) &&
     !request.versionPreference.banned.includes(state.entry.version) &&
     (request.needsNewConnection || !state.pool.isFull) &&
-    isOpen(state) && isWithinRate(state, request, rates)
+    isOpen(state, nowMs) && isWithinRate(state, request, rates)
   );
   const { target, prefersTarget } = request.versionPreference;
   const isPreferred = (state: ReplicaState) =>
@@ -116,8 +119,13 @@
   request: PlacementRequest,
   rates: ReplicaRates,
 ): number | undefined {
-  const waits = states.filter(isOpen).map(({ key }) =>
-    rates.findWaitMs(key, request.reserved)
+  const waits = states.filter(({ demands }) => !demands.isLeaving).map((
+    { key, demands },
+  ) =>
+    Math.max(
+      demands.pausedUntilMs - request.nowMs,
+      rates.findWaitMs(key, request.reserved),
+    )
   );
   const shortestMs = Math.min(...waits);
   return Number.isFinite(shortestMs) && shortestMs > 0 ? shortestMs : undefined;
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -143,7 +143,8 @@
       !options.excluded.has(state.entry.id) &&
       !options.versionPreference.banned.includes(state.entry.version) &&
       !state.pool.isFull && groups.isAvailable(state, options.nowMs) &&
-      groups.isOpen(state) && rates.readRate(state.key) === undefined
+      groups.isOpen(state, options.nowMs) &&
+      rates.readRate(state.key) === undefined
     );
   }
 
@@ -153,7 +154,7 @@
     let slots = 0;
     for (const state of this.listActive(service)) {
       const isInUse = groups.isAvailable(state, nowMs) &&
-        groups.isOpen(state) &&
+        groups.isOpen(state, nowMs) &&
         this.#options.rates.readRate(state.key) === undefined;
       if (!isInUse) continue;
       running += state.inFlight +
