--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -29,6 +29,12 @@
   | { readonly type: "extra" }
   /** Responds without the replica's signature. */
   | { readonly type: "unsigned"; readonly status: number }
+  /** Sends these bytes, in which ATTEMPT and RECEIPT stand for the request's. */
+  | {
+    readonly type: "raw";
+    readonly text: string;
+    readonly then: "close" | "reset" | "keep";
+  }
   /** Sends bytes without end, until the connection is closed. */
   | { readonly type: "endless"; readonly part: endless.EndlessPart }
   /** Sends a single byte of an event now and then, without end. */
@@ -38,6 +44,8 @@
     readonly events: number;
     readonly confidence?: number;
     readonly eventIntervalMs?: number;
+    /** Time before the head. */
+    readonly delayMs?: number;
     /** Closes the connection in the middle of the next event after this many. */
     readonly disconnectAfterEvents?: number;
     /** Sends nothing after this many events, but keeps the connection open. */
@@ -55,6 +63,8 @@
   readonly path: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
+  /** Requests on its connection so far, this one included. */
+  readonly connectionUses: number;
   /** Monotonic time of its arrival. */
   readonly atMs: number;
   /** Whether the connection closed before the response was complete. */
@@ -62,6 +72,7 @@
 }
 
 const ATTEMPT_ID = "x-jackdawbank-attempt-id";
+const RESET_DELAY_MS = 5;
 
 export class FakeReplica {
   readonly id: string;
@@ -72,6 +83,7 @@
   /** Added to the headers of its own answers. */
   extraHeaders: Readonly<Record<string, string>> = {};
   readonly #sockets = new Set<net.Socket>();
+  readonly #usesBySocket = new WeakMap<net.Socket, number>();
   readonly #server = http.createServer((request, response) => {
     void this.#serve(request, response);
   });
@@ -136,6 +148,7 @@
       path: request.url ?? "",
       headers: request.headers,
       body: Buffer.concat(chunks).toString("utf8"),
+      connectionUses: this.#countUse(request.socket),
       atMs: performance.now(),
       wasCancelled: false,
     };
@@ -150,6 +163,12 @@
     );
   }
 
+  #countUse(socket: net.Socket): number {
+    const uses = (this.#usesBySocket.get(socket) ?? 0) + 1;
+    this.#usesBySocket.set(socket, uses);
+    return uses;
+  }
+
   async #answer(
     received: ReceivedRequest,
     response: http.ServerResponse,
@@ -222,6 +241,11 @@
           "unsigned",
         );
         return;
+      case "raw":
+        return sendRaw(response, behaviour, {
+          ATTEMPT: attemptId,
+          RECEIPT: `receipt-${this.id}-${this.received.length}`,
+        });
       case "endless":
         if (response.socket !== null) {
           endless.sendEndlessBytes(
@@ -258,6 +282,7 @@
     behaviour: Extract<ReplicaBehaviour, { type: "stream" }>,
     signedHeaders: Readonly<Record<string, string>>,
   ): Promise<void> {
+    if (behaviour.delayMs !== undefined) await sleep(behaviour.delayMs);
     response.writeHead(200, {
       ...signedHeaders,
       "content-type": "text/event-stream",
@@ -286,6 +311,28 @@
   }
 }
 
+/** Writes beside the server's response, which is never used. */
+async function sendRaw(
+  response: http.ServerResponse,
+  behaviour: Extract<ReplicaBehaviour, { type: "raw" }>,
+  values: Readonly<Record<string, string>>,
+): Promise<void> {
+  const { socket } = response;
+  if (socket === null) return;
+  let text = behaviour.text;
+  for (const [name, value] of Object.entries(values)) {
+    text = text.replaceAll(name, value);
+  }
+  socket.write(text);
+  if (behaviour.then === "keep") return;
+  if (behaviour.then === "close") socket.end();
+  else {
+    // The bytes must have been received before the reset, which discards what is on its way.
+    await sleep(RESET_DELAY_MS);
+    socket.resetAndDestroy();
+  }
+}
+
 function sleep(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
