A reset within an answer without length is no end of that answer (MIXED)

What callers saw: a 200 with an empty or short body that looked whole, after their replica had reset the connection; orders and checks alike, and in the product's own way to its upstreams a final frame after half of an answer. Cause: the HTTP client takes ECONNRESET within an answer that has neither length nor chunks for its end. Evidence: 200 with an empty body when a stand-in resets after the head (byte 116). Ruled out: cut heads, lengths and chunks, each cut at every byte, closed and reset.

Why this works: the error gets a code of its own before the client sees it, so that the answer fails like any other broken one; both ways use the connector. An orderly close still ends such an answer.

--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -2,6 +2,7 @@
  * Connection pool for one replica. Each connection carries one request at a
  * time; after a failure or an unexpected response it is not reused.
  */
+import * as kernel from "@jackdawbank/kernel";
 import * as undici from "undici";
 import type * as ports from "./ports.ts";
 
@@ -58,6 +59,7 @@
     }
     const client = new undici.Client(this.#origin, {
       pipelining: 1,
+      connect: kernel.markResets(undici.buildConnector({})),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- a/packages/upstream/src/http_backends.ts
+++ b/packages/upstream/src/http_backends.ts
@@ -89,6 +89,14 @@
   }
 }
 
+function createPool(url: string): undici.Pool {
+  return new undici.Pool(url, {
+    connections: null,
+    pipelining: 1,
+    connect: kernel.markResets(undici.buildConnector({})),
+  });
+}
+
 /** Returns the client with a check of `work` between connecting and sending. */
 function checkBeforeSending(
   client: undici.Pool,
@@ -175,7 +183,7 @@
   readonly #client: undici.Pool;
 
   constructor(url: string) {
-    this.#client = new undici.Pool(url, { connections: null, pipelining: 1 });
+    this.#client = createPool(url);
   }
 
   readState(): Promise<kernel.Outcome<backends.BackendState>> {
@@ -323,7 +331,7 @@
   readonly #name: string;
 
   constructor(url: string, name: string) {
-    this.#client = new undici.Pool(url, { connections: null, pipelining: 1 });
+    this.#client = createPool(url);
     this.#name = name;
   }
 
--- a/packages/upstream/src/http_backends_test.ts
+++ b/packages/upstream/src/http_backends_test.ts
@@ -1,6 +1,6 @@
 /** Tests that work is checked again between connecting to an upstream and sending. */
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as ava from "ava";
 import type * as kernel from "@jackdawbank/kernel";
 import * as httpBackends from "./http_backends.ts";
@@ -87,3 +87,85 @@
   t.is(refused._unsafeUnwrapErr().kind, "leaving");
   t.is(server.requests(), 0);
 });
+
+const BODY = "whole";
+const FRAMINGS = [
+  `content-length: ${BODY.length}\r\n\r\n${BODY}`,
+  `transfer-encoding: chunked\r\n\r\n5\r\n${BODY}\r\n0\r\n\r\n`,
+  `connection: close\r\n\r\n${BODY}`,
+];
+const RESET_DELAY_MS = 5;
+
+/** Starts a server of raw bytes; `serve` is called with each whole request head. */
+async function startRawServer(
+  t: ava.ExecutionContext,
+  serve: (socket: net.Socket, requests: number) => void,
+): Promise<string> {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    let requests = 0;
+    socket.on("data", (bytes) => {
+      if (!bytes.toString("latin1").includes("\r\n\r\n")) return;
+      requests += 1;
+      serve(socket, requests);
+    });
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
+async function runServiceCall(
+  backend: httpBackends.ServiceBackend,
+): Promise<{ readonly isWhole: boolean; readonly body: string }> {
+  let body = "";
+  const result = await backend.run({
+    requestId: "r1",
+    call: {
+      type: "service",
+      service: "orders",
+      isRepeatable: false,
+      method: "POST",
+      path: "/orders",
+      headers: {},
+    },
+    body: new Uint8Array(),
+    priority: 0,
+    signal: new AbortController().signal,
+    findRefusal: () => undefined,
+  }, {
+    onHead: () => {},
+    onChunk: (data) => {
+      body += Buffer.from(data).toString("latin1");
+      return Promise.resolve();
+    },
+  });
+  return { isWhole: result.isOk(), body };
+}
+
+// Guards against MIXED: an answer without length or chunks that was cut by a reset was
+// passed on as a whole one.
+test("an answer of a service that is reset at any byte is never whole", async (t) => {
+  let text = "";
+  const url = await startRawServer(t, (socket) => {
+    socket.write(text);
+    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+  });
+  const backend = new httpBackends.ServiceBackend(url, "orders");
+  t.teardown(() => backend.close());
+  for (const rest of FRAMINGS) {
+    const whole = `HTTP/1.1 200 OK\r\nx: y\r\n${rest}`;
+    for (let cut = 0; cut < whole.length; cut += 1) {
+      text = whole.slice(0, cut);
+      const { isWhole } = await runServiceCall(backend);
+      t.false(isWhole, `cut at ${cut}: ${text}`);
+    }
+  }
+});
