A refusal counts only for the request that it answers (REFUSED, TWICE)

What callers saw: "not run, try again" for a request that a replica was running, or two runs of a stream that may run once, when a replica wrote an earlier refusal once more on a kept connection. Cause: a refusal without an attempt id, or with the id of the same request's first send at that replica, was believed wherever it arrived. Ruled out: refusals with another id, which were rejected before, and calls that may not be repeated, which have a connection of their own.

Why this works: a response without id is only believed on a connection that has carried nothing before, and a request that a replica has refused goes to it again on a new connection, so that no late copy can be on its way there.

--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -27,6 +27,8 @@
   readonly rawHeaders: readonly string[];
   /** The end is marked by a length or by chunks, not only by the connection's close. */
   readonly isFramed: boolean;
+  /** The connection has carried a request before, of which this may be a late response. */
+  readonly isOnUsedConnection: boolean;
 }
 
 /** Result of an attempt at the transport level. */
@@ -137,6 +139,7 @@
             status,
             headers: headerMaps.joinHeaders(headers),
             rawHeaders: listRawHeaders(controller),
+            isOnUsedConnection: this.#connection.isUsed,
             isFramed: headers["content-length"] !== undefined ||
               headers["transfer-encoding"] !== undefined,
           });
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -38,6 +38,7 @@
   readonly #request: requests.AdmittedRequest;
   readonly #writer: requests.CallerResponseWriter;
   readonly #triedReplicaIds = new Set<string>();
+  readonly #refusedBy = new Set<string>();
   #sendCount = 0;
   #runCount = 0;
 
@@ -108,6 +109,7 @@
       model: request.fields.model,
       lastEventId: request.fields.lastEventId,
       excluded: this.#triedReplicaIds,
+      refusedBy: this.#refusedBy,
       earlierSends: this.#sendCount,
     };
     const preparation = await dispatcher.prepare(request, options);
@@ -189,6 +191,7 @@
     this.#triedReplicaIds.add(state.entry.id);
     dispatcher.dependencies.table.recordEnd(state, sent.prefillMs);
     if (result.type === "not-run") {
+      this.#refusedBy.add(state.entry.id);
       dispatcher.recorder.recordNotRun(sent, result.reason);
     } else {
       this.#runCount += 1;
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -18,6 +18,8 @@
   readonly client: undici.Client;
   /** Returned to the pool after a complete response. */
   readonly isReusable: boolean;
+  /** Has carried a request before, of which more bytes may arrive. */
+  isUsed: boolean;
 }
 
 /** Connections from this process to one replica. */
@@ -69,7 +71,11 @@
     });
     this.#clients.add(client);
     client.on("connect", this.#onOpened);
-    const connection = { client, isReusable: !needsNewConnection };
+    const connection = {
+      client,
+      isReusable: !needsNewConnection,
+      isUsed: false,
+    };
     client.on("disconnect", () => this.#remove(client));
     return connection;
   }
@@ -80,6 +86,7 @@
       this.discard(connection);
       return;
     }
+    connection.isUsed = true;
     this.#idle.push(connection);
   }
 
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -134,7 +134,9 @@
     };
     const { needsNewConnection, versionPreference, nowMs } = placement;
     const pick = table.pick(placement);
-    const connection = pick?.state.pool.acquire(needsNewConnection);
+    const connection = pick?.state.pool.acquire(
+      needsNewConnection || options.refusedBy.has(pick.state.entry.id),
+    );
     if (pick === undefined || connection === undefined) {
       const retryAfterMs = table.findRetryAfterMs(placement);
       return neverthrow.err(
--- a/packages/router/src/response_check.ts
+++ b/packages/router/src/response_check.ts
@@ -33,6 +33,9 @@
   const isOther = fields.attemptId !== undefined &&
     fields.attemptId !== request.fields.attemptId;
   if (isOther) return "mismatched";
+  // Without an ID it may be the late response to an earlier request.
+  const isDoubtful = fields.attemptId === undefined && head.isOnUsedConnection;
+  if (isDoubtful) return "unusable";
   if (head.status === MISDIRECTED) return "misdirected";
   if (fields.isNotExecuted) return "not-run";
   if (
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -9,6 +9,8 @@
   readonly lastEventId: string | undefined;
   /** IDs of replicas that must not be used. */
   readonly excluded: ReadonlySet<string>;
+  /** IDs of replicas that have refused this request, of which a late copy may arrive. */
+  readonly refusedBy: ReadonlySet<string>;
   /** Number of earlier attempts of this request. */
   readonly earlierSends: number;
 }
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -85,6 +85,16 @@
     : { type: "lost", reason: "unframed response; it may be truncated" };
 }
 
+/** What the result of an attempt that ran says about its replica. */
+export function classifyRun(
+  result: StreamAttemptResult,
+): "lost" | "failed" | "whole" {
+  if (result.type === "lost") return "lost";
+  const hasFailed = result.type === "failed" &&
+    check.isServerError(result.head.status);
+  return hasFailed ? "failed" : "whole";
+}
+
 /** Time from the start of an attempt to the head of its response, in whole milliseconds. */
 export function measureHeadMs(
   { headAtMs, startedAtMs }: StreamAttempt,
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -35,6 +35,7 @@
   readonly #request: requests.AdmittedRequest;
   readonly #writer: requests.CallerResponseWriter;
   readonly #triedReplicaIds = new Set<string>();
+  readonly #refusedBy = new Set<string>();
   #model: string | undefined;
   #lastEventId: string | undefined;
   #sendCount = 0;
@@ -103,6 +104,7 @@
       model: this.#model,
       lastEventId: this.#lastEventId,
       excluded: this.#triedReplicaIds,
+      refusedBy: this.#refusedBy,
       earlierSends: this.#sendCount,
     };
     const preparation = await this.#dispatcher.prepare(this.#request, options);
@@ -321,6 +323,7 @@
     this.#triedReplicaIds.add(state.entry.id);
     table.recordEnd(state, current.isPrefilled ? 0 : sent.prefillMs);
     if (result.type === "not-run") {
+      this.#refusedBy.add(state.entry.id);
       this.#dispatcher.recorder.recordNotRun(sent, result.reason);
     } else {
       this.#runCount += 1;
@@ -352,10 +355,7 @@
     const { latencyMs, paceMs } = streamAttempts.measureStart(current);
     this.#dispatcher.recorder.recordRun(this.#request, sent, {
       model: this.#model,
-      result: result.type === "lost" ? "lost" : result.type === "failed" &&
-          check.isServerError(result.head.status)
-        ? "failed"
-        : "whole",
+      result: streamAttempts.classifyRun(result),
       latencyMs,
       paceMs,
       isPaceJudged: current.pace.isJudged,
