--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -58,6 +58,18 @@
   };
 }
 
+/** A success of another kind does not go on where the response that was begun broke off. */
+export function restrictToContinuation(
+  verdict: check.HeadVerdict,
+  head: attempts.ResponseHead,
+  begun: attempts.ResponseHead | undefined,
+): check.HeadVerdict {
+  if (verdict !== "success" || begun === undefined) return verdict;
+  const isSameKind = head.status === begun.status &&
+    head.headers["content-type"] === begun.headers["content-type"];
+  return isSameKind ? "success" : "unusable";
+}
+
 /** Whether the replica broke off the attempt before the first event of its answer. */
 export function isLostBeforeAnswer(
   { result, isBrokenOff, splitter }: StreamAttempt,
--- a/packages/router/src/stream_escalation.ts
+++ b/packages/router/src/stream_escalation.ts
@@ -8,6 +8,7 @@
 
 /** State of the exchange that the choice depends on. */
 export interface EscalationInput {
+  readonly replicaId: string;
   /** Model whose answer has begun. */
   readonly model: string | undefined;
   /** The model's confidence in its own answer, 0 to 100. */
@@ -20,8 +21,25 @@
   readonly isAnswerStarted: boolean;
 }
 
-/** Chooses the model to ask instead; `undefined` keeps the answer. */
-export function chooseEscalationModel(
+/** Chooses and logs the model to ask instead; `undefined` keeps the answer. */
+export function judgeAnswer(
+  dispatcher: dispatchers.Dispatcher,
+  request: requests.AdmittedRequest,
+  input: EscalationInput,
+): string | undefined {
+  const model = chooseEscalationModel(dispatcher, request, input);
+  dispatcher.dependencies.log.addRoutine("answer.judged", {
+    requestId: request.requestId,
+    replica: input.replicaId,
+    model: input.model,
+    confidence: input.confidence,
+    pressure: Number(input.pressure.toFixed(2)),
+    escalatesTo: model,
+  });
+  return model;
+}
+
+function chooseEscalationModel(
   dispatcher: dispatchers.Dispatcher,
   request: requests.AdmittedRequest,
   input: EscalationInput,
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -38,6 +38,8 @@
   readonly #refusedBy = new Set<string>();
   #model: string | undefined;
   #lastEventId: string | undefined;
+  /** Head of the response that the caller has received. */
+  #begunHead: attempts.ResponseHead | undefined;
   #sendCount = 0;
   #runCount = 0;
   #isWaitingForCaller = false;
@@ -156,7 +158,12 @@
     current.headAtMs = nowMs;
     current.lastEventAtMs = nowMs;
     sent.state.lastByteAtMs = nowMs;
-    current.verdict = check.classifyHead(this.#request, head, response);
+    const verdict = check.classifyHead(this.#request, head, response);
+    current.verdict = streamAttempts.restrictToContinuation(
+      verdict,
+      head,
+      this.#begunHead,
+    );
     this.#dispatcher.demands.record(this.#request, sent, head, response);
     if (current.verdict === "mismatched" || current.verdict === "unusable") {
       sent.attempt.cancel(`response rejected as ${current.verdict}`);
@@ -179,25 +186,13 @@
       firstByteMs: nowMs - current.startedAtMs,
       nowMs,
     });
-    const pressure = this.#dispatcher.measurePressure(service);
-    const model = escalations.chooseEscalationModel(
-      this.#dispatcher,
-      this.#request,
-      {
-        model: this.#model,
-        confidence: response.confidence,
-        pressure,
-        runCount: this.#runCount,
-        isAnswerStarted: this.#writer.isStarted,
-      },
-    );
-    this.#dispatcher.dependencies.log.addRoutine("answer.judged", {
-      requestId: this.#request.requestId,
-      replica: sent.state.entry.id,
+    const model = escalations.judgeAnswer(this.#dispatcher, this.#request, {
+      replicaId: sent.state.entry.id,
       model: this.#model,
       confidence: response.confidence,
-      pressure: Number(pressure.toFixed(2)),
-      escalatesTo: model,
+      pressure: this.#dispatcher.measurePressure(service),
+      runCount: this.#runCount,
+      isAnswerStarted: this.#writer.isStarted,
     });
     if (model === undefined) {
       latencyTracker.recordAnswer({
@@ -253,6 +248,7 @@
   /** Forwards the headers once; a resumed stream keeps those of its first replica. */
   #startResponse(head: attempts.ResponseHead): void {
     if (this.#writer.isStarted) return;
+    this.#begunHead = head;
     this.#writer.start(head.status, head.rawHeaders);
     this.#dispatcher.dependencies.telemetry.observeFirstByte(
       this.#request.route.name,
