An upstream's answers come on connections of their own (MIXED)

What callers could see: the answer to an earlier call in place of their own, when a service or engine wrote it once more on a kept connection. Cause: the product's own way to its upstreams keeps connections, and their answers bear no id. The test failed before.

--- a/packages/upstream/src/http_backends.ts
+++ b/packages/upstream/src/http_backends.ts
@@ -216,6 +216,8 @@
         signal: work.signal,
         headersTimeout: 0,
         bodyTimeout: 0,
+        // Answers bear no ID, so a late one on a kept connection could not be told apart.
+        reset: true,
       });
       const contentType = String(
         response.headers["content-type"] ?? "application/json",
@@ -358,6 +360,8 @@
         signal: work.signal,
         headersTimeout: 0,
         bodyTimeout: 0,
+        // Answers bear no ID, so a late one on a kept connection could not be told apart.
+        reset: true,
         // Keeps the HTTP client from retrying calls that must not be repeated.
         idempotent: false,
       });
--- a/packages/upstream/src/http_backends_test.ts
+++ b/packages/upstream/src/http_backends_test.ts
@@ -169,3 +169,20 @@
     }
   }
 });
+
+// Guards against MIXED: an earlier answer that a service wrote once more on a kept connection
+// was taken for the answer to the next call.
+test("a service's answer that is written once more is not taken for that of the next call", async (t) => {
+  let calls = 0;
+  const render = (call: number) =>
+    `HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nanswer ${call}`;
+  const url = await startRawServer(t, (socket, requests) => {
+    calls += 1;
+    socket.write(requests > 1 ? render(calls - 1) : render(calls));
+  });
+  const backend = new httpBackends.ServiceBackend(url, "orders");
+  t.teardown(() => backend.close());
+  for (let call = 1; call <= 3; call += 1) {
+    t.is((await runServiceCall(backend)).body, `answer ${call}`);
+  }
+});
