--- a/packages/decisions/src/gap_baseline.ts
+++ b/packages/decisions/src/gap_baseline.ts
@@ -1,8 +1,7 @@
 /**
  * Usual pace of a model's streams on the stable version: the median gap between the
- * events of each, which single long prompts at the replica do not change. A replica
- * with little load is compared with the quick streams, since under load the stable
- * version's streams are slower than those of a bad version that is nearly idle.
+ * events of each, which single long prompts at the replica do not change. Gaps grow
+ * with the load, so a stream is compared with those at the most similar load.
  */
 
 /** Pace of one stream. */
@@ -15,21 +14,19 @@
 
 /** Streams of the stable version that are needed before others are compared with them. */
 const MIN_SAMPLES = 8;
-const MAX_SAMPLES = 64;
-/** A replica with up to this share of the mean load of the stable ones is nearly idle. */
-const IDLE_LOAD_SHARE = 0.5;
-/** Quantile of the stable streams that stands for replicas with little load. */
-const QUICK_QUANTILE = 0.25;
-/** A stream this many times slower than that, at a replica with little load, is slow. */
-const IDLE_SLOW_FACTOR = 2.5;
-const IDLE_SLOW_MARGIN_MS = 5;
-/** A stream this many times slower than the mean is slow in any case. */
-const SLOW_FACTOR = 3;
-const SLOW_MARGIN_MS = 10;
-
-function average(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
+const MAX_SAMPLES = 128;
+/** Streams at the most similar load that a stream is compared with. */
+const COMPARED_SAMPLES = 16;
+/** Smallest share of their median that the trend leads to at a lower load. */
+const MIN_TREND_SHARE = 0.8;
+/** A stream this many times slower than usual at its load is slow. */
+const SLOW_FACTOR = 1.6;
+const SLOW_MARGIN_MS = 2;
+/** Unless it is hardly slower than this quantile of them. */
+const TAIL_QUANTILE = 0.9;
+const TAIL_FACTOR = 1.1;
+/** The same at a higher load than any that is known, where the trend may be steeper. */
+const UNKNOWN_LOAD_SLOW_FACTOR = 2.5;
 
 /** Median of at least one number; the lower one of two in the middle. */
 export function findMedian(values: readonly number[]): number {
@@ -41,6 +38,24 @@
   return sorted[Math.floor((sorted.length - 1) * quantile)] ?? 0;
 }
 
+function average(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** Gap at a load by the linear trend of the paces. */
+function predictGapMs(paces: readonly StreamPace[], load: number): number {
+  const meanLoad = average(paces.map((pace) => pace.load));
+  const meanGapMs = average(paces.map((pace) => pace.medianGapMs));
+  let covariance = 0;
+  let variance = 0;
+  for (const pace of paces) {
+    covariance += (pace.load - meanLoad) * (pace.medianGapMs - meanGapMs);
+    variance += (pace.load - meanLoad) ** 2;
+  }
+  const slope = variance === 0 ? 0 : Math.max(0, covariance / variance);
+  return meanGapMs + slope * (load - meanLoad);
+}
+
 /** The newest paces of the stable version's streams of one model. */
 export class GapBaseline {
   #paces: readonly StreamPace[] = [];
@@ -52,13 +67,22 @@
   /** Longest median gap that is not slow; infinite while too few streams are known. */
   computeLimitMs(load: number): number {
     if (this.#paces.length < MIN_SAMPLES) return Infinity;
-    const gapsMs = this.#paces.map(({ medianGapMs }) => medianGapMs);
-    const meanLoad = average(this.#paces.map((pace) => pace.load));
-    const limitMs = SLOW_FACTOR * average(gapsMs) + SLOW_MARGIN_MS;
-    return load > IDLE_LOAD_SHARE * meanLoad ? limitMs : Math.min(
-      limitMs,
-      IDLE_SLOW_FACTOR * findQuantile(gapsMs, QUICK_QUANTILE) +
-        IDLE_SLOW_MARGIN_MS,
-    );
+    const similar = this.#paces.toSorted((a, b) =>
+      Math.abs(a.load - load) - Math.abs(b.load - load)
+    ).slice(0, COMPARED_SAMPLES);
+    const gapsMs = similar.map(({ medianGapMs }) => medianGapMs);
+    const medianMs = findMedian(gapsMs);
+    const loads = this.#paces.map((pace) => pace.load);
+    if (load > Math.max(...loads)) {
+      return UNKNOWN_LOAD_SLOW_FACTOR * medianMs + SLOW_MARGIN_MS;
+    }
+    // A version on trial may have less load than any stable replica.
+    const trendShare = load >= Math.min(...loads)
+      ? 1
+      : Math.max(MIN_TREND_SHARE, predictGapMs(this.#paces, load) / medianMs);
+    return Math.min(1, trendShare) * Math.max(
+          SLOW_FACTOR * medianMs,
+          TAIL_FACTOR * findQuantile(gapsMs, TAIL_QUANTILE),
+        ) + SLOW_MARGIN_MS;
   }
 }
--- a/packages/decisions/src/version_trial.ts
+++ b/packages/decisions/src/version_trial.ts
@@ -10,6 +10,8 @@
 const MIN_SAMPLES = 6;
 /** Increase of the failure rate that stops a version. */
 const MAX_ERROR_INCREASE = 0.15;
+/** Increase of the share of slow streams that does; cold caches slow some streams of any version. */
+const MAX_SLOW_INCREASE = 0.3;
 /** An answer this many times slower than the stable version's mean counts as a failure. */
 const SLOW_FACTOR = 4;
 /** Added to that limit, because small differences in time do not show that a version is slow. */
@@ -24,6 +26,11 @@
 const FAILING_REPLICA_SHARE = 0.25;
 /** Name of the test over all routes. */
 const ALL_ROUTES = "";
+/**
+ * Name of the test over streams alone, told to peers like a route's. Slow streams are a
+ * small part of all answers where most are dropped after their head.
+ */
+const STREAM_PACES = "~stream-paces";
 /** Failures of one replica that count in any case, however many replicas there are. */
 const MIN_COUNTED_FAILURES = 2;
 
@@ -84,6 +91,18 @@
     : Math.max(2, Math.ceil(FAILING_REPLICA_SHARE * replicas));
 }
 
+/** Counts a failure, unless as many of its replica as may count were counted already. */
+function tryCountFailure(
+  counted: Map<number, number>,
+  replicaKey: number,
+  replicas: number,
+): boolean {
+  const count = (counted.get(replicaKey) ?? 0) + 1;
+  if (count > getMaxCountedFailures(replicas)) return false;
+  counted.set(replicaKey, count);
+  return true;
+}
+
 /** Number of requests at a replica. */
 export interface ReplicaCount {
   /** Hash of the replica's ID, which takes five bytes in a report instead of a name. */
@@ -110,10 +129,12 @@
   readonly #paceBaselines = new Map<string, PaceBaseline>();
   readonly #gapBaselines = new Map<string | undefined, gaps.GapBaseline>();
   readonly #failuresByReplica = new Map<number, number>();
+  readonly #slowStreamsByReplica = new Map<number, number>();
   readonly #localCounts = new Map<string, RouteCounts>();
   readonly #losses = new Map<number, PendingLoss>();
   #verdict: string | undefined;
   #failures = 0;
+  #slowStreams = 0;
   #samples = 0;
 
   /** Why the version should be stopped; never cleared once it is set. */
@@ -179,10 +200,13 @@
     const baseline = this.#gapBaselines.get(model) ?? new gaps.GapBaseline();
     this.#gapBaselines.set(model, baseline);
     const isBad = pace.medianGapMs > baseline.computeLimitMs(pace.load);
-    if (isTarget) this.#recordLocal(route, { replicaKey, replicas, isBad });
-    else {
+    if (isTarget) {
+      this.#recordLocal(route, { replicaKey, replicas, isBad: false });
+      this.#recordLocal(STREAM_PACES, { replicaKey, replicas, isBad });
+    } else {
       baseline.add(pace);
-      this.#recordStable(route, isBad);
+      this.#recordStable(route, false);
+      this.#guard(STREAM_PACES).recordStableOutcome(isBad);
     }
     return isBad;
   }
@@ -249,29 +273,47 @@
     replicas: number,
   ): void {
     const isBad = failedReplicaKey !== undefined;
-    if (isBad && !this.#tryCountFailure(failedReplicaKey, replicas)) return;
-    this.#samples += 1;
-    for (const name of [route, ALL_ROUTES]) {
+    const isPace = route === STREAM_PACES;
+    const counted = isPace
+      ? this.#slowStreamsByReplica
+      : this.#failuresByReplica;
+    if (isBad) {
+      if (!tryCountFailure(counted, failedReplicaKey, replicas)) return;
+      this.#failures += 1;
+    }
+    if (!isPace) this.#samples += 1;
+    if (isPace) this.#slowStreams += isBad ? 1 : 0;
+    const names = isPace ? [STREAM_PACES] : [route, ALL_ROUTES];
+    this.#test(names, { isBad, replicas, failingReplicas: counted.size });
+  }
+
+  #test(
+    names: readonly string[],
+    answer: {
+      readonly isBad: boolean;
+      readonly replicas: number;
+      /** Replicas with failures of the kind that is tested. */
+      readonly failingReplicas: number;
+    },
+  ): void {
+    const { isBad, replicas, failingReplicas } = answer;
+    for (const name of names) {
       const guard = this.#guard(name);
       guard.recordRollingOutcome(isBad);
       if (this.#verdict !== undefined || !guard.isErrorBoundExceeded) continue;
-      if (this.#failuresByReplica.size < getMinFailingReplicas(replicas)) {
-        continue;
-      }
+      if (failingReplicas < getMinFailingReplicas(replicas)) continue;
+      const isDecisive = name !== STREAM_PACES ||
+        this.#slowStreams >= DECISIVE_FAILURES;
+      if (!isDecisive) continue;
       this.#verdict = `${this.#failures} of ${this.#samples} answers were bad` +
-        (name === ALL_ROUTES ? "" : `, on route ${name}`);
+        (name === STREAM_PACES
+          ? ", its streams are slow"
+          : name === ALL_ROUTES
+          ? ""
+          : `, on route ${name}`);
     }
   }
 
-  /** Counts a failure, unless as many of its replica as may count were counted already. */
-  #tryCountFailure(replicaKey: number, replicas: number): boolean {
-    const count = (this.#failuresByReplica.get(replicaKey) ?? 0) + 1;
-    if (count > getMaxCountedFailures(replicas)) return false;
-    this.#failuresByReplica.set(replicaKey, count);
-    this.#failures += 1;
-    return true;
-  }
-
   #isSlow(outcome: VersionOutcome, isTarget: boolean): boolean {
     const { paceMs } = outcome;
     if (paceMs === undefined) return false;
@@ -296,7 +338,9 @@
     if (existing !== undefined) return existing;
     const guard = new guards.RolloutGuard({
       minSamples: MIN_SAMPLES,
-      maxErrorIncrease: MAX_ERROR_INCREASE,
+      maxErrorIncrease: name === STREAM_PACES
+        ? MAX_SLOW_INCREASE
+        : MAX_ERROR_INCREASE,
       maxRatingDecrease: 1,
     });
     this.#guards.set(name, guard);
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -226,7 +226,11 @@
     }
     if (completeEvents.count > 0) {
       current.lastEventAtMs = nowMs;
-      current.pace.recordEvents(completeEvents.count, nowMs);
+      current.pace.recordEvents(
+        completeEvents.count,
+        nowMs,
+        this.#watchdog.lastLagAtMs,
+      );
       this.#offerPace(current, false);
     }
     if (completeEvents.count === current.splitter.count) {
@@ -295,8 +299,7 @@
     hasEnded: boolean,
   ): void {
     if (sent === undefined) return;
-    const { isLagging } = this.#watchdog;
-    const options = { sent, model: this.#model, hasEnded, isLagging };
+    const options = { sent, model: this.#model, hasEnded };
     paces.offerPace(pace, this.#dispatcher, this.#request, options);
   }
 
--- a/packages/router/src/stream_pace.ts
+++ b/packages/router/src/stream_pace.ts
@@ -23,10 +23,15 @@
     return this.#isJudged;
   }
 
-  /** Records that events arrived together. */
-  recordEvents(count: number, nowMs: number): void {
+  /**
+   * Records that events arrived together. A gap in which this process lagged says
+   * nothing about the replica.
+   */
+  recordEvents(count: number, nowMs: number, lastLagAtMs = -Infinity): void {
     if (this.#gapsMs.length >= JUDGED_GAPS) return;
-    if (this.#lastEventAtMs !== undefined) {
+    if (
+      this.#lastEventAtMs !== undefined && lastLagAtMs <= this.#lastEventAtMs
+    ) {
       const gapMs = (nowMs - this.#lastEventAtMs) / count;
       for (let event = 0; event < count; event += 1) this.#gapsMs.push(gapMs);
     }
@@ -57,12 +62,9 @@
     readonly sent: sends.SentAttempt;
     readonly model: string | undefined;
     readonly hasEnded: boolean;
-    /** The measured pace would reflect the lag of this process, not the replica. */
-    readonly isLagging: boolean;
   },
 ): void {
-  const { sent, model, hasEnded, isLagging } = options;
-  if (isLagging) return;
+  const { sent, model, hasEnded } = options;
   const { entry, key, inFlight } = sent.state;
   const { rollouts, fleet } = dispatcher.dependencies;
   pace.offer(hasEnded, (medianGapMs) =>
--- a/packages/router/src/stream_pace_test.ts
+++ b/packages/router/src/stream_pace_test.ts
@@ -62,3 +62,19 @@
   });
   t.true(tracker.isJudged);
 });
+
+// Guards against EXPOSURE: an entry that lagged now and then judged no stream for a second each
+// time, and so hardly any of a slow version's.
+test("a gap in which this process lagged is left out, and the stream is judged by the others", (t) => {
+  const tracker = new paces.StreamPaceTracker();
+  const offered: number[] = [];
+  for (let at = 0; at <= 9; at += 1) {
+    const hasLagged = at === 2 || at === 5;
+    tracker.recordEvents(1, at * 100, hasLagged ? at * 100 - 10 : -Infinity);
+    tracker.offer(false, (medianGapMs) => {
+      offered.push(medianGapMs, at);
+      return true;
+    });
+  }
+  t.deepEqual(offered, [100, 9]);
+});
--- a/packages/router/src/watchdog.ts
+++ b/packages/router/src/watchdog.ts
@@ -21,9 +21,14 @@
 
   /** Whether this process itself was recently short of CPU time. */
   get isLagging(): boolean {
-    const nowMs = this.#clock.monotonicMs();
-    this.#detectLag(nowMs);
-    return nowMs - this.#lastLagAtMs <= LAG_WINDOW_MS;
+    const { lastLagAtMs } = this;
+    return this.#clock.monotonicMs() - lastLagAtMs <= LAG_WINDOW_MS;
+  }
+
+  /** When this process was last found to be short of CPU time. */
+  get lastLagAtMs(): number {
+    this.#detectLag(this.#clock.monotonicMs());
+    return this.#lastLagAtMs;
   }
 
   /** Registers a check that also runs when the signal is aborted; returns its removal function. */
