--- a/packages/decisions/src/version_trial.ts
+++ b/packages/decisions/src/version_trial.ts
@@ -151,7 +151,10 @@
     return {
       failures: this.#failures,
       samples: this.#samples,
-      failingReplicas: this.#failuresByReplica.size,
+      failingReplicas: new Set([
+        ...this.#failuresByReplica.keys(),
+        ...this.#slowStreamsByReplica.keys(),
+      ]).size,
     };
   }
 
