--- a/packages/decisions/src/version_trial.ts
+++ b/packages/decisions/src/version_trial.ts
@@ -285,7 +285,7 @@
       this.#failures += 1;
     }
     if (!isPace) this.#samples += 1;
-    if (isPace) this.#slowStreams += isBad ? 1 : 0;
+    else if (isBad) this.#slowStreams += 1;
     const names = isPace ? [STREAM_PACES] : [route, ALL_ROUTES];
     this.#test(names, { isBad, replicas, failingReplicas: counted.size });
   }
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -45,12 +45,12 @@
   readonly channel: channels.PeerChannel;
   readonly owners: owners.ReplicaOwners;
   readonly source: LoadSource;
-  /** Called for each message that was sent, and each that was accepted or dropped. */
   /** Called before a query about replicas that this process owns is answered. */
   readonly onQuery?: (
     sender: tables.PeerEndpoint,
     replicaKeys: readonly number[],
   ) => void;
+  /** Called for each message that was sent, and each that was accepted or dropped. */
   readonly onMessage: (what: "sent" | "taken" | "dropped" | "missed") => void;
 }
 
--- a/packages/peers/src/load_message.ts
+++ b/packages/peers/src/load_message.ts
@@ -4,6 +4,7 @@
  */
 import type * as decisions from "@jackdawbank/decisions";
 import * as msgpackr from "msgpackr";
+import * as packets from "./packet.ts";
 
 /** State of a replica with its key. */
 export interface KeyedLoad {
@@ -69,14 +70,7 @@
 
 /** Decodes and validates a message; `undefined` if the bytes are not a valid one. */
 export function decodeLoadMessage(bytes: Uint8Array): LoadMessage | undefined {
-  if (bytes.byteLength > MAX_MESSAGE_BYTES) return undefined;
-  let data: unknown;
-  try {
-    data = packer.unpack(bytes);
-  } catch {
-    // Not a message; the caller counts dropped datagrams.
-    return undefined;
-  }
+  const data = packets.unpackPacket(bytes, MAX_MESSAGE_BYTES);
   // Checked by hand: each request causes several messages, and a schema costs more than the rest.
   if (!Array.isArray(data) || data.length !== LAYOUT_LENGTH) return undefined;
   const [version, code, name, number, list] = data as readonly unknown[];
--- a/packages/peers/src/prompt_message.ts
+++ b/packages/peers/src/prompt_message.ts
@@ -1,6 +1,7 @@
 /** What a process tells its peers of suspected parts of prompts; msgpack lists, without field names. */
 import type * as decisions from "@jackdawbank/decisions";
 import * as msgpackr from "msgpackr";
+import * as packets from "./packet.ts";
 import * as z from "zod";
 
 /** Evidence on one part, with times as ages, which need no common clock. */
@@ -81,14 +82,7 @@
 export function decodePromptMessage(
   bytes: Uint8Array,
 ): PromptMessage | undefined {
-  if (bytes.byteLength > MAX_MESSAGE_BYTES) return undefined;
-  let data: unknown;
-  try {
-    data = packer.unpack(bytes);
-  } catch {
-    // Bytes of another program; the caller counts the message as dropped.
-    return undefined;
-  }
+  const data = packets.unpackPacket(bytes, MAX_MESSAGE_BYTES);
   const parsed = layoutSchema.safeParse(data);
   if (!parsed.success) return undefined;
   const [, name, tallies] = parsed.data;
--- a/packages/peers/src/rate_message.ts
+++ b/packages/peers/src/rate_message.ts
@@ -1,6 +1,7 @@
 /** Messages about the rates that replicas name; msgpack lists, without field names. */
 import type * as decisions from "@jackdawbank/decisions";
 import * as msgpackr from "msgpackr";
+import * as packets from "./packet.ts";
 import * as z from "zod";
 
 /** A statement with its age, which needs no common clock. */
@@ -80,14 +81,7 @@
 
 /** Decodes and validates a message; `undefined` if the bytes are not a valid one. */
 export function decodeRateMessage(bytes: Uint8Array): RateMessage | undefined {
-  if (bytes.byteLength > MAX_MESSAGE_BYTES) return undefined;
-  let data: unknown;
-  try {
-    data = packer.unpack(bytes);
-  } catch {
-    // Bytes of another program; the caller drops the message.
-    return undefined;
-  }
+  const data = packets.unpackPacket(bytes, MAX_MESSAGE_BYTES);
   const parsed = layoutSchema.safeParse(data);
   if (!parsed.success) return undefined;
   const [, code, name, askId, replicaKey, rate, ageMs, last] = parsed.data;
--- a/packages/peers/src/report.ts
+++ b/packages/peers/src/report.ts
@@ -1,6 +1,7 @@
 /** The report that a process sends to its peers, and its msgpack encoding. */
 import type * as decisions from "@jackdawbank/decisions";
 import * as msgpackr from "msgpackr";
+import * as packets from "./packet.ts";
 import * as z from "zod";
 
 /** Prompts of one process that a replica has not finished prefilling. */
@@ -138,14 +139,7 @@
 
 /** Decodes and validates a report; `undefined` if the bytes are not a valid report. */
 export function decodeReport(bytes: Uint8Array): PeerReport | undefined {
-  if (bytes.byteLength > MAX_REPORT_BYTES) return undefined;
-  let data: unknown;
-  try {
-    data = packer.unpack(bytes);
-  } catch {
-    // Not a report; the caller counts dropped datagrams.
-    return undefined;
-  }
+  const data = packets.unpackPacket(bytes, MAX_REPORT_BYTES);
   const parsed = layoutSchema.safeParse(data);
   if (!parsed.success) return undefined;
   const [
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -13,6 +13,8 @@
 const MAX_KEEP_ALIVE_MS = 30_000;
 const MIN_CONNECTIONS = 4;
 
+const connect = kernel.markResets(undici.buildConnector({}));
+
 /** One connection, idle or serving one request. */
 export interface Connection {
   readonly client: undici.Client;
@@ -61,7 +63,7 @@
     }
     const client = new undici.Client(this.#origin, {
       pipelining: 1,
-      connect: kernel.markResets(undici.buildConnector({})),
+      connect,
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- a/packages/router/src/demand_tracker.ts
+++ b/packages/router/src/demand_tracker.ts
@@ -5,13 +5,12 @@
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
+import * as check from "./response_check.ts";
 import type * as sends from "./send.ts";
 import type * as telemetry from "./telemetry.ts";
 
 /** Status of a refusal that may ask for a pause. */
 const UNAVAILABLE = 503;
-/** Status of another replica, which has the address now. */
-const MISDIRECTED = 421;
 
 /** Dependencies of the tracker. */
 export interface DemandTrackerOptions {
@@ -38,7 +37,7 @@
   ): void {
     const isOwnAnswer = response.attemptId !== undefined &&
       response.attemptId === request.fields.attemptId;
-    if (!isOwnAnswer || head.status === MISDIRECTED) return;
+    if (!isOwnAnswer || head.status === check.MISDIRECTED) return;
     const { clock, fleet, log, telemetry } = this.#options;
     const { entry, key, demands } = sent.state;
     const { rate, isLeaving, pauseMs } = response.demands;
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -61,18 +61,28 @@
 }
 
 /** Whether a replica is expected to answer soon. */
-export function isAvailable(state: ReplicaState, nowMs: number): boolean {
+function isAvailable(state: ReplicaState, nowMs: number): boolean {
   return !state.health.isEjected(nowMs) && state.avoidUntilMs <= nowMs;
 }
 
 /** Whether a replica takes requests of this process at all. */
-export function isOpen(
+function isOpen(
   { demands }: Pick<ReplicaState, "demands">,
   nowMs: number,
 ): boolean {
   return !demands.isLeaving && demands.pausedUntilMs <= nowMs;
 }
 
+/** Whether a replica is expected to answer any request of this process soon. */
+export function isUnrestricted(
+  state: ReplicaState,
+  rates: ReplicaRates,
+  nowMs: number,
+): boolean {
+  return isAvailable(state, nowMs) && isOpen(state, nowMs) &&
+    rates.readRate(state.key) === undefined;
+}
+
 function isWithinRate(
   { key }: ReplicaState,
   request: PlacementRequest,
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -142,9 +142,8 @@
     return this.listActive(service).some((state) =>
       !options.excluded.has(state.entry.id) &&
       !options.versionPreference.banned.includes(state.entry.version) &&
-      !state.pool.isFull && groups.isAvailable(state, options.nowMs) &&
-      groups.isOpen(state, options.nowMs) &&
-      rates.readRate(state.key) === undefined
+      !state.pool.isFull &&
+      groups.isUnrestricted(state, rates, options.nowMs)
     );
   }
 
@@ -153,10 +152,7 @@
     let running = 0;
     let slots = 0;
     for (const state of this.listActive(service)) {
-      const isInUse = groups.isAvailable(state, nowMs) &&
-        groups.isOpen(state, nowMs) &&
-        this.#options.rates.readRate(state.key) === undefined;
-      if (!isInUse) continue;
+      if (!groups.isUnrestricted(state, this.#options.rates, nowMs)) continue;
       running += state.inFlight +
         this.#options.readPeerLoad(state.key).running;
       slots += state.entry.slots;
--- a/packages/router/src/response_check.ts
+++ b/packages/router/src/response_check.ts
@@ -8,7 +8,8 @@
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Statuses that tell a caller that its request was not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-const MISDIRECTED = 421;
+/** Status of another replica, which has the address now. */
+export const MISDIRECTED = 421;
 
 /** Classification of a response by its status and headers. */
 export type HeadVerdict =
