--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -1,9 +1,9 @@
 /** A case: an entry of another writer holds an address that is none. */
 import * as timers from "node:timers/promises";
-import * as clients from "../lib/client.mjs";
-import * as replicas from "../lib/replica.mjs";
-import * as sample from "../lib/sample.mjs";
-import * as scenes from "../lib/scene.mjs";
+import * as clients from "../client.mjs";
+import * as replicas from "../replica.mjs";
+import * as sample from "../sample.mjs";
+import * as scenes from "../scene.mjs";
 
 const REQUESTS = 200;
 const INTERVAL_MS = 50;
@@ -15,7 +15,7 @@
 /** Bound of the rule: eight or more requests that last longer, and over a quarter of them. */
 const MIN_UNANSWERED = 8;
 
-await scenes.run(import.meta.url, async (scene) => {
+await scenes.run(async (scene) => {
   const { store, record } = scene;
   const answer = async ({ response, headers }) => {
     await timers.setTimeout(30);
--- a/review/5/play.mjs
+++ b/review/5/play.mjs
@@ -1,9 +1,9 @@
 /** A case: a faulty replica spoils bytes of an event, and then breaks its stream off. */
 import * as timers from "node:timers/promises";
-import * as clients from "../lib/client.mjs";
-import * as replicas from "../lib/replica.mjs";
-import * as sample from "../lib/sample.mjs";
-import * as scenes from "../lib/scene.mjs";
+import * as clients from "../client.mjs";
+import * as replicas from "../replica.mjs";
+import * as sample from "../sample.mjs";
+import * as scenes from "../scene.mjs";
 
 const REQUESTS = 2_400;
 const INTERVAL_MS = 12;
@@ -26,7 +26,7 @@
   return Number(id.slice(2)) <= FAULTY_SHARE * REPLICAS;
 }
 
-await scenes.run(import.meta.url, async (scene) => {
+await scenes.run(async (scene) => {
   const { store, record } = scene;
   const answers = new Map();
   const answer = async (
--- a/review/lib/scene.mjs
+++ b/review/scene.mjs
@@ -12,7 +12,7 @@
 import * as url from "node:url";
 import * as stores from "./store.mjs";
 
-const ROOT = url.fileURLToPath(new URL("../..", import.meta.url));
+const ROOT = url.fileURLToPath(new URL("..", import.meta.url));
 const PROGRAM = "target/jackdawd.mjs";
 const READY_TIMEOUT_MS = 20_000;
 /** A case that takes longer than this counts as not run. */
@@ -148,8 +148,7 @@
 
 /** One play of a case. */
 export class Scene {
-  constructor(folder) {
-    this.folder = folder;
+  constructor() {
     this.temporary = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
     this.logFile = fs.openSync(path.join(this.temporary, "log.txt"), "a");
     this.lines = [];
@@ -209,11 +208,9 @@
   }
 }
 
+/** Writes the record to standard output, which `run.sh` directs to `record.txt`. */
 function write(scene) {
-  fs.writeFileSync(
-    path.join(scene.folder, "record.txt"),
-    `${scene.lines.join("\n")}\n`,
-  );
+  fs.writeFileSync(process.stdout.fd, `${scene.lines.join("\n")}\n`);
 }
 
 /** Ends a play that cannot go on; the processes that it started end with it. */
@@ -228,8 +225,8 @@
  * Plays a case. Exits with 10 if `play` finds its rule broken, with 0 if it held, and
  * with 2 if the case could not run.
  */
-export async function run(folderUrl, play) {
-  const scene = new Scene(url.fileURLToPath(new URL(".", folderUrl)));
+export async function run(play) {
+  const scene = new Scene();
   process.on("uncaughtException", (thrown) => giveUp(scene, thrown));
   process.on("unhandledRejection", (thrown) => giveUp(scene, thrown));
   for (const signal of ["SIGINT", "SIGTERM"]) {
@@ -249,7 +246,6 @@
   write(scene);
   if (process.env.KEEP_LOG === undefined) {
     fs.rmSync(scene.temporary, { recursive: true });
-  } else console.log(scene.temporary);
-  console.log(scene.lines.findLast((line) => line.includes(" verdict ")));
+  } else console.error(scene.temporary);
   process.exit(code);
 }
