A request whose handling fails by an exception is answered

Cause: the server took a request for one whose caller had left if the request was destroyed, which Node does with each request whose body has been read. So any exception after that was recorded as `caller-gone` and never answered. Ruled out: a hanging connection (no `attempt.sent`), callers that had left. Why this works: whether the caller has left comes from its connection alone; all else is answered 500 or, where an answer has begun, ends the connection. Header decoding is under the same guard (related path; it had none).

--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -163,15 +163,16 @@
       this.#options.codec,
       () => this.#isDraining,
     );
-    const fields = this.#options.codec.decodeRequest(
-      headerMaps.joinHeaders(request.headers),
-      request.rawHeaders,
-    );
     this.#count += 1;
-    const requestId = fields.attemptId ?? `unnamed-${this.#count}`;
+    let requestId = `unnamed-${this.#count}`;
     let outcome: requests.RequestOutcome;
     let route = "none";
     try {
+      const fields = this.#options.codec.decodeRequest(
+        headerMaps.joinHeaders(request.headers),
+        request.rawHeaders,
+      );
+      requestId = fields.attemptId ?? requestId;
       const body = await this.#readBody(request);
       const incoming = this.#buildIncomingRequest(request, {
         requestId,
@@ -193,7 +194,12 @@
       outcome = exchanged.outcome;
       route = exchanged.route;
     } catch (thrown) {
-      outcome = this.#handleFailure(thrown, writer, request);
+      outcome = this.#handleFailure(thrown, {
+        requestId,
+        writer,
+        socket,
+        signal: callerAbort.signal,
+      });
     }
     this.#recordOutcome(requestId, route, outcome, receivedAtMs);
   }
@@ -289,21 +295,29 @@
 
   #handleFailure(
     thrown: unknown,
-    writer: requests.CallerResponseWriter,
-    request: http.IncomingMessage,
+    { requestId, writer, socket, signal }: {
+      readonly requestId: string;
+      readonly writer: requests.CallerResponseWriter;
+      readonly socket: net.Socket;
+      readonly signal: AbortSignal;
+    },
   ): requests.RequestOutcome {
     const reason = kernel.describeThrown(thrown);
     if (thrown instanceof RequestReadError) {
       // The rest of the request is not read, so the connection cannot be reused.
-      setImmediate(() => request.socket.end());
+      setImmediate(() => socket.end());
       writer.refuse(kernel.makeError(thrown.kind, reason));
       return { outcome: thrown.kind, reason };
     }
-    if (request.destroyed || request.errored !== null) {
-      return { outcome: "caller-gone", reason };
-    }
-    this.#options.log.addNotable("request.fault", { reason });
-    writer.refuse(kernel.makeError("internal", "internal error"));
+    if (signal.aborted) return { outcome: "caller-gone", reason };
+    this.#options.log.addNotable("request.fault", {
+      requestId,
+      reason,
+      stack: thrown instanceof Error ? thrown.stack : undefined,
+    });
+    // A response that was begun must not look complete.
+    if (writer.isStarted) writer.abort();
+    else writer.refuse(kernel.makeError("internal", "internal error"));
     return { outcome: "internal", reason };
   }
 
