An announcement whose address is none is not a peer

What callers would see: requests that fail with 500 where the owner of a replica's load is such a peer; peers behind it get no reports. Announced ports had no upper bound and hosts could be any text; sending a datagram to such a port throws, in the timer of reports and on the way of a request. Evidence: uncaught ERR_SOCKET_BAD_PORT from PeerReporter.#send in the test.

--- a/packages/bench/src/platform_odd_entry_test.ts
+++ b/packages/bench/src/platform_odd_entry_test.ts
@@ -48,3 +48,45 @@
       });
     }));
 }
+
+// Guards against CONFIG and LOST: an announcement with a port out of range, to which datagrams
+// cannot be sent, made requests fail and kept reports from other peers.
+test("requests are served while an announcement of a peer has a port out of range", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.addReplica("i-2", "desk", () => ({ type: "ok" }));
+    await harness.addReplica("i-3", "llm", () => ({
+      type: "stream",
+      events: 3,
+      confidence: 90,
+    }));
+    await harness.addReplica("i-4", "llm", () => ({
+      type: "stream",
+      events: 3,
+      confidence: 90,
+    }));
+    await harness.start();
+    for (let index = 0; index < 8; index += 1) {
+      harness.store.put(`jackdawbank/peers/odd-${index}`, {
+        host: "127.0.0.1",
+        port: 70_000 + index,
+      });
+    }
+    await harness.waitFor(() =>
+      harness.findLogLinesOfAny(["control.unreadable", "peer.known"])
+        .length >= 8
+    );
+    t.deepEqual(await callEach(harness), ALL_SERVED);
+    for (let call = 0; call < CALLS; call += 1) {
+      t.is(
+        (await harness.call(ROUTES.draft, harnesses.DRAFT)).status,
+        200,
+      );
+    }
+    t.deepEqual(harness.findLogLines("request.fault"), []);
+    t.true(
+      harness.findLogLines("control.unreadable").some((line) =>
+        line["reason"] === "port: Too big: expected number to be <=65535"
+      ),
+    );
+  }));
