The deadline of an exchange is held outside of its attempts

Cause of this part: only the watch of the attempt in flight ended an exchange at its deadline. An exchange whose attempt's end was lost had no deadline at all. Evidence: the last line of such a request was `attempt.sent`; no fault was logged, so lost ends, missing watches and hanging replicas looked alike. Why this works: the server that starts an exchange ends it, whatever is wrong inside, within the half second that the rule allows; the rest is cancelled.

--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -8,6 +8,7 @@
 import type * as control from "./control_task.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import type * as logs from "./decision_log.ts";
+import * as deadlines from "./exchange_deadline.ts";
 import * as headerMaps from "./header_map.ts";
 import * as bufferedExchanges from "./buffered_exchange.ts";
 import type * as ports from "./ports.ts";
@@ -200,6 +201,8 @@
         socket,
         signal: callerAbort.signal,
       });
+      // What is left of the exchange must not go on.
+      callerAbort.abort();
     }
     this.#recordOutcome(requestId, route, outcome, receivedAtMs);
   }
@@ -239,7 +242,11 @@
       ? streamExchanges.StreamExchange
       : bufferedExchanges.BufferedExchange;
     const exchange = new Exchange(dispatcher, watchdog, admitted.value, writer);
-    return { route: route.name, outcome: await exchange.run() };
+    const outcome = await deadlines.enforceDeadline(
+      exchange.run(),
+      admitted.value.deadlineAtMs - this.#options.clock.monotonicMs(),
+    );
+    return { route: route.name, outcome };
   }
 
   #buildIncomingRequest(
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -2,16 +2,21 @@
 import * as ava from "ava";
 import * as http from "node:http";
 import * as kernel from "@jackdawbank/kernel";
+import * as neverthrow from "neverthrow";
 import * as callerServers from "./caller_server.ts";
 import type * as control from "./control_task.ts";
 import * as logs from "./decision_log.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import type * as ports from "./ports.ts";
+import type * as requests from "./request.ts";
 import * as telemetry from "./telemetry.ts";
 import * as watchdogs from "./watchdog.ts";
 
 const test = ava.default;
 const RESPONSE_TIMEOUT_MS = 1_000;
+const ROUTE_TIMEOUT_MS = 100;
+/** Time after the route's time-out by which the platform expects a final answer. */
+const FINAL_ANSWER_MS = 500;
 
 interface Received {
   readonly status: number;
@@ -48,11 +53,13 @@
   });
 }
 
-/** Starts a server whose requests fail with an exception of this process. */
-async function startFailingServer(
-  t: ava.ExecutionContext,
-  fault: { readonly in: "codec" | "admission" },
-) {
+/** Where the handling of requests fails: by an exception, or by an exchange without end. */
+interface Fault {
+  readonly in: "codec" | "admission" | "exchange";
+}
+
+/** Starts a server that cannot handle requests by a fault of this process. */
+async function startFailingServer(t: ava.ExecutionContext, fault: Fault) {
   const clock = new kernel.SystemClock();
   const lines: Record<string, unknown>[] = [];
   const log = new logs.DecisionLog(clock, {}, {
@@ -66,9 +73,16 @@
   const fail = () => {
     throw new Error("Invalid URL");
   };
+  const admit = (request: requests.IncomingRequest) =>
+    fault.in === "admission" ? fail() : neverthrow.ok({
+      ...request,
+      route: { kind: "idempotent", name: "orders" },
+      deadlineAtMs: request.receivedAtMs + ROUTE_TIMEOUT_MS,
+    });
   const server = new callerServers.CallerServer({
     dispatcher: {
-      dependencies: { admission: { admit: fail } },
+      dependencies: { admission: { admit } },
+      prepare: () => new Promise(() => {}),
     } as unknown as dispatchers.Dispatcher,
     watchdog: new watchdogs.Watchdog(clock),
     control: {
@@ -115,6 +129,23 @@
   }
 }
 
+// Guards against CONFIG: the deadline was held by the attempt in flight alone, so that a request
+// whose exchange had lost it was never answered.
+test("a request whose exchange never ends is answered soon after its deadline", async (t) => {
+  const { port, server, findLines } = await startFailingServer(t, {
+    in: "exchange",
+  });
+  const sentAtMs = performance.now();
+  const got = await send(port, "GET", "");
+  const tookMs = performance.now() - sentAtMs;
+  t.is(got.status, 500);
+  t.true(tookMs < ROUTE_TIMEOUT_MS + FINAL_ANSWER_MS, `took ${tookMs} ms`);
+  t.like(findLines("request.fault").at(0), {
+    reason: "the exchange did not end at its deadline",
+  });
+  t.is(server.inFlight, 0);
+});
+
 test("a request whose caller has left while it was read is recorded as such", async (t) => {
   const { port, findLines } = await startFailingServer(t, { in: "admission" });
   const request = http.request({
