An attempt tells its end only after its constructor has returned

Cause: the id made an invalid header. undici reports that synchronously, so the listener was told of the end before `send` had returned; it threw on a variable that was not there yet, the exception was swallowed on the way, and the attempt, over already, could not tell its end again. Evidence: attempt_test shows `onEnd` from undici's dispatch before the constructor has returned; the log has `attempt.sent` without `attempt.ended`. Ruled out: a hanging replica (it got no second request); a missing watch alone (the end is lost even where a watch runs). Why this works: no listener runs inside the constructor, whatever undici does; both kinds of exchange and an invalid path are covered.

--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -45,7 +45,10 @@
     readonly isGivenUp: boolean;
   };
 
-/** Receives the response as it arrives; `onEnd` is called exactly once. */
+/**
+ * Receives the response as it arrives; `onEnd` is called exactly once. Nothing is
+ * called before the attempt's constructor has returned.
+ */
 export interface AttemptListener {
   onHead(head: ResponseHead): void;
   onData(chunk: Buffer): void;
@@ -71,6 +74,7 @@
   readonly #listener: AttemptListener;
   readonly #connectTimer: NodeJS.Timeout;
   #controller: undici.Dispatcher.DispatchController | undefined;
+  #isConstructed = false;
   #isSent = false;
   #isOver = false;
   #informationalResponses = 0;
@@ -89,6 +93,7 @@
       CONNECT_TIMEOUT_MS,
     );
     this.#dispatch(request);
+    this.#isConstructed = true;
   }
 
   get isSent(): boolean {
@@ -158,7 +163,7 @@
     } catch (thrown) {
       // undici throws on invalid requests before it writes any byte.
       const reason = thrown instanceof Error ? thrown.message : String(thrown);
-      queueMicrotask(() => this.#finish({ type: "unsent", reason }));
+      this.#finish({ type: "unsent", reason });
     }
   }
 
@@ -170,6 +175,11 @@
 
   #finish(end: AttemptEnd): void {
     if (this.#isOver) return;
+    if (!this.#isConstructed) {
+      // undici reports an invalid request or a closed client synchronously.
+      queueMicrotask(() => this.#finish(end));
+      return;
+    }
     this.#isOver = true;
     clearTimeout(this.#connectTimer);
     // undici must finish with the connection before the next request may use it.
--- /dev/null
+++ b/packages/router/src/attempt_test.ts
@@ -0,0 +1,51 @@
+/** Tests when an attempt tells its listener of its end. */
+import * as ava from "ava";
+import * as attempts from "./attempt.ts";
+import * as connections from "./connections.ts";
+
+const test = ava.default;
+/** A header value that no HTTP message can carry. */
+const INVALID_VALUE = "3\u{fffd}";
+
+function createPool(t: ava.ExecutionContext): connections.ConnectionPool {
+  const pool = new connections.ConnectionPool(
+    { host: "127.0.0.1", port: 9 },
+    { limit: 4, onOpened: () => {} },
+  );
+  t.teardown(() => pool.close());
+  return pool;
+}
+
+// Guards against CONFIG: an attempt that ended while it was being constructed told a listener that
+// was not ready yet; the end was lost, and its request never ended.
+for (
+  const { what, headers, path } of [
+    { what: "header", headers: ["last-event-id", INVALID_VALUE], path: "/" },
+    { what: "path", headers: [], path: "/a\tb" },
+  ]
+) {
+  test(`an attempt with an invalid ${what} ends after its constructor has returned`, async (t) => {
+    const pool = createPool(t);
+    const connection = pool.acquire(false) as connections.Connection;
+    let isConstructed = false;
+    let attempt: attempts.Attempt | undefined;
+    const end = await new Promise<attempts.AttemptEnd>((resolve, reject) => {
+      attempt = new attempts.Attempt(pool, connection, {
+        method: "GET",
+        path,
+        headers,
+        body: Buffer.alloc(0),
+      }, {
+        onHead: () => {},
+        onData: () => {},
+        onEnd: (ended) =>
+          isConstructed
+            ? resolve(ended)
+            : reject(new Error("told before the constructor has returned")),
+      });
+      isConstructed = true;
+    });
+    t.is(end.type, "unsent");
+    t.false(attempt?.isSent);
+  });
+}
