A stream is resumed before an event whose id is spoilt

Cause: ids were decoded as UTF-8 and the text sent back as a header. What is no UTF-8 became U+FFFD, which no header carries; sound characters beyond ASCII went back as other bytes. Evidence: four sends in 10 ms, each `not-run`, "invalid last-event-id header". Why this works: ids go back with the bytes that they came with. Where a stream may be resumed, it ends before an event whose id is no text or has control characters, and goes on from the event before at another replica.

--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -33,6 +33,7 @@
   | {
     readonly type: "raw";
     readonly text: string;
+    readonly encoding?: "utf8" | "latin1";
     readonly then: "close" | "reset" | "keep";
   }
   /** Sends bytes without end, until the connection is closed. */
@@ -323,7 +324,7 @@
   for (const [name, value] of Object.entries(values)) {
     text = text.replaceAll(name, value);
   }
-  socket.write(text);
+  socket.write(text, behaviour.encoding);
   if (behaviour.then === "keep") return;
   if (behaviour.then === "close") socket.end();
   else {
--- a/packages/router/src/event_splitter.ts
+++ b/packages/router/src/event_splitter.ts
@@ -5,6 +5,7 @@
 import * as eventsource from "eventsource-parser";
 
 const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 /** Longest event; a stream with a longer one is not a stream of events. */
 const MAX_EVENT_BYTES = 1_048_576;
 
@@ -14,19 +15,35 @@
   readonly count: number;
 }
 
+/** Characters that an ID cannot have, as it is sent back in a header; U+FFFD stands for bytes that are no text. */
+// deno-lint-ignore no-control-regex
+const INVALID_ID_PATTERN = /[\u0000-\u001f\u007f\ufffd]/;
+
 /** Splits the response stream of one attempt. */
 export class EventSplitter {
+  readonly #checksIds: boolean;
   #partialEvent: Buffer = Buffer.alloc(0);
   #count = 0;
   #lastEventId: string | undefined;
+  #hasInvalidId = false;
   readonly #parser = eventsource.createParser({
-    onEvent: (event) => {
+    onEvent: ({ id }) => {
+      const isValid = id === undefined || !INVALID_ID_PATTERN.test(id);
+      this.#hasInvalidId = this.#checksIds && !isValid;
+      if (this.#hasInvalidId) return;
       this.#count += 1;
-      if (event.id !== undefined) this.#lastEventId = event.id;
+      if (id === undefined || !isValid) return;
+      // The value of a header has one character for each byte.
+      this.#lastEventId = Buffer.from(id, "utf8").toString("latin1");
     },
   });
 
-  /** ID of the last complete event. */
+  /** With `checksIds`, the stream ends before an event from whose ID it cannot be resumed. */
+  constructor(options: { readonly checksIds: boolean }) {
+    this.#checksIds = options.checksIds;
+  }
+
+  /** ID of the last complete event, as the value of a header. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
   }
@@ -41,33 +58,44 @@
     return this.#partialEvent.length > 0;
   }
 
-  /** Whether the incomplete event is longer than any valid one. */
-  get isEventTooLong(): boolean {
-    return this.#partialEvent.length > MAX_EVENT_BYTES;
+  /** Why the bytes are no stream of events; absent if they may be one. */
+  get fault(): string | undefined {
+    if (this.#hasInvalidId) return "the ID of an event is invalid";
+    return this.#partialEvent.length > MAX_EVENT_BYTES
+      ? "an event is too long"
+      : undefined;
   }
 
   /** Adds bytes and returns the events that are now complete. */
   push(chunk: Buffer): CompleteEvents | undefined {
+    if (this.#hasInvalidId) return undefined;
     const data = this.#partialEvent.length === 0
       ? chunk
       : Buffer.concat([this.#partialEvent, chunk]);
-    const end = findLastEventEnd(data);
+    const before = this.#count;
+    let end = 0;
+    for (;;) {
+      const eventEnd = findEventEnd(data, end);
+      if (eventEnd === undefined) break;
+      this.#parser.feed(data.toString("utf8", end, eventEnd));
+      if (this.#hasInvalidId) break;
+      end = eventEnd;
+    }
     this.#partialEvent = data.subarray(end);
     if (end === 0) return undefined;
-    const bytes = data.subarray(0, end);
-    const before = this.#count;
-    this.#parser.feed(bytes.toString("utf8"));
-    return { bytes, count: this.#count - before };
+    return { bytes: data.subarray(0, end), count: this.#count - before };
   }
 }
 
-/** Position after the last blank line, which ends an event. */
-function findLastEventEnd(data: Buffer): number {
-  for (let index = data.length - 1; index > 0; index -= 1) {
-    if (data[index] !== LINE_FEED) continue;
-    const isBlank = data[index - 1] === LINE_FEED ||
-      (index > 1 && data[index - 1] === 0x0d && data[index - 2] === LINE_FEED);
-    if (isBlank) return index + 1;
+/** Position after the first blank line from `start`, which begins a line. */
+function findEventEnd(data: Buffer, start: number): number | undefined {
+  let lineStart = start;
+  for (;;) {
+    const lineEnd = data.indexOf(LINE_FEED, lineStart);
+    if (lineEnd < 0) return undefined;
+    const isBlank = lineEnd === lineStart ||
+      (lineEnd === lineStart + 1 && data[lineStart] === CARRIAGE_RETURN);
+    lineStart = lineEnd + 1;
+    if (isBlank) return lineStart;
   }
-  return 0;
 }
--- a/packages/router/src/event_splitter_test.ts
+++ b/packages/router/src/event_splitter_test.ts
@@ -20,7 +20,7 @@
         const completeText = events.join("");
         const tail = `id: 99${lineEnd}data: x`.slice(0, tailLength);
         const bytes = Buffer.from(completeText + tail);
-        const splitter = new splitting.EventSplitter();
+        const splitter = new splitting.EventSplitter({ checksIds: true });
         const forwarded: Buffer[] = [];
         for (let offset = 0, step = 0; offset < bytes.length; step += 1) {
           const size = chunkSizes[step % chunkSizes.length] as number;
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -1,4 +1,5 @@
 /** State of one attempt of a stream exchange, and the classification of its end. */
+import type * as admissions from "./admission.ts";
 import * as check from "./response_check.ts";
 import type * as attempts from "./attempt.ts";
 import type * as sends from "./send.ts";
@@ -7,6 +8,8 @@
 
 /** With more prefill ahead of a prompt, the time to its first byte is no pace of its version. */
 const MAX_QUEUED_FOR_PACE_MS = 50;
+const MAX_FAILURE_BODY_BYTES = 65_536;
+
 /** Result of one attempt. */
 export type StreamAttemptResult =
   | { readonly type: "complete" }
@@ -18,6 +21,11 @@
   }
   | check.NoResponseResult;
 
+/** The result of an attempt, or why none was made. */
+export type StreamAttemptOutcome =
+  | { readonly type: "attempted"; readonly result: StreamAttemptResult }
+  | { readonly type: "refused"; readonly refusal: admissions.Refusal };
+
 /** State of one attempt. */
 export interface StreamAttempt {
   sent: sends.SentAttempt | undefined;
@@ -40,13 +48,16 @@
 }
 
 /** Creates the state of an attempt that is about to be sent. */
-export function createStreamAttempt(startedAtMs: number): StreamAttempt {
+export function createStreamAttempt(
+  startedAtMs: number,
+  options: { readonly isResumable: boolean },
+): StreamAttempt {
   return {
     sent: undefined,
     verdict: undefined,
     head: undefined,
     result: undefined,
-    splitter: new splitting.EventSplitter(),
+    splitter: new splitting.EventSplitter({ checksIds: options.isResumable }),
     body: [],
     bodyBytes: 0,
     startedAtMs,
@@ -58,6 +69,14 @@
   };
 }
 
+/** Keeps a part of the body of a failure response; returns false if it is too long. */
+export function addFailureBody(current: StreamAttempt, chunk: Buffer): boolean {
+  current.bodyBytes += chunk.length;
+  if (current.bodyBytes > MAX_FAILURE_BODY_BYTES) return false;
+  current.body.push(chunk);
+  return true;
+}
+
 /** A success of another kind does not go on where the response that was begun broke off. */
 export function restrictToContinuation(
   verdict: check.HeadVerdict,
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -7,6 +7,7 @@
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as check from "./response_check.ts";
+import type * as splitting from "./event_splitter.ts";
 import type * as attempts from "./attempt.ts";
 import type * as admissions from "./admission.ts";
 import type * as dispatchers from "./dispatcher.ts";
@@ -26,7 +27,6 @@
 /** Attempts beyond the route's limit, after earlier ones were provably not run. */
 const MAX_ATTEMPTS_BEYOND_LIMIT = 2;
 const OVERLOADED_RETRY_AFTER_MS = 300;
-const MAX_FAILURE_BODY_BYTES = 65_536;
 
 /** Exchange of one request with a streamed response. */
 export class StreamExchange {
@@ -95,13 +95,7 @@
     return route.isResumable && this.#runCount < route.maxAttempts;
   }
 
-  async #runAttempt(): Promise<
-    | {
-      readonly type: "attempted";
-      readonly result: streamAttempts.StreamAttemptResult;
-    }
-    | { readonly type: "refused"; readonly refusal: admissions.Refusal }
-  > {
+  async #runAttempt(): Promise<streamAttempts.StreamAttemptOutcome> {
     const options = {
       model: this.#model,
       lastEventId: this.#lastEventId,
@@ -111,7 +105,10 @@
     };
     const preparation = await this.#dispatcher.prepare(this.#request, options);
     const startedAtMs = this.#dispatcher.nowMs;
-    const current = streamAttempts.createStreamAttempt(startedAtMs);
+    const current = streamAttempts.createStreamAttempt(
+      startedAtMs,
+      this.#request.route,
+    );
     const refusal = await new Promise<admissions.Refusal | undefined>(
       (resolve) => {
         const sendResult = this.#dispatcher.send(this.#request, {
@@ -207,23 +204,29 @@
   }
 
   #handleData(current: streamAttempts.StreamAttempt, chunk: Buffer): void {
-    const { nowMs } = this.#dispatcher;
     const { sent, head } = current;
     if (sent === undefined || head === undefined) return;
-    sent.state.lastByteAtMs = nowMs;
+    sent.state.lastByteAtMs = this.#dispatcher.nowMs;
     if (current.verdict !== "success") {
-      current.bodyBytes += chunk.length;
-      if (current.bodyBytes <= MAX_FAILURE_BODY_BYTES) current.body.push(chunk);
-      else sent.attempt.cancel("the failure response is too long");
+      const isKept = streamAttempts.addFailureBody(current, chunk);
+      if (!isKept) sent.attempt.cancel("the failure response is too long");
       return;
     }
     const completeEvents = current.splitter.push(chunk);
-    if (completeEvents === undefined) {
-      if (current.splitter.isEventTooLong) {
-        sent.attempt.cancel("an event is too long");
-      }
-      return;
+    if (completeEvents !== undefined) {
+      this.#forwardEvents(current, sent, head, completeEvents);
     }
+    const { fault } = current.splitter;
+    if (fault !== undefined) sent.attempt.cancel(fault);
+  }
+
+  #forwardEvents(
+    current: streamAttempts.StreamAttempt,
+    sent: sends.SentAttempt,
+    head: attempts.ResponseHead,
+    completeEvents: splitting.CompleteEvents,
+  ): void {
+    const { nowMs } = this.#dispatcher;
     if (completeEvents.count > 0) {
       current.lastEventAtMs = nowMs;
       current.pace.recordEvents(
