A request that no message can carry is refused as a bad request

Cause: the parser lets these through and the client to replicas refuses them, at each of three sends, which counted against sound replicas. Evidence: `attempt.ended` with `not-run` and the client's reason, three times. Why this works: the server checks targets and hosts before admission. Tests: two cases of platform_request_test failed before (503).

--- a/packages/bench/src/platform_request_test.ts
+++ b/packages/bench/src/platform_request_test.ts
@@ -305,6 +305,33 @@
     t.is((await harness.call(ROUTES.check)).status, 200);
   }));
 
+// Guards against requests without a clear answer: the parser lets these through, and no message to
+// a replica can carry them; sound replicas were asked one after the other and counted as failing.
+for (
+  const { what, path, lines } of [
+    { what: "a tab in its target", path: "a\tb", lines: "" },
+    { what: "two hosts", path: "1", lines: "host: other.example\r\n" },
+  ]
+) {
+  test(`a request with ${what} is refused as a bad request`, (t) =>
+    withHarness(async (harness) => {
+      const desk = await harness.addReplica(
+        "i-1",
+        "desk",
+        () => ({ type: "ok" }),
+      );
+      await harness.start();
+      const got = await harness.sendRaw(
+        `GET ${ROUTES.check}${path} HTTP/1.1\r\nhost: ${harnesses.HOST}\r\n` +
+          `${lines}authorization: Token ${KEY}\r\n` +
+          "x-jackdawbank-attempt-id: s\r\nconnection: close\r\n\r\n",
+      );
+      t.regex(got, /^HTTP\/1\.1 400 /);
+      t.is(desk.received.length, 0);
+      t.is(harness.findLogLines("attempt.sent").length, 0);
+    }));
+}
+
 test("the log lines with a request's id show why it failed", (t) =>
   withHarness(async (harness) => {
     await harness.addReplica("i-1", "desk", () => ({ type: "reset" }));
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -35,6 +35,8 @@
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Turns of the event loop after which a disconnect received with the request is visible. */
 const DISCONNECT_CHECK_TURNS = 2;
+/** A path and query; the parser lets further characters through. */
+const TARGET_PATTERN = /^\/[\u0021-\u00ff]*$/;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_HEADERS_TOO_LARGE = 431;
 
@@ -257,12 +259,15 @@
     >,
   ): requests.IncomingRequest {
     const target = request.url ?? "";
-    if (!target.startsWith("/")) {
+    if (!TARGET_PATTERN.test(target)) {
       throw new RequestReadError(
         "bad-request",
-        "the request target must be a path",
+        "the request target must be a path without spaces",
       );
     }
+    if ((request.headersDistinct["host"]?.length ?? 0) > 1) {
+      throw new RequestReadError("bad-request", "the request has two hosts");
+    }
     const host = request.headers.host ?? "";
     return {
       ...rest,
