A check that throws does not keep other attempts from their deadlines

What callers would see: requests that are not ended at their deadline while another request's check fails. Cause: one loop calls the checks of all attempts; an exception left the loop, at each tick anew. Why this works: each check runs by itself, and what it throws is logged. Test: watchdog_test, "a check that throws does not keep the others from running": uncaught exception before.

--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -84,7 +84,7 @@
       dependencies: { admission: { admit } },
       prepare: () => new Promise(() => {}),
     } as unknown as dispatchers.Dispatcher,
-    watchdog: new watchdogs.Watchdog(clock),
+    watchdog: new watchdogs.Watchdog(clock, () => {}),
     control: {
       routeIndex: undefined,
       viewAgeMs: 0,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -156,7 +156,13 @@
         this.#table.countReplicas(service, version),
       onOrder: (service) => this.#shareSessions(service),
     });
-    this.#watchdog = new watchdogs.Watchdog(clock);
+    this.#watchdog = new watchdogs.Watchdog(
+      clock,
+      (thrown) =>
+        log.addNotable("watchdog.fault", {
+          reason: kernel.describeThrown(thrown),
+        }),
+    );
     this.#callerServer = new callerServers.CallerServer({
       dispatcher: new dispatchers.Dispatcher({
         clock,
--- a/packages/router/src/watchdog.ts
+++ b/packages/router/src/watchdog.ts
@@ -10,13 +10,16 @@
 /** Calls the registered checks at short intervals. */
 export class Watchdog {
   readonly #clock: kernel.Clock;
+  readonly #onFault: (thrown: unknown) => void;
   readonly #checks = new Set<(nowMs: number) => void>();
   #timer: NodeJS.Timeout | undefined;
   #checkedAtMs: number | undefined;
   #lastLagAtMs = -Infinity;
 
-  constructor(clock: kernel.Clock) {
+  /** `onFault` gets what a check throws; the other checks run all the same. */
+  constructor(clock: kernel.Clock, onFault: (thrown: unknown) => void) {
     this.#clock = clock;
+    this.#onFault = onFault;
   }
 
   /** Whether this process itself was recently short of CPU time. */
@@ -52,6 +55,14 @@
     clearInterval(this.#timer);
   }
 
+  #run(check: (nowMs: number) => void, nowMs: number): void {
+    try {
+      check(nowMs);
+    } catch (thrown) {
+      this.#onFault(thrown);
+    }
+  }
+
   #detectLag(nowMs: number): void {
     if (this.#checkedAtMs === undefined) return;
     const lateMs = nowMs - this.#checkedAtMs - CHECK_INTERVAL_MS;
@@ -62,6 +73,6 @@
     const nowMs = this.#clock.monotonicMs();
     this.#detectLag(nowMs);
     this.#checkedAtMs = nowMs;
-    for (const check of [...this.#checks]) check(nowMs);
+    for (const check of [...this.#checks]) this.#run(check, nowMs);
   }
 }
--- a/packages/router/src/watchdog_test.ts
+++ b/packages/router/src/watchdog_test.ts
@@ -7,7 +7,7 @@
   "a late check marks the process as lagging for one second",
   async (t) => {
     const clock = new kernel.ManualClock(5_000);
-    const watchdog = new watchdogs.Watchdog(clock);
+    const watchdog = new watchdogs.Watchdog(clock, () => {});
     const abort = new AbortController();
     let checks = 0;
     const stop = watchdog.watch(() => {
@@ -27,3 +27,27 @@
     watchdog.close();
   },
 );
+
+// Guards against CONFIG: one check that threw kept all checks after it from their deadlines.
+ava.default(
+  "a check that throws does not keep the others from running",
+  async (t) => {
+    const clock = new kernel.SystemClock();
+    const faults: unknown[] = [];
+    const watchdog = new watchdogs.Watchdog(
+      clock,
+      (thrown) => faults.push(thrown),
+    );
+    const { signal } = new AbortController();
+    const fault = new Error("broken check");
+    watchdog.watch(() => {
+      throw fault;
+    }, signal);
+    let checks = 0;
+    watchdog.watch(() => checks += 1, signal);
+    await kernel.sleep(120);
+    watchdog.close();
+    t.true(checks >= 2, `${checks} checks`);
+    t.is(faults.at(0), fault);
+  },
+);
