An item that cannot be applied does not end the task that follows the store

Cause: the task had no guard. What is thrown while an item is applied, or by the store's client, rejected its loop; the process logged it and lived on. Evidence: the test; no entry is known that throws today (port and octet did not throw here, but at the send), the client does for an address that is none. Why this works: each item is applied by itself; an exception of a read counts as a failure of the store, with its back-off; the watch's timer ends with it. Tests: control_fault_test, 2 of 2 failed before.

--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -54,6 +54,8 @@
   readonly changeBoundMs: number;
 }
 
+type ReadResult = kernel.Outcome<{ readonly needsPause: boolean }>;
+
 /** Reads and watches the control plane. */
 export class ControlTask {
   readonly #options: ControlTaskOptions;
@@ -177,9 +179,9 @@
     await kernel.sleep(random() * START_JITTER_MS, signal);
     let retryMs = FIRST_RETRY_MS;
     while (!signal.aborted) {
-      const result = this.#revision === undefined
-        ? await this.#readAll()
-        : await this.#watch(this.#revision);
+      const result = await this.#read().catch((thrown) =>
+        kernel.fail("internal", kernel.describeThrown(thrown))
+      );
       if (signal.aborted) return;
       if (result.isOk()) {
         retryMs = FIRST_RETRY_MS;
@@ -199,9 +201,13 @@
     }
   }
 
-  async #readAll(): Promise<
-    kernel.Outcome<{ readonly needsPause: boolean }>
-  > {
+  #read(): Promise<ReadResult> {
+    return this.#revision === undefined
+      ? this.#readAll()
+      : this.#watch(this.#revision);
+  }
+
+  async #readAll(): Promise<ReadResult> {
     const sentAt = decisions.readClocks(this.#options.clock);
     const snapshot = await this.#options.controlPlane.readAll();
     return snapshot.map(({ items, revision }) => {
@@ -211,7 +217,7 @@
           item.type === "replica" ? [item.replica.id] : []
         ),
       );
-      for (const item of items) this.#applyItem(item);
+      for (const item of items) this.#tryApplyItem(item);
       for (const id of this.#replicas.keys()) {
         if (!found.has(id)) this.#removeReplica(id, "missing from a full read");
       }
@@ -224,9 +230,7 @@
     });
   }
 
-  async #watch(afterRevision: number): Promise<
-    kernel.Outcome<{ readonly needsPause: boolean }>
-  > {
+  async #watch(afterRevision: number): Promise<ReadResult> {
     const sentAt = decisions.readClocks(this.#options.clock);
     const waitMs = this.#chooseWaitMs();
     const interruption = new AbortController();
@@ -235,8 +239,7 @@
       afterRevision,
       waitMs,
       interruption.signal,
-    );
-    stop();
+    ).finally(stop);
     if (interruption.signal.aborted && changes.isErr()) {
       this.#needsConfirmation = true;
       return neverthrow.ok({ needsPause: false });
@@ -244,7 +247,7 @@
     return changes.map(({ items, revision }) => {
       this.#recordSuccess();
       this.#needsConfirmation = false;
-      for (const item of items) this.#applyItem(item);
+      for (const item of items) this.#tryApplyItem(item);
       const waitedMs = decisions.readClocks(this.#options.clock).monotonicMs -
         sentAt.monotonicMs;
       const isFullWait = items.length === 0 && waitedMs >= waitMs;
@@ -265,6 +268,18 @@
       : decisions.chooseWatchWaitMs(countConfirmingPeers(), random());
   }
 
+  /** Applies an item; one that cannot be applied does not affect the others. */
+  #tryApplyItem(item: ports.ControlItem): void {
+    try {
+      this.#applyItem(item);
+    } catch (thrown) {
+      this.#options.log.addNotable("control.item-refused", {
+        type: item.type,
+        reason: kernel.describeThrown(thrown),
+      });
+    }
+  }
+
   #applyItem(item: ports.ControlItem): void {
     const { log } = this.#options;
     switch (item.type) {
