Entries with fields that no replica has are not replicas

Cause: ids were not checked, texts had no longest length, slots could be any positive number, and a value of any length was parsed before it was looked at. Evidence: 18 odd values and two ids through the decoder: none throws; a nested one of 780 KB takes 268 ms; six kinds were taken as replicas. Ruled out: that such an entry ends a process or the task here.

--- a/packages/bench/src/platform_odd_entry_test.ts
+++ b/packages/bench/src/platform_odd_entry_test.ts
@@ -90,3 +90,98 @@
       ),
     );
   }));
+
+/** Text of an entry with one more field, which may be no number of JavaScript's. */
+function buildEntryText(
+  entry: Readonly<Record<string, unknown>>,
+  field: string,
+): string {
+  return JSON.stringify(entry).replace(/}$/, `,${field}}`);
+}
+
+const DEPTH = 200_000;
+const NESTED = "[".repeat(DEPTH) + "]".repeat(DEPTH);
+
+/** Values of another writer, some made from the entry of a sound replica. */
+const ODD_VALUES: readonly ((
+  entry: Readonly<Record<string, unknown>>,
+) => string | Buffer)[] = [
+  () => NESTED,
+  () => "[".repeat(3 * DEPTH),
+  () => '{"a":'.repeat(DEPTH / 2) + "1" + "}".repeat(DEPTH / 2),
+  (entry) => buildEntryText(entry, `"service":${NESTED}`),
+  (entry) => buildEntryText(entry, `"extra":${NESTED}`),
+  (entry) => buildEntryText(entry, '"slots":1e400'),
+  (entry) => buildEntryText(entry, '"slots":1e308'),
+  (entry) => buildEntryText(entry, `"slots":${"9".repeat(700_000)}`),
+  (entry) => buildEntryText(entry, '"born":1e400'),
+  (entry) => buildEntryText(entry, '"address":"127.0.0.1:99999"'),
+  (entry) => buildEntryText(entry, '"address":"127.0.0.1:-1"'),
+  (entry) => buildEntryText(entry, '"address":{"port":1e9}'),
+  (entry) => buildEntryText(entry, `"version":"${"v".repeat(700_000)}"`),
+  (entry) => buildEntryText(entry, '"__proto__":{"state":"draining"},"zone":7'),
+  () => "",
+  () => "null",
+  () => Buffer.from([0xff, 0xfe, 0x00, 0x7b]),
+  () => `{"${"k".repeat(700_000)}":1}`,
+];
+const ODD_IDS: readonly string[] = [
+  ...ODD_VALUES.map((_, at) => `odd-${at}`),
+  "odd\u0001",
+  "odd-\u{1f600}",
+];
+
+// Guards against LOST and processes that end: the list of replicas is followed, whatever one entry
+// of another writer holds, and whenever it is written.
+for (const when of ["a first read", "changes"] as const) {
+  test(`the list of replicas is followed with odd entries among ${when}`, (t) =>
+    withHarness(async (harness) => {
+      const removed = await harness.addReplica(
+        "i-1",
+        "desk",
+        () => ({ type: "ok" }),
+      );
+      const spoilt = await harness.addReplica(
+        "i-2",
+        "desk",
+        () => ({ type: "ok" }),
+      );
+      // More than a page of the store's.
+      for (let at = 0; at < 60; at += 1) {
+        harness.store.putReplica(
+          `other-${at}`,
+          spoilt.buildEntry("unused", { address: "127.0.0.1:9" }),
+        );
+      }
+      const entry = removed.buildEntry("desk");
+      const writeOddEntries = () => {
+        for (const [at, id] of ODD_IDS.entries()) {
+          const value = ODD_VALUES[at]?.(entry) ?? JSON.stringify(entry);
+          harness.store.putBytes(`servers/${id}`, Buffer.from(value));
+        }
+      };
+      if (when === "a first read") writeOddEntries();
+      await harness.start();
+      if (when === "changes") writeOddEntries();
+      await harness.waitFor(() =>
+        harness.findLogLines("replica.unreadable").length >= ODD_IDS.length
+      );
+      t.deepEqual(await callEach(harness), ALL_SERVED);
+      harness.store.remove("servers/i-1");
+      harness.store.putBytes("servers/i-2", Buffer.from(NESTED));
+      const added = await harness.addReplica(
+        "i-3",
+        "desk",
+        () => ({ type: "ok" }),
+      );
+      await harness.waitFor(() =>
+        harness.findLogLines("replica.gone").length >= 2
+      );
+      const before = removed.received.length + spoilt.received.length;
+      t.deepEqual(await callEach(harness), ALL_SERVED);
+      t.is(removed.received.length + spoilt.received.length, before);
+      t.is(added.received.length, CALLS);
+      t.deepEqual(harness.findLogLines("control.item-refused"), []);
+      t.deepEqual(harness.findLogLines("control.lost"), []);
+    }));
+}
