One odd entry does not hide the list of VMs

Cause: the list was decoded as a whole, so that one entry in another form made all unreadable; addresses were not checked at all, and one that is none threw where the connection is opened. Evidence: the test; by reading, `new WebSocket` in the dialer. Why this works: each entry is decoded by itself, with addresses as HOST:PORT; others name no VM. A reply that is no list is an error, as before.

--- a/packages/store/src/vm_list.ts
+++ b/packages/store/src/vm_list.ts
@@ -4,22 +4,36 @@
 import * as undici from "undici";
 import * as z from "zod";
 
+/** Text of the form HOST:PORT that can be connected to. */
+const addressSchema = z.string().refine(
+  (text) => /^[\w.-]+:[1-9]\d*$/.test(text) && URL.canParse(`http://${text}/`),
+  { message: "must be HOST:PORT" },
+);
+
 const vmSchema = z.object({
   id: z.string().min(1),
   role: z.enum(["entry", "upstream"]),
   dataCentre: z.string(),
-  /** `host:port` of the mesh listener; only upstream processes have one. */
-  meshAddress: z.string().optional(),
-  adminAddress: z.string(),
+  /** Address of the mesh listener; only upstream processes have one. */
+  meshAddress: addressSchema.optional(),
+  adminAddress: addressSchema,
   state: z.enum(["live", "leaving"]),
 }).readonly();
-const listSchema = z.object({ vms: z.array(vmSchema).readonly() });
+const listSchema = z.object({ vms: z.array(z.unknown()).readonly() });
 
 export type Vm = z.infer<typeof vmSchema>;
 
 const REQUEST_TIMEOUT_MS = 1_000;
 
+function decodeVms(entries: readonly unknown[]): readonly Vm[] {
+  return entries.flatMap((entry) => {
+    const parsed = vmSchema.safeParse(entry);
+    return parsed.success ? [parsed.data] : [];
+  });
+}
+
 export interface VmListClient {
+  /** Lists the VMs; entries in another form name none and are left out. */
   read(): Promise<kernel.Outcome<readonly Vm[]>>;
   close(): Promise<void>;
 }
@@ -39,7 +53,7 @@
         signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
       });
       const parsed = listSchema.safeParse(await response.body.json());
-      if (parsed.success) return neverthrow.ok(parsed.data.vms);
+      if (parsed.success) return neverthrow.ok(decodeVms(parsed.data.vms));
       return kernel.fail(
         "store-nonsense",
         "the reply of the VM list does not have the expected form",
