Late in the grace period, requests are sent only if they can end; at its end they are answered

Cause: the gate stood where requests are admitted. Between that and the send lie refusals of a first replica, escalations, and waits for a first view, loads and rates. At the end, connections were closed with requests in flight. Evidence: in the test, an order whose first replica refuses it at 2.5 s of 4 s is sent again then (`attempt.sent`) and cut at 3.5 s: "no answer". Why this works: each send asks the schedule of the stop. What no replica has run and could outlast the process is refused as not run, its connection closed. At the end, running attempts are cancelled like expired ones, so that their callers get 502, outcome unknown, before the connections close.

--- a/packages/bench/src/platform_harness.ts
+++ b/packages/bench/src/platform_harness.ts
@@ -1,6 +1,5 @@
 /** Runs a router in the test's process, with fakes of the platform's store and replicas. */
-import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as fakes from "@jackdawbank/fakes";
 import * as kernel from "@jackdawbank/kernel";
 import * as platform from "@jackdawbank/platform";
@@ -43,6 +42,16 @@
   }
 }
 
+/** Resolves with all that is received on a connection until it closes. */
+export function readToEnd(socket: net.Socket): Promise<string> {
+  return new Promise((resolve, reject) => {
+    let received = "";
+    socket.on("data", (chunk: Buffer) => received += chunk.toString("utf8"));
+    socket.on("close", () => resolve(received));
+    socket.on("error", reject);
+  });
+}
+
 /** A router with its fake store and replicas; `close` stops all of them. */
 export class PlatformHarness {
   readonly store: fakes.FakePlatformStore;
@@ -158,20 +167,23 @@
     return this.#caller.call(path, options);
   }
 
-  /** Sends raw text; resolves with all that is received until the connection closes. */
-  sendRaw(text: string): Promise<string> {
+  /** Opens a connection to the router. */
+  connect(): Promise<net.Socket> {
     return new Promise((resolve, reject) => {
-      const socket = (http.globalAgent as unknown as {
-        createConnection: (options: net.NetConnectOpts) => net.Socket;
-      }).createConnection({ host: "127.0.0.1", port: this.ports.callers });
-      let received = "";
-      socket.on("data", (chunk: Buffer) => received += chunk.toString("utf8"));
-      socket.on("close", () => resolve(received));
-      socket.on("error", reject);
-      socket.write(text);
+      const socket = net.connect(this.ports.callers, "127.0.0.1");
+      socket.once("error", reject);
+      socket.once("connect", () => resolve(socket));
     });
   }
 
+  /** Sends raw text; resolves with all that is received until the connection closes. */
+  async sendRaw(text: string): Promise<string> {
+    const socket = await this.connect();
+    const received = readToEnd(socket);
+    socket.write(text);
+    return await received;
+  }
+
   async close(): Promise<void> {
     await this.#router?.close();
     for (const replica of this.replicas.values()) await replica.close();
--- /dev/null
+++ b/packages/bench/src/platform_stop_test.ts
@@ -0,0 +1,126 @@
+/** Tests what becomes of requests in the grace period of a stop. */
+import * as ava from "ava";
+import * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
+import * as harnesses from "./platform_harness.ts";
+
+const { ROUTES, withHarness } = harnesses;
+// Serial, because concurrent tests would distort the delays that they check.
+const test = ava.default.serial;
+/** Routes whose requests may last longer than the grace period of these tests. */
+const LONG_TIMEOUT_MS = 20_000;
+
+function putLongRoutes(harness: harnesses.PlatformHarness): void {
+  const { routes, ...rest } = harnesses.buildConfiguration() as {
+    readonly routes: readonly Readonly<Record<string, unknown>>[];
+  };
+  harness.store.putConfiguration({
+    ...rest,
+    routes: routes.map((route) => ({ ...route, timeoutMs: LONG_TIMEOUT_MS })),
+  });
+}
+
+interface Called {
+  readonly status: number | "no answer";
+  readonly notRun: unknown;
+  readonly atMs: number;
+}
+
+/** Places an order; resolves with its answer, and when it was there. */
+async function placeOrder(
+  harness: harnesses.PlatformHarness,
+  startedAtMs: number,
+): Promise<Called> {
+  const got = await harness.call(ROUTES.order, {
+    method: "POST",
+    body: "crates",
+    headers: { "x-jackdawbank-deadline-ms": String(LONG_TIMEOUT_MS) },
+  }).catch(() => undefined);
+  const atMs = performance.now() - startedAtMs;
+  if (got === undefined) {
+    return { status: "no answer", notRun: undefined, atMs };
+  }
+  const { error } = got.status === 200 ? {} : JSON.parse(got.body) as {
+    readonly error?: { readonly not_run: unknown };
+  };
+  return { status: got.status, notRun: error?.not_run, atMs };
+}
+
+// Guards against LOST: an order that its first replica had refused late in the grace period was
+// passed on to another one, which could not finish it, and was cut with no answer.
+test("a request that comes to its send late in the grace period is refused as not run", (t) =>
+  withHarness(async (harness) => {
+    const answer = (
+      _request: fakes.ReceivedRequest,
+      count: number,
+    ): fakes.ReplicaBehaviour =>
+      count === 1 && runs.push(count) === 1
+        ? { type: "not-run", status: 503, delayMs: 1_500 }
+        : { type: "ok", delayMs: 3_000 };
+    const runs: number[] = [];
+    const replicas = [
+      await harness.addReplica("i-1", "desk", answer),
+      await harness.addReplica("i-2", "desk", answer),
+    ];
+    putLongRoutes(harness);
+    await harness.start({ graceMs: 4_000 });
+    const startedAtMs = performance.now();
+    const stopped = harness.router.stop("SIGTERM");
+    await kernel.sleep(1_000);
+    const got = await placeOrder(harness, startedAtMs);
+    t.is(got.status, 503);
+    t.is(got.notRun, true);
+    t.true(got.atMs < 3_000, `${got.atMs} ms`);
+    const received = replicas.flatMap((replica) => replica.received);
+    t.is(received.length, 1);
+    await stopped;
+  }));
+
+// Guards against LOST: at the end of the grace period requests were cut with no answer.
+test("a request that still runs at the end of the grace period is answered that its outcome is unknown", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "hang" }),
+    );
+    putLongRoutes(harness);
+    await harness.start({ graceMs: 2_000 });
+    const startedAtMs = performance.now();
+    const calls = [
+      placeOrder(harness, startedAtMs),
+      placeOrder(harness, startedAtMs),
+    ];
+    await harness.waitFor(() => desk.received.length === 2);
+    await harness.router.stop("SIGTERM");
+    for (const got of await Promise.all(calls)) {
+      t.is(got.status, 502);
+      t.is(got.notRun, "unknown");
+    }
+    t.is(harness.findLogLines("process.stopped").at(0)?.["brokenOff"], 0);
+  }));
+
+// Guards against LOST: the head of a request comes in time, its body after the process has closed.
+test("a request whose body comes after the process accepts no more is refused as not run", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    await harness.start({ graceMs: 3_000 });
+    const socket = await harness.connect();
+    socket.write(
+      `POST ${ROUTES.order} HTTP/1.1\r\nhost: ${harnesses.HOST}\r\n` +
+        `authorization: Token ${harnesses.KEY}\r\n` +
+        "x-jackdawbank-attempt-id: late\r\ncontent-length: 6\r\n\r\ncra",
+    );
+    await kernel.sleep(50);
+    const stopped = harness.router.stop("SIGTERM");
+    await kernel.sleep(1_900);
+    const received = harnesses.readToEnd(socket);
+    socket.write("tes");
+    t.regex(await received, /^HTTP\/1\.1 503 [\s\S]*connection: close/i);
+    t.is(desk.received.length, 0);
+    await stopped;
+  }));
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -12,7 +12,11 @@
   /** An error response of the replica itself, with its signature. */
   | { readonly type: "failure"; readonly status: number }
   /** Refused before the request ran. */
-  | { readonly type: "not-run"; readonly status: number }
+  | {
+    readonly type: "not-run";
+    readonly status: number;
+    readonly delayMs?: number;
+  }
   /** Refused because the address now belongs to another replica. */
   | { readonly type: "misdirected" }
   /** Runs the request, then resets the connection without a response. */
@@ -197,6 +201,7 @@
         response.writeHead(behaviour.status, signedHeaders).end("failed");
         return;
       case "not-run":
+        if (behaviour.delayMs !== undefined) await sleep(behaviour.delayMs);
         response.writeHead(behaviour.status, {
           ...this.extraHeaders,
           [ATTEMPT_ID]: attemptId,
--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -39,6 +39,13 @@
   "the caller disconnected",
 );
 
+/** Refusal of a request that this process could not finish before it stops. */
+export const LEAVING_REFUSAL: Refusal = makeRefusal(
+  "leaving",
+  "this process is stopping",
+  0,
+);
+
 /** Creates the refusal of a request for which no replica is available. */
 export function makeNoReplicaRefusal(
   service: string,
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -111,6 +111,7 @@
       excluded: this.#triedReplicaIds,
       refusedBy: this.#refusedBy,
       earlierSends: this.#sendCount,
+      hasRun: this.#runCount > 0,
     };
     const preparation = await dispatcher.prepare(request, options);
     const outcome = await new Promise<
@@ -168,14 +169,15 @@
 
   /** Cancels the attempt on a time-out, at the deadline, or when the caller disconnects. */
   #watchAttempt(sent: sends.SentAttempt): () => void {
-    const { route, deadlineAtMs, signal } = this.#request;
+    const { route, signal } = this.#request;
     const isIdempotent = route.kind === "idempotent";
     const responseTimeoutAtMs = sent.sentAtMs +
       RESPONSE_TIMEOUT_FACTOR * route.targetLatencyMs;
     const hasRunsLeft = isIdempotent && this.#runCount + 1 < route.maxAttempts;
     return this.#watchdog.watch((nowMs) => {
       if (signal.aborted) return sent.attempt.cancel("the caller disconnected");
-      if (nowMs >= deadlineAtMs) return sent.attempt.cancel("deadline expired");
+      const expiry = this.#dispatcher.findExpiry(this.#request, nowMs);
+      if (expiry !== undefined) return sent.attempt.cancel(expiry);
       if (!hasRunsLeft || nowMs < responseTimeoutAtMs) return;
       const excluded = new Set([...this.#triedReplicaIds, sent.state.entry.id]);
       if (this.#dispatcher.canReroute(this.#request, excluded)) {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as kernel from "@jackdawbank/kernel";
+import * as admissions from "./admission.ts";
 import type * as control from "./control_task.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import type * as logs from "./decision_log.ts";
@@ -216,8 +217,8 @@
     { readonly route: string; readonly outcome: requests.RequestOutcome }
   > {
     if (this.#isRefusing) {
-      const error = kernel.makeError("leaving", "this process is stopping");
-      writer.refuse(error, 0);
+      const { error, retryAfterMs } = admissions.LEAVING_REFUSAL;
+      writer.refuse(error, retryAfterMs);
       return { route: "none", outcome: { outcome: "leaving" } };
     }
     const { dispatcher, watchdog, control } = this.#options;
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -22,6 +22,7 @@
 import type * as rollouts from "./rollout_task.ts";
 import type * as sends from "./send.ts";
 import type * as sessions from "./sessions.ts";
+import type * as shutdowns from "./shutdown.ts";
 import type * as telemetry from "./telemetry.ts";
 
 /** Engine priority of the most urgent requests; retries are scheduled one level ahead. */
@@ -47,6 +48,7 @@
   readonly quarantine: quarantines.PromptQuarantine;
   readonly fleet: fleets.Fleet;
   readonly sessions: sessions.SessionTable;
+  readonly shutdown: shutdowns.ShutdownSchedule;
   readonly log: logs.DecisionLog;
   readonly telemetry: telemetry.Telemetry;
   readonly random: () => number;
@@ -90,7 +92,7 @@
     excluded: ReadonlySet<string>,
   ): boolean {
     if (!this.canRetry(request.service)) return false;
-    if (this.#findRefusal(request) !== undefined) return false;
+    if (this.#findRefusal(request, true) !== undefined) return false;
     const versionPreference = this.#chooseVersionPreference(request);
     const { table } = this.dependencies;
     return table.hasAvailable(request.service, {
@@ -122,7 +124,7 @@
     listener: attempts.AttemptListener,
   ): neverthrow.Result<sends.SentAttempt, admissions.Refusal> {
     const { table, codec, clock } = this.dependencies;
-    const refusal = this.#findRefusal(request);
+    const refusal = this.#findRefusal(request, options.hasRun);
     if (refusal !== undefined) return neverthrow.err(refusal);
     const { fields, service } = request;
     const latencyTracker = this.getLatencyTracker(service);
@@ -199,8 +201,9 @@
     });
   }
 
-  /** Whether a retry stays within a share of the service's retry budget. */
+  /** Whether a retry stays within a share of the service's retry budget, and before a stop. */
   canRetry(service: string, share = 1): boolean {
+    if (this.dependencies.shutdown.hasEnded(this.nowMs)) return false;
     return this.#retryBudgets.canRetry(service, share);
   }
 
@@ -246,12 +249,27 @@
     };
   }
 
+  /** Why a running attempt must be ended now; absent if it may go on. */
+  findExpiry(
+    { deadlineAtMs }: requests.AdmittedRequest,
+    nowMs: number,
+  ): string | undefined {
+    if (nowMs >= deadlineAtMs) return "deadline expired";
+    return this.dependencies.shutdown.hasEnded(nowMs)
+      ? "this process is stopping"
+      : undefined;
+  }
+
   /** Why a request must not be sent now, whatever the replicas are. */
   #findRefusal(
     request: requests.AdmittedRequest,
+    hasRun: boolean,
   ): admissions.Refusal | undefined {
     if (request.signal.aborted) return admissions.CALLER_GONE_REFUSAL;
-    const { admission, quarantine } = this.dependencies;
+    const { admission, quarantine, shutdown } = this.dependencies;
+    if (!hasRun && !shutdown.canSend(this.nowMs, request.deadlineAtMs)) {
+      return admissions.LEAVING_REFUSAL;
+    }
     return admission.checkConfigurationAge(request) ??
       quarantine.check(request);
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -13,6 +13,7 @@
 import * as replicas from "./replica_table.ts";
 import * as rollouts from "./rollout_task.ts";
 import * as sessions from "./sessions.ts";
+import * as shutdowns from "./shutdown.ts";
 import * as telemetry from "./telemetry.ts";
 import * as watchdogs from "./watchdog.ts";
 
@@ -20,14 +21,6 @@
 const SESSION_TTL_GAPS = 3;
 /** The process reports not ready if its view is older than this share of the revocation bound. */
 const READY_MAX_AGE_SHARE = 0.7;
-/**
- * Time after SIGTERM in which new requests are still accepted. The platform needs
- * two failed readiness probes, one second apart, to stop sending. Requests that it
- * sends from 3 s on must not be accepted, or the exit could cut them off.
- */
-const ACCEPT_AFTER_STOP_MS = 2_700;
-/** Time before SIGKILL at which remaining requests are aborted. */
-const EXIT_MARGIN_MS = 500;
 const DRAIN_POLL_MS = 50;
 /** The view age is infinite before the first read; the gauge is capped. */
 const MAX_VIEW_AGE_GAUGE_MS = 3_600_000;
@@ -64,6 +57,7 @@
   readonly #fleet: fleets.Fleet;
   readonly #quarantine: quarantines.PromptQuarantine;
   readonly #sessions: sessions.SessionTable;
+  readonly #shutdown: shutdowns.ShutdownSchedule;
   readonly #watchdog: watchdogs.Watchdog;
   readonly #callerServer: callerServers.CallerServer;
   readonly #readiness: http.Server;
@@ -74,6 +68,7 @@
   constructor(options: RouterOptions) {
     this.#options = options;
     const { settings, controlPlane, codec, clock, log, random } = options;
+    this.#shutdown = new shutdowns.ShutdownSchedule(settings.graceMs);
     this.#sessions = new sessions.SessionTable(
       settings.sessionGapMs * SESSION_TTL_GAPS,
     );
@@ -175,6 +170,7 @@
         quarantine: this.#quarantine,
         fleet: this.#fleet,
         sessions: this.#sessions,
+        shutdown: this.#shutdown,
         log,
         telemetry: this.#telemetry,
         random,
@@ -230,23 +226,24 @@
   async stop(reason: string): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
-    const { clock, log, settings } = this.#options;
+    const { clock, log } = this.#options;
     log.addNotable("process.stopping", {
       reason,
       inFlight: this.#callerServer.inFlight,
     });
     const startedAtMs = clock.monotonicMs();
-    const endAtMs = startedAtMs + settings.graceMs - EXIT_MARGIN_MS;
+    this.#shutdown.start(startedAtMs);
+    const { acceptUntilMs, closeAtMs } = this.#shutdown;
     this.#callerServer.startDraining();
     void this.#fleet.withdrawAnnouncement();
-    await kernel.sleep(Math.min(ACCEPT_AFTER_STOP_MS, settings.graceMs / 2));
+    await kernel.sleep(acceptUntilMs - startedAtMs);
     this.#callerServer.stopAccepting();
-    while (this.#callerServer.inFlight > 0 && clock.monotonicMs() < endAtMs) {
+    while (this.#callerServer.inFlight > 0 && clock.monotonicMs() < closeAtMs) {
       await kernel.sleep(DRAIN_POLL_MS);
     }
     log.addNotable("process.stopped", {
       tookMs: Math.round(clock.monotonicMs() - startedAtMs),
-      // Requests that did not finish within the grace period; closing aborts them.
+      // Requests without a complete response; closing aborts them.
       brokenOff: this.#callerServer.inFlight,
     });
     await this.close();
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -13,6 +13,8 @@
   readonly refusedBy: ReadonlySet<string>;
   /** Number of earlier attempts of this request. */
   readonly earlierSends: number;
+  /** Whether an earlier attempt ran, or may have run. */
+  readonly hasRun: boolean;
 }
 
 /** What the other processes answered before the choice of a replica. */
--- /dev/null
+++ b/packages/router/src/shutdown.ts
@@ -0,0 +1,57 @@
+/** What a stop of this process means for its requests, by the time that is left until SIGKILL. */
+
+/**
+ * Time after SIGTERM in which new requests are still accepted. The platform needs
+ * two failed readiness probes, one second apart, to stop sending. Requests that it
+ * sends from 3 s on must not be accepted, or the exit could cut them off.
+ */
+const ACCEPT_MS = 2_700;
+/** Largest share of the grace period in which requests are accepted. */
+const MAX_ACCEPT_SHARE = 0.5;
+/** Time before SIGKILL at which running requests are ended. */
+const END_MARGIN_MS = 500;
+/** Share of the margin in which the last responses are written. */
+const WRITE_SHARE = 0.5;
+
+/** Schedule of the stop of one process; before `start`, nothing is limited. */
+export class ShutdownSchedule {
+  readonly #graceMs: number;
+  #startedAtMs = Infinity;
+
+  constructor(graceMs: number) {
+    this.#graceMs = graceMs;
+  }
+
+  start(nowMs: number): void {
+    this.#startedAtMs = nowMs;
+  }
+
+  /** Monotonic time until which new requests are accepted. */
+  get acceptUntilMs(): number {
+    return this.#startedAtMs +
+      Math.min(ACCEPT_MS, MAX_ACCEPT_SHARE * this.#graceMs);
+  }
+
+  /** Monotonic time at which running requests are ended and answered. */
+  get endAtMs(): number {
+    return this.#startedAtMs + this.#graceMs - END_MARGIN_MS;
+  }
+
+  /** Monotonic time at which all connections are closed. */
+  get closeAtMs(): number {
+    return this.endAtMs + WRITE_SHARE * END_MARGIN_MS;
+  }
+
+  /** Whether running requests are ended. */
+  hasEnded(nowMs: number): boolean {
+    return nowMs >= this.endAtMs;
+  }
+
+  /**
+   * Whether a request that no replica has run may be sent. Late in the grace period,
+   * that is only one that ends by its own deadline before this process does.
+   */
+  canSend(nowMs: number, deadlineAtMs: number): boolean {
+    return nowMs < this.acceptUntilMs || deadlineAtMs <= this.endAtMs;
+  }
+}
--- /dev/null
+++ b/packages/router/src/shutdown_test.ts
@@ -0,0 +1,34 @@
+/** Tests the schedule of a stop. */
+import * as ava from "ava";
+import * as shutdowns from "./shutdown.ts";
+
+const test = ava.default;
+const NOW_MS = 50_000;
+
+test("before a stop, every request may be sent, and none is ended", (t) => {
+  const shutdown = new shutdowns.ShutdownSchedule(8_000);
+  t.true(shutdown.canSend(NOW_MS, Infinity));
+  t.false(shutdown.hasEnded(NOW_MS));
+});
+
+for (const graceMs of [5_000, 8_000, 60_000]) {
+  test(`moments of a stop with a grace period of ${graceMs} ms are in order`, (t) => {
+    const shutdown = new shutdowns.ShutdownSchedule(graceMs);
+    shutdown.start(NOW_MS);
+    const { acceptUntilMs, endAtMs, closeAtMs } = shutdown;
+    t.true(NOW_MS < acceptUntilMs && acceptUntilMs < endAtMs);
+    t.true(endAtMs < closeAtMs && closeAtMs < NOW_MS + graceMs);
+    // Requests that are sent within 3 s must run until the last sixth of the period.
+    t.true(endAtMs >= NOW_MS + graceMs * 5 / 6);
+    t.true(acceptUntilMs < NOW_MS + 3_000);
+  });
+}
+
+// Guards against LOST: late sends are only those that end by their own deadline.
+test("late in the grace period, only a request that ends before the process may be sent", (t) => {
+  const shutdown = new shutdowns.ShutdownSchedule(8_000);
+  shutdown.start(NOW_MS);
+  t.true(shutdown.canSend(shutdown.acceptUntilMs - 1, Infinity));
+  t.true(shutdown.canSend(shutdown.acceptUntilMs, shutdown.endAtMs));
+  t.false(shutdown.canSend(shutdown.acceptUntilMs, shutdown.endAtMs + 1));
+});
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -102,6 +102,7 @@
       excluded: this.#triedReplicaIds,
       refusedBy: this.#refusedBy,
       earlierSends: this.#sendCount,
+      hasRun: this.#runCount > 0,
     };
     const preparation = await this.#dispatcher.prepare(this.#request, options);
     const startedAtMs = this.#dispatcher.nowMs;
@@ -265,14 +266,15 @@
 
   /** Cancels the attempt on a stall, at the deadline, or when the caller disconnects. */
   #watchAttempt(current: streamAttempts.StreamAttempt): () => void {
-    const { route, deadlineAtMs, signal, fields } = this.#request;
+    const { route, signal, fields } = this.#request;
     const firstByteTimeoutMs =
       FIRST_BYTE_TIMEOUT_FACTOR * route.targetLatencyMs +
       fields.promptTokens / SHARED_PREFILL_TOKENS_PER_MS;
     const attempt = current.sent?.attempt;
     return this.#watchdog.watch((nowMs) => {
       if (signal.aborted) return attempt?.cancel("the caller disconnected");
-      if (nowMs >= deadlineAtMs) return attempt?.cancel("deadline expired");
+      const expiry = this.#dispatcher.findExpiry(this.#request, nowMs);
+      if (expiry !== undefined) return attempt?.cancel(expiry);
       const hasRunsLeft = route.isResumable &&
         this.#runCount + 1 < route.maxAttempts;
       if (!hasRunsLeft || this.#isWaitingForCaller) return;
@@ -293,7 +295,7 @@
         pendingPrefillMs: replica.pendingPrefillMs,
       });
       // A stalled stream is kept unless it can be resumed at another replica.
-      if (isStalled && this.#canReroute(current)) attempt?.cancel("stalled");
+      if (isStalled && this.#canReroute(sent)) attempt?.cancel("stalled");
     }, signal);
   }
 
@@ -306,10 +308,8 @@
     paces.offerPace(pace, this.#dispatcher, this.#request, options);
   }
 
-  #canReroute(current: streamAttempts.StreamAttempt): boolean {
-    const id = current.sent?.state.entry.id;
-    const excluded = new Set(this.#triedReplicaIds);
-    if (id !== undefined) excluded.add(id);
+  #canReroute({ state }: sends.SentAttempt): boolean {
+    const excluded = new Set([...this.#triedReplicaIds, state.entry.id]);
     return this.#dispatcher.canReroute(this.#request, excluded);
   }
 
