With a short grace period, requests are not ended before its last sixth

Cause: the margin before SIGKILL was half a second, whatever the grace period. Evidence: the test: cut after 452 of 900 ms and 1,303 of 1,800 ms. Why this works: the margin is at most a twelfth of the grace period. Tests: 2 of 3 cases of platform_stop_test failed before (900 and 1,800 ms); the schedule holds from 0.3 to 60 s (shutdown_test).

--- a/packages/bench/src/platform_stop_test.ts
+++ b/packages/bench/src/platform_stop_test.ts
@@ -100,6 +100,29 @@
     t.is(harness.findLogLines("process.stopped").at(0)?.["brokenOff"], 0);
   }));
 
+// Guards against LOST: with a short grace period, requests were cut long before its last sixth.
+for (const graceMs of [900, 1_800, 4_200]) {
+  test(`requests may run until the last sixth of a grace period of ${graceMs} ms`, (t) =>
+    withHarness(async (harness) => {
+      const desk = await harness.addReplica(
+        "i-1",
+        "desk",
+        () => ({ type: "hang" }),
+      );
+      putLongRoutes(harness);
+      await harness.start({ graceMs });
+      const call = placeOrder(harness, performance.now());
+      await harness.waitFor(() => desk.received.length === 1);
+      const startedAtMs = performance.now();
+      const stopped = harness.router.stop("SIGTERM");
+      await call;
+      const tookMs = performance.now() - startedAtMs;
+      t.true(tookMs >= graceMs * 5 / 6, `${tookMs} ms`);
+      t.true(tookMs < graceMs, `${tookMs} ms`);
+      await stopped;
+    }));
+}
+
 // Guards against LOST: the head of a request comes in time, its body after the process has closed.
 test("a request whose body comes after the process accepts no more is refused as not run", (t) =>
   withHarness(async (harness) => {
--- a/packages/router/src/shutdown.ts
+++ b/packages/router/src/shutdown.ts
@@ -10,6 +10,8 @@
 const MAX_ACCEPT_SHARE = 0.5;
 /** Time before SIGKILL at which running requests are ended. */
 const END_MARGIN_MS = 500;
+/** Largest share of the grace period for that; a replica may work until the last sixth. */
+const MAX_END_MARGIN_SHARE = 1 / 12;
 /** Share of the margin in which the last responses are written. */
 const WRITE_SHARE = 0.5;
 
@@ -34,12 +36,12 @@
 
   /** Monotonic time at which running requests are ended and answered. */
   get endAtMs(): number {
-    return this.#startedAtMs + this.#graceMs - END_MARGIN_MS;
+    return this.#startedAtMs + this.#graceMs - this.#endMarginMs;
   }
 
   /** Monotonic time at which all connections are closed. */
   get closeAtMs(): number {
-    return this.endAtMs + WRITE_SHARE * END_MARGIN_MS;
+    return this.endAtMs + WRITE_SHARE * this.#endMarginMs;
   }
 
   /** Whether running requests are ended. */
@@ -54,4 +56,8 @@
   canSend(nowMs: number, deadlineAtMs: number): boolean {
     return nowMs < this.acceptUntilMs || deadlineAtMs <= this.endAtMs;
   }
+
+  get #endMarginMs(): number {
+    return Math.min(END_MARGIN_MS, MAX_END_MARGIN_SHARE * this.#graceMs);
+  }
 }
--- a/packages/router/src/shutdown_test.ts
+++ b/packages/router/src/shutdown_test.ts
@@ -11,7 +11,7 @@
   t.false(shutdown.hasEnded(NOW_MS));
 });
 
-for (const graceMs of [5_000, 8_000, 60_000]) {
+for (const graceMs of [300, 1_000, 5_000, 8_000, 60_000]) {
   test(`moments of a stop with a grace period of ${graceMs} ms are in order`, (t) => {
     const shutdown = new shutdowns.ShutdownSchedule(graceMs);
     shutdown.start(NOW_MS);
