A second signal does not end the stop that the first one began

Cause: a further stop returned a resolved promise, at which the program exits. Evidence: `process.stopping` once, no `process.stopped`, exit code 0 at once. Ruled out: the runtime's default action (the exit code would be the signal's). Why this works: every stop gets the promise of the first one.

--- a/packages/bench/src/platform_stop_test.ts
+++ b/packages/bench/src/platform_stop_test.ts
@@ -147,3 +147,29 @@
     t.is(desk.received.length, 0);
     await stopped;
   }));
+
+// Guards against LOST: a second signal was taken for the end of the stop that the first one had
+// begun; the process exited at once, with orders in flight.
+test("a second stop resolves with the first one, after requests in flight have ended", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok", delayMs: 600 }),
+    );
+    await harness.start({ graceMs: 8_000 });
+    const startedAtMs = performance.now();
+    const call = placeOrder(harness, startedAtMs).then((got) => {
+      ended.push("order");
+      return got;
+    });
+    const ended: string[] = [];
+    await harness.waitFor(() => desk.received.length === 1);
+    const stops = ["SIGTERM", "SIGTERM", "SIGINT"].map((signal) =>
+      harness.router.stop(signal).then(() => ended.push("stop"))
+    );
+    t.is((await call).status, 200);
+    await Promise.all(stops);
+    t.deepEqual(ended, ["order", "stop", "stop", "stop"]);
+    t.is(harness.findLogLines("process.stopping").length, 1);
+  }));
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -63,6 +63,7 @@
   readonly #readiness: http.Server;
   readonly #metrics: telemetry.MetricsServer | undefined;
   #isStopping = false;
+  #stop: Promise<void> | undefined;
   #wasReady: boolean | undefined;
 
   constructor(options: RouterOptions) {
@@ -222,9 +223,13 @@
     return { callers, readiness, metrics: metricsPort };
   }
 
-  /** Stops accepting requests, and lets running ones finish before SIGKILL. */
-  async stop(reason: string): Promise<void> {
-    if (this.#isStopping) return;
+  /** Stops accepting requests, and lets running ones finish; resolves when that is done. */
+  stop(reason: string): Promise<void> {
+    this.#stop ??= this.#runStop(reason);
+    return this.#stop;
+  }
+
+  async #runStop(reason: string): Promise<void> {
     this.#isStopping = true;
     const { clock, log } = this.#options;
     log.addNotable("process.stopping", {
