A stop does not cut answers that are still being written

Cause: http.Server.close also closes the connections that Node counts as idle, which is each one on whose response `end` was called, written or not. Evidence: `process.stopped` follows the cut, with nothing broken off. Ruled out: a process that exits because it counts too few requests in flight (the cut comes first). Why this works: only the listening socket is closed; idle connections are ended by the server's own account, which holds responses until they are written.

--- a/packages/bench/src/platform_stop_test.ts
+++ b/packages/bench/src/platform_stop_test.ts
@@ -173,3 +173,30 @@
     t.deepEqual(ended, ["order", "stop", "stop", "stop"]);
     t.is(harness.findLogLines("process.stopping").length, 1);
   }));
+
+// Guards against LOST: answers that were still being written to slow callers counted as idle
+// connections, and were cut when the process stopped accepting requests.
+test("an answer that is still being written is not cut when the process accepts no more", (t) =>
+  withHarness(async (harness) => {
+    const body = "x".repeat(8_000_000);
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok", body }));
+    await harness.start({ graceMs: 4_000 });
+    const socket = await harness.connect();
+    socket.pause();
+    socket.write(
+      `GET ${ROUTES.check} HTTP/1.1\r\nhost: ${harnesses.HOST}\r\n` +
+        `authorization: Token ${harnesses.KEY}\r\n` +
+        "x-jackdawbank-attempt-id: slow\r\n\r\n",
+    );
+    await harness.waitFor(() =>
+      harness.findLogLines("request.ended").length === 1
+    );
+    const stopped = harness.router.stop("SIGTERM");
+    await kernel.sleep(2_300);
+    const receiving = harnesses.readToEnd(socket);
+    socket.resume();
+    const received = await receiving;
+    const at = received.indexOf("\r\n\r\n") + 4;
+    t.is(received.length - at, body.length);
+    await stopped;
+  }));
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -3,7 +3,7 @@
  * limits, runs an exchange for it and records the outcome.
  */
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as kernel from "@jackdawbank/kernel";
 import * as admissions from "./admission.ts";
 import type * as control from "./control_task.ts";
@@ -131,7 +131,8 @@
   /** Refuses further requests and closes idle connections. */
   stopAccepting(): void {
     this.#isRefusing = true;
-    this.#server.close();
+    // http.Server.close would also close connections whose responses are still being written.
+    net.Server.prototype.close.call(this.#server);
     for (const socket of this.#idleSockets) socket.end();
   }
 
