A reset that arrives together with data is not the end of an answer

Cause: where data and a reset are found in one poll, the runtime reports the end of the data and no error; the client takes that for the end of the answer. Ruled out: an error that the client takes for an end; a reset after an end. Why this works: at the end of the data a socket without a peer gets the error of a reset. Connections to replicas and to upstreams of the product's own both do.

--- a/packages/bench/src/platform_answer_fault_test.ts
+++ b/packages/bench/src/platform_answer_fault_test.ts
@@ -237,6 +237,36 @@
   }
 }
 
+// Guards against MIXED: a reset that arrives together with a part of an answer without a length
+// was taken for the orderly end of the answer.
+for (const route of [ROUTES.order, ROUTES.check, ROUTES.draft]) {
+  test(`an answer without a length is not whole if a reset arrives with its data: ${route}`, (t) =>
+    withHarness(async (harness) => {
+      const answer = (): fakes.ReplicaBehaviour => ({
+        type: "raw",
+        text: buildStreamHead() + EVENTS,
+        then: "reset-at-once",
+      });
+      await harness.addReplica("i-1", "desk", answer);
+      await harness.addReplica("i-2", "llm", answer);
+      await harness.start();
+      for (let call = 0; call < 20; call += 1) {
+        const got = await harness.call(
+          route,
+          route === ROUTES.draft ? DRAFT : { method: "POST", body: "crates" },
+        ).catch(() => undefined);
+        const looksWhole = got !== undefined && got.status < 300 &&
+          !got.isTruncated;
+        t.false(looksWhole, `${got?.status} '${got?.body}'`);
+      }
+      t.true(
+        harness.findLogLines("attempt.ended").every((line) =>
+          line["reason"] === "the connection was reset"
+        ),
+      );
+    }));
+}
+
 test("an answer that is written twice reaches its caller once, and no other caller", (t) =>
   withHarness(async (harness) => {
     const once = "HTTP/1.1 200 OK\r\n" + ID_LINE +
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -38,7 +38,8 @@
     readonly type: "raw";
     readonly text: string;
     readonly encoding?: "utf8" | "latin1";
-    readonly then: "close" | "reset" | "keep";
+    /** `reset-at-once` lets the reset arrive together with the bytes. */
+    readonly then: "close" | "reset" | "reset-at-once" | "keep";
   }
   /** Sends bytes without end, until the connection is closed. */
   | { readonly type: "endless"; readonly part: endless.EndlessPart }
@@ -329,6 +330,10 @@
   for (const [name, value] of Object.entries(values)) {
     text = text.replaceAll(name, value);
   }
+  if (behaviour.then === "reset-at-once") {
+    socket.write(text, behaviour.encoding, () => socket.resetAndDestroy());
+    return;
+  }
   socket.write(text, behaviour.encoding);
   if (behaviour.then === "keep") return;
   if (behaviour.then === "close") socket.end();
--- a/packages/kernel/src/reset_error.ts
+++ b/packages/kernel/src/reset_error.ts
@@ -10,14 +10,41 @@
   callback: (...result: [null, net.Socket] | [Error, null]) => void,
 ) => void;
 
+/** Error of a socket that its peer has reset. */
+class ConnectionResetError extends Error {
+  readonly code = RESET_CODE;
+
+  constructor() {
+    super("the connection was reset");
+  }
+}
+
+/**
+ * Turns an end that is a reset in truth into an error. Where data and a reset are
+ * found in one poll, the runtime reports the end of the data and no error; after an
+ * orderly end, the socket still has a peer.
+ */
+function detectHiddenReset(socket: net.Socket): void {
+  const push = socket.push.bind(socket);
+  socket.push = (chunk: unknown, encoding?: BufferEncoding): boolean => {
+    if (chunk === null && socket.remoteAddress === undefined) {
+      socket.destroy(new ConnectionResetError());
+      return false;
+    }
+    return push(chunk, encoding);
+  };
+}
+
 /**
- * Gives the errors of resets a code of their own. undici takes `ECONNRESET` within
- * an answer without length or chunks for the end of that answer.
+ * Gives the errors of resets a code of their own, and an error to resets that have
+ * none. undici takes `ECONNRESET` within an answer without length or chunks, as well
+ * as an end, for the end of that answer.
  */
 export function markResets<O>(connect: Connector<O>): Connector<O> {
   return (options, callback) =>
     connect(options, (...result) => {
       const [, socket] = result;
+      if (socket !== null) detectHiddenReset(socket);
       socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
         if (error.code === "ECONNRESET") error.code = RESET_CODE;
       });
--- a/packages/upstream/src/http_backends_test.ts
+++ b/packages/upstream/src/http_backends_test.ts
@@ -170,6 +170,22 @@
   }
 });
 
+// Guards against MIXED: a reset that arrives together with a part of an answer without a length
+// was taken for the orderly end of the answer.
+test("an answer of a service is not whole if a reset arrives with its data", async (t) => {
+  const url = await startRawServer(t, (socket) => {
+    socket.write(
+      "HTTP/1.1 200 OK\r\n\r\npart",
+      () => socket.resetAndDestroy(),
+    );
+  });
+  const backend = new httpBackends.ServiceBackend(url, "orders");
+  t.teardown(() => backend.close());
+  for (let call = 0; call < 20; call += 1) {
+    t.false((await runServiceCall(backend)).isWhole);
+  }
+});
+
 // Guards against MIXED: an earlier answer that a service wrote once more on a kept connection
 // was taken for the answer to the next call.
 test("a service's answer that is written once more is not taken for that of the next call", async (t) => {
