A request that may have run is never refused as not run

What callers saw: 503 with `not_run: true` for a request that may be repeated and had been lost at one replica, then refused by the next. Cause: the refusal looked at the last attempt alone. Evidence: the test, found by reading the paths to a refusal. Why this works: any attempt that ran, or may have, makes the outcome unknown, as it was for streams. Test: platform_request_test, "a request that was lost at one replica and refused by the next is not answered as not run", failed before (503 for 502).

--- a/packages/bench/src/platform_request_test.ts
+++ b/packages/bench/src/platform_request_test.ts
@@ -2,6 +2,7 @@
 import * as ava from "ava";
 import { once } from "node:events";
 import * as net from "node:net";
+import type * as fakes from "@jackdawbank/fakes";
 import * as harnesses from "./platform_harness.ts";
 
 const { ROUTES, ACCOUNT, KEY } = harnesses;
@@ -305,6 +306,24 @@
     t.is((await harness.call(ROUTES.check)).status, 200);
   }));
 
+// Guards against an untrue "not run": the promise was made for the last attempt alone, though an
+// earlier one had been lost at a replica that may have run it.
+test("a request that was lost at one replica and refused by the next is not answered as not run", (t) =>
+  withHarness(async (harness) => {
+    let sends = 0;
+    const answer = (): fakes.ReplicaBehaviour => {
+      sends += 1;
+      return sends === 1 ? { type: "reset" } : { type: "not-run", status: 503 };
+    };
+    await harness.addReplica("i-1", "desk", answer);
+    await harness.addReplica("i-2", "desk", answer);
+    await harness.start();
+    const got = await harness.call(ROUTES.check);
+    t.is(sends, 2);
+    t.is(got.status, 502);
+    t.true(got.body.includes('"not_run":"unknown"'));
+  }));
+
 // Guards against requests without a clear answer: the parser lets these through, and no message to
 // a replica can carry them; sound replicas were asked one after the other and counted as failing.
 for (
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -241,11 +241,11 @@
     refusal: admissions.Refusal,
     last: AttemptResult | undefined,
   ): requests.RequestOutcome {
+    if (last?.type === "answered") return this.#forwardResponse(last);
     // A request that may have run must not be refused as "not run".
-    if (last?.type === "lost") {
+    if (last !== undefined && this.#runCount > 0) {
       return this.#fail(last, this.#request.route.kind);
     }
-    if (last?.type === "answered") return this.#forwardResponse(last);
     this.#writer.refuse(refusal.error, refusal.retryAfterMs);
     return { outcome: refusal.error.kind, reason: refusal.error.message };
   }
