A session with an odd id does not make peers drop whole reports

What callers would see: in a roll-out, a bad version that is stopped later, and views that are confirmed later, while one caller sends an empty or long session. Cause: receivers check a report as a whole, and the id of a session is a caller's header; too large reports lost sessions and evidence together. Why this works: the sender leaves out what receivers would not accept, and gives up sessions one by one before the evidence on versions. Tests: report_test, 5 of 5 new cases failed before.

--- a/packages/peers/src/peer_reporter.ts
+++ b/packages/peers/src/peer_reporter.ts
@@ -104,6 +104,7 @@
 
   /** Queues a session's version for the next reports; dropped if the queue is full. */
   shareSession(item: reports.SessionVersion): void {
+    if (!reports.isSessionAccepted(item)) return;
     const key = `${item.service}/${item.session}`;
     if (
       this.#queuedSessions.size >= MAX_QUEUED_SESSIONS &&
--- a/packages/peers/src/report.ts
+++ b/packages/peers/src/report.ts
@@ -60,7 +60,8 @@
 /** Must change with the layout below; reports of another version are dropped. */
 const FORMAT_VERSION = 3;
 
-const textSchema = z.string().min(1).max(128);
+const MAX_TEXT_CHARS = 128;
+const textSchema = z.string().min(1).max(MAX_TEXT_CHARS);
 const unsignedIntSchema = z.int().min(0);
 /** Pairs of a replica key and a number, flattened into one list. */
 const createPairsSchema = (maxPairs: number) =>
@@ -90,7 +91,22 @@
 
 const packer = new msgpackr.Packr({ useRecords: false });
 
-/** Cuts the lists of a report to their limits; the largest loads and counts are kept. */
+/** Whether receivers accept these texts; they drop a report with others as a whole. */
+function areAccepted(...texts: readonly string[]): boolean {
+  return texts.every((text) => text !== "" && text.length <= MAX_TEXT_CHARS);
+}
+
+/** Whether receivers accept a session in a report. */
+export function isSessionAccepted(
+  { service, session, version }: SessionVersion,
+): boolean {
+  return areAccepted(service, session, version);
+}
+
+/**
+ * Cuts the lists of a report to their limits; the largest loads and counts are kept.
+ * Sessions and routes that receivers would not accept are left out.
+ */
 export function trimReport(report: PeerReport): PeerReport {
   return {
     ...report,
@@ -98,18 +114,22 @@
       .slice(0, MAX_LOADS),
     running: report.running?.toSorted((a, b) => b.count - a.count)
       .slice(0, MAX_RUNNING),
-    sessions: report.sessions.slice(0, MAX_SESSIONS),
-    versionOutcomes: report.versionOutcomes.slice(0, MAX_VERSION_OUTCOMES),
+    sessions: report.sessions.filter(isSessionAccepted).slice(0, MAX_SESSIONS),
+    versionOutcomes: report.versionOutcomes.filter(({ service, route }) =>
+      areAccepted(service, route)
+    ).slice(0, MAX_VERSION_OUTCOMES),
   };
 }
 
-/** Encodes a report; if it is too large, without its sessions and version outcomes. */
+/** Encodes a report; if it is too large, with fewer sessions, or without version outcomes. */
 export function encodeReport(report: PeerReport): Uint8Array {
   const trimmed = trimReport(report);
-  const bytes = encodeLayout(trimmed);
-  return bytes.byteLength <= MAX_REPORT_BYTES
-    ? bytes
-    : encodeLayout({ ...trimmed, sessions: [], versionOutcomes: [] });
+  for (let count = trimmed.sessions.length; count >= 0; count -= 1) {
+    const sessions = trimmed.sessions.slice(0, count);
+    const bytes = encodeLayout({ ...trimmed, sessions });
+    if (bytes.byteLength <= MAX_REPORT_BYTES) return bytes;
+  }
+  return encodeLayout({ ...trimmed, sessions: [], versionOutcomes: [] });
 }
 
 function encodeLayout(report: PeerReport): Uint8Array {
--- a/packages/peers/src/report_test.ts
+++ b/packages/peers/src/report_test.ts
@@ -60,6 +60,38 @@
   t.pass();
 });
 
+// Guards against CONFIG and EXPOSURE: receivers dropped whole reports, with views, loads and evidence
+// on versions, for one session with an empty or long id.
+for (
+  const { what, odd } of [
+    { what: "an empty session", odd: { session: "" } },
+    { what: "a session of 129 characters", odd: { session: "s".repeat(129) } },
+    { what: "a session of 8 KB", odd: { session: "s".repeat(8_192) } },
+    { what: "a long version", odd: { version: "v".repeat(200) } },
+  ]
+) {
+  test(`a report with ${what} is decoded without it`, (t) => {
+    const [sound] = REPORT.sessions as [reports.SessionVersion];
+    const report = { ...REPORT, sessions: [{ ...sound, ...odd }, sound] };
+    t.deepEqual(reports.decodeReport(reports.encodeReport(report)), REPORT);
+  });
+}
+
+// Guards against EXPOSURE: sessions with long ids displaced the evidence on versions.
+test("a report that is too large loses sessions before evidence on versions", (t) => {
+  const sessions = Array.from({ length: 8 }, (_, at) => ({
+    service: "llm",
+    session: `${at}`.padEnd(128, "s"),
+    version: "v1".padEnd(60, "."),
+  }));
+  const report = { ...REPORT, sessions };
+  const bytes = reports.encodeReport(report);
+  t.true(bytes.byteLength <= reports.MAX_REPORT_BYTES);
+  const decoded = reports.decodeReport(bytes);
+  t.deepEqual(decoded?.versionOutcomes, REPORT.versionOutcomes);
+  t.true((decoded?.sessions.length ?? 0) > 0);
+});
+
 test("arbitrary bytes are not decoded as a report", (t) => {
   fastCheck.assert(
     fastCheck.property(
