--- a/packages/bench/src/order_fault_test.ts
+++ b/packages/bench/src/order_fault_test.ts
@@ -273,7 +273,8 @@
     deadlineMs: 400,
   });
   t.is(timedOut.status, 504);
-  t.is(timedOut.notRun, "unknown");
+  const runs = JSON.stringify([...await deployment.countOrderRuns()]);
+  t.is(timedOut.notRun, "unknown", `runs ${runs}: ${timedOut.errorKind}`);
   const inFlight = await caller.placeOrder("slow", {
     idempotencyKey: "slow",
     deadlineMs: 300,
