Decode evacuations, homes, cold replicas and the limits of a machine

Cause: the settings and items of new deployments name evacuations, homes of routes and accounts, the rate of cold replicas and the memory of a machine; none of it was decoded. What callers saw: nothing changes.

--- a/packages/bench/src/platform_harness.ts
+++ b/packages/bench/src/platform_harness.ts
@@ -31,6 +31,12 @@
   exposureShare: 0.15,
   sessionGapMs: 5_000,
   prefixReuseWindowMs: 10_000,
+  regionByDataCentre: new Map(),
+  coldRateBound: undefined,
+  evacuationBoundMs: undefined,
+  memoryBytes: undefined,
+  fileDescriptors: undefined,
+  hasReplicaMemoryLimit: false,
 };
 
 class MemorySink implements router.LineSink {
--- a/packages/bundle/src/routes.ts
+++ b/packages/bundle/src/routes.ts
@@ -34,6 +34,8 @@
   /** Models to choose from, smallest first; empty if callers name the model. */
   readonly candidateModels: readonly string[];
   readonly targets: readonly RouteTarget[];
+  /** Regions that its requests must stay in; empty if they may go anywhere. */
+  readonly homeRegions: readonly string[];
 }
 
 /** A model that a service's engines serve. */
@@ -50,6 +52,14 @@
   readonly models: readonly EngineModel[];
 }
 
+/** What a replica bears while it is cold: shortly after its start, or at any other time. */
+export interface ColdStart {
+  /** Time for which a replica is cold after it has started. */
+  readonly durationMs: number;
+  /** Requests per second that a cold replica takes from all processes together. */
+  readonly requestsPerS: number;
+}
+
 /** A service to which routes send requests. */
 export interface RouteTableService {
   readonly name: string;
@@ -57,6 +67,8 @@
   readonly maxConnections: number;
   /** Undefined if the service's replicas are not model engines. */
   readonly engine: Engine | undefined;
+  /** Undefined if the service's replicas take their full load at once. */
+  readonly coldStart: ColdStart | undefined;
 }
 
 /** A client account, with the digests of its API keys. */
@@ -65,6 +77,8 @@
   readonly keysSha256: readonly string[];
   /** Takes precedence over the route's priority if it is set. */
   readonly priority: number | undefined;
+  /** Regions that its requests must stay in; empty if they may go anywhere. */
+  readonly homeRegions: readonly string[];
 }
 
 /** Size limits and time limits of callers' requests. */
--- a/packages/router/src/admission_test.ts
+++ b/packages/router/src/admission_test.ts
@@ -24,10 +24,11 @@
       maxAttempts: 2,
       isPublic: false,
       candidateModels: [],
+      homeRegions: [],
       targets: [{ service: "desk", weight: 1 }],
     }],
     services: [],
-    accounts: [{ name: "a", keysSha256, priority: undefined }],
+    accounts: [{ name: "a", keysSha256, priority: undefined, homeRegions: [] }],
     limits: {
       maxHeaderBytes: 1,
       maxBodyBytes: 1,
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -18,6 +18,8 @@
   readonly vmName: string;
   readonly ip: string;
   readonly dataCentre: string;
+  /** Region of each data centre of the installation; empty if the settings name none. */
+  readonly regionByDataCentre: ReadonlyMap<string, string>;
   /** Listen address for callers' requests. */
   readonly callers: Address;
   /** Listen address for readiness probes. */
@@ -41,6 +43,22 @@
   readonly sessionGapMs: number;
   /** Time for which a replica's cached prompt prefix is expected to be reusable. */
   readonly prefixReuseWindowMs: number;
+  /** How far all processes together may exceed the rate of a cold replica; absent without a bound. */
+  readonly coldRateBound: ColdRateBound | undefined;
+  /** Time after which an evacuated data centre must get no more requests; absent without a bound. */
+  readonly evacuationBoundMs: number | undefined;
+  /** Memory at which this process is ended; absent if the settings name none. */
+  readonly memoryBytes: number | undefined;
+  /** File descriptors of this process; absent if the settings name none. */
+  readonly fileDescriptors: number | undefined;
+  /** Whether a replica crashes when the requests that it holds exceed its memory. */
+  readonly hasReplicaMemoryLimit: boolean;
+}
+
+/** Requests in one second that a cold replica bears: its rate times the factor, and some more. */
+export interface ColdRateBound {
+  readonly factor: number;
+  readonly extraRequests: number;
 }
 
 /** A replica's registration in the control plane. */
@@ -53,6 +71,8 @@
   /** Requests that the replica runs at the same time. */
   readonly slots: number;
   readonly isDraining: boolean;
+  /** Time for which the replica stays cold, as of its entry; 0 if it is warm. */
+  readonly coldRemainingMs: number;
   /** Start of the replica's process, which tells restarts under the same ID apart. */
   readonly startedAtMs: number | undefined;
 }
@@ -79,6 +99,9 @@
   /** A part of prompts on which replicas crash. */
   | { readonly type: "quarantined-part"; readonly partId: string }
   | { readonly type: "quarantined-part-gone"; readonly partId: string }
+  /** Nothing may be sent to the replicas of a data centre until the order is removed. */
+  | { readonly type: "evacuation"; readonly dataCentre: string }
+  | { readonly type: "evacuation-gone"; readonly dataCentre: string }
   | { readonly type: "unreadable"; readonly reason: string }
   | { readonly type: "other" };
 
@@ -151,6 +174,8 @@
   readonly model: string | undefined;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** The caller's estimate of the output tokens, right at the median but often far off. */
+  readonly outputTokensHint: number | undefined;
   readonly promptParts: readonly PromptPart[];
   /** ID of the last event received, from which a stream resumes. */
   readonly lastEventId: string | undefined;
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -33,6 +33,7 @@
     version: "v1",
     slots: 32,
     isDraining: false,
+    coldRemainingMs: 0,
     startedAtMs: 1,
     ...overrides,
   };
@@ -65,6 +66,7 @@
       new Map([["llm", {
         name: "llm",
         maxConnections: 230,
+        coldStart: undefined,
         engine: undefined,
       }]]),
     );
