Few processes watch the control plane for all

Change: from 12 processes on, one in eight watches; the others poll one of them over HTTP at the port of their reports, and go to the control plane themselves to confirm a view, when a relay fails, or when it cannot tell them all. Answers of relays confirm nothing: the reports of peers that watch do, as before. What callers saw: nothing changes.

--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -12,6 +12,7 @@
 export * from "./cascade.ts";
 export * from "./claim_types.ts";
 export * from "./claims.ts";
+export * from "./control_watchers.ts";
 export * from "./engine_latency.ts";
 export * from "./fair_queue.ts";
 export * from "./rollout_guard.ts";
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -232,19 +232,27 @@
 
   async #watch(afterRevision: number): Promise<ReadResult> {
     const sentAt = decisions.readClocks(this.#options.clock);
+    const isConfirmation = this.#needsConfirmation ||
+      this.#failingSinceMs !== undefined;
     const waitMs = this.#chooseWaitMs();
     const interruption = new AbortController();
-    const stop = this.#supervisor.supervise(waitMs, interruption);
-    const changes = await this.#options.controlPlane.waitForChanges(
+    const { controlPlane } = this.#options;
+    const confirmsAfterMs = controlPlane.isRelayed && !isConfirmation
+      ? Infinity
+      : waitMs;
+    const stop = this.#supervisor.supervise(confirmsAfterMs, interruption);
+    const changes = await controlPlane.waitForChanges(
       afterRevision,
       waitMs,
       interruption.signal,
+      isConfirmation,
     ).finally(stop);
     if (interruption.signal.aborted && changes.isErr()) {
       this.#needsConfirmation = true;
       return neverthrow.ok({ needsPause: false });
     }
-    return changes.map(({ items, revision }) => {
+    return changes.map(({ items, revision, isRelayed }) => {
+      if (isRelayed) return this.#applyRelayed(afterRevision, items, revision);
       this.#recordSuccess();
       this.#needsConfirmation = false;
       for (const item of items) this.#tryApplyItem(item);
@@ -260,6 +268,18 @@
     });
   }
 
+  /** Relayed changes confirm nothing; reports of peers tell how current the view is. */
+  #applyRelayed(
+    afterRevision: number,
+    items: readonly ports.ControlItem[],
+    revision: number,
+  ): { readonly needsPause: boolean } {
+    for (const item of items) this.#tryApplyItem(item);
+    this.#revision = Math.max(afterRevision, revision);
+    this.#supervisor.recordAnswer(this.#revision);
+    return { needsPause: false };
+  }
+
   #chooseWaitMs(): number {
     if (this.#failingSinceMs !== undefined) return PROBE_WAIT_MS;
     const { countConfirmingPeers, random } = this.#options;
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -86,14 +86,14 @@
     return 1 + (this.#reporter?.table.size ?? 0);
   }
 
-  /** Opens the port for peer reports and announces it. */
-  async start(): Promise<void> {
+  /** Opens the port for peer reports and announces it; returns the port. */
+  async start(): Promise<number | undefined> {
     const { settings, clock, log, telemetry, source, listener } = this.#options;
     if (settings.peerPort === undefined) {
       log.addNotable("peers.unavailable", {
         reason: "no port is configured for peer reports",
       });
-      return;
+      return undefined;
     }
     const address = { host: settings.ip, port: settings.peerPort };
     let channel: peers.DatagramChannel;
@@ -104,7 +104,7 @@
     } catch (thrown) {
       const reason = kernel.describeThrown(thrown);
       log.addNotable("peers.unavailable", { ...address, reason });
-      return;
+      return undefined;
     }
     const channels = peers.splitChannel(channel);
     const loads = new peers.LoadExchange({
@@ -159,6 +159,7 @@
       host: settings.ip,
       port: channel.port,
     });
+    return channel.port;
   }
 
   /** Adds or updates an announced peer. */
@@ -190,7 +191,21 @@
 
   /** Number of peers that recently reported the age of their view. */
   countConfirmingPeers(): number {
-    return this.#reporter?.countConfirmingPeers() ?? 0;
+    const peers = this.#reporter?.countConfirmingPeers() ?? 0;
+    const names = [this.#options.settings.vmName, ...this.#peers.keys()];
+    return Math.min(peers, decisions.chooseWatchers(names).length - 1);
+  }
+
+  /** The peers that watch the control plane for this process, the best first. */
+  listRelays(): readonly peers.PeerEndpoint[] {
+    const { vmName } = this.#options.settings;
+    return decisions.rankRelays(vmName, [vmName, ...this.#peers.keys()])
+      .flatMap((name) => this.#peers.get(name) ?? []);
+  }
+
+  /** Whether a host is that of an announced process. */
+  isPeerHost(host: string): boolean {
+    return this.#owners.list().some((peer) => peer.host === host);
   }
 
   /** Tells the replica's owner that this process's load there has changed. */
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -109,6 +109,8 @@
 export interface ControlUpdate {
   readonly items: readonly ControlItem[];
   readonly revision: number;
+  /** It came from another process, and says nothing about how current it is. */
+  readonly isRelayed?: boolean;
 }
 
 /** Result of a conditional write: `changed` if the stored revision differed. */
@@ -124,6 +126,8 @@
 
 /** Stores configuration, replicas, roll-outs and router processes. */
 export interface ControlPlane {
+  /** Whether the next changes will come from another process, which confirms nothing. */
+  readonly isRelayed?: boolean;
   /** Reads all items. */
   readAll(): Promise<kernel.Outcome<ControlUpdate>>;
   /**
@@ -134,6 +138,8 @@
     afterRevision: number,
     waitMs: number,
     signal: AbortSignal,
+    /** The wait is to confirm the view, which only the control plane itself can do. */
+    isConfirmation?: boolean,
   ): Promise<kernel.Outcome<ControlUpdate>>;
   /** Writes a record if the stored revision still equals the record's revision. */
   writeRollout(
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -10,6 +10,7 @@
 import * as callerServers from "./caller_server.ts";
 import type * as ports from "./ports.ts";
 import * as quarantines from "./prompt_quarantine.ts";
+import * as relays from "./relayed_control.ts";
 import * as replicas from "./replica_table.ts";
 import * as rollouts from "./rollout_task.ts";
 import * as sessions from "./sessions.ts";
@@ -53,6 +54,7 @@
   readonly #telemetry = new telemetry.Telemetry();
   readonly #table: replicas.ReplicaTable;
   readonly #control: controls.ControlTask;
+  readonly #controlPlane: relays.RelayedControlPlane;
   readonly #rollouts: rollouts.RolloutTask;
   readonly #fleet: fleets.Fleet;
   readonly #quarantine: quarantines.PromptQuarantine;
@@ -68,7 +70,16 @@
 
   constructor(options: RouterOptions) {
     this.#options = options;
-    const { settings, controlPlane, codec, clock, log, random } = options;
+    const { settings, codec, clock, log, random } = options;
+    const controlPlane = new relays.RelayedControlPlane({
+      controlPlane: options.controlPlane,
+      clock,
+      log,
+      telemetry: this.#telemetry,
+      listRelays: () => this.#fleet.listRelays(),
+      isPeerHost: (host) => this.#fleet.isPeerHost(host),
+    });
+    this.#controlPlane = controlPlane;
     this.#shutdown = new shutdowns.ShutdownSchedule(settings.graceMs);
     this.#sessions = new sessions.SessionTable(
       settings.sessionGapMs * SESSION_TTL_GAPS,
@@ -208,7 +219,10 @@
   async start(): Promise<RouterPorts> {
     const { settings, metrics } = this.#options;
     this.#control.start();
-    await this.#fleet.start();
+    const peerPort = await this.#fleet.start();
+    if (peerPort !== undefined) {
+      await this.#controlPlane.listen({ host: settings.ip, port: peerPort });
+    }
     const callers = await this.#callerServer.listen(settings.callers);
     const readiness = await telemetry.listen(
       this.#readiness,
--- a/packages/router/src/watch_supervisor.ts
+++ b/packages/router/src/watch_supervisor.ts
@@ -63,7 +63,10 @@
     if (revision >= news.revision || isOutdated) this.#news = undefined;
   }
 
-  /** Starts to supervise a watch; returns the function that ends this. */
+  /**
+   * Starts to supervise a watch; returns the function that ends this. A watch whose
+   * end does not confirm the view is given as one that waits without end.
+   */
   supervise(waitMs: number, interruption: AbortController): () => void {
     const { clock, random, log, readViewAgeMs } = this.#options;
     const selfConfirmAgeMs = decisions.chooseSelfConfirmAgeMs(random());
