Decide on evacuated data centres and on homes, without network

Cause: orders to evacuate a data centre and home regions were decoded, but nothing decided by them. What callers saw: nothing changes yet.

--- /dev/null
+++ b/packages/decisions/src/places/mod.ts
@@ -0,0 +1,3 @@
+/** Decisions on data centres and regions: which may be used, and when another one pays. */
+export * from "./evacuation.ts";
+export * from "./homes.ts";
