Send nothing to evacuated data centres, nor outside a request's homes

Cause: replicas of an evacuated data centre were used like the others; routes and accounts with home regions were served anywhere. Change: an entry keeps the orders that it knows through outages and lost history until a removal or a full read ends them. Orders and the homes of the newest configuration are checked when candidates are listed, when a replica is picked, and once more when the connection is ready, before the first byte. Room there no longer counts in occupancy, and no larger model is asked when no replica is left to ask. What no data centre may serve gets 503 at once, not run, with Retry-After. Tests of router and decisions: one red in two runs beside other work, 'an answer that was sent for before the news does not end the patience', which no change touches; its file alone is green 3 of 3 before and after. The listeners of two tests got the new methods, which do nothing there.

--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -17,6 +17,8 @@
   readonly path: string;
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Asked when the connection is ready: why nothing may be sent any more. */
+  readonly findObstacle?: () => string | undefined;
 }
 
 /** Status and headers of a replica's response. */
@@ -77,6 +79,7 @@
   #isConstructed = false;
   #isSent = false;
   #isOver = false;
+  #isHeldBack = false;
   #informationalResponses = 0;
 
   constructor(
@@ -100,6 +103,11 @@
     return this.#isSent;
   }
 
+  /** Not sent because of an obstacle, which says nothing about the replica. */
+  get isHeldBack(): boolean {
+    return this.#isHeldBack;
+  }
+
   /** Aborts the attempt; closing the connection makes the replica stop. */
   cancel(reason: string): void {
     this.#finish(
@@ -131,8 +139,12 @@
       client.dispatch(options, {
         onRequestStart: (controller) => {
           this.#controller = controller;
-          this.#isSent = true;
           clearTimeout(this.#connectTimer);
+          const obstacle = request.findObstacle?.();
+          this.#isHeldBack = obstacle !== undefined;
+          this.#isSent = !this.#isHeldBack;
+          // undici writes nothing after an abort in this callback.
+          if (this.#isHeldBack) controller.abort(new Error(obstacle));
         },
         onResponseStart: (controller, status, headers) => {
           if (this.#isOver) return;
--- a/packages/router/src/attempt_recorder.ts
+++ b/packages/router/src/attempt_recorder.ts
@@ -1,6 +1,7 @@
 /** Records the ends of attempts: in the log, the replica's health and the evidence on its version. */
 import type * as kernel from "@jackdawbank/kernel";
 import type * as logs from "./decision_log.ts";
+import type * as ports from "./ports.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import type * as rollouts from "./rollout_task.ts";
@@ -10,6 +11,7 @@
 /** Dependencies of the recorder. */
 export interface AttemptRecorderOptions {
   readonly clock: kernel.Clock;
+  readonly settings: Pick<ports.RouterSettings, "dataCentre">;
   readonly table: replicas.ReplicaTable;
   readonly rollouts: rollouts.RolloutTask;
   readonly log: logs.DecisionLog;
@@ -37,8 +39,10 @@
       readonly headMs?: number | undefined;
     },
   ): void {
-    const { log, telemetry } = this.#options;
+    const { log, telemetry, settings } = this.#options;
     telemetry.countAttempt(request.service, result.outcome);
+    const isRemote = sent.state.entry.dataCentre !== settings.dataCentre;
+    if (isRemote) telemetry.countEvent("attempt.remote");
     const fields = {
       requestId: request.requestId,
       replica: sent.state.entry.id,
@@ -60,6 +64,7 @@
   recordNotRun(sent: sends.SentAttempt, reason: string): void {
     const { table } = this.#options;
     const { state } = sent;
+    if (sent.attempt.isHeldBack) return;
     const nowMs = this.#options.clock.monotonicMs();
     table.markBusy(state, nowMs);
     if (reason === "misdirected") table.markMisdirected(state, nowMs);
--- a/packages/router/src/attempt_test.ts
+++ b/packages/router/src/attempt_test.ts
@@ -1,4 +1,5 @@
 /** Tests when an attempt tells its listener of its end. */
+import * as net from "node:net";
 import * as ava from "ava";
 import * as attempts from "./attempt.ts";
 import * as connections from "./connections.ts";
@@ -49,3 +50,44 @@
     t.false(attempt?.isSent);
   });
 }
+
+// Guards against EVAC and HOME: while an attempt waited for its connection, its data centre was
+// evacuated, and the request was sent all the same.
+test("an attempt with an obstacle sends nothing once its connection is ready", async (t) => {
+  let receivedBytes = 0;
+  let opened = 0;
+  const server = net.createServer((socket) => {
+    opened += 1;
+    socket.on("data", (chunk) => receivedBytes += chunk.length);
+    socket.on("error", () => {});
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  const pool = new connections.ConnectionPool(
+    { host: "127.0.0.1", port },
+    { limit: 4, onOpened: () => {} },
+  );
+  t.teardown(() => pool.close());
+  let obstacle: string | undefined;
+  let attempt: attempts.Attempt | undefined;
+  const end = await new Promise<attempts.AttemptEnd>((resolve) => {
+    attempt = new attempts.Attempt(
+      pool,
+      pool.acquire(true) as connections.Connection,
+      {
+        method: "POST",
+        path: "/",
+        headers: [],
+        body: Buffer.alloc(100),
+        findObstacle: () => obstacle,
+      },
+      { onHead: () => {}, onData: () => {}, onEnd: resolve },
+    );
+    obstacle = "the data centre is evacuated";
+  });
+  t.deepEqual(end, { type: "unsent", reason: "the data centre is evacuated" });
+  t.true(attempt?.isHeldBack);
+  t.is(opened, 1);
+  t.is(receivedBytes, 0);
+});
--- a/packages/router/src/control_fault_test.ts
+++ b/packages/router/src/control_fault_test.ts
@@ -87,6 +87,9 @@
       onPeerRemoved: () => {},
       onQuarantinedPart: () => {},
       onQuarantinedPartRemoved: () => {},
+      onEvacuation: () => {},
+      onEvacuationRemoved: () => {},
+      onFullRead: () => {},
     },
   });
   task.start();
--- /dev/null
+++ b/packages/router/src/control_listener.ts
@@ -0,0 +1,20 @@
+/** What the task that follows the control plane tells of each change of its view. */
+import type * as bundle from "@jackdawbank/bundle";
+import type * as ports from "./ports.ts";
+
+/** Called for each change of the view. */
+export interface ControlListener {
+  onReplica(replica: ports.ReplicaEntry): void;
+  /** The replica's entry is missing, perhaps only because its lease expired in an outage. */
+  onReplicaDoubtful(id: string): void;
+  onReplicaRemoved(id: string): void;
+  onRouteTable(index: bundle.RouteIndex): void;
+  onPeer(peer: ports.PeerEntry): void;
+  onPeerRemoved(name: string): void;
+  onQuarantinedPart(partId: string): void;
+  onQuarantinedPartRemoved(partId: string): void;
+  onEvacuation(dataCentre: string): void;
+  onEvacuationRemoved(dataCentre: string): void;
+  /** Called with all items of a full read, after each was applied. */
+  onFullRead(items: readonly ports.ControlItem[]): void;
+}
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -9,6 +9,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import type * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
+import type * as listeners from "./control_listener.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 import * as removals from "./removal_delay.ts";
@@ -27,26 +28,13 @@
 /** Failures that last this long are an outage, in which entries may have expired. */
 const MIN_OUTAGE_MS = 600;
 
-/** Called for each change of the view. */
-export interface ControlListener {
-  onReplica(replica: ports.ReplicaEntry): void;
-  /** The replica's entry is missing, perhaps only because its lease expired in an outage. */
-  onReplicaDoubtful(id: string): void;
-  onReplicaRemoved(id: string): void;
-  onRouteTable(index: bundle.RouteIndex): void;
-  onPeer(peer: ports.PeerEntry): void;
-  onPeerRemoved(name: string): void;
-  onQuarantinedPart(partId: string): void;
-  onQuarantinedPartRemoved(partId: string): void;
-}
-
 /** Dependencies of the task. */
 export interface ControlTaskOptions {
   readonly clock: kernel.Clock;
   readonly controlPlane: ports.ControlPlane;
   readonly log: logs.DecisionLog;
   readonly telemetry: telemetry.Telemetry;
-  readonly listener: ControlListener;
+  readonly listener: listeners.ControlListener;
   readonly random: () => number;
   /** Number of peers that recently reported the age of their view. */
   readonly countConfirmingPeers: () => number;
@@ -221,6 +209,7 @@
       for (const id of this.#replicas.keys()) {
         if (!found.has(id)) this.#removeReplica(id, "missing from a full read");
       }
+      this.#options.listener.onFullRead(items);
       this.#hasView = true;
       this.#resolveFirstRead();
       this.#revision = revision;
@@ -307,6 +296,10 @@
         return this.#options.listener.onQuarantinedPart(item.partId);
       case "quarantined-part-gone":
         return this.#options.listener.onQuarantinedPartRemoved(item.partId);
+      case "evacuation":
+        return this.#options.listener.onEvacuation(item.dataCentre);
+      case "evacuation-gone":
+        return this.#options.listener.onEvacuationRemoved(item.dataCentre);
       case "unreadable":
         log.addNotable("control.unreadable", { reason: item.reason });
         return;
--- a/packages/router/src/control_task_test.ts
+++ b/packages/router/src/control_task_test.ts
@@ -60,6 +60,9 @@
       onPeerRemoved: () => {},
       onQuarantinedPart: () => {},
       onQuarantinedPartRemoved: () => {},
+      onEvacuation: () => {},
+      onEvacuationRemoved: () => {},
+      onFullRead: () => {},
     },
   });
   task.start();
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -13,6 +13,7 @@
 import * as demandTrackers from "./demand_tracker.ts";
 import type * as fleets from "./fleet.ts";
 import type * as logs from "./decision_log.ts";
+import * as places from "./places.ts";
 import type * as ports from "./ports.ts";
 import type * as quarantines from "./prompt_quarantine.ts";
 import type * as groups from "./replica_group.ts";
@@ -44,6 +45,7 @@
   readonly control: control.ControlTask;
   readonly admission: admissions.Admission;
   readonly table: replicas.ReplicaTable;
+  readonly places: places.Places;
   readonly rollouts: rollouts.RolloutTask;
   readonly quarantine: quarantines.PromptQuarantine;
   readonly fleet: fleets.Fleet;
@@ -94,11 +96,13 @@
     if (!this.canRetry(request.service)) return false;
     if (this.#findRefusal(request, true) !== undefined) return false;
     const versionPreference = this.#chooseVersionPreference(request);
-    const { table } = this.dependencies;
+    const { table, places } = this.dependencies;
+    const { nowMs } = this;
     return table.hasAvailable(request.service, {
+      ...places.findLimits(request, nowMs),
       excluded,
       versionPreference,
-      nowMs: this.nowMs,
+      nowMs,
     });
   }
 
@@ -123,9 +127,9 @@
     options: sends.SendOptions & sends.Preparation,
     listener: attempts.AttemptListener,
   ): neverthrow.Result<sends.SentAttempt, admissions.Refusal> {
-    const { table, codec, clock } = this.dependencies;
+    const { table, places, codec, clock } = this.dependencies;
     const refusal = this.#findRefusal(request, options.hasRun);
-    if (refusal !== undefined) return neverthrow.err(refusal);
+    if (refusal !== undefined) return this.#refuse(refusal);
     const { fields, service } = request;
     const latencyTracker = this.getLatencyTracker(service);
     const { queriedKeys, grantedKey } = options;
@@ -141,8 +145,9 @@
     );
     if (pick === undefined || connection === undefined) {
       const retryAfterMs = table.findRetryAfterMs(placement);
-      return neverthrow.err(
+      return this.#refuse(
         admissions.makeNoReplicaRefusal(service, retryAfterMs),
+        placement,
       );
     }
     const { state } = pick;
@@ -190,6 +195,7 @@
       path: request.target,
       headers,
       body: request.body,
+      findObstacle: () => places.findObstacle(request, state.entry.dataCentre),
     }, listener);
     return neverthrow.ok({
       attempt,
@@ -266,12 +272,23 @@
     hasRun: boolean,
   ): admissions.Refusal | undefined {
     if (request.signal.aborted) return admissions.CALLER_GONE_REFUSAL;
-    const { admission, quarantine, shutdown } = this.dependencies;
+    const { admission, places, quarantine, shutdown } = this.dependencies;
     if (!hasRun && !shutdown.canSend(this.nowMs, request.deadlineAtMs)) {
       return admissions.LEAVING_REFUSAL;
     }
     return admission.checkConfigurationAge(request) ??
-      quarantine.check(request);
+      places.findRefusal(request) ?? quarantine.check(request);
+  }
+
+  /** Refuses a request, and counts it if its homes are a reason. */
+  #refuse(
+    refusal: admissions.Refusal,
+    limits: Partial<places.PlaceLimits> = {},
+  ): neverthrow.Result<never, admissions.Refusal> {
+    const isHomeless = refusal === places.NO_HOME_REFUSAL ||
+      limits.homeDataCentres !== undefined;
+    if (isHomeless) this.dependencies.telemetry.countEvent("homes.refused");
+    return neverthrow.err(refusal);
   }
 
   /** Resolves with the keys of the replicas whose load is known. */
@@ -321,7 +338,9 @@
     options: Pick<sends.SendOptions, "model" | "excluded">,
   ): groups.PlacementRequest {
     const { fields, service, route } = request;
+    const { nowMs } = this;
     return {
+      ...this.dependencies.places.findLimits(request, nowMs),
       service,
       model: options.model,
       promptTokens: fields.promptTokens,
@@ -334,7 +353,7 @@
       needsNewConnection: route.kind === "non-idempotent",
       versionPreference: this.#chooseVersionPreference(request),
       reserved: getPriority(request) === 0 ? 0 : 1,
-      nowMs: this.nowMs,
+      nowMs,
     };
   }
 
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -43,6 +43,10 @@
   readonly queriedKeys?: ReadonlySet<number> | undefined;
   /** Requests at a replica's rate that are left for more urgent ones. */
   readonly reserved: peers.ReservedRequests;
+  /** Data centres in which the request may run; absent if it may run in any. */
+  readonly homeDataCentres?: ReadonlySet<string> | undefined;
+  /** Data centres to which load returns, but not this request unless the others are full. */
+  readonly heldBackDataCentres?: ReadonlySet<string> | undefined;
   /** Replica with a rate at which the request has been granted. */
   readonly grantedKey?: number | undefined;
   /** Whether replicas with a rate are considered too, as one of them may grant the request. */
@@ -60,6 +64,12 @@
   reset(replicaKey: number): void;
 }
 
+/** What is known of the replicas' rates and of the load of peers. */
+export interface LoadSources {
+  readonly rates: ReplicaRates;
+  readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
+}
+
 /** Whether a replica is expected to answer soon. */
 function isAvailable(state: ReplicaState, nowMs: number): boolean {
   return !state.health.isEjected(nowMs) && state.avoidUntilMs <= nowMs;
@@ -95,8 +105,43 @@
     rates.findWaitMs(key, request.reserved) === 0;
 }
 
+/** Whether a replica is in one of the request's homes. */
+export function isAtHome(
+  { entry }: Pick<ReplicaState, "entry">,
+  { homeDataCentres }: Pick<PlacementRequest, "homeDataCentres">,
+): boolean {
+  return homeDataCentres?.has(entry.dataCentre) ?? true;
+}
+
 /** The best group of usable replicas that is not empty. */
 export function findGroup(
+  states: readonly ReplicaState[],
+  request: PlacementRequest,
+  sources: LoadSources,
+): readonly ReplicaState[] | undefined {
+  const { heldBackDataCentres } = request;
+  if (heldBackDataCentres === undefined) {
+    return findBestGroup(states, request, sources.rates);
+  }
+  const settled = states.filter(({ entry }) =>
+    !heldBackDataCentres.has(entry.dataCentre)
+  );
+  const group = findBestGroup(settled, request, sources.rates);
+  return group?.some((state) => hasRoom(state, sources, request.nowMs))
+    ? group
+    : findBestGroup(states, request, sources.rates);
+}
+
+function hasRoom(
+  state: ReplicaState,
+  { rates, readPeerLoad }: LoadSources,
+  nowMs: number,
+): boolean {
+  const running = state.inFlight + readPeerLoad(state.key).running;
+  return running < state.entry.slots && isUnrestricted(state, rates, nowMs);
+}
+
+function findBestGroup(
   states: readonly ReplicaState[],
   request: PlacementRequest,
   rates: ReplicaRates,
@@ -105,6 +150,7 @@
   const usable = states.filter((state) =>
     !request.excluded.has(state.entry.id) &&
     !request.versionPreference.banned.includes(state.entry.version) &&
+    isAtHome(state, request) &&
     (request.needsNewConnection || !state.pool.isFull) &&
     isOpen(state, nowMs) && isWithinRate(state, request, rates)
   );
@@ -129,7 +175,9 @@
   request: PlacementRequest,
   rates: ReplicaRates,
 ): number | undefined {
-  const waits = states.filter(({ demands }) => !demands.isLeaving).map((
+  const waits = states.filter((state) =>
+    !state.demands.isLeaving && isAtHome(state, request)
+  ).map((
     { key, demands },
   ) =>
     Math.max(
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -38,6 +38,8 @@
   readonly random: () => number;
   readonly onConnectionOpened: () => void;
   readonly rates: groups.ReplicaRates;
+  /** Whether nothing may be sent to a data centre's replicas; absent if all are in use. */
+  readonly isEvacuated?: (dataCentre: string) => boolean;
   /** Load that peers have in flight at a replica. */
   readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
   /** Called when this process's load at a replica, or its evidence, has changed. */
@@ -73,19 +75,24 @@
   }
 
   /**
-   * Replicas of a service that are not draining. Doubtful ones are left out unless
+   * Replicas of a service that are neither draining nor evacuated. Doubtful ones are left out unless
    * so many are that an outage must be the reason.
    */
   listActive(service: string): readonly groups.ReplicaState[] {
     const active = [...this.#statesByService.get(service) ?? []].filter((
       state,
-    ) => !state.entry.isDraining);
+    ) => !state.entry.isDraining && !this.isEvacuated(state));
     const certain = active.filter((state) => !state.isDoubtful);
     return certain.length >= MIN_CERTAIN_SHARE * active.length
       ? certain
       : active;
   }
 
+  /** Whether the replica's data centre is evacuated. */
+  isEvacuated({ entry }: groups.ReplicaState): boolean {
+    return this.#options.isEvacuated?.(entry.dataCentre) ?? false;
+  }
+
   countReplicas(service: string, version: string): number {
     return this.listActive(service).filter((state) =>
       state.entry.version === version
@@ -135,13 +142,14 @@
     service: string,
     options: Pick<
       groups.PlacementRequest,
-      "excluded" | "versionPreference" | "nowMs"
+      "excluded" | "versionPreference" | "homeDataCentres" | "nowMs"
     >,
   ): boolean {
     const { rates } = this.#options;
     return this.listActive(service).some((state) =>
       !options.excluded.has(state.entry.id) &&
       !options.versionPreference.banned.includes(state.entry.version) &&
+      groups.isAtHome(state, options) &&
       !state.pool.isFull &&
       groups.isUnrestricted(state, rates, options.nowMs)
     );
@@ -188,7 +196,7 @@
     request: groups.PlacementRequest,
   ): readonly groups.ReplicaState[] | undefined {
     const states = this.listActive(request.service);
-    return groups.findGroup(states, request, this.#options.rates);
+    return groups.findGroup(states, request, this.#options);
   }
 
   /** Keys of the replicas whose load should be asked for before `pick`. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -8,6 +8,7 @@
 import * as dispatchers from "./dispatcher.ts";
 import * as fleets from "./fleet.ts";
 import * as callerServers from "./caller_server.ts";
+import * as places from "./places.ts";
 import type * as ports from "./ports.ts";
 import * as quarantines from "./prompt_quarantine.ts";
 import * as replicas from "./replica_table.ts";
@@ -52,6 +53,7 @@
   readonly #options: RouterOptions;
   readonly #telemetry = new telemetry.Telemetry();
   readonly #table: replicas.ReplicaTable;
+  readonly #places: places.Places;
   readonly #control: controls.ControlTask;
   readonly #rollouts: rollouts.RolloutTask;
   readonly #fleet: fleets.Fleet;
@@ -73,6 +75,8 @@
     this.#sessions = new sessions.SessionTable(
       settings.sessionGapMs * SESSION_TTL_GAPS,
     );
+    const { regionByDataCentre } = settings;
+    this.#places = new places.Places({ clock, log, regionByDataCentre });
     this.#table = new replicas.ReplicaTable({
       dataCentre: settings.dataCentre,
       prefixReuseWindowMs: settings.prefixReuseWindowMs,
@@ -84,6 +88,7 @@
           this.#fleet.findRateWaitMs(key, reserved),
         reset: (key) => this.#fleet.resetRate(key),
       },
+      isEvacuated: (dataCentre) => this.#places.isEvacuated(dataCentre),
       readPeerLoad: (key) => this.#fleet.readLoad(key),
       onLoadChanged: (key, change) => this.#fleet.recordLoadChange(key, change),
     });
@@ -132,6 +137,7 @@
         onReplicaDoubtful: (id) => this.#table.markDoubtful(id),
         onReplicaRemoved: (id) => this.#table.remove(id),
         onRouteTable: (index) => {
+          this.#places.setRoutes(index);
           this.#table.setServices(index.serviceByName);
           this.#callerServer.applyLimits();
         },
@@ -139,6 +145,10 @@
         onPeerRemoved: (name) => this.#fleet.remove(name),
         onQuarantinedPart: (id) => this.#quarantine.applyStored(id),
         onQuarantinedPartRemoved: (id) => this.#quarantine.lift(id),
+        onEvacuation: (dataCentre) => this.#places.beginEvacuation(dataCentre),
+        onEvacuationRemoved: (dataCentre) =>
+          this.#places.endEvacuation(dataCentre),
+        onFullRead: (items) => this.#places.applyFullRead(items),
       },
     });
     this.#rollouts = new rollouts.RolloutTask({
@@ -167,6 +177,7 @@
         control: this.#control,
         admission: new admissions.Admission(this.#control, settings),
         table: this.#table,
+        places: this.#places,
         rollouts: this.#rollouts,
         quarantine: this.#quarantine,
         fleet: this.#fleet,
@@ -313,6 +324,10 @@
     this.#telemetry.setGauge("requests_in_flight", this.#callerServer.inFlight);
     this.#telemetry.setGauge("replicas", this.#table.size);
     this.#telemetry.setGauge("quarantined_parts", this.#quarantine.size);
+    this.#telemetry.setGauge(
+      "evacuated_data_centres",
+      this.#places.evacuatedCount,
+    );
     this.#telemetry.setGauge(
       "view_age_ms",
       Math.min(MAX_VIEW_AGE_GAUGE_MS, this.#control.viewAgeMs),
--- a/packages/router/src/stream_escalation.ts
+++ b/packages/router/src/stream_escalation.ts
@@ -1,6 +1,7 @@
 /** Whether a larger model is asked, once the head of a stream shows the smaller one's confidence. */
 import * as decisions from "@jackdawbank/decisions";
 import type * as dispatchers from "./dispatcher.ts";
+import * as groups from "./replica_group.ts";
 import type * as requests from "./request.ts";
 
 /** Share of the retry budget that escalations may use; the rest is kept for failures. */
@@ -39,6 +40,18 @@
   return model;
 }
 
+/** Whether the request may be sent anywhere now; its data centres may all be evacuated. */
+function hasOpenReplica(
+  { dependencies, nowMs }: dispatchers.Dispatcher,
+  request: requests.AdmittedRequest,
+): boolean {
+  const { table, places } = dependencies;
+  const limits = places.findLimits(request, nowMs);
+  return table.listActive(request.service).some((state) =>
+    groups.isAtHome(state, limits)
+  );
+}
+
 function chooseEscalationModel(
   dispatcher: dispatchers.Dispatcher,
   request: requests.AdmittedRequest,
@@ -62,6 +75,7 @@
     priority: account?.priority ?? route.priority,
     canResend: canChangeModel && route.isResumable &&
       input.runCount + 1 < route.maxAttempts &&
+      hasOpenReplica(dispatcher, request) &&
       dispatcher.canRetry(service, ESCALATION_BUDGET_SHARE),
     pressure: input.pressure,
     predictedLatencyRatio: predictedMs / route.targetLatencyMs,
