Hold a request back only from replicas that others can stand in for

Cause: while load returned to a data centre, a request that was held back from it could be sent to another version than its session's, if only the returning replicas ran that one. Change: the group of the best replicas is chosen first, then the held-back ones are left out of it if others there have room.

--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -119,17 +119,16 @@
   request: PlacementRequest,
   sources: LoadSources,
 ): readonly ReplicaState[] | undefined {
-  const { heldBackDataCentres } = request;
-  if (heldBackDataCentres === undefined) {
-    return findBestGroup(states, request, sources.rates);
-  }
-  const settled = states.filter(({ entry }) =>
+  const group = findBestGroup(states, request, sources.rates);
+  const { heldBackDataCentres, nowMs } = request;
+  if (group === undefined || heldBackDataCentres === undefined) return group;
+  // Within the group, so that a version or an available replica elsewhere goes first.
+  const others = group.filter(({ entry }) =>
     !heldBackDataCentres.has(entry.dataCentre)
   );
-  const group = findBestGroup(settled, request, sources.rates);
-  return group?.some((state) => hasRoom(state, sources, request.nowMs))
-    ? group
-    : findBestGroup(states, request, sources.rates);
+  return others.some((state) => hasRoom(state, sources, nowMs))
+    ? others
+    : group;
 }
 
 function hasRoom(
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -163,3 +163,30 @@
     t.deepEqual(listIds(), ["r3", "r4"]);
   },
 );
+
+// Load: requests that are held back from a data centre, whose replicas alone run their session's
+// version, or are alone available or free.
+ava.default(
+  "a request is held back only from replicas that others can stand in for",
+  (t) => {
+    const table = createTable();
+    table.put(buildEntry("r1", { dataCentre: "a", slots: 1 }));
+    table.put(buildEntry("r2", { dataCentre: "b", version: "v2" }));
+    table.put(buildEntry("r3", { dataCentre: "c" }));
+    const heldBackDataCentres = new Set(["b", "c"]);
+    const pick = (overrides: Partial<groups.PlacementRequest> = {}) =>
+      table.pick(buildRequest({ heldBackDataCentres, ...overrides }))?.state;
+    const first = pick();
+    t.is(first?.entry.id, "r1");
+    const versionPreference = {
+      target: "v2",
+      prefersTarget: true,
+      banned: [],
+    };
+    t.is(pick({ versionPreference })?.entry.id, "r2");
+    t.is(pick({ excluded: new Set(["r1", "r2"]) })?.entry.id, "r3");
+    if (first !== undefined) table.recordSent(first, 0);
+    t.not(pick()?.entry.id, "r1");
+    table.close();
+  },
+);
