Grant requests to cold replicas one by one

Cause: a replica that has just started, or turns cold again, bears a few requests a second from all processes together; nothing held the processes back. Change: the entries tell which replicas are cold; owner and deputy of a replica grant single requests within a share of the bound, in the messages of named rates, whose format has a new version. What callers saw: crashes of replicas that had just returned.

--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -26,6 +26,7 @@
 export * from "./versions.ts";
 export * from "./freshness.ts";
 export * from "./model_choice.ts";
+export * from "./places/cold_start.ts";
 export * from "./prompt_blame.ts";
 export * from "./rate_account.ts";
 export * from "./replica_choice.ts";
--- a/packages/decisions/src/rate_account.ts
+++ b/packages/decisions/src/rate_account.ts
@@ -4,6 +4,12 @@
  * rate is in force from what was heard last, by whichever process.
  */
 
+/** Rate and capacity of a token bucket. */
+export interface TokenBucket {
+  readonly ratePerS: number;
+  readonly burstRequests: number;
+}
+
 /** Newest statement about a replica's rate, with the local time at which it was heard. */
 export interface RateStatement {
   /** Requests per second; absent without a limit. */
@@ -70,6 +76,22 @@
     return this.#take({ ratePerMs, limit: 1, nowMs, needed: 1 });
   }
 
+  /** Time after which a bucket would hold the needed tokens; 0 if it does. */
+  findWaitMs(
+    { ratePerS, burstRequests }: TokenBucket,
+    nowMs: number,
+    needed: number,
+  ): number {
+    const ratePerMs = ratePerS / MS_PER_S;
+    this.#refill(ratePerMs, burstRequests, nowMs);
+    return Math.max(0, needed - this.#tokens) / ratePerMs;
+  }
+
+  /** Takes a request that `findWaitMs` has found to be granted now. */
+  takeOne(): void {
+    this.#tokens -= 1;
+  }
+
   #take(options: {
     readonly ratePerMs: number;
     readonly limit: number;
@@ -77,12 +99,16 @@
     readonly needed: number;
   }): number {
     const { ratePerMs, limit, nowMs, needed } = options;
-    const refilled = Math.max(0, nowMs - this.#updatedAtMs) * ratePerMs;
-    this.#tokens = Math.min(limit, this.#tokens + refilled);
-    this.#updatedAtMs = nowMs;
+    this.#refill(ratePerMs, limit, nowMs);
     const missing = needed - this.#tokens;
     if (missing > 0) return missing / ratePerMs;
     this.#tokens -= 1;
     return 0;
   }
+
+  #refill(ratePerMs: number, limit: number, nowMs: number): void {
+    const refilled = Math.max(0, nowMs - this.#updatedAtMs) * ratePerMs;
+    this.#tokens = Math.min(limit, this.#tokens + refilled);
+    this.#updatedAtMs = nowMs;
+  }
 }
--- a/packages/peers/src/rate_exchange.ts
+++ b/packages/peers/src/rate_exchange.ts
@@ -3,15 +3,17 @@
  * hears it tells the replica's owner, which tells everyone that asks it for the
  * replica's load. Each request to such a replica is asked of the owner first;
  * while the owner does not answer, each process uses a small share of the rate.
+ * Cold replicas have a rate for some seconds; there a deputy stands in for a silent
+ * owner, and without both nothing is sent.
  */
 import * as decisions from "@jackdawbank/decisions";
 import type * as kernel from "@jackdawbank/kernel";
+import * as colds from "./cold_grants.ts";
+import * as openAsks from "./open_asks.ts";
 import * as messages from "./rate_message.ts";
 import type * as owners from "./replica_owners.ts";
 import type * as tables from "./peer_table.ts";
 
-/** Longest wait for the owner's answer; a few round trips between data centres. */
-const ANSWER_TIMEOUT_MS = 8;
 /** Time for which an owner that did not answer is not asked again. */
 const SILENT_OWNER_MS = 500;
 /** An unchanged rate is repeated at this interval, since owners may change. */
@@ -25,12 +27,25 @@
 /** Requests to be left for more urgent ones: one, except by the most urgent. */
 export type ReservedRequests = 0 | 1;
 
+/** What is asked for. */
+interface Question {
+  readonly reserved: ReservedRequests;
+  /** Whether the request goes first while the replica is cold. */
+  readonly isPreferred: boolean;
+  /** The less urgent of what the two say: 0 is asked for first. */
+  readonly rank: ReservedRequests;
+}
+
 export interface RateExchangeOptions {
   readonly name: string;
   readonly clock: kernel.Clock;
   readonly owners: owners.ReplicaOwners;
   readonly random: () => number;
   readonly send: (bytes: Uint8Array, endpoint: tables.PeerEndpoint) => void;
+  /** Absent where cold replicas take their full load. */
+  readonly cold?:
+    | Pick<colds.ColdGrantsOptions, "findLimit" | "onLearnt">
+    | undefined;
 }
 
 /** What is known of a replica that names a rate, or did lately. */
@@ -38,7 +53,7 @@
   statement: decisions.RateStatement;
   /** When the owner was last told. */
   toldAtMs: number;
-  /** Times before which no request is asked for, by the number of reserved ones. */
+  /** Times before which no request is asked for, by the question's rank. */
   readonly waitUntilMs: [number, number];
   /** Kept by the owner. */
   account: decisions.RateAccount | undefined;
@@ -48,18 +63,13 @@
   refusedAsks: number;
 }
 
-interface OpenAsk {
-  readonly reserved: ReservedRequests;
-  readonly resolve: (isGranted: boolean) => void;
-}
-
 /** Where a more urgent request was refused, a less urgent one would be, too. */
 function delayAsks(
   { waitUntilMs }: KnownRate,
-  reserved: ReservedRequests,
+  rank: ReservedRequests,
   untilMs: number,
 ): void {
-  if (reserved === 0) waitUntilMs[0] = untilMs;
+  if (rank === 0) waitUntilMs[0] = untilMs;
   waitUntilMs[1] = Math.max(waitUntilMs[1], untilMs);
 }
 
@@ -67,12 +77,18 @@
 export class RateExchange {
   readonly #options: RateExchangeOptions;
   readonly #rates = new Map<number, KnownRate>();
-  readonly #asks = new Map<number, OpenAsk>();
+  readonly #asks = new openAsks.OpenAsks<ReservedRequests>();
   readonly #silentUntilMs = new Map<string, number>();
-  #askCount = 0;
+  readonly #cold: colds.ColdGrants;
 
   constructor(options: RateExchangeOptions) {
     this.#options = options;
+    this.#cold = new colds.ColdGrants({
+      ...options,
+      findLimit: (key) => options.cold?.findLimit(key),
+      onLearnt: (key, remainingMs) =>
+        options.cold?.onLearnt?.(key, remainingMs),
+    });
   }
 
   get #nowMs(): number {
@@ -81,15 +97,30 @@
 
   /** Requests per second that a replica takes from all processes; absent without a limit. */
   readRate(replicaKey: number): number | undefined {
-    return this.#rates.get(replicaKey)?.statement.rate;
+    const named = this.#readStatement(replicaKey).rate;
+    const cold = this.#cold.readRate(replicaKey);
+    return named === undefined || cold === undefined
+      ? named ?? cold
+      : Math.min(named, cold);
+  }
+
+  /** Whether a replica is cold and therefore takes requests at a rate. */
+  isCold(replicaKey: number): boolean {
+    return this.#cold.readRate(replicaKey) !== undefined;
+  }
+
+  countCold(): number {
+    return this.#cold.countCold();
   }
 
   /** Time until a request to a replica may be asked for; 0 without a limit. */
   findWaitMs(replicaKey: number, reserved: ReservedRequests): number {
     const known = this.#rates.get(replicaKey);
-    return known?.statement.rate === undefined
-      ? 0
-      : Math.max(0, known.waitUntilMs[reserved] - this.#nowMs);
+    if (known === undefined) return 0;
+    const isNamed = known.statement.rate !== undefined;
+    if (!isNamed && !this.isCold(replicaKey)) return 0;
+    const rank = isNamed ? reserved : 0;
+    return Math.max(0, known.waitUntilMs[rank] - this.#nowMs);
   }
 
   /**
@@ -118,6 +149,18 @@
     return isChanged;
   }
 
+  /** Records that a replica is cold for a time, and tells its owner. */
+  recordCold(
+    replicaKey: number,
+    cold: { readonly remainingMs: number; readonly wasInUse: boolean },
+  ): void {
+    const isNews = !this.isCold(replicaKey);
+    this.#cold.record(replicaKey, cold);
+    const owner = this.#options.owners.find(replicaKey);
+    if (!isNews || owner === undefined) return;
+    this.#answer(owner, { askId: 0, replicaKey, waitMs: 0 });
+  }
+
   /** Forgets the rate of a replica that has started again. */
   reset(replicaKey: number): void {
     if (!this.#rates.has(replicaKey)) return;
@@ -125,30 +168,32 @@
     this.#setStatement(replicaKey, { rate: undefined, heardAtMs });
   }
 
-  /** Asks for one request to a replica; resolves within a few milliseconds. */
+  /**
+   * Asks for one request to a replica; resolves within a few milliseconds. While
+   * the replica is cold, requests that are preferred go first.
+   */
   async take(
     replicaKey: number,
     reserved: ReservedRequests,
+    isPreferred = false,
   ): Promise<boolean> {
-    const known = this.#rates.get(replicaKey);
-    if (known?.statement.rate === undefined) return true;
-    const { rate } = known.statement;
-    const nowMs = this.#nowMs;
-    if (nowMs < known.waitUntilMs[reserved]) return false;
-    const owner = this.#options.owners.find(replicaKey);
-    if (owner === undefined) {
-      const waitMs = this.#takeOwned(known, rate, reserved);
-      delayAsks(known, reserved, nowMs + waitMs);
-      return waitMs === 0;
-    }
-    const silentUntilMs = this.#silentUntilMs.get(owner.name) ?? -Infinity;
-    if (nowMs >= silentUntilMs) {
-      const answer = await this.#ask(owner, replicaKey, known, reserved);
-      if (answer !== undefined) return answer;
-      this.#silentUntilMs.set(owner.name, this.#nowMs + SILENT_OWNER_MS);
-      decisions.trimOldest(this.#silentUntilMs, MAX_KNOWN_REPLICAS);
-    }
-    return this.#takeShare(known, rate);
+    const { rate } = this.#readStatement(replicaKey);
+    const isCold = this.isCold(replicaKey);
+    if (rate === undefined && !isCold) return true;
+    const known = this.#keep(replicaKey);
+    const namedRank = rate === undefined ? 0 : reserved;
+    const rank = isCold && !isPreferred ? 1 : namedRank;
+    const question = { reserved, isPreferred, rank };
+    if (this.#nowMs < known.waitUntilMs[rank]) return false;
+    const { owners } = this.#options;
+    const owner = owners.find(replicaKey);
+    const answer = await this.#askGrantor(owner, replicaKey, known, question);
+    if (answer !== undefined) return answer;
+    if (!isCold) return rate === undefined || this.#takeShare(known, rate);
+    // Nobody else knows what the owner has granted at the named rate.
+    if (rate !== undefined) return false;
+    const deputy = owners.findDeputy(replicaKey);
+    return await this.#askGrantor(deputy, replicaKey, known, question) ?? false;
   }
 
   /** Tells a process that asks for the loads of replicas which of them name a rate. */
@@ -156,14 +201,13 @@
     endpoint: tables.PeerEndpoint,
     replicaKeys: readonly number[],
   ): void {
-    if (this.#rates.size === 0) return;
     const nowMs = this.#nowMs;
     for (const replicaKey of replicaKeys) {
-      const statement = this.#rates.get(replicaKey)?.statement;
-      if (statement === undefined) continue;
-      const isOld = statement.rate === undefined &&
-        nowMs - statement.heardAtMs > ENDED_NOTICE_MS;
-      if (!isOld) this.#answer(endpoint, { askId: 0, replicaKey, waitMs: 0 });
+      const { rate, heardAtMs } = this.#readStatement(replicaKey);
+      const isOld = rate === undefined &&
+        nowMs - heardAtMs > ENDED_NOTICE_MS;
+      if (isOld && !this.isCold(replicaKey)) continue;
+      this.#answer(endpoint, { askId: 0, replicaKey, waitMs: 0 });
     }
   }
 
@@ -175,6 +219,7 @@
     const { replicaKey, askId } = message;
     const nowMs = this.#nowMs;
     const stated = messages.readAgedRate(message.stated, nowMs);
+    this.#cold.learn(replicaKey, message.coldMs);
     if (message.type === "ask" && askId === 0) {
       // The sender has just heard it from the replica.
       this.#setStatement(replicaKey, stated);
@@ -188,16 +233,12 @@
       if (askId > 0) this.#finishAsk(askId, known, message.waitMs);
       return;
     }
-    const { rate } = known.statement;
-    const waitMs = rate === undefined
-      ? 0
-      : this.#takeOwned(known, rate, message.reserved);
+    const waitMs = this.#grant(replicaKey, known, message);
     this.#answer(sender, { askId, replicaKey, waitMs });
   }
 
   close(): void {
-    for (const { resolve } of [...this.#asks.values()]) resolve(false);
-    this.#asks.clear();
+    this.#asks.close();
   }
 
   #readStatement(replicaKey: number): decisions.RateStatement {
@@ -205,6 +246,11 @@
       decisions.NO_RATE_STATEMENT;
   }
 
+  #keep(replicaKey: number): KnownRate {
+    return this.#rates.get(replicaKey) ??
+      this.#setStatement(replicaKey, decisions.NO_RATE_STATEMENT);
+  }
+
   #setStatement(
     replicaKey: number,
     statement: decisions.RateStatement,
@@ -217,23 +263,44 @@
       share: undefined,
       refusedAsks: 0,
     };
+    const hasEnded = known.statement.rate !== undefined &&
+      statement.rate === undefined;
+    if (hasEnded) known.waitUntilMs.fill(-Infinity);
     known.statement = statement;
-    if (statement.rate === undefined) known.waitUntilMs.fill(-Infinity);
     this.#rates.delete(replicaKey);
     this.#rates.set(replicaKey, known);
     decisions.trimOldest(this.#rates, MAX_KNOWN_REPLICAS);
     return known;
   }
 
-  /** Takes a request as the owner; returns 0, or when to ask again. */
-  #takeOwned(known: KnownRate, rate: number, reserved: number): number {
+  /** Grants a request to a replica; returns 0, or when to ask again. */
+  #grant(
+    replicaKey: number,
+    known: KnownRate,
+    question: { readonly reserved: number; readonly isPreferred: boolean },
+  ): number {
+    const { rate } = known.statement;
+    const coldWaitMs = this.#cold.findGrantWaitMs(
+      replicaKey,
+      question.isPreferred,
+    );
+    if (coldWaitMs > 0) return this.#refuse(known, coldWaitMs);
+    const waitMs = rate === undefined
+      ? 0
+      : this.#takeNamed(known, rate, question.reserved);
+    if (waitMs > 0) return this.#refuse(known, waitMs);
+    this.#cold.recordGrant(replicaKey);
+    known.refusedAsks = 0;
+    return 0;
+  }
+
+  #takeNamed(known: KnownRate, rate: number, reserved: number): number {
     const nowMs = this.#nowMs;
     known.account ??= new decisions.RateAccount(nowMs);
-    const waitMs = known.account.take(rate, nowMs, reserved);
-    if (waitMs === 0) {
-      known.refusedAsks = 0;
-      return 0;
-    }
+    return known.account.take(rate, nowMs, reserved);
+  }
+
+  #refuse(known: KnownRate, waitMs: number): number {
     known.refusedAsks += 1;
     // Spreads the processes that wait, of which one at a time will be granted a request.
     const spreadMs = waitMs * known.refusedAsks / 2 * this.#options.random();
@@ -253,40 +320,43 @@
   #tellOwner(replicaKey: number, known: KnownRate): void {
     const owner = this.#options.owners.find(replicaKey);
     if (owner === undefined) return;
-    this.#sendAsk(owner, { askId: 0, replicaKey, reserved: 0 }, known);
+    this.#sendAsk(owner, {
+      askId: 0,
+      replicaKey,
+      reserved: 0,
+      isPreferred: false,
+    }, known);
   }
 
-  /** Resolves to `undefined` if the owner does not answer in time. */
-  #ask(
-    owner: tables.PeerEndpoint,
+  /** Asks a grantor, or this process if it is none; `undefined` if the grantor is silent. */
+  async #askGrantor(
+    grantor: tables.PeerEndpoint | undefined,
     replicaKey: number,
     known: KnownRate,
-    reserved: ReservedRequests,
+    question: Question,
   ): Promise<boolean | undefined> {
-    this.#askCount += 1;
-    const askId = this.#askCount;
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.#asks.delete(askId);
-        resolve(undefined);
-      }, ANSWER_TIMEOUT_MS);
-      this.#asks.set(askId, {
-        reserved,
-        resolve: (isGranted) => {
-          clearTimeout(timer);
-          resolve(isGranted);
-        },
-      });
-      this.#sendAsk(owner, { askId, replicaKey, reserved }, known);
+    if (grantor === undefined) {
+      const waitMs = this.#grant(replicaKey, known, question);
+      delayAsks(known, question.rank, this.#nowMs + waitMs);
+      return waitMs === 0;
+    }
+    const silentUntilMs = this.#silentUntilMs.get(grantor.name) ?? -Infinity;
+    if (this.#nowMs < silentUntilMs) return undefined;
+    const { rank, reserved, isPreferred } = question;
+    const answer = await this.#asks.open(rank, (askId) => {
+      const ask = { askId, replicaKey, reserved, isPreferred };
+      this.#sendAsk(grantor, ask, known);
     });
+    if (answer !== undefined) return answer;
+    this.#silentUntilMs.set(grantor.name, this.#nowMs + SILENT_OWNER_MS);
+    decisions.trimOldest(this.#silentUntilMs, MAX_KNOWN_REPLICAS);
+    return undefined;
   }
 
   #finishAsk(askId: number, known: KnownRate, waitMs: number): void {
-    const ask = this.#asks.get(askId);
-    if (ask === undefined) return;
-    this.#asks.delete(askId);
-    if (waitMs > 0) delayAsks(known, ask.reserved, this.#nowMs + waitMs);
-    ask.resolve(waitMs === 0);
+    const rank = this.#asks.finish(askId, waitMs === 0);
+    if (rank === undefined || waitMs === 0) return;
+    delayAsks(known, rank, this.#nowMs + waitMs);
   }
 
   #sendAsk(
@@ -295,12 +365,14 @@
       readonly askId: number;
       readonly replicaKey: number;
       readonly reserved: number;
+      readonly isPreferred: boolean;
     },
     { statement }: KnownRate,
   ): void {
     const { name, send } = this.#options;
     const stated = messages.buildAgedRate(statement, this.#nowMs);
-    const message = { type: "ask", name, stated, ...ask } as const;
+    const coldMs = this.#cold.findRemainingMs(ask.replicaKey);
+    const message = { type: "ask", name, stated, coldMs, ...ask } as const;
     send(messages.encodeRateMessage(message), owner);
   }
 
@@ -315,7 +387,14 @@
     const { name, send } = this.#options;
     const statement = this.#readStatement(answer.replicaKey);
     const stated = messages.buildAgedRate(statement, this.#nowMs);
-    const message = { type: "answer", name, stated, ...answer } as const;
+    const coldMs = this.#cold.findRemainingMs(answer.replicaKey);
+    const message = {
+      type: "answer",
+      name,
+      stated,
+      coldMs,
+      ...answer,
+    } as const;
     send(messages.encodeRateMessage(message), endpoint);
   }
 }
--- a/packages/peers/src/rate_exchange_test.ts
+++ b/packages/peers/src/rate_exchange_test.ts
@@ -301,7 +301,9 @@
     askId: 3,
     replicaKey: 4_294_967_295,
     stated: { rate: 1.3, ageMs: 20 },
+    coldMs: 2_900,
     reserved: 1,
+    isPreferred: true,
   };
   t.deepEqual(
     messages.decodeRateMessage(messages.encodeRateMessage(message)),
@@ -313,6 +315,7 @@
     askId: 0,
     replicaKey: 1,
     stated: { rate: undefined, ageMs: Infinity },
+    coldMs: 0,
     waitMs: 12,
   };
   t.deepEqual(
--- a/packages/peers/src/rate_message.ts
+++ b/packages/peers/src/rate_message.ts
@@ -20,8 +20,12 @@
     readonly askId: number;
     readonly replicaKey: number;
     readonly stated: AgedRate;
+    /** Time for which the replica is cold, as the sender knows; 0 if it is warm. */
+    readonly coldMs: number;
     /** Requests that must be left for more urgent ones. */
     readonly reserved: number;
+    /** Whether the request goes first while the replica is cold. */
+    readonly isPreferred: boolean;
   }
   /** The owner's statement, and its answer. */
   | {
@@ -31,12 +35,14 @@
     readonly askId: number;
     readonly replicaKey: number;
     readonly stated: AgedRate;
+    /** Time for which the replica is cold, as the sender knows; 0 if it is warm. */
+    readonly coldMs: number;
     /** 0 if the request is granted; otherwise when to ask again. */
     readonly waitMs: number;
   };
 
 /** Must change with the layout; messages of another version are dropped. */
-const FORMAT_VERSION = 1;
+const FORMAT_VERSION = 2;
 const TYPE_CODES = { ask: 1, answer: 2 } as const;
 const MAX_MESSAGE_BYTES = 256;
 const MAX_NAME_CHARS = 128;
@@ -58,12 +64,14 @@
   z.int().min(NO_RATE),
   countSchema,
   countSchema,
+  countSchema,
+  z.boolean(),
 ]);
 
 const packer = new msgpackr.Packr({ useRecords: false });
 
 export function encodeRateMessage(message: RateMessage): Uint8Array {
-  const { type, name, askId, replicaKey, stated } = message;
+  const { type, name, askId, replicaKey, stated, coldMs } = message;
   const { rate, ageMs } = stated;
   return packer.pack([
     FORMAT_VERSION,
@@ -75,7 +83,9 @@
       ? NO_RATE
       : Math.round(Math.min(MAX_RATE_PER_S, rate) * RATE_SCALE),
     Math.round(Math.min(MAX_AGE_MS, Math.max(0, ageMs))),
+    Math.ceil(Math.min(MAX_AGE_MS, coldMs)),
     type === "ask" ? message.reserved : Math.ceil(message.waitMs),
+    type === "ask" && message.isPreferred,
   ]);
 }
 
@@ -84,14 +94,16 @@
   const data = packets.unpackPacket(bytes, MAX_MESSAGE_BYTES);
   const parsed = layoutSchema.safeParse(data);
   if (!parsed.success) return undefined;
-  const [, code, name, askId, replicaKey, rate, ageMs, last] = parsed.data;
+  const [, code, name, askId, replicaKey, rate, ageMs, coldMs, last, flag] =
+    parsed.data;
   const stated = {
     rate: rate === NO_RATE ? undefined : rate / RATE_SCALE,
     ageMs: ageMs >= MAX_AGE_MS ? Infinity : ageMs,
   };
+  const common = { name, askId, replicaKey, stated, coldMs };
   return code === TYPE_CODES.ask
-    ? { type: "ask", name, askId, replicaKey, stated, reserved: last }
-    : { type: "answer", name, askId, replicaKey, stated, waitMs: last };
+    ? { type: "ask", ...common, reserved: last, isPreferred: flag }
+    : { type: "answer", ...common, waitMs: last };
 }
 
 export function buildAgedRate(
--- a/packages/peers/src/replica_owners.ts
+++ b/packages/peers/src/replica_owners.ts
@@ -6,12 +6,15 @@
 import * as decisions from "@jackdawbank/decisions";
 import type * as tables from "./peer_table.ts";
 
+/** Owner and deputy. */
+const RANKED_PROCESSES = 2;
+
 /** Owners by replica, from the announced peers. */
 export class ReplicaOwners {
   readonly #self: string;
   readonly #peers = new Map<string, tables.PeerEndpoint>();
-  /** Names of the owners by replica key; emptied when peers change. */
-  readonly #ownerByReplica = new Map<number, string>();
+  /** Names of owner and deputy by replica key; emptied when peers change. */
+  readonly #rankingByReplica = new Map<number, readonly string[]>();
 
   constructor(self: string) {
     this.#self = self;
@@ -19,17 +22,31 @@
 
   put(endpoint: tables.PeerEndpoint): void {
     if (endpoint.name === this.#self) return;
-    if (!this.#peers.has(endpoint.name)) this.#ownerByReplica.clear();
+    if (!this.#peers.has(endpoint.name)) this.#rankingByReplica.clear();
     this.#peers.set(endpoint.name, endpoint);
   }
 
   remove(name: string): void {
-    if (this.#peers.delete(name)) this.#ownerByReplica.clear();
+    if (this.#peers.delete(name)) this.#rankingByReplica.clear();
   }
 
   /** Endpoint of a replica's owner, or `undefined` if this process owns it. */
   find(replicaKey: number): tables.PeerEndpoint | undefined {
-    return this.#peers.get(this.#findName(replicaKey));
+    const [owner = this.#self] = this.#rank(replicaKey);
+    return this.#peers.get(owner);
+  }
+
+  /** Endpoint of the process that stands in for a silent owner; `undefined` if it is this one or none. */
+  findDeputy(replicaKey: number): tables.PeerEndpoint | undefined {
+    const [, deputy] = this.#rank(replicaKey);
+    return deputy === undefined ? undefined : this.#peers.get(deputy);
+  }
+
+  /** Whether this process is the owner of a replica, its deputy, or neither. */
+  findOwnRole(replicaKey: number): "owner" | "deputy" | undefined {
+    const [owner, deputy] = this.#rank(replicaKey);
+    if (owner === this.#self) return "owner";
+    return deputy === this.#self ? "deputy" : undefined;
   }
 
   /** All announced peers. */
@@ -43,14 +60,14 @@
     return peer?.host === host ? peer : undefined;
   }
 
-  #findName(replicaKey: number): string {
-    const known = this.#ownerByReplica.get(replicaKey);
+  #rank(replicaKey: number): readonly string[] {
+    const known = this.#rankingByReplica.get(replicaKey);
     if (known !== undefined) return known;
-    const [owner = this.#self] = decisions.rankByRendezvous(
+    const ranking = decisions.rankByRendezvous(
       [this.#self, ...this.#peers.keys()],
       String(replicaKey),
-    );
-    this.#ownerByReplica.set(replicaKey, owner);
-    return owner;
+    ).slice(0, RANKED_PROCESSES);
+    this.#rankingByReplica.set(replicaKey, ranking);
+    return ranking;
   }
 }
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -9,6 +9,7 @@
 import * as admissions from "./admission.ts";
 import * as attempts from "./attempt.ts";
 import * as recorders from "./attempt_recorder.ts";
+import * as colds from "./cold_replicas.ts";
 import type * as control from "./control_task.ts";
 import * as demandTrackers from "./demand_tracker.ts";
 import type * as fleets from "./fleet.ts";
@@ -302,16 +303,27 @@
     queriedKeys: ReadonlySet<number>,
   ): Promise<number | undefined> {
     const { table, fleet } = this.dependencies;
+    const excluded = new Set(options.excluded);
     for (let questions = 0; questions < MAX_RATE_QUESTIONS; questions += 1) {
-      const placement = this.#buildPlacement(request, options);
+      const placement = this.#buildPlacement(request, { ...options, excluded });
       const pick = table.pick({
         ...placement,
         queriedKeys,
         mayAskForRate: true,
       });
-      const key = pick?.state.key;
-      if (key === undefined || fleet.readRate(key) === undefined) break;
-      if (await fleet.takeRequest(key, placement.reserved)) return key;
+      if (pick === undefined) break;
+      const { key, entry } = pick.state;
+      if (fleet.readRate(key) === undefined) break;
+      const isPreferred = fleet.isCold(key) &&
+        colds.isPreferredWhileCold(
+          pick,
+          placement,
+          table.listActive(request.service),
+        );
+      if (await fleet.takeRequest(key, placement.reserved, isPreferred)) {
+        return key;
+      }
+      excluded.add(entry.id);
     }
     return undefined;
   }
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -48,6 +48,8 @@
   readonly listener: FleetListener;
   /** Called when the number of announced processes changes. */
   readonly onSizeChange: (processes: number) => void;
+  /** What replicas bear while they are cold. */
+  readonly cold: peers.RateExchangeOptions["cold"];
 }
 
 /** Announces this process and exchanges reports with its peers. */
@@ -76,6 +78,7 @@
       clock,
       owners: this.#owners,
       random,
+      cold: options.cold,
       send: (bytes, { host, port }) =>
         this.#rateChannel?.send(bytes, host, port),
     });
@@ -253,12 +256,35 @@
     this.#rates.reset(replicaKey);
   }
 
+  /** Records that a replica is cold for a time. */
+  recordCold(
+    replicaKey: number,
+    cold: { readonly remainingMs: number; readonly wasInUse: boolean },
+  ): void {
+    this.#rates.recordCold(replicaKey, cold);
+  }
+
+  isCold(replicaKey: number): boolean {
+    return this.#rates.isCold(replicaKey);
+  }
+
+  countCold(): number {
+    return this.#rates.countCold();
+  }
+
   /** Asks the owner of a replica for one request at its rate. */
-  takeRequest(
+  async takeRequest(
     replicaKey: number,
     reserved: peers.ReservedRequests,
+    isPreferred: boolean,
   ): Promise<boolean> {
-    return this.#rates.take(replicaKey, reserved);
+    const isCold = this.isCold(replicaKey);
+    const isGranted = await this.#rates.take(replicaKey, reserved, isPreferred);
+    if (isCold) {
+      const event = isGranted ? "cold.granted" : "cold.refused";
+      this.#options.telemetry.countEvent(event);
+    }
+    return isGranted;
   }
 
   /** Tells peers of suspected parts of prompts. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -8,6 +8,7 @@
 import * as dispatchers from "./dispatcher.ts";
 import * as fleets from "./fleet.ts";
 import * as callerServers from "./caller_server.ts";
+import * as colds from "./cold_replicas.ts";
 import type * as ports from "./ports.ts";
 import * as quarantines from "./prompt_quarantine.ts";
 import * as replicas from "./replica_table.ts";
@@ -52,6 +53,7 @@
   readonly #options: RouterOptions;
   readonly #telemetry = new telemetry.Telemetry();
   readonly #table: replicas.ReplicaTable;
+  readonly #cold: colds.ColdReplicas;
   readonly #control: controls.ControlTask;
   readonly #rollouts: rollouts.RolloutTask;
   readonly #fleet: fleets.Fleet;
@@ -87,6 +89,14 @@
       readPeerLoad: (key) => this.#fleet.readLoad(key),
       onLoadChanged: (key, change) => this.#fleet.recordLoadChange(key, change),
     });
+    this.#cold = new colds.ColdReplicas({
+      clock,
+      log,
+      bound: settings.coldRateBound,
+      hasView: () => this.#control.hasView,
+      recordCold: (key, cold) => this.#fleet.recordCold(key, cold),
+      isCold: (key) => this.#fleet.isCold(key),
+    });
     this.#quarantine = new quarantines.PromptQuarantine({
       clock,
       controlPlane,
@@ -118,6 +128,11 @@
           this.#quarantine.recordPeerTallies(message),
       },
       onSizeChange: (processes) => this.#table.setProcessCount(processes),
+      cold: {
+        findLimit: (key) => this.#cold.findLimit(key),
+        onLearnt: (key, remainingMs) =>
+          this.#cold.recordLearnt(key, remainingMs),
+      },
     });
     this.#control = new controls.ControlTask({
       clock,
@@ -128,11 +143,18 @@
       countConfirmingPeers: () => this.#fleet.countConfirmingPeers(),
       changeBoundMs: settings.changeBoundMs,
       listener: {
-        onReplica: (entry) => this.#table.put(entry),
+        onReplica: (entry) => {
+          this.#table.put(entry);
+          this.#cold.put(entry);
+        },
         onReplicaDoubtful: (id) => this.#table.markDoubtful(id),
-        onReplicaRemoved: (id) => this.#table.remove(id),
+        onReplicaRemoved: (id) => {
+          this.#table.remove(id);
+          this.#cold.remove(id);
+        },
         onRouteTable: (index) => {
           this.#table.setServices(index.serviceByName);
+          this.#cold.setServices(index.serviceByName);
           this.#callerServer.applyLimits();
         },
         onPeer: (peer) => this.#fleet.put(peer),
@@ -263,6 +285,7 @@
     this.#rollouts.close();
     this.#quarantine.close();
     this.#watchdog.close();
+    this.#cold.close();
     this.#table.close();
     await this.#fleet.close();
     await this.#control.close();
@@ -312,6 +335,7 @@
   #updateGauges(): void {
     this.#telemetry.setGauge("requests_in_flight", this.#callerServer.inFlight);
     this.#telemetry.setGauge("replicas", this.#table.size);
+    this.#telemetry.setGauge("cold_replicas", this.#fleet.countCold());
     this.#telemetry.setGauge("quarantined_parts", this.#quarantine.size);
     this.#telemetry.setGauge(
       "view_age_ms",
