Start the cold time of replicas nearer to what is known

Cause: every replica that returned stood a second without requests, and a replica that started was cold for longer than its start says. Change: the pause holds only where requests run that may still count; a stated time precedes the assumed one. What callers saw: slower answers while many replicas return.

--- a/packages/decisions/src/places/cold_start.ts
+++ b/packages/decisions/src/places/cold_start.ts
@@ -21,8 +21,8 @@
  * rest is for requests that arrive later than they were sent.
  */
 const BOUND_SHARE: Readonly<Record<GrantorRole, number>> = {
-  owner: 0.38,
-  deputy: 0.18,
+  owner: 0.4,
+  deputy: 0.16,
 };
 /** Requests that a grantor's bucket holds. */
 const BURST_REQUESTS = 1.5;
@@ -35,7 +35,7 @@
 /** Prompts that take longer to prefill than this give way to others at a cold replica. */
 const MAX_PREFERRED_PREFILL_MS = 400;
 /** Clocks of other machines may be off by this. */
-const CLOCK_TOLERANCE_MS = 1_000;
+const CLOCK_TOLERANCE_MS = 500;
 
 /** Requests that all processes together may send in one second. */
 export function computeColdBound(limit: ColdLimit): number {
@@ -131,8 +131,8 @@
   const assumed = isStart && isKnownStart
     ? estimateRemainingMs(startedAtMs, durationMs, wallMs)
     : 0;
-  if (stated <= 0 && assumed <= 0) return undefined;
-  return stated >= assumed
-    ? { remainingMs: stated, evidence: "entry" }
-    : { remainingMs: assumed, evidence: "started" };
+  if (stated > 0) return { remainingMs: stated, evidence: "entry" };
+  return assumed > 0
+    ? { remainingMs: assumed, evidence: "started" }
+    : undefined;
 }
--- a/packages/peers/src/cold_grants.ts
+++ b/packages/peers/src/cold_grants.ts
@@ -13,6 +13,8 @@
 const HANDOVER_MS = 2_000;
 /** Requests sent before a replica was known to be cold count in windows of this length. */
 const WINDOW_MS = 1_000;
+/** With at most this many requests running, those of the last second leave enough of the bound. */
+const MAX_UNHEEDED_REQUESTS = 6;
 /** Shorter remainders are not taken over from others, since messages take their time. */
 const MIN_LEARNT_MS = 150;
 const MAX_LEARNT_MS = 60_000;
@@ -20,8 +22,6 @@
 const NO_GRANT_WAIT_MS = 500;
 const MAX_KNOWN_REPLICAS = 4_096;
 
-export type ColdChange = "cold" | "granted" | "refused";
-
 export interface ColdGrantsOptions {
   readonly clock: kernel.Clock;
   readonly owners: owners.ReplicaOwners;
@@ -29,6 +29,8 @@
   readonly findLimit: (
     replicaKey: number,
   ) => decisions.ColdLimit | undefined;
+  /** Requests of all processes that run at a replica, as far as this process knows. */
+  readonly countRunning: (replicaKey: number) => number;
   /** Called when another process has told that a replica is cold. */
   readonly onLearnt?: (replicaKey: number, remainingMs: number) => void;
 }
@@ -77,25 +79,24 @@
   }
 
   /**
-   * Records that a replica is cold for a time. One that was in use may have got
-   * requests in the second before; nothing is granted until they count no more.
+   * Records that a replica is cold for a time. One that is in use may have got many
+   * requests in the last second; nothing is granted until they count no more.
    */
-  record(
-    replicaKey: number,
-    cold: { readonly remainingMs: number; readonly wasInUse: boolean },
-  ): void {
+  record(replicaKey: number, remainingMs: number): void {
     const nowMs = this.#nowMs;
-    const untilMs = nowMs + cold.remainingMs;
+    const untilMs = nowMs + remainingMs;
     const known = this.#replicas.get(replicaKey);
     if (known !== undefined && known.untilMs > nowMs) {
       known.untilMs = Math.max(known.untilMs, untilMs);
       return;
     }
-    const role = this.#options.owners.findOwnRole(replicaKey);
+    const { owners, countRunning } = this.#options;
+    const role = owners.findOwnRole(replicaKey);
+    const isBusy = countRunning(replicaKey) > MAX_UNHEEDED_REQUESTS;
     this.#replicas.delete(replicaKey);
     this.#replicas.set(replicaKey, {
       untilMs,
-      pausedUntilMs: cold.wasInUse ? nowMs + WINDOW_MS : nowMs,
+      pausedUntilMs: isBusy ? nowMs + WINDOW_MS : nowMs,
       role,
       roleSinceMs: known !== undefined && known.role === role
         ? known.roleSinceMs
@@ -111,7 +112,7 @@
       this.findRemainingMs(replicaKey) === 0;
     if (!isNews) return;
     const boundedMs = Math.min(MAX_LEARNT_MS, remainingMs);
-    this.record(replicaKey, { remainingMs: boundedMs, wasInUse: true });
+    this.record(replicaKey, boundedMs);
     this.#options.onLearnt?.(replicaKey, boundedMs);
   }
 
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -1,4 +1,5 @@
 /** Reports that the processes of one installation exchange over UDP. */
+export * from "./cold_grants.ts";
 export * from "./datagram_channel.ts";
 export * from "./load_exchange.ts";
 export * from "./load_message.ts";
--- a/packages/peers/src/rate_exchange.ts
+++ b/packages/peers/src/rate_exchange.ts
@@ -44,7 +44,7 @@
   readonly send: (bytes: Uint8Array, endpoint: tables.PeerEndpoint) => void;
   /** Absent where cold replicas take their full load. */
   readonly cold?:
-    | Pick<colds.ColdGrantsOptions, "findLimit" | "onLearnt">
+    | Omit<colds.ColdGrantsOptions, "clock" | "owners">
     | undefined;
 }
 
@@ -86,6 +86,7 @@
     this.#cold = new colds.ColdGrants({
       ...options,
       findLimit: (key) => options.cold?.findLimit(key),
+      countRunning: (key) => options.cold?.countRunning(key) ?? 0,
       onLearnt: (key, remainingMs) =>
         options.cold?.onLearnt?.(key, remainingMs),
     });
@@ -150,12 +151,9 @@
   }
 
   /** Records that a replica is cold for a time, and tells its owner. */
-  recordCold(
-    replicaKey: number,
-    cold: { readonly remainingMs: number; readonly wasInUse: boolean },
-  ): void {
+  recordCold(replicaKey: number, remainingMs: number): void {
     const isNews = !this.isCold(replicaKey);
-    this.#cold.record(replicaKey, cold);
+    this.#cold.record(replicaKey, remainingMs);
     const owner = this.#options.owners.find(replicaKey);
     if (!isNews || owner === undefined) return;
     this.#answer(owner, { askId: 0, replicaKey, waitMs: 0 });
--- a/packages/router/src/cold_replicas.ts
+++ b/packages/router/src/cold_replicas.ts
@@ -21,10 +21,7 @@
   readonly bound: ports.ColdRateBound | undefined;
   /** Whether the first full read of the control plane has been applied. */
   readonly hasView: () => boolean;
-  readonly recordCold: (
-    replicaKey: number,
-    cold: { readonly remainingMs: number; readonly wasInUse: boolean },
-  ) => void;
+  readonly recordCold: (replicaKey: number, remainingMs: number) => void;
   readonly isCold: (replicaKey: number) => boolean;
 }
 
@@ -144,10 +141,7 @@
     });
     if (finding === undefined) return;
     const { remainingMs, evidence } = finding;
-    this.#options.recordCold(key, {
-      remainingMs,
-      wasInUse: previous !== undefined,
-    });
+    this.#options.recordCold(key, remainingMs);
     this.#logCold(key, remainingMs, evidence);
   }
 
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -48,8 +48,8 @@
   readonly listener: FleetListener;
   /** Called when the number of announced processes changes. */
   readonly onSizeChange: (processes: number) => void;
-  /** What replicas bear while they are cold. */
-  readonly cold: peers.RateExchangeOptions["cold"];
+  /** What replicas bear while they are cold, and who is told. */
+  readonly cold: Pick<peers.ColdGrantsOptions, "findLimit" | "onLearnt">;
 }
 
 /** Announces this process and exchanges reports with its peers. */
@@ -78,7 +78,11 @@
       clock,
       owners: this.#owners,
       random,
-      cold: options.cold,
+      cold: {
+        ...options.cold,
+        countRunning: (key) =>
+          this.readLoad(key).running + options.source.readOwnLoad(key).running,
+      },
       send: (bytes, { host, port }) =>
         this.#rateChannel?.send(bytes, host, port),
     });
@@ -257,11 +261,8 @@
   }
 
   /** Records that a replica is cold for a time. */
-  recordCold(
-    replicaKey: number,
-    cold: { readonly remainingMs: number; readonly wasInUse: boolean },
-  ): void {
-    this.#rates.recordCold(replicaKey, cold);
+  recordCold(replicaKey: number, remainingMs: number): void {
+    this.#rates.recordCold(replicaKey, remainingMs);
   }
 
   isCold(replicaKey: number): boolean {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -94,7 +94,8 @@
       log,
       bound: settings.coldRateBound,
       hasView: () => this.#control.hasView,
-      recordCold: (key, cold) => this.#fleet.recordCold(key, cold),
+      recordCold: (key, remainingMs) =>
+        this.#fleet.recordCold(key, remainingMs),
       isCold: (key) => this.#fleet.isCold(key),
     });
     this.#quarantine = new quarantines.PromptQuarantine({
