Ask about the load of at most one replica with a rate per request

Cause: with many cold replicas, all that a request asked about could refuse it, and it was then placed by old loads. Change: one candidate with a rate, the others without. What callers saw: slower answers while many replicas return.

--- a/packages/router/src/cold_replicas_test.ts
+++ b/packages/router/src/cold_replicas_test.ts
@@ -4,6 +4,7 @@
 import * as colds from "./cold_replicas.ts";
 import * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
+import * as queries from "./query_choice.ts";
 
 const test = ava.default;
 
@@ -116,3 +117,18 @@
   t.deepEqual(found, []);
   t.is(cold.findLimit(decisions.hashText("r1")), undefined);
 });
+
+test("one replica with a rate is asked about, besides others that can take the request", (t) => {
+  const choose = (from: readonly string[]) => from.slice(0, 3);
+  const hasRate = (id: string) => id.startsWith("cold");
+  const limit = (ids: readonly string[]) =>
+    queries.limitRatedCandidates(ids, { choose, hasRate });
+  t.deepEqual(limit(["cold1", "cold2", "cold3", "a", "b", "c"]), [
+    "cold1",
+    "a",
+    "b",
+  ]);
+  t.deepEqual(limit(["cold1", "a", "cold2"]), ["cold1", "a"]);
+  t.deepEqual(limit(["a", "cold1", "b", "cold2"]), ["a", "cold1", "b"]);
+  t.deepEqual(limit(["cold1", "cold2"]), ["cold1", "cold2"]);
+});
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -9,6 +9,7 @@
 import type * as ports from "./ports.ts";
 import * as groups from "./replica_group.ts";
 import * as prefixes from "./prefix_memory.ts";
+import * as queries from "./query_choice.ts";
 
 /** Time in which a replica is avoided after an attempt that it did not run. */
 const AVOID_BUSY_MS = 150;
@@ -195,11 +196,19 @@
   listQueryKeys(request: groups.PlacementRequest): readonly number[] {
     const group = this.#findGroup(request) ?? [];
     if (group.length < 2) return [];
-    return decisions.chooseQueryCandidates(
-      group.map((state) => this.#buildCandidate(state, request)),
-      this.#buildPlacement(request),
-      this.#options.random,
-    ).map(({ state }) => state.key);
+    const candidates = group.map((state) =>
+      this.#buildCandidate(state, request)
+    );
+    return queries.limitRatedCandidates(candidates, {
+      choose: (from) =>
+        decisions.chooseQueryCandidates(
+          from,
+          this.#buildPlacement(request),
+          this.#options.random,
+        ),
+      hasRate: ({ state }) =>
+        this.#options.rates.readRate(state.key) !== undefined,
+    }).map(({ state }) => state.key);
   }
 
   recordSent(state: groups.ReplicaState, prefillMs: number): void {
