Tell with the news of a cold replica when it is worth asking for

Cause: each request asked the owner even where its bucket was empty; with 400 processes the owner of one cold replica exchanged 12.2 KB/s. Change: the notice that goes with the answer about the load carries the wait. What callers saw: nothing.

--- a/packages/peers/src/cold_grants_test.ts
+++ b/packages/peers/src/cold_grants_test.ts
@@ -30,6 +30,10 @@
 const MAX_TRANSIT_MS = 60;
 const MS_PER_S = 1_000;
 const MIN_USED_SHARE = 0.5;
+/** IPv4 and UDP headers of a datagram, and the marks of its kind. */
+const HEADER_BYTES = 31;
+/** The target for the control traffic of one node. */
+const MAX_BYTES_PER_S = 12_000;
 const UNDISTURBED = "nothing is wrong";
 
 interface Process {
@@ -51,6 +55,7 @@
   readonly random = () => float64.uniformFloat64(this.#generator);
   readonly #byName: ReadonlyMap<string, Process>;
   readonly #lostShare: number;
+  readonly #bytesByName = new Map<string, number>();
   /** Requests per second while the replica is not known to be cold. */
   warmDemandPerS = WARM_DEMAND_PER_S;
   /** Requests that run at the replica. */
@@ -108,6 +113,16 @@
     );
   }
 
+  /** Bytes per second that the busiest process sends and receives while the replica is cold. */
+  get maxBytesPerS(): number {
+    return Math.max(...this.#bytesByName.values()) * MS_PER_S / COLD_MS;
+  }
+
+  #countBytes(name: string, bytes: number): void {
+    const counted = this.#bytesByName.get(name) ?? 0;
+    this.#bytesByName.set(name, counted + bytes + HEADER_BYTES);
+  }
+
   #readNews(process: Process, atMs: number): void {
     if (process.isDown || atMs < process.readsNewsAtMs) return;
     process.readsNewsAtMs = Infinity;
@@ -158,6 +173,8 @@
       send: (bytes, { host }) => {
         const from = this.#byName.get(name);
         const to = this.#byName.get(host);
+        this.#countBytes(name, bytes.byteLength);
+        this.#countBytes(host, bytes.byteLength);
         const isLost = this.random() < this.#lostShare;
         if (from === undefined || to === undefined || isLost) return;
         if (this.#reaches(from, to)) to.exchange.handleDatagram(bytes, name);
@@ -239,6 +256,8 @@
         t.log(`${busiest} in 1 s, ${simulation.arrivals.length} in all`);
         t.true(busiest <= decisions.computeColdBound(LIMIT), `${busiest}`);
         if (disturb !== DISTURBANCES[UNDISTURBED]) return;
+        t.log(`${Math.round(simulation.maxBytesPerS)} bytes/s`);
+        t.true(simulation.maxBytesPerS <= MAX_BYTES_PER_S);
         // Unused capacity would be lost to callers.
         const grantedMs = COLD_MS - NEWS_MS[0] - WINDOW_MS;
         const usable = LIMIT.requestsPerS * grantedMs / MS_PER_S;
--- a/packages/peers/src/rate_exchange.ts
+++ b/packages/peers/src/rate_exchange.ts
@@ -205,7 +205,9 @@
       const isOld = rate === undefined &&
         nowMs - heardAtMs > ENDED_NOTICE_MS;
       if (isOld && !this.isCold(replicaKey)) continue;
-      this.#answer(endpoint, { askId: 0, replicaKey, waitMs: 0 });
+      // Saves the question where it would be refused.
+      const waitMs = this.#cold.findGrantWaitMs(replicaKey, true);
+      this.#answer(endpoint, { askId: 0, replicaKey, waitMs });
     }
   }
 
@@ -228,7 +230,7 @@
       decisions.chooseNewerStatement(this.#readStatement(replicaKey), stated),
     );
     if (message.type === "answer") {
-      if (askId > 0) this.#finishAsk(askId, known, message.waitMs);
+      this.#recordAnswer(askId, known, message.waitMs);
       return;
     }
     const waitMs = this.#grant(replicaKey, known, message);
@@ -351,8 +353,8 @@
     return undefined;
   }
 
-  #finishAsk(askId: number, known: KnownRate, waitMs: number): void {
-    const rank = this.#asks.finish(askId, waitMs === 0);
+  #recordAnswer(askId: number, known: KnownRate, waitMs: number): void {
+    const rank = askId === 0 ? 0 : this.#asks.finish(askId, waitMs === 0);
     if (rank === undefined || waitMs === 0) return;
     delayAsks(known, rank, this.#nowMs + waitMs);
   }
