Let the newest statement of an entry decide how long a replica is cold

Cause: the end of a cold time was the latest of all statements, and a process that read an entry late could bring the time back. Change: the newest statement in the own view counts; a rest that is told shortly after the end does not. What callers saw: replicas that were warm took few requests for up to a second more.

--- a/packages/peers/src/cold_grants.ts
+++ b/packages/peers/src/cold_grants.ts
@@ -17,6 +17,8 @@
 const MAX_UNHEEDED_REQUESTS = 6;
 /** Shorter remainders are not taken over from others, since messages take their time. */
 const MIN_LEARNT_MS = 150;
+/** After the end of a cold time, who read the entry late still tells of its rest. */
+const LATE_READER_MS = 1_000;
 const MAX_LEARNT_MS = 60_000;
 /** Wait that is answered where this process may grant nothing at all. */
 const NO_GRANT_WAIT_MS = 500;
@@ -87,7 +89,8 @@
     const untilMs = nowMs + remainingMs;
     const known = this.#replicas.get(replicaKey);
     if (known !== undefined && known.untilMs > nowMs) {
-      known.untilMs = Math.max(known.untilMs, untilMs);
+      // The entry's newest statement is the most exact.
+      known.untilMs = untilMs;
       return;
     }
     const { owners, countRunning } = this.#options;
@@ -108,9 +111,12 @@
 
   /** Records what another process tells; it never prolongs a time that is known to run. */
   learn(replicaKey: number, remainingMs: number): void {
-    const isNews = remainingMs >= MIN_LEARNT_MS &&
-      this.findRemainingMs(replicaKey) === 0;
-    if (!isNews) return;
+    const sinceEndMs = this.#nowMs -
+      (this.#replicas.get(replicaKey)?.untilMs ?? -Infinity);
+    const leastMs = sinceEndMs < LATE_READER_MS
+      ? LATE_READER_MS
+      : MIN_LEARNT_MS;
+    if (sinceEndMs < 0 || remainingMs < leastMs) return;
     const boundedMs = Math.min(MAX_LEARNT_MS, remainingMs);
     this.record(replicaKey, boundedMs);
     this.#options.onLearnt?.(replicaKey, boundedMs);
--- a/packages/peers/src/cold_grants_test.ts
+++ b/packages/peers/src/cold_grants_test.ts
@@ -8,6 +8,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as float64 from "pure-rand/distribution/uniformFloat64";
 import * as xoroshiro from "pure-rand/generator/xoroshiro128plus";
+import * as colds from "./cold_grants.ts";
 import * as exchanges from "./rate_exchange.ts";
 import * as owners from "./replica_owners.ts";
 
@@ -285,3 +286,23 @@
   exchange.recordCold(REPLICA_KEY, 3_000);
   t.false(await exchange.take(REPLICA_KEY, 0, true));
 });
+
+test("what others tell starts a cold time, but neither prolongs it nor brings it back", (t) => {
+  const clock = new kernel.ManualClock(START_MS);
+  const cold = new colds.ColdGrants({
+    clock,
+    owners: new owners.ReplicaOwners("p0"),
+    findLimit: () => LIMIT,
+    countRunning: () => 0,
+  });
+  cold.learn(REPLICA_KEY, 2_000);
+  cold.learn(REPLICA_KEY, 2_900);
+  t.is(cold.findRemainingMs(REPLICA_KEY), 2_000);
+  cold.record(REPLICA_KEY, 1_500);
+  t.is(cold.findRemainingMs(REPLICA_KEY), 1_500);
+  clock.advance(1_500);
+  cold.learn(REPLICA_KEY, 900);
+  t.is(cold.readRate(REPLICA_KEY), undefined);
+  cold.learn(REPLICA_KEY, 2_900);
+  t.is(cold.readRate(REPLICA_KEY), LIMIT.requestsPerS);
+});
