Test which prompts go first at a cold replica

Cause: nothing guarded the reserve for prompts that belong there. Change: a test. What callers saw: nothing.

--- a/packages/peers/src/cold_grants_test.ts
+++ b/packages/peers/src/cold_grants_test.ts
@@ -306,3 +306,20 @@
   cold.learn(REPLICA_KEY, 2_900);
   t.is(cold.readRate(REPLICA_KEY), LIMIT.requestsPerS);
 });
+
+test("a bucket that is not full grants only to prompts that belong to the replica", (t) => {
+  const clock = new kernel.ManualClock(START_MS);
+  const cold = new colds.ColdGrants({
+    clock,
+    owners: new owners.ReplicaOwners("p0"),
+    findLimit: () => LIMIT,
+    countRunning: () => 0,
+  });
+  clock.advance(3_000);
+  cold.record(REPLICA_KEY, 3_000);
+  clock.advance(cold.findGrantWaitMs(REPLICA_KEY, true) + 1);
+  t.is(cold.findGrantWaitMs(REPLICA_KEY, true), 0);
+  t.true(cold.findGrantWaitMs(REPLICA_KEY, false) > 0);
+  clock.advance(cold.findGrantWaitMs(REPLICA_KEY, false) + 1);
+  t.is(cold.findGrantWaitMs(REPLICA_KEY, false), 0);
+});
