--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -9,6 +9,7 @@
 import * as fleets from "./fleet.ts";
 import * as callerServers from "./caller_server.ts";
 import * as places from "./places.ts";
+import * as colds from "./cold_replicas.ts";
 import type * as ports from "./ports.ts";
 import * as quarantines from "./prompt_quarantine.ts";
 import * as relays from "./relayed_control.ts";
@@ -55,6 +56,7 @@
   readonly #telemetry = new telemetry.Telemetry();
   readonly #table: replicas.ReplicaTable;
   readonly #places: places.Places;
+  readonly #cold: colds.ColdReplicas;
   readonly #control: controls.ControlTask;
   readonly #controlPlane: relays.RelayedControlPlane;
   readonly #rollouts: rollouts.RolloutTask;
@@ -103,6 +105,15 @@
       readPeerLoad: (key) => this.#fleet.readLoad(key),
       onLoadChanged: (key, change) => this.#fleet.recordLoadChange(key, change),
     });
+    this.#cold = new colds.ColdReplicas({
+      clock,
+      log,
+      bound: settings.coldRateBound,
+      hasView: () => this.#control.hasView,
+      recordCold: (key, remainingMs) =>
+        this.#fleet.recordCold(key, remainingMs),
+      isCold: (key) => this.#fleet.isCold(key),
+    });
     this.#quarantine = new quarantines.PromptQuarantine({
       clock,
       controlPlane,
@@ -134,6 +145,11 @@
           this.#quarantine.recordPeerTallies(message),
       },
       onSizeChange: (processes) => this.#table.setProcessCount(processes),
+      cold: {
+        findLimit: (key) => this.#cold.findLimit(key),
+        onLearnt: (key, remainingMs) =>
+          this.#cold.recordLearnt(key, remainingMs),
+      },
     });
     this.#control = new controls.ControlTask({
       clock,
@@ -144,12 +160,19 @@
       countConfirmingPeers: () => this.#fleet.countConfirmingPeers(),
       changeBoundMs: settings.changeBoundMs,
       listener: {
-        onReplica: (entry) => this.#table.put(entry),
+        onReplica: (entry) => {
+          this.#table.put(entry);
+          this.#cold.put(entry);
+        },
         onReplicaDoubtful: (id) => this.#table.markDoubtful(id),
-        onReplicaRemoved: (id) => this.#table.remove(id),
+        onReplicaRemoved: (id) => {
+          this.#table.remove(id);
+          this.#cold.remove(id);
+        },
         onRouteTable: (index) => {
           this.#places.setRoutes(index);
           this.#table.setServices(index.serviceByName);
+          this.#cold.setServices(index.serviceByName);
           this.#callerServer.applyLimits();
         },
         onPeer: (peer) => this.#fleet.put(peer),
@@ -288,6 +311,7 @@
     this.#rollouts.close();
     this.#quarantine.close();
     this.#watchdog.close();
+    this.#cold.close();
     this.#table.close();
     await this.#fleet.close();
     await this.#control.close();
@@ -337,6 +361,7 @@
   #updateGauges(): void {
     this.#telemetry.setGauge("requests_in_flight", this.#callerServer.inFlight);
     this.#telemetry.setGauge("replicas", this.#table.size);
+    this.#telemetry.setGauge("cold_replicas", this.#fleet.countCold());
     this.#telemetry.setGauge("quarantined_parts", this.#quarantine.size);
     this.#telemetry.setGauge(
       "evacuated_data_centres",
