Hold prompts until engines have room, in the order of their turns

Cause: engines prefill prompts first in, first out. All prompts were sent on arrival, so a short urgent prompt waited behind the long ones sent before it.

Held prompts ask again after a spread time; each hold ends in time for the route's target, or after three quarters of it. Retries and escalations pass at once. A request that no replica can begin before its deadline is refused as not run.

--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -55,6 +55,15 @@
   return makeRefusal("no-upstream", reason, retryAfterMs);
 }
 
+/** Creates the refusal of a request that no replica can begin before its deadline. */
+export function makeNoRoomRefusal(
+  service: string,
+  retryAfterMs: number,
+): Refusal {
+  const reason = `no replica of '${service}' has room before the deadline`;
+  return makeRefusal("overloaded", reason, retryAfterMs);
+}
+
 /** Admits requests by the current configuration. */
 export class Admission {
   readonly #control: control.ControlTask;
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -11,6 +11,7 @@
 import * as recorders from "./attempt_recorder.ts";
 import type * as control from "./control_task.ts";
 import * as demandTrackers from "./demand_tracker.ts";
+import * as priorities from "./engine_priority.ts";
 import type * as fleets from "./fleet.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
@@ -19,16 +20,13 @@
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import * as retries from "./retry_budgets.ts";
+import * as rooms from "./room_gate.ts";
 import type * as rollouts from "./rollout_task.ts";
 import type * as sends from "./send.ts";
 import type * as sessions from "./sessions.ts";
 import type * as shutdowns from "./shutdown.ts";
 import type * as telemetry from "./telemetry.ts";
 
-/** Engine priority of the most urgent requests; retries are scheduled one level ahead. */
-const BASE_ENGINE_PRIORITY = 2;
-const MAX_ENGINE_PRIORITY = 9;
-
 /** Interval at which the evidence about a plain service's replica is asked for. */
 const EVIDENCE_QUERY_INTERVAL_MS = 1_000;
 /** Replicas with a rate that are asked for one request, one after the other. */
@@ -54,17 +52,13 @@
   readonly random: () => number;
 }
 
-/** Rank of a request; 0 is the most urgent. */
-function getPriority({ account, route }: requests.AdmittedRequest): number {
-  return account?.priority ?? route.priority;
-}
-
 /** Sends the requests of one process. */
 export class Dispatcher {
   readonly dependencies: DispatcherDependencies;
   readonly demands: demandTrackers.DemandTracker;
   readonly recorder: recorders.AttemptRecorder;
   readonly #retryBudgets: retries.RetryBudgets;
+  readonly #roomGate: rooms.RoomGate;
   readonly #latencyTrackerByService = new Map<
     string,
     decisions.EngineLatencyTracker
@@ -75,6 +69,11 @@
     const { clock, settings, fleet } = dependencies;
     this.recorder = new recorders.AttemptRecorder(dependencies);
     this.demands = new demandTrackers.DemandTracker(dependencies);
+    this.#roomGate = new rooms.RoomGate({
+      ...dependencies,
+      getRouteIndex: () => dependencies.control.routeIndex,
+      isStopping: () => dependencies.shutdown.hasStarted,
+    });
     this.#retryBudgets = new retries.RetryBudgets(
       clock,
       settings,
@@ -105,12 +104,24 @@
   /**
    * Asks the other processes what a good choice needs: the loads of the best
    * replicas and, where the best one has a rate, whether it may get this request.
+   * Resolves when there is room for the request.
    */
   async prepare(
     request: requests.AdmittedRequest,
     options: sends.SendOptions,
   ): Promise<sends.Preparation> {
-    const queriedKeys = await this.#queryLoads(request, options);
+    const { keys: queriedKeys, refusal } = await this.#roomGate.enter(request, {
+      hasBeenSent: options.earlierSends > 0,
+      prefillMs: this.getLatencyTracker(request.service).predictPrefillMs(
+        options.model,
+        request.fields.promptTokens,
+      ),
+      queryLoads: () => this.#queryLoads(request, options),
+      isRefused: () => this.#findRefusal(request, options.hasRun) !== undefined,
+    });
+    if (refusal !== undefined) {
+      return { queriedKeys, grantedKey: undefined, refusal };
+    }
     const grantedKey = this.dependencies.table.hasRates(request.service)
       ? await this.#takeAtRate(request, options, queriedKeys)
       : undefined;
@@ -124,7 +135,8 @@
     listener: attempts.AttemptListener,
   ): neverthrow.Result<sends.SentAttempt, admissions.Refusal> {
     const { table, codec, clock } = this.dependencies;
-    const refusal = this.#findRefusal(request, options.hasRun);
+    const refusal = this.#findRefusal(request, options.hasRun) ??
+      options.refusal;
     if (refusal !== undefined) return neverthrow.err(refusal);
     const { fields, service } = request;
     const latencyTracker = this.getLatencyTracker(service);
@@ -152,7 +164,7 @@
       replicaId: state.entry.id,
       account: request.account?.name,
       model: options.model,
-      enginePriority: this.#chooseEnginePriority(request, options),
+      enginePriority: priorities.chooseEnginePriority(request, options),
       lastEventId: options.lastEventId,
     });
     this.#retryBudgets.recordSend(service, options.earlierSends);
@@ -333,7 +345,7 @@
       excluded: options.excluded,
       needsNewConnection: route.kind === "non-idempotent",
       versionPreference: this.#chooseVersionPreference(request),
-      reserved: getPriority(request) === 0 ? 0 : 1,
+      reserved: priorities.getPriority(request) === 0 ? 0 : 1,
       nowMs: this.nowMs,
     };
   }
@@ -362,20 +374,4 @@
       fraction: versionFraction,
     });
   }
-
-  #chooseEnginePriority(
-    request: requests.AdmittedRequest,
-    options: sends.SendOptions,
-  ): number | undefined {
-    if (options.model === undefined) return undefined;
-    const priority = getPriority(request);
-    const retryBoost = options.earlierSends > 0 ? 1 : 0;
-    return Math.max(
-      0,
-      Math.min(
-        MAX_ENGINE_PRIORITY,
-        BASE_ENGINE_PRIORITY + priority - retryBoost,
-      ),
-    );
-  }
 }
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -252,6 +252,10 @@
     for (const id of [...this.#states.keys()]) this.remove(id);
   }
 
+  find(replicaKey: number): groups.ReplicaState | undefined {
+    return this.#stateByKey.get(replicaKey);
+  }
+
   listReplicaKeys(): readonly number[] {
     return [...this.#stateByKey.keys()];
   }
--- /dev/null
+++ b/packages/router/src/room_gate_test.ts
@@ -0,0 +1,195 @@
+/** Tests of the hold of prompts in one process: what ends it, and what passes at once. */
+import * as ava from "ava";
+import type * as bundle from "@jackdawbank/bundle";
+import * as decisions from "@jackdawbank/decisions";
+import * as kernel from "@jackdawbank/kernel";
+import type * as requests from "./request.ts";
+import * as gates from "./room_gate.ts";
+
+const test = ava.default;
+
+const ROUTES = [
+  { name: "chat", targetLatencyMs: 1_500, priority: 0 },
+  { name: "summary", targetLatencyMs: 4_000, priority: 1 },
+].map((route) => ({ ...route, targets: [{ service: "llm", weight: 1 }] }));
+
+function createGate() {
+  const clock = new kernel.ManualClock(1_000);
+  const state = {
+    clock,
+    backlogMs: 0,
+    hasEngine: true,
+    isStopping: false,
+    isRefused: false,
+    questions: 0,
+    /** Keys whose owner answers. */
+    keys: [7] as readonly number[],
+    gauges: new Map<string, number>(),
+    events: [] as string[],
+    logged: [] as Record<string, unknown>[],
+    onSleep: (_durationMs: number): void => {},
+  };
+  const replica = {
+    key: 7,
+    pendingMs: 0,
+    inFlight: 0,
+    entry: { slots: 8 },
+  };
+  const index = () => ({
+    table: { routes: ROUTES, accounts: [] },
+    serviceByName: new Map([["llm", {
+      engine: state.hasEngine ? {} : undefined,
+    }]]),
+  } as unknown as bundle.RouteIndex);
+  const gate = new gates.RoomGate({
+    clock,
+    log: { addRoutine: (_event, fields) => state.logged.push({ ...fields }) },
+    telemetry: {
+      countEvent: (event) => state.events.push(event),
+      observeRoomWait: () => {},
+      setGauge: (name, value) => state.gauges.set(name, value),
+    },
+    table: {
+      find: () => replica,
+      listActive: () => [replica],
+    } as unknown as gates.RoomGateOptions["table"],
+    fleet: {
+      readLoad: () => ({
+        ...decisions.NO_LOAD_STATE,
+        pendingMs: state.backlogMs,
+      }),
+    },
+    random: () => 0.5,
+    getRouteIndex: index,
+    isStopping: () => state.isStopping,
+    sleep: (durationMs) => {
+      clock.advance(durationMs);
+      state.onSleep(durationMs);
+      return Promise.resolve();
+    },
+  });
+  const enter = (
+    routeIndex: number,
+    options: {
+      readonly prefillMs: number;
+      readonly hasBeenSent?: boolean;
+      readonly deadlineMs?: number;
+    },
+  ) => {
+    const nowMs = clock.monotonicMs();
+    const request = {
+      requestId: "r1",
+      route: ROUTES[routeIndex],
+      service: "llm",
+      fields: { promptTokens: 1_000 },
+      receivedAtMs: nowMs,
+      deadlineAtMs: nowMs + (options.deadlineMs ?? 25_000),
+      signal: new AbortController().signal,
+    } as unknown as requests.AdmittedRequest;
+    return gate.enter(request, {
+      hasBeenSent: options.hasBeenSent ?? false,
+      prefillMs: options.prefillMs,
+      queryLoads: () => {
+        state.questions += 1;
+        return Promise.resolve(new Set(state.keys));
+      },
+      isRefused: () => state.isRefused,
+    });
+  };
+  return { state, enter };
+}
+
+/** Makes prompts of 100 ms the ordinary ones. */
+async function learnMean(enter: ReturnType<typeof createGate>["enter"]) {
+  for (let count = 0; count < 50; count += 1) {
+    await enter(0, { prefillMs: 100, hasBeenSent: true });
+  }
+}
+
+test("a long prompt waits for the backlog to fall, and a short one passes it", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  state.backlogMs = 900;
+  state.onSleep = (durationMs) => {
+    t.is(state.gauges.get("room_waiting"), 1);
+    state.backlogMs = Math.max(0, state.backlogMs - durationMs);
+  };
+  const startedAtMs = state.clock.monotonicMs();
+  await enter(1, { prefillMs: 800 });
+  const heldMs = state.clock.monotonicMs() - startedAtMs;
+  t.true(heldMs >= 500 && heldMs <= 900, `${heldMs}`);
+  t.is(state.gauges.get("room_waiting"), 0);
+  t.is(state.logged.length, 1);
+  t.like(state.logged[0], { requestId: "r1", reason: "above-ceiling" });
+  state.backlogMs = 900;
+  state.onSleep = () => t.fail("a short prompt was held");
+  await enter(0, { prefillMs: 15 });
+});
+
+test("a prompt is held for a bounded time and with few questions", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  state.backlogMs = 6_000;
+  const startedAtMs = state.clock.monotonicMs();
+  state.questions = 0;
+  await enter(1, { prefillMs: 800 });
+  const heldMs = state.clock.monotonicMs() - startedAtMs;
+  t.true(heldMs <= 3_000, `${heldMs}`);
+  t.true(state.questions <= 1 + heldMs / 150, `${state.questions}`);
+});
+
+test("escalations, calm services and silent owners pass at once", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  state.onSleep = () => t.fail("a request was held");
+  state.backlogMs = 900;
+  await enter(1, { prefillMs: 800, hasBeenSent: true });
+  state.keys = [];
+  t.deepEqual(await enter(1, { prefillMs: 800 }), { keys: new Set() });
+  state.keys = [7];
+  state.backlogMs = 50;
+  await enter(1, { prefillMs: 800 });
+  state.backlogMs = 900;
+  state.isStopping = true;
+  await enter(1, { prefillMs: 800 });
+  const plain = createGate();
+  plain.state.hasEngine = false;
+  plain.state.backlogMs = 900;
+  plain.state.onSleep = () => t.fail("a request without an engine was held");
+  await plain.enter(1, { prefillMs: 800 });
+});
+
+test("a hold ends when the request is refused or the process stops", async (t) => {
+  for (const reason of ["isRefused", "isStopping"] as const) {
+    const { state, enter } = createGate();
+    await learnMean(enter);
+    state.backlogMs = 900;
+    let sleeps = 0;
+    state.onSleep = () => {
+      sleeps += 1;
+      state[reason] = true;
+    };
+    await enter(1, { prefillMs: 800 });
+    t.is(sleeps, 1);
+    t.is(state.gauges.get("room_waiting"), 0);
+  }
+});
+
+test("a request that cannot begin before its deadline is refused at once", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  state.onSleep = () => t.fail("a hopeless request was held");
+  state.backlogMs = 8_000;
+  const { refusal } = await enter(1, { prefillMs: 800, deadlineMs: 6_000 });
+  t.is(refusal?.error.kind, "overloaded");
+  t.true((refusal?.retryAfterMs ?? 0) > 500);
+  t.true((refusal?.retryAfterMs ?? Infinity) <= 2_000);
+  t.deepEqual(state.events, ["room.refused.rank-1"]);
+  // It has run before, so it must not be told that it has not.
+  const again = await enter(1, {
+    prefillMs: 800,
+    deadlineMs: 6_000,
+    hasBeenSent: true,
+  });
+  t.is(again.refusal, undefined);
+});
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -1,5 +1,6 @@
 /** One send of a request to a replica: its options, its state and its outcome. */
 import type * as decisions from "@jackdawbank/decisions";
+import type * as admissions from "./admission.ts";
 import type * as attempts from "./attempt.ts";
 import type * as groups from "./replica_group.ts";
 
@@ -23,6 +24,8 @@
   readonly queriedKeys: ReadonlySet<number>;
   /** Replica with a rate that may get this request. */
   readonly grantedKey: number | undefined;
+  /** Why the request must not be sent; absent if it may be. */
+  readonly refusal?: admissions.Refusal;
 }
 
 /** An attempt in flight at a replica. */
--- a/packages/router/src/shutdown.ts
+++ b/packages/router/src/shutdown.ts
@@ -28,6 +28,11 @@
     this.#startedAtMs = nowMs;
   }
 
+  /** Whether the stop has begun. */
+  get hasStarted(): boolean {
+    return this.#startedAtMs < Infinity;
+  }
+
   /** Monotonic time until which new requests are accepted. */
   get acceptUntilMs(): number {
     return this.#startedAtMs +
--- a/packages/router/src/telemetry.ts
+++ b/packages/router/src/telemetry.ts
@@ -51,6 +51,13 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [this.#registry],
   });
+  readonly #roomWait = new prom.Histogram({
+    name: "jackdaw_room_wait_seconds",
+    help: "Time for which prompts were held until there was room for them",
+    labelNames: ["rank", "reason"],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
   readonly #events = new prom.Counter({
     name: "jackdaw_events_total",
     help: "Other events: connections opened, control plane calls, peer reports",
@@ -85,6 +92,10 @@
     this.#duration.observe({ route }, durationMs / MS_PER_S);
   }
 
+  observeRoomWait(rank: number, reason: string, durationMs: number): void {
+    this.#roomWait.observe({ rank, reason }, durationMs / MS_PER_S);
+  }
+
   setGauge(name: string, value: number): void {
     this.#gauges.set({ name }, value);
   }
