Room: end holds within 250 ms of a stop, learn the mean prompt at once

Cause: a held prompt looked at the state of the process only at its next question, which many held prompts make rare; the mean prefill time stayed near that of the first prompt after a start for some hundred prompts.

Change: holds check for a stop every 250 ms; the mean starts as a plain average. Tests: a crowd that is refused comes back spread, a caller that leaves.

--- a/packages/decisions/src/room/account_shares.ts
+++ b/packages/decisions/src/room/account_shares.ts
@@ -18,7 +18,7 @@
 const TOLERANCE = 1.5;
 /** Smallest share of an account that was not seen before. */
 const MIN_SHARE = 0.01;
-/** Weight of the newest prompt in the mean prefill time. */
+/** Weight of the newest prompt in the mean prefill time, after the first ones. */
 const MEAN_WEIGHT = 0.02;
 const MAX_ACCOUNTS = 1_024;
 
@@ -59,11 +59,12 @@
 export class AccountShares {
   readonly #uses = new Map<string, Use>();
   readonly #total = createUse();
-  #meanPrefillMs: number | undefined;
+  #meanPrefillMs = 0;
+  #prompts = 0;
 
   /** Mean prefill time of a prompt; 0 before the first one. */
   get meanPrefillMs(): number {
-    return this.#meanPrefillMs ?? 0;
+    return this.#meanPrefillMs;
   }
 
   /** Records a prompt that has arrived; while room is short, shares stay as they are. */
@@ -81,8 +82,9 @@
       recent.add(prefillMs, nowMs);
       if (!isRoomShort) steady.add(prefillMs, nowMs);
     }
-    const mean = this.#meanPrefillMs ?? prefillMs;
-    this.#meanPrefillMs = mean + MEAN_WEIGHT * (prefillMs - mean);
+    this.#prompts += 1;
+    this.#meanPrefillMs += Math.max(MEAN_WEIGHT, 1 / this.#prompts) *
+      (prefillMs - this.#meanPrefillMs);
   }
 
   /** Ratio of an account's recent use to what it may use; above 1 it is over its share. */
--- a/packages/decisions/src/room/turn_test.ts
+++ b/packages/decisions/src/room/turn_test.ts
@@ -184,11 +184,11 @@
     ...kind,
     burstPerS: kind.perS,
   }));
-  const [atOnce, inTurn] = [false, true].map((isHolding) =>
-    [...others, flood].map((kind) =>
-      summarize(play([...others, flood], isHolding), kind)
-    )
-  );
+  const kinds = [...others, flood];
+  const [atOnce, inTurn] = [false, true].map((isHolding) => {
+    const sent = play(kinds, isHolding);
+    return kinds.map((kind) => summarize(sent, kind));
+  });
   t.log(JSON.stringify({ atOnce, inTurn }));
   for (const index of [0, 1]) {
     const outcome = inTurn?.[index];
--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -19,6 +19,8 @@
 const MAX_HELD = 512;
 /** Mean time between two questions of held prompts; bounds the datagrams of a process. */
 const QUESTION_SPACING_MS = 80;
+/** Interval at which a held prompt looks whether this process stops. */
+const STOP_CHECK_MS = 250;
 /** Waits are spread by this share of their length, either way. */
 const WAIT_SPREAD = 0.25;
 /** Callers honour a delay of up to this share of the time that they have left. */
@@ -118,7 +120,6 @@
     },
   ): Promise<RoomOutcome> {
     const { clock, random, isStopping } = this.#options;
-    const sleep = this.#options.sleep ?? kernel.sleep;
     let { keys } = state;
     let hold: Hold | undefined;
     try {
@@ -145,7 +146,7 @@
         const waitMs = spread *
           Math.max(turn.waitMs, QUESTION_SPACING_MS * this.#heldCount);
         // The spacing of questions must not make a request late.
-        await sleep(Math.min(waitMs, turn.longestMs), request.signal);
+        await this.#sleep(Math.min(waitMs, turn.longestMs), request.signal);
         if (entry.isRefused()) return { keys };
         keys = await entry.queryLoads();
       }
@@ -154,6 +155,16 @@
     }
   }
 
+  /** Ends early when the caller disconnects or this process stops. */
+  async #sleep(durationMs: number, signal: AbortSignal): Promise<void> {
+    const { isStopping, sleep = kernel.sleep } = this.#options;
+    let remainingMs = durationMs;
+    while (remainingMs > 0 && !signal.aborted && !isStopping()) {
+      await sleep(Math.min(STOP_CHECK_MS, remainingMs), signal);
+      remainingMs -= STOP_CHECK_MS;
+    }
+  }
+
   #buildInput(
     request: requests.AdmittedRequest,
     { prefillMs }: RoomEntry,
--- a/packages/router/src/room_gate_test.ts
+++ b/packages/router/src/room_gate_test.ts
@@ -22,6 +22,7 @@
     isStopping: false,
     isRefused: false,
     questions: 0,
+    random: 0.5,
     /** Keys whose owner answers. */
     keys: [7] as readonly number[],
     gauges: new Map<string, number>(),
@@ -59,7 +60,7 @@
         pendingMs: state.backlogMs,
       }),
     },
-    random: () => 0.5,
+    random: () => state.random,
     getRouteIndex: index,
     isStopping: () => state.isStopping,
     sleep: (durationMs) => {
@@ -74,6 +75,7 @@
       readonly prefillMs: number;
       readonly hasBeenSent?: boolean;
       readonly deadlineMs?: number;
+      readonly signal?: AbortSignal;
     },
   ) => {
     const nowMs = clock.monotonicMs();
@@ -84,7 +86,7 @@
       fields: { promptTokens: 1_000 },
       receivedAtMs: nowMs,
       deadlineAtMs: nowMs + (options.deadlineMs ?? 25_000),
-      signal: new AbortController().signal,
+      signal: options.signal ?? new AbortController().signal,
     } as unknown as requests.AdmittedRequest;
     return gate.enter(request, {
       hasBeenSent: options.hasBeenSent ?? false,
@@ -193,3 +195,36 @@
   });
   t.is(again.refusal, undefined);
 });
+
+test("a crowd that is refused does not come back at once, nor at one moment", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  state.backlogMs = 8_000;
+  const delaysMs: number[] = [];
+  for (let caller = 0; caller < 20; caller += 1) {
+    state.random = caller / 20;
+    const { refusal } = await enter(0, { prefillMs: 15, deadlineMs: 6_000 });
+    delaysMs.push(refusal?.retryAfterMs ?? 0);
+  }
+  t.true(Math.min(...delaysMs) >= 1_000);
+  t.true(Math.max(...delaysMs) <= 2_000);
+  for (const delayMs of delaysMs) {
+    const near = delaysMs.filter((other) => Math.abs(other - delayMs) < 100);
+    t.true(near.length <= 4);
+  }
+});
+
+test("a held request learns within a moment that its caller has left", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  state.backlogMs = 3_000;
+  const abort = new AbortController();
+  let slept = 0;
+  state.onSleep = (durationMs) => {
+    slept += durationMs;
+    abort.abort();
+    state.isRefused = true;
+  };
+  await enter(1, { prefillMs: 800, signal: abort.signal });
+  t.true(slept <= 250);
+});
