Ask more candidates while the known ones have a long backlog

Cause: under load the backlogs of replicas differ widely, and an urgent prompt, which is not held, was sent to the best of two or three of them.

Change: while the smallest known backlog is above 0.15 of the shortest target, up to two further sets of candidates are asked before the first decision on a prompt.

--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -116,7 +116,7 @@
         options.model,
         request.fields.promptTokens,
       ),
-      queryLoads: () => this.#queryLoads(request, options),
+      queryLoads: (askedKeys) => this.#queryLoads(request, options, askedKeys),
       isRefused: () => this.#findRefusal(request, options.hasRun) !== undefined,
     });
     if (refusal !== undefined) {
@@ -286,14 +286,19 @@
       quarantine.check(request);
   }
 
-  /** Resolves with the keys of the replicas whose load is known. */
+  /** Asks for the load of replicas not asked yet; resolves with the keys of the known ones. */
   async #queryLoads(
     request: requests.AdmittedRequest,
     options: sends.SendOptions,
+    askedKeys: ReadonlySet<number>,
   ): Promise<ReadonlySet<number>> {
     const { table, fleet } = this.dependencies;
+    const askedIds = [...askedKeys].flatMap((key) =>
+      table.find(key)?.entry.id ?? []
+    );
     const keys = table.listQueryKeys({
       ...this.#buildPlacement(request, options),
+      excluded: new Set([...options.excluded, ...askedIds]),
       mayAskForRate: true,
     });
     if (request.fields.promptTokens > 0) {
--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -19,6 +19,9 @@
 const MAX_HELD = 512;
 /** Mean time between two questions of held prompts; bounds the datagrams of a process. */
 const QUESTION_SPACING_MS = 80;
+/** Backlog above which more candidates are asked, as a share of the shortest target. */
+const WIDE_QUERY_SHARE = 0.15;
+const MAX_WIDE_QUERIES = 2;
 /** Interval at which a held prompt looks whether this process stops. */
 const STOP_CHECK_MS = 250;
 /** Waits are spread by this share of their length, either way. */
@@ -31,6 +34,7 @@
 const BACKLOG_WEIGHT = 0.05;
 /** Name for the use of requests without an account. */
 const NO_ACCOUNT = "";
+const NO_KEYS: ReadonlySet<number> = new Set();
 
 /** Dependencies of the gate. */
 export interface RoomGateOptions {
@@ -56,8 +60,10 @@
   readonly hasBeenSent: boolean;
   /** Predicted prefill time of the prompt. */
   readonly prefillMs: number;
-  /** Chooses candidates and asks for their load; resolves with those that are known. */
-  readonly queryLoads: () => Promise<ReadonlySet<number>>;
+  /** Chooses candidates beyond those asked, and asks for their load; resolves with the known ones. */
+  readonly queryLoads: (
+    askedKeys: ReadonlySet<number>,
+  ) => Promise<ReadonlySet<number>>;
   /** Whether the request must not be sent any more. */
   readonly isRefused: () => boolean;
 }
@@ -93,10 +99,10 @@
     request: requests.AdmittedRequest,
     entry: RoomEntry,
   ): Promise<RoomOutcome> {
-    const keys = await entry.queryLoads();
     const policy = request.fields.promptTokens > 0
       ? this.#findPolicy(request.service)
       : undefined;
+    const keys = await this.#queryLoads(entry, policy);
     if (policy === undefined) return { keys };
     const shares = this.#findShares(request.service);
     const backlogMs = this.#readBacklogMs(keys);
@@ -110,6 +116,23 @@
     return await this.#hold(request, entry, { keys, policy, shares });
   }
 
+  /** Asks more candidates while those that are known have a long backlog. */
+  async #queryLoads(
+    entry: RoomEntry,
+    policy: decisions.RoomPolicy | undefined,
+  ): Promise<ReadonlySet<number>> {
+    let keys = await entry.queryLoads(NO_KEYS);
+    if (policy === undefined || keys.size === 0) return keys;
+    const limitMs = WIDE_QUERY_SHARE * policy.shortestTargetMs;
+    for (let queries = 0; queries < MAX_WIDE_QUERIES; queries += 1) {
+      if (this.#readBacklogMs(keys) <= limitMs) break;
+      const added = await entry.queryLoads(keys);
+      if (added.size === 0) break;
+      keys = new Set([...keys, ...added]);
+    }
+    return keys;
+  }
+
   async #hold(
     request: requests.AdmittedRequest,
     entry: RoomEntry,
@@ -148,7 +171,7 @@
         // The spacing of questions must not make a request late.
         await this.#sleep(Math.min(waitMs, turn.longestMs), request.signal);
         if (entry.isRefused()) return { keys };
-        keys = await entry.queryLoads();
+        keys = await entry.queryLoads(NO_KEYS);
       }
     } finally {
       if (hold !== undefined) this.#changeHeldCount(-1);
--- a/packages/router/src/room_gate_test.ts
+++ b/packages/router/src/room_gate_test.ts
@@ -25,17 +25,21 @@
     random: 0.5,
     /** Keys whose owner answers. */
     keys: [7] as readonly number[],
+    /** Keys whose owners answer to one question after the other. */
+    batches: [] as readonly (readonly number[])[],
+    /** What this process has at replicas, by key. */
+    ownMs: new Map<number, number>(),
     gauges: new Map<string, number>(),
     events: [] as string[],
     logged: [] as Record<string, unknown>[],
     onSleep: (_durationMs: number): void => {},
   };
-  const replica = {
-    key: 7,
-    pendingMs: 0,
+  const createReplica = (key: number) => ({
+    key,
+    pendingMs: state.ownMs.get(key) ?? 0,
     inFlight: 0,
     entry: { slots: 8 },
-  };
+  });
   const index = () => ({
     table: { routes: ROUTES, accounts: [] },
     serviceByName: new Map([["llm", {
@@ -51,8 +55,8 @@
       setGauge: (name, value) => state.gauges.set(name, value),
     },
     table: {
-      find: () => replica,
-      listActive: () => [replica],
+      find: createReplica,
+      listActive: () => state.keys.map(createReplica),
     } as unknown as gates.RoomGateOptions["table"],
     fleet: {
       readLoad: () => ({
@@ -91,9 +95,14 @@
     return gate.enter(request, {
       hasBeenSent: options.hasBeenSent ?? false,
       prefillMs: options.prefillMs,
-      queryLoads: () => {
-        state.questions += 1;
-        return Promise.resolve(new Set(state.keys));
+      queryLoads: (askedKeys) => {
+        const batch = state.batches.find((keys) =>
+          keys.every((key) => !askedKeys.has(key))
+        );
+        const keys = batch ??
+          state.keys.filter((key) => !askedKeys.has(key));
+        state.questions += keys.length;
+        return Promise.resolve(new Set(keys));
       },
       isRefused: () => state.isRefused,
     });
@@ -228,3 +237,14 @@
   await enter(1, { prefillMs: 800, signal: abort.signal });
   t.true(slept <= 250);
 });
+
+test("more candidates are asked while the known ones have a long backlog", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  state.batches = [[1, 2, 3], [4, 5, 6], [7, 8, 9], [10, 11, 12]];
+  for (let key = 1; key <= 3; key += 1) state.ownMs.set(key, 900);
+  const { keys } = await enter(0, { prefillMs: 15 });
+  t.deepEqual([...keys], [1, 2, 3, 4, 5, 6]);
+  for (let key = 1; key <= 12; key += 1) state.ownMs.set(key, 900);
+  t.is((await enter(0, { prefillMs: 15 })).keys.size, 9);
+});
