Streams judge a version by the least their median gap can be, before their seventh gap

Since a gap with a moment of lag in it is left out, whatever its length: gaps of 600 to 2,700 ms were, for a lag of 30 ms or more. Change: once four of the seven gaps exceed the limit, the median of the seven does, too; such a stream is judged at once, the current gap included, with the same result as later. Lag is subtracted from a gap and leaves it out only if it takes up more than a quarter. Changed test: "a gap in which this process lagged is left out" gives the lag as a sum, 35 of 100 ms, where it gave the time of the last lag; same expectation.

--- a/packages/decisions/src/version_trial.ts
+++ b/packages/decisions/src/version_trial.ts
@@ -196,17 +196,23 @@
     this.#recordLocal(route, { replicaKey, replicas, isBad });
   }
 
+  /** Whether a stream is slower than the stable version's at a similar load. */
+  isSlowStream({ model, pace }: StreamEvidence): boolean {
+    const limitMs = this.#gapBaselines.get(model)?.computeLimitMs(pace.load);
+    return limitMs !== undefined && pace.medianGapMs > limitMs;
+  }
+
   /** Judges the pace of a stream, which may still be under way; returns whether it is slow. */
   recordStream(evidence: StreamEvidence, context: VersionContext): boolean {
     const { route, replicaKey, model, pace } = evidence;
     const { isTarget, replicas } = context;
-    const baseline = this.#gapBaselines.get(model) ?? new gaps.GapBaseline();
-    this.#gapBaselines.set(model, baseline);
-    const isBad = pace.medianGapMs > baseline.computeLimitMs(pace.load);
+    const isBad = this.isSlowStream(evidence);
     if (isTarget) {
       this.#recordLocal(route, { replicaKey, replicas, isBad: false });
       this.#recordLocal(STREAM_PACES, { replicaKey, replicas, isBad });
     } else {
+      const baseline = this.#gapBaselines.get(model) ?? new gaps.GapBaseline();
+      this.#gapBaselines.set(model, baseline);
       baseline.add(pace);
       this.#recordStable(route, false);
       this.#guard(STREAM_PACES).recordStableOutcome(isBad);
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -27,6 +27,8 @@
 export interface ServiceStreamEvidence extends decisions.StreamEvidence {
   readonly service: string;
   readonly version: string;
+  /** The stream goes on; its median gap is at least this, and may become longer. */
+  readonly isMinimum: boolean;
 }
 
 /** Evaluation of an order's target version by this process. */
@@ -144,8 +146,9 @@
   }
 
   /**
-   * Records the pace of a stream as evidence while a roll-out is active. Returns
-   * whether one is: then the end of a whole answer is no further evidence.
+   * Records the pace of a stream as evidence while a roll-out is active, a minimum only if
+   * it shows that the stream is slow. Returns whether it did: then the end of a whole answer
+   * is no further evidence.
    */
   recordStream(evidence: ServiceStreamEvidence): boolean {
     const { service, version } = evidence;
@@ -154,6 +157,7 @@
     const { targetVersion } = order;
     const isTarget = version === targetVersion;
     const { evaluator } = this.#getTrial(order);
+    if (evidence.isMinimum && !evaluator.isSlowStream(evidence)) return false;
     const previous = evaluator.verdict;
     const isSlow = evaluator.recordStream(evidence, {
       isTarget,
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -230,11 +230,8 @@
     const { nowMs } = this.#dispatcher;
     if (completeEvents.count > 0) {
       current.lastEventAtMs = nowMs;
-      current.pace.recordEvents(
-        completeEvents.count,
-        nowMs,
-        this.#watchdog.lastLagAtMs,
-      );
+      const { totalLagMs } = this.#watchdog;
+      current.pace.recordEvents(completeEvents.count, nowMs, totalLagMs);
       this.#offerPace(current, false);
     }
     if (completeEvents.count === current.splitter.count) {
@@ -248,7 +245,7 @@
     this.#writer.onDrain(() => {
       this.#isWaitingForCaller = false;
       current.lastEventAtMs = this.#dispatcher.nowMs;
-      current.pace.resume(current.lastEventAtMs);
+      current.pace.resume(current.lastEventAtMs, this.#watchdog.totalLagMs);
       sent.attempt.resume();
     });
   }
@@ -275,9 +272,11 @@
       if (signal.aborted) return attempt?.cancel("the caller disconnected");
       const expiry = this.#dispatcher.findExpiry(this.#request, nowMs);
       if (expiry !== undefined) return attempt?.cancel(expiry);
+      if (this.#isWaitingForCaller) return;
+      if (current.pace.isUndecided) this.#offerPace(current, false);
       const hasRunsLeft = route.isResumable &&
         this.#runCount + 1 < route.maxAttempts;
-      if (!hasRunsLeft || this.#isWaitingForCaller) return;
+      if (!hasRunsLeft) return;
       const { sent } = current;
       const waitedMs = nowMs - current.lastEventAtMs;
       const limitMs = current.headAtMs === undefined
@@ -304,7 +303,8 @@
     hasEnded: boolean,
   ): void {
     if (sent === undefined) return;
-    const options = { sent, model: this.#model, hasEnded };
+    const { totalLagMs } = this.#watchdog;
+    const options = { sent, model: this.#model, hasEnded, totalLagMs };
     paces.offerPace(pace, this.#dispatcher, this.#request, options);
   }
 
--- a/packages/router/src/stream_pace_test.ts
+++ b/packages/router/src/stream_pace_test.ts
@@ -65,12 +65,12 @@
 
 // Guards against EXPOSURE: an entry that lagged now and then judged no stream for a second each
 // time, and so hardly any of a slow version's.
-test("a gap in which this process lagged is left out, and the stream is judged by the others", (t) => {
+test("a gap in which this process lagged for long is left out, and the stream is judged by the others", (t) => {
   const tracker = new paces.StreamPaceTracker();
   const offered: number[] = [];
   for (let at = 0; at <= 9; at += 1) {
-    const hasLagged = at === 2 || at === 5;
-    tracker.recordEvents(1, at * 100, hasLagged ? at * 100 - 10 : -Infinity);
+    const totalLagMs = at < 2 ? 0 : at < 5 ? 35 : 70;
+    tracker.recordEvents(1, at * 100, totalLagMs);
     tracker.offer(false, (medianGapMs) => {
       offered.push(medianGapMs, at);
       return true;
@@ -78,3 +78,51 @@
   }
   t.deepEqual(offered, [100, 9]);
 });
+
+// Guards against EXPOSURE: the longest gaps of a slow stream were left out for a short lag in them.
+test("a gap much longer than the lag in it counts without the lag", (t) => {
+  const tracker = new paces.StreamPaceTracker();
+  const offered: number[] = [];
+  for (let at = 0; at <= 7; at += 1) {
+    tracker.recordEvents(1, at * 1_000, at * 40);
+  }
+  tracker.offer(false, (medianGapMs) => offered.push(medianGapMs) > 0);
+  t.deepEqual(offered, [960]);
+});
+
+/** Offers the least median after each event and while the last gap is open. */
+function playMinima(
+  gapsMs: readonly number[],
+  openGapMs: number,
+): readonly number[] {
+  const tracker = new paces.StreamPaceTracker();
+  const offered: number[] = [];
+  const offer = (nowMs: number) =>
+    tracker.offerMinimum(nowMs, 0, (minimumGapMs) => {
+      offered.push(minimumGapMs);
+      return false;
+    });
+  let nowMs = 0;
+  tracker.recordEvents(1, nowMs);
+  for (const gapMs of gapsMs) {
+    nowMs += gapMs;
+    tracker.recordEvents(1, nowMs);
+    offer(nowMs);
+  }
+  for (let openMs = 0; openMs <= openGapMs; openMs += 5) offer(nowMs + openMs);
+  return offered;
+}
+
+test("the least median is offered as soon as four gaps are that long, the current one included", (t) => {
+  t.deepEqual(playMinima([400, 500], 2_000), []);
+  t.deepEqual(playMinima([400, 500, 600], 0), []);
+  const offered = playMinima([400, 500, 600], 2_000);
+  t.deepEqual(offered, [5, 15, 35, 75, 155, 315, 400]);
+  t.deepEqual(playMinima([400, 500, 600, 450], 0), [400]);
+  t.deepEqual(playMinima([30, 30, 900, 900, 900], 0), [30]);
+  t.is(playMinima([30, 30, 900, 900, 900], 1_000).at(-1), 900);
+});
+
+test("a least median that is no evidence yet may become so with later gaps", (t) => {
+  t.deepEqual(playMinima([30, 40, 50, 60, 70], 0), [30, 40]);
+});
--- a/packages/router/src/watchdog.ts
+++ b/packages/router/src/watchdog.ts
@@ -15,6 +15,7 @@
   #timer: NodeJS.Timeout | undefined;
   #checkedAtMs: number | undefined;
   #lastLagAtMs = -Infinity;
+  #totalLagMs = 0;
 
   /** `onFault` gets what a check throws; the other checks run all the same. */
   constructor(clock: kernel.Clock, onFault: (thrown: unknown) => void) {
@@ -24,14 +25,14 @@
 
   /** Whether this process itself was recently short of CPU time. */
   get isLagging(): boolean {
-    const { lastLagAtMs } = this;
-    return this.#clock.monotonicMs() - lastLagAtMs <= LAG_WINDOW_MS;
+    const nowMs = this.#clock.monotonicMs();
+    if (this.#measureLagMs(nowMs) > 0) this.#lastLagAtMs = nowMs;
+    return nowMs - this.#lastLagAtMs <= LAG_WINDOW_MS;
   }
 
-  /** When this process was last found to be short of CPU time. */
-  get lastLagAtMs(): number {
-    this.#detectLag(this.#clock.monotonicMs());
-    return this.#lastLagAtMs;
+  /** Time by which checks were late so far, in sum, while attempts were in progress. */
+  get totalLagMs(): number {
+    return this.#totalLagMs + this.#measureLagMs(this.#clock.monotonicMs());
   }
 
   /** Registers a check that also runs when the signal is aborted; returns its removal function. */
@@ -63,15 +64,18 @@
     }
   }
 
-  #detectLag(nowMs: number): void {
-    if (this.#checkedAtMs === undefined) return;
+  /** Time by which the next check is late, or 0 if that is usual. */
+  #measureLagMs(nowMs: number): number {
+    if (this.#checkedAtMs === undefined) return 0;
     const lateMs = nowMs - this.#checkedAtMs - CHECK_INTERVAL_MS;
-    if (lateMs > LAG_THRESHOLD_MS) this.#lastLagAtMs = nowMs;
+    return lateMs > LAG_THRESHOLD_MS ? lateMs : 0;
   }
 
   #checkAll(): void {
     const nowMs = this.#clock.monotonicMs();
-    this.#detectLag(nowMs);
+    const lagMs = this.#measureLagMs(nowMs);
+    if (lagMs > 0) this.#lastLagAtMs = nowMs;
+    this.#totalLagMs += lagMs;
     this.#checkedAtMs = nowMs;
     for (const check of [...this.#checks]) this.#run(check, nowMs);
   }
--- a/packages/router/src/watchdog_test.ts
+++ b/packages/router/src/watchdog_test.ts
@@ -28,6 +28,28 @@
   },
 );
 
+ava.default("the lag of late checks adds up", async (t) => {
+  const clock = new kernel.ManualClock(5_000);
+  const watchdog = new watchdogs.Watchdog(clock, () => {});
+  let checks = 0;
+  watchdog.watch(() => {
+    checks += 1;
+    clock.advance(25);
+  }, new AbortController().signal);
+  while (checks < 3) await kernel.sleep(10);
+  t.is(watchdog.totalLagMs, 0);
+  clock.advance(30);
+  t.is(watchdog.totalLagMs, 0, "small delays of a timer are usual");
+  clock.advance(50);
+  t.is(watchdog.totalLagMs, 80, "the overdue check counts before it runs");
+  const checksBefore = checks;
+  while (checks < checksBefore + 3) await kernel.sleep(10);
+  t.is(watchdog.totalLagMs, 80);
+  clock.advance(100);
+  t.is(watchdog.totalLagMs, 180);
+  watchdog.close();
+});
+
 // Guards against CONFIG: one check that threw kept all checks after it from their deadlines.
 ava.default(
   "a check that throws does not keep the others from running",
