--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -28,7 +28,7 @@
 const WAIT_SPREAD = 0.25;
 /** Callers honour a delay of up to this share of the time that they have left. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
-/** A shorter time is left to requests whose deadline no estimate can meet or miss surely. */
+/** Time by which the shortest backlog must exceed that until the deadline: it is an estimate. */
 const MIN_REFUSAL_MARGIN_MS = 500;
 /** Weight of the newest backlog in its mean. */
 const BACKLOG_WEIGHT = 0.05;
