--- a/packages/router/src/control_listener.ts
+++ b/packages/router/src/control_listener.ts
@@ -1,6 +1,9 @@
-/** What the task that follows the control plane tells of each change of its view. */
+/** What the task that follows the control plane needs, and what it tells of each change of its view. */
 import type * as bundle from "@jackdawbank/bundle";
+import type * as kernel from "@jackdawbank/kernel";
+import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
+import type * as telemetry from "./telemetry.ts";
 
 /** Called for each change of the view. */
 export interface ControlListener {
@@ -18,3 +21,17 @@
   /** Called with all items of a full read, after each was applied. */
   onFullRead(items: readonly ports.ControlItem[]): void;
 }
+
+/** Dependencies of the task. */
+export interface ControlTaskOptions {
+  readonly clock: kernel.Clock;
+  readonly controlPlane: ports.ControlPlane;
+  readonly log: logs.DecisionLog;
+  readonly telemetry: telemetry.Telemetry;
+  readonly listener: ControlListener;
+  readonly random: () => number;
+  /** Number of peers that recently reported the age of their view. */
+  readonly countConfirmingPeers: () => number;
+  /** Time after which a change must be in force. */
+  readonly changeBoundMs: number;
+}
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -10,10 +10,8 @@
 import type * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
 import type * as listeners from "./control_listener.ts";
-import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 import * as removals from "./removal_delay.ts";
-import type * as telemetry from "./telemetry.ts";
 import * as ages from "./view_age.ts";
 import * as supervisors from "./watch_supervisor.ts";
 
@@ -28,25 +26,11 @@
 /** Failures that last this long are an outage, in which entries may have expired. */
 const MIN_OUTAGE_MS = 600;
 
-/** Dependencies of the task. */
-export interface ControlTaskOptions {
-  readonly clock: kernel.Clock;
-  readonly controlPlane: ports.ControlPlane;
-  readonly log: logs.DecisionLog;
-  readonly telemetry: telemetry.Telemetry;
-  readonly listener: listeners.ControlListener;
-  readonly random: () => number;
-  /** Number of peers that recently reported the age of their view. */
-  readonly countConfirmingPeers: () => number;
-  /** Time after which a change must be in force. */
-  readonly changeBoundMs: number;
-}
-
 type ReadResult = kernel.Outcome<{ readonly needsPause: boolean }>;
 
 /** Reads and watches the control plane. */
 export class ControlTask {
-  readonly #options: ControlTaskOptions;
+  readonly #options: listeners.ControlTaskOptions;
   readonly #abort = new AbortController();
   readonly #replicas = new Map<string, ports.ReplicaEntry>();
   readonly #orders = new Map<string, ports.RolloutOrder>();
@@ -67,7 +51,7 @@
   #needsConfirmation = false;
   #loop: Promise<void> | undefined;
 
-  constructor(options: ControlTaskOptions) {
+  constructor(options: listeners.ControlTaskOptions) {
     this.#options = options;
     this.#viewAge = new ages.ViewAge(options.clock);
     this.#removals = new removals.RemovalDelay(options.clock);
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -3,31 +3,21 @@
  * enforces the retry budget and records the result of each attempt.
  */
 import * as decisions from "@jackdawbank/decisions";
-import type * as kernel from "@jackdawbank/kernel";
 import * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
 import * as admissions from "./admission.ts";
 import * as attempts from "./attempt.ts";
 import * as recorders from "./attempt_recorder.ts";
 import * as colds from "./cold_replicas.ts";
-import type * as control from "./control_task.ts";
 import * as demandTrackers from "./demand_tracker.ts";
+import type * as parts from "./dispatcher_dependencies.ts";
 import * as priorities from "./engine_priority.ts";
-import type * as fleets from "./fleet.ts";
-import type * as logs from "./decision_log.ts";
 import * as places from "./places.ts";
-import type * as ports from "./ports.ts";
-import type * as quarantines from "./prompt_quarantine.ts";
 import type * as groups from "./replica_group.ts";
-import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import * as retries from "./retry_budgets.ts";
 import * as rooms from "./room_gate.ts";
-import type * as rollouts from "./rollout_task.ts";
 import type * as sends from "./send.ts";
-import type * as sessions from "./sessions.ts";
-import type * as shutdowns from "./shutdown.ts";
-import type * as telemetry from "./telemetry.ts";
 
 /** Interval at which the evidence about a plain service's replica is asked for. */
 const EVIDENCE_QUERY_INTERVAL_MS = 1_000;
@@ -36,28 +26,9 @@
 /** Interval at which the load of a replica is asked for while a stream waits there for long. */
 const STALL_QUERY_INTERVAL_MS = 200;
 
-/** Dependencies of the dispatcher. */
-export interface DispatcherDependencies {
-  readonly clock: kernel.Clock;
-  readonly codec: ports.MessageCodec;
-  readonly settings: ports.RouterSettings;
-  readonly control: control.ControlTask;
-  readonly admission: admissions.Admission;
-  readonly table: replicas.ReplicaTable;
-  readonly places: places.Places;
-  readonly rollouts: rollouts.RolloutTask;
-  readonly quarantine: quarantines.PromptQuarantine;
-  readonly fleet: fleets.Fleet;
-  readonly sessions: sessions.SessionTable;
-  readonly shutdown: shutdowns.ShutdownSchedule;
-  readonly log: logs.DecisionLog;
-  readonly telemetry: telemetry.Telemetry;
-  readonly random: () => number;
-}
-
 /** Sends the requests of one process. */
 export class Dispatcher {
-  readonly dependencies: DispatcherDependencies;
+  readonly dependencies: parts.DispatcherDependencies;
   readonly demands: demandTrackers.DemandTracker;
   readonly recorder: recorders.AttemptRecorder;
   readonly #retryBudgets: retries.RetryBudgets;
@@ -67,7 +38,7 @@
     decisions.EngineLatencyTracker
   >();
 
-  constructor(dependencies: DispatcherDependencies) {
+  constructor(dependencies: parts.DispatcherDependencies) {
     this.dependencies = dependencies;
     const { clock, settings, fleet } = dependencies;
     this.recorder = new recorders.AttemptRecorder(dependencies);
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -4,10 +4,10 @@
  */
 import type * as bundle from "@jackdawbank/bundle";
 import * as decisions from "@jackdawbank/decisions";
-import type * as peers from "@jackdawbank/peers";
 import * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
 import * as groups from "./replica_group.ts";
+import type * as tableOptions from "./replica_table_options.ts";
 import * as prefixes from "./prefix_memory.ts";
 import * as queries from "./query_choice.ts";
 
@@ -32,31 +32,13 @@
   readonly candidates: number;
 }
 
-/** Dependencies and settings of the table. */
-export interface ReplicaTableOptions {
-  readonly dataCentre: string;
-  readonly prefixReuseWindowMs: number;
-  readonly random: () => number;
-  readonly onConnectionOpened: () => void;
-  readonly rates: groups.ReplicaRates;
-  /** Whether nothing may be sent to a data centre's replicas; absent if all are in use. */
-  readonly isEvacuated?: (dataCentre: string) => boolean;
-  /** Load that peers have in flight at a replica. */
-  readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
-  /** Called when this process's load at a replica, or its evidence, has changed. */
-  readonly onLoadChanged: (
-    replicaKey: number,
-    change: peers.LoadChange,
-  ) => void;
-}
-
 interface Candidate extends decisions.ReplicaCandidate {
   readonly state: groups.ReplicaState;
 }
 
 /** The replicas of all services. */
 export class ReplicaTable {
-  readonly #options: ReplicaTableOptions;
+  readonly #options: tableOptions.ReplicaTableOptions;
   readonly #states = new Map<string, groups.ReplicaState>();
   readonly #stateByKey = new Map<number, groups.ReplicaState>();
   readonly #statesByService = new Map<string, Set<groups.ReplicaState>>();
@@ -67,7 +49,7 @@
   #services: ReadonlyMap<string, bundle.RouteTableService> = new Map();
   #processes: number | undefined;
 
-  constructor(options: ReplicaTableOptions) {
+  constructor(options: tableOptions.ReplicaTableOptions) {
     this.#options = options;
   }
 
