Tests of an entry's memory under callers that keep to no limit

They check that the process lives, its peak memory and descriptors, and one ordinary request; no times, no share of served requests.

The files that measure a process run apart from the others, one at a time.

--- /dev/null
+++ b/packages/bench/src/memory_harness.ts
@@ -0,0 +1,344 @@
+/**
+ * Runs one entry process as it runs on the platform, on a machine with small
+ * limits, and a crowd of callers that keep to none. What is checked does not
+ * depend on the machine's speed: whether the process lives, its peak memory,
+ * its open descriptors and the answer to an ordinary request.
+ */
+import * as fs from "node:fs";
+import * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import type * as ava from "ava";
+import * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
+import * as processes from "./processes.ts";
+
+const { HOST, KEY, ROUTES, buildConfiguration } = fakes.samples;
+export { ROUTES };
+
+export const KB = 1_024;
+export const MB = 1_048_576;
+/** Largest body that the configuration of these tests allows. */
+export const MAX_BODY_BYTES = MB;
+/** Heap limit that the deploy file gives an entry. */
+const HEAP_LIMIT_MB = 200;
+/** Requests that each replica serves at once. */
+const SLOTS = 64;
+/** Ends a crowd that is neither served nor cut off. */
+const CROWD_TIMEOUT_MS = 40_000;
+const SAMPLE_INTERVAL_MS = 20;
+/** A crowd that causes no further request for this time has done its part. */
+const SETTLE_MS = 1_500;
+
+/** Limits of the machine, as its settings state them. */
+export interface MachineLimits {
+  readonly memoryMb: number;
+  readonly fileDescriptors: number;
+  /** Whether replicas crash when the requests that they hold exceed their memory. */
+  readonly hasReplicaMemoryLimit?: boolean;
+}
+
+export async function findFreePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return port;
+}
+
+/** Largest number of open descriptors seen, and the peak of memory, of a process. */
+export class ProcessUsage {
+  readonly #pid: number;
+  readonly #timer: NodeJS.Timeout;
+  #peakDescriptors = 0;
+  #peakBytes = 0;
+
+  constructor(pid: number) {
+    this.#pid = pid;
+    this.#timer = setInterval(() => this.#sample(), SAMPLE_INTERVAL_MS);
+  }
+
+  get peakDescriptors(): number {
+    this.#sample();
+    return this.#peakDescriptors;
+  }
+
+  get peakMb(): number {
+    this.#sample();
+    return Math.round(this.#peakBytes / MB);
+  }
+
+  countDescriptors(): number {
+    return fs.readdirSync(`/proc/${this.#pid}/fd`).length;
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  #sample(): void {
+    try {
+      const status = fs.readFileSync(`/proc/${this.#pid}/status`, "utf8");
+      const peakKb = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? 0);
+      this.#peakBytes = Math.max(this.#peakBytes, peakKb * KB);
+      this.#peakDescriptors = Math.max(
+        this.#peakDescriptors,
+        this.countDescriptors(),
+      );
+    } catch {
+      // The process has ended, which the test reports itself.
+    }
+  }
+}
+
+/** Head of a request as raw text, without the line that announces its body. */
+export function renderHead(route: string, extraLines = ""): string {
+  return `POST ${route} HTTP/1.1\r\nhost: ${HOST}\r\n` +
+    `authorization: Token ${KEY}\r\nx-jackdawbank-attempt-id: crowd\r\n` +
+    `x-jackdawbank-deadline-ms: 20000\r\n${extraLines}`;
+}
+
+/** Chunks of a body in the chunked encoding, without the end of the body. */
+export function renderChunks(count: number, bytesPerChunk: number): Buffer {
+  const chunk = `${bytesPerChunk.toString(16)}\r\n${
+    "x".repeat(bytesPerChunk)
+  }\r\n`;
+  return Buffer.from(chunk.repeat(count));
+}
+
+/** Connections that send what they are told to, and stay open until the crowd is closed. */
+export class Crowd {
+  readonly #port: number;
+  readonly #sockets: net.Socket[] = [];
+
+  constructor(port: number) {
+    this.#port = port;
+  }
+
+  /**
+   * Opens connections that send the parts one after the other. Resolves when each
+   * has sent all of them or was cut off; none is closed by the crowd itself.
+   */
+  async send(
+    count: number,
+    parts: readonly (string | Buffer)[],
+    options: { readonly readsAnswers: boolean } = { readsAnswers: true },
+  ): Promise<void> {
+    const timeout = kernel.sleep(CROWD_TIMEOUT_MS);
+    const members = Array.from(
+      { length: count },
+      () => this.#sendOne(parts, options.readsAnswers),
+    );
+    await Promise.race([Promise.all(members), timeout]);
+  }
+
+  get openConnections(): number {
+    return this.#sockets.filter((socket) => !socket.destroyed).length;
+  }
+
+  close(): void {
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  async #sendOne(
+    parts: readonly (string | Buffer)[],
+    readsAnswers: boolean,
+  ): Promise<void> {
+    const socket = net.connect(this.#port, "127.0.0.1");
+    this.#sockets.push(socket);
+    socket.on("error", () => socket.destroy());
+    const closed = new Promise<false>((resolve) =>
+      socket.once("close", () => resolve(false))
+    );
+    if (readsAnswers) socket.resume();
+    else socket.pause();
+    const sendAll = async () => {
+      for (const part of parts) {
+        await new Promise((resolve) => socket.write(part, resolve));
+      }
+    };
+    await Promise.race([sendAll(), closed]);
+  }
+}
+
+/** One entry process with its store and replicas; `close` stops all of them. */
+export class SmallMachine {
+  readonly entry: processes.TestProcess;
+  readonly usage: ProcessUsage;
+  readonly crowd: Crowd;
+  readonly desk: fakes.FakeReplica;
+  readonly engine: fakes.FakeReplica;
+  readonly #store: fakes.FakePlatformStore;
+  readonly #folder: string;
+  readonly #caller: fakes.PlatformCaller;
+  readonly #holdTimer: NodeJS.Timeout;
+  #peakHeldBytes = 0;
+
+  private constructor(parts: {
+    readonly entry: processes.TestProcess;
+    readonly callersPort: number;
+    readonly store: fakes.FakePlatformStore;
+    readonly desk: fakes.FakeReplica;
+    readonly engine: fakes.FakeReplica;
+    readonly folder: string;
+  }) {
+    this.entry = parts.entry;
+    this.usage = new ProcessUsage(parts.entry.pid);
+    this.crowd = new Crowd(parts.callersPort);
+    this.desk = parts.desk;
+    this.engine = parts.engine;
+    this.#store = parts.store;
+    this.#folder = parts.folder;
+    this.#caller = new fakes.PlatformCaller(() => parts.callersPort);
+    this.#holdTimer = setInterval(() => {
+      const heldBytes = this.desk.received
+        .filter(({ path, wasCancelled }) =>
+          path === ROUTES.order && !wasCancelled
+        ).reduce((sum, { body }) => sum + body.length, 0);
+      this.#peakHeldBytes = Math.max(this.#peakHeldBytes, heldBytes);
+    }, SAMPLE_INTERVAL_MS);
+  }
+
+  static async start(limits: MachineLimits): Promise<SmallMachine> {
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "jackdaw-memory-"));
+    const store = new fakes.FakePlatformStore();
+    const storePort = await store.listen();
+    const desk = new fakes.FakeReplica("desk-1", () => ({ type: "ok" }));
+    const engine = new fakes.FakeReplica("engine-1", () => ({
+      type: "stream",
+      events: 3,
+      confidence: 90,
+    }));
+    await desk.listen();
+    await engine.listen();
+    store.putReplica(desk.id, desk.buildEntry("desk", { slots: SLOTS }));
+    store.putReplica(engine.id, engine.buildEntry("llm", { slots: SLOTS }));
+    store.putConfiguration(buildConfiguration({
+      limits: {
+        maxHeaderBytes: 8_192,
+        maxBodyBytes: MAX_BODY_BYTES,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+    }));
+    const callersPort = await findFreePort();
+    const settingsPath = path.join(folder, "settings.toml");
+    const contracts = limits.hasReplicaMemoryLimit === true
+      ? 'contracts = ["pressure"]\n'
+      : "";
+    fs.writeFileSync(
+      settingsPath,
+      contracts + fakes.samples.renderSettings({
+        callers: callersPort,
+        readiness: await findFreePort(),
+        store: storePort,
+      }) + `[limits]\nmemoryMb = ${limits.memoryMb}\n` +
+        `fileDescriptors = ${limits.fileDescriptors}\n`,
+    );
+    const entry = await processes.TestProcess.start(
+      "platform-entry",
+      "jackdawd",
+      ["platform-entry"],
+      {
+        ...fakes.samples.buildEnvironment(settingsPath),
+        NODE_OPTIONS: `--max-old-space-size=${HEAP_LIMIT_MB}`,
+      },
+    );
+    const machine = new SmallMachine({
+      entry,
+      callersPort,
+      store,
+      desk,
+      engine,
+      folder,
+    });
+    await processes.waitFor(
+      "the entry serves requests",
+      async () => await machine.callOrdinary() === 200,
+    );
+    return machine;
+  }
+
+  /** Sends one small request; resolves with its status, or why there is none. */
+  async callOrdinary(): Promise<number | string> {
+    try {
+      const response = await this.#caller.call(ROUTES.check);
+      return response.status;
+    } catch (thrown) {
+      return kernel.describeThrown(thrown);
+    }
+  }
+
+  /** Most that the plain replica held at one time of orders which it never answered, in bytes. */
+  get peakHeldBytes(): number {
+    return this.#peakHeldBytes;
+  }
+
+  /** Waits until a replica has received so many requests, or no more come for some time. */
+  async waitForRequests(
+    replica: fakes.FakeReplica,
+    count: number,
+  ): Promise<void> {
+    let seen = -1;
+    while (replica.received.length < count && replica.received.length > seen) {
+      seen = replica.received.length;
+      await kernel.sleep(SETTLE_MS);
+    }
+    await kernel.sleep(SETTLE_MS);
+  }
+
+  /** Sends one request with the largest body allowed; resolves with its status, or why there is none. */
+  async callLargest(): Promise<number | string> {
+    try {
+      const response = await this.#caller.call(ROUTES.order, {
+        method: "POST",
+        body: "x".repeat(MAX_BODY_BYTES),
+      });
+      return response.status;
+    } catch (thrown) {
+      return kernel.describeThrown(thrown);
+    }
+  }
+
+  async close(): Promise<void> {
+    this.crowd.close();
+    this.usage.close();
+    clearInterval(this.#holdTimer);
+    await this.entry.kill();
+    await this.desk.close();
+    await this.engine.close();
+    await this.#store.close();
+    fs.rmSync(this.#folder, { recursive: true });
+  }
+}
+
+/** Runs a test with an entry on a small machine, then stops both. */
+export async function withSmallMachine(
+  limits: MachineLimits,
+  run: (machine: SmallMachine) => Promise<void>,
+): Promise<void> {
+  const machine = await SmallMachine.start(limits);
+  try {
+    await run(machine);
+  } finally {
+    await machine.close();
+  }
+}
+
+/** Checks that the entry lives, stayed within its machine's limits, and serves an ordinary request. */
+export async function assertWithinLimits(
+  t: ava.ExecutionContext,
+  machine: SmallMachine,
+  limits: MachineLimits,
+): Promise<void> {
+  t.true(machine.entry.isRunning, machine.entry.log.slice(-5).join("; "));
+  t.is(await machine.callOrdinary(), 200);
+  const { peakMb, peakDescriptors } = machine.usage;
+  t.log(`peak: ${peakMb} MB, ${peakDescriptors} descriptors`);
+  t.true(peakMb <= limits.memoryMb, `peak of ${peakMb} MB`);
+  t.true(
+    peakDescriptors <= limits.fileDescriptors,
+    `peak of ${peakDescriptors} descriptors`,
+  );
+  t.true(machine.entry.isRunning, machine.entry.log.slice(-5).join("; "));
+}
--- a/packages/bench/src/run_tests.ts
+++ b/packages/bench/src/run_tests.ts
@@ -15,7 +15,11 @@
   "packages/*/dist/**/*_test.js",
   "platform/dist/**/*_test.js",
 ];
-const STRESS_TESTS = "packages/bench/dist/stress_test.js";
+/** Tests that measure a process, each in a run of its own. */
+const ISOLATED_TESTS = [
+  "packages/bench/dist/memory_fault_test.js",
+  "packages/bench/dist/stress_test.js",
+];
 
 /** Reads the names of tests in KNOWN-RED.txt, one `test: <name>` line each. */
 function readKnownFailingTests(): ReadonlySet<string> {
@@ -100,9 +104,11 @@
     skipped: 0,
     knownFailures: [],
   };
-  // Stress tests measure throughput, so no other test may run beside them.
-  await runFiles([...ALL_TESTS, `!${STRESS_TESTS}`], counts, knownFailingTests);
-  await runFiles([STRESS_TESTS], counts, knownFailingTests);
+  const others = [...ALL_TESTS, ...ISOLATED_TESTS.map((file) => `!${file}`)];
+  await runFiles(others, counts, knownFailingTests);
+  for (const file of ISOLATED_TESTS) {
+    await runFiles([file], counts, knownFailingTests);
+  }
   for (const name of counts.knownFailures) {
     process.stdout.write(`passed over (KNOWN-RED.txt): ${name}\n`);
   }
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -48,6 +48,8 @@
   | {
     readonly type: "stream";
     readonly events: number;
+    /** Pads the data of each event to at least this many bytes. */
+    readonly eventBytes?: number;
     readonly confidence?: number;
     readonly eventIntervalMs?: number;
     /** Time before the head. */
@@ -299,7 +301,8 @@
     });
     const firstEvent = Number(received.headers["last-event-id"] ?? 0) + 1;
     for (let event = firstEvent; event <= behaviour.events; event += 1) {
-      const text = `id: ${event}\ndata: piece ${event}\n\n`;
+      const padding = "x".repeat(behaviour.eventBytes ?? 0);
+      const text = `id: ${event}\ndata: piece ${event}${padding}\n\n`;
       if (behaviour.disconnectAfterEvents === event - 1) {
         response.write(text.slice(0, 8));
         await sleep(5);
