Bound what an entry holds for its callers and replicas

Cause: nothing limited the sum of the bodies being read; a body was kept as a list of its chunks, hundreds of bytes of heap for a chunk of one byte; a buffered answer was handed over whole to callers that might never read it, without a time-out; callers could take all descriptors.

Change: a budget from the machine's memory for all that is held for callers, with an order of who gives way (decisions/src/memory); bodies and answers in segments, answers written as fast as they are read, with a bound on the caller's pause; connections bound by the descriptors, the one idle longest gives way; at most 32 unanswered requests on a connection and two bodies in very small chunks at a time; 8 MB of large bodies in flight to a replica; garbage collected after 16 MB released. Late bodies get 408 (was 400) and those that give way 503, both not run, with Retry-After.

--- /dev/null
+++ b/packages/decisions/src/memory/memory_test.ts
@@ -0,0 +1,55 @@
+/** Tests what a process may hold for its callers, and which requests give way. */
+import * as ava from "ava";
+import * as memory from "./mod.ts";
+
+const test = ava.default;
+const MB = 1_048_576;
+
+function makeHold(overrides: Partial<memory.Hold> = {}): memory.Hold {
+  return {
+    stage: "receiving",
+    caller: "10.0.0.1",
+    heldBytes: 1_000,
+    openedAtMs: 9_900,
+    progressAtMs: 9_900,
+    ...overrides,
+  };
+}
+
+const NOW_MS = 10_000;
+
+test("the budgets leave a small machine its base, and replicas their descriptors", (t) => {
+  const budgetBytes = memory.computeMemoryBudget(202 * MB);
+  // Ten bodies of the largest size in use, and hundreds of ordinary requests.
+  t.true(budgetBytes >= 40 * MB && budgetBytes <= 50 * MB, `${budgetBytes}`);
+  t.true(memory.computeMemoryBudget(64 * MB) > 0);
+  t.true(memory.computeMemoryBudget(undefined) > 0);
+  const connections = memory.computeCallerConnections(2_069);
+  t.true(connections >= 1_000 && connections <= 1_200, `${connections}`);
+  t.is(memory.computeCallerConnections(undefined), Infinity);
+});
+
+test("requests without progress give way first, then those of the caller with most, then the oldest", (t) => {
+  const stalled = makeHold({ openedAtMs: 8_000, progressAtMs: 8_500 });
+  const stalledLonger = makeHold({ caller: "b", progressAtMs: 8_000 });
+  const siblings = [makeHold({ caller: "c" }), makeHold({ caller: "c" })];
+  const older = makeHold({ caller: "d", openedAtMs: 9_700 });
+  const newer = makeHold({ caller: "e" });
+  const holds = [newer, older, ...siblings, stalled, stalledLonger];
+  t.deepEqual(memory.chooseYielding(holds, 6_000, NOW_MS), [
+    stalledLonger,
+    stalled,
+    ...siblings,
+    older,
+    newer,
+  ]);
+  t.deepEqual(memory.chooseYielding(holds, 1_500, NOW_MS), [
+    stalledLonger,
+    stalled,
+  ]);
+});
+
+test("a request that runs never gives way", (t) => {
+  const running = makeHold({ stage: "running", progressAtMs: 0 });
+  t.deepEqual(memory.chooseYielding([running], MB, NOW_MS), []);
+});
--- /dev/null
+++ b/packages/decisions/src/memory/mod.ts
@@ -0,0 +1,3 @@
+/** Rules of what a process holds in memory for its callers. */
+export * from "./memory_limits.ts";
+export * from "./yield_order.ts";
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -25,6 +25,7 @@
 export * from "./rollout_stops.ts";
 export * from "./versions.ts";
 export * from "./freshness.ts";
+export * from "./memory/mod.ts";
 export * from "./model_choice.ts";
 export * from "./prompt_blame.ts";
 export * from "./rate_account.ts";
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -22,6 +22,7 @@
   "unknown-model": { status: 404, notRun: true, retry: "never" },
   "unknown-service": { status: 404, notRun: true, retry: "never" },
   "not-found": { status: 404, notRun: true, retry: "never" },
+  "request-timeout": { status: 408, notRun: true, retry: "later" },
   "body-too-large": { status: 413, notRun: true, retry: "never" },
   "headers-too-large": { status: 431, notRun: true, retry: "never" },
   "key-reused": { status: 422, notRun: true, retry: "never" },
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -3,6 +3,7 @@
  * non-idempotent request is only retried if it was provably not run.
  */
 import * as kernel from "@jackdawbank/kernel";
+import * as bodies from "./body_reader.ts";
 import * as check from "./response_check.ts";
 import type * as attempts from "./attempt.ts";
 import type * as admissions from "./admission.ts";
@@ -27,7 +28,7 @@
   | {
     readonly type: "answered";
     readonly head: attempts.ResponseHead;
-    readonly body: Buffer;
+    readonly bodyParts: readonly Buffer[];
   }
   | check.NoResponseResult;
 
@@ -120,8 +121,7 @@
     >((resolve) => {
       let head: attempts.ResponseHead | undefined;
       let verdict: check.HeadVerdict | undefined;
-      const chunks: Buffer[] = [];
-      let receivedBytes = 0;
+      const collector = new bodies.ByteCollector();
       const sendResult = dispatcher.send(request, {
         ...options,
         ...preparation,
@@ -141,15 +141,20 @@
           }
         },
         onData: (chunk) => {
-          receivedBytes += chunk.length;
           recordActivity();
-          if (receivedBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
-          else sent?.attempt.cancel("the response is too long");
+          collector.push(chunk);
+          if (collector.byteCount > MAX_RESPONSE_BYTES) {
+            sent?.attempt.cancel("the response is too long");
+          } else if (!this.#writer.reserve(collector.heldBytes)) {
+            sent?.attempt.cancel("too many bytes are held for callers");
+          }
         },
         onEnd: (end) => {
           stopWatching?.();
           if (sent === undefined) return;
-          resolve({ sent, result: buildResult(end, verdict, head, chunks) });
+          const result = buildResult(end, verdict, head, collector);
+          if (result.type !== "answered") this.#writer.reserve(0);
+          resolve({ sent, result });
         },
       });
       if (sendResult.isErr()) {
@@ -230,7 +235,7 @@
     result: Extract<AttemptResult, { type: "answered" }>,
   ): requests.RequestOutcome {
     const { status, rawHeaders, isFramed } = result.head;
-    this.#writer.answer(status, rawHeaders, result.body, isFramed);
+    this.#writer.answer(status, rawHeaders, result.bodyParts, isFramed);
     return {
       outcome: check.isServerError(status) ? "replica-failed" : "answered",
       status,
@@ -280,7 +285,7 @@
   end: attempts.AttemptEnd,
   verdict: check.HeadVerdict | undefined,
   head: attempts.ResponseHead | undefined,
-  chunks: readonly Buffer[],
+  collector: bodies.ByteCollector,
 ): AttemptResult {
   const noResponse = check.classifyNoResponse(end, verdict);
   if (noResponse !== undefined) return noResponse;
@@ -292,5 +297,5 @@
       reason: `response rejected as ${verdict ?? "empty"}`,
     };
   }
-  return { type: "answered", head, body: Buffer.concat(chunks) };
+  return { type: "answered", head, bodyParts: collector.takeParts() };
 }
--- /dev/null
+++ b/packages/router/src/caller_connections.ts
@@ -0,0 +1,120 @@
+/**
+ * Connections of callers: how many are open, which of them are idle, and how they
+ * are closed. At the limit, the connection that has been idle longest gives way.
+ */
+import type * as net from "node:net";
+
+/** Time for a caller to read a refusal while the rest of its request is discarded. */
+const LINGER_MS = 1_000;
+/** Requests of one connection that are read before their answers are written. */
+const MAX_PIPELINED_REQUESTS = 32;
+
+/** Why a connection was closed. */
+export type CloseReason = "idle-longest" | "none-idle" | "pipelined";
+
+export interface CallerConnectionsOptions {
+  readonly maxConnections: number;
+  readonly onOpened: () => void;
+  readonly onClosed: () => void;
+  /** Called for each connection that is closed because of a limit. */
+  readonly onRefused: (reason: CloseReason) => void;
+}
+
+/** Requests of one connection. */
+interface ConnectionState {
+  /** Requests without a complete response. */
+  requestCount: number;
+  /** Whether the body of the newest one is still being read. */
+  isReading: boolean;
+}
+
+/** Open connections of callers. */
+export class CallerConnections {
+  readonly #options: CallerConnectionsOptions;
+  readonly #states = new Map<net.Socket, ConnectionState>();
+  /** Connections without a request, longest idle first. */
+  readonly #idle = new Set<net.Socket>();
+
+  constructor(options: CallerConnectionsOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#states.size;
+  }
+
+  /** Registers a new connection, or closes it if there are too many and none is idle. */
+  accept(socket: net.Socket): void {
+    const { maxConnections, onOpened, onClosed, onRefused } = this.#options;
+    if (this.size >= maxConnections) {
+      const [longestIdle] = this.#idle;
+      onRefused(longestIdle === undefined ? "none-idle" : "idle-longest");
+      if (longestIdle === undefined) {
+        socket.destroy();
+        return;
+      }
+      this.#remove(longestIdle);
+      longestIdle.destroy();
+    }
+    this.#states.set(socket, { requestCount: 0, isReading: false });
+    this.#idle.add(socket);
+    onOpened();
+    socket.once("close", () => {
+      this.#remove(socket);
+      onClosed();
+    });
+  }
+
+  /** Records a request; returns false if the connection had too many and was closed. */
+  startRequest(socket: net.Socket): boolean {
+    const state = this.#states.get(socket);
+    if (state === undefined) return !socket.destroyed;
+    if (state.requestCount >= MAX_PIPELINED_REQUESTS) {
+      this.#options.onRefused("pipelined");
+      socket.destroy();
+      return false;
+    }
+    state.requestCount += 1;
+    state.isReading = true;
+    this.#idle.delete(socket);
+    return true;
+  }
+
+  /** Records that the body of the newest request was read. */
+  endBody(socket: net.Socket): void {
+    const state = this.#states.get(socket);
+    if (state !== undefined) state.isReading = false;
+  }
+
+  /** Records the end of a response. */
+  endRequest(socket: net.Socket): void {
+    const state = this.#states.get(socket);
+    if (state === undefined || state.requestCount === 0) return;
+    state.requestCount -= 1;
+    if (state.requestCount === 0 && !socket.destroyed) this.#idle.add(socket);
+  }
+
+  /** Whether a request that was read has no complete response yet. */
+  isAnswering(socket: net.Socket): boolean {
+    const state = this.#states.get(socket);
+    if (state === undefined) return false;
+    return state.requestCount > (state.isReading ? 1 : 0);
+  }
+
+  /** Ends a connection after what was written; its caller may not keep it open. */
+  endSoon(socket: net.Socket): void {
+    socket.end();
+    const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
+    socket.once("close", () => clearTimeout(timer));
+  }
+
+  /** Ends all idle connections. */
+  closeIdle(): void {
+    for (const socket of this.#idle) socket.end();
+  }
+
+  #remove(socket: net.Socket): void {
+    this.#states.delete(socket);
+    this.#idle.delete(socket);
+  }
+}
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -1,11 +1,13 @@
 /**
  * HTTP server for callers: reads each request completely, within the configured
- * limits, runs an exchange for it and records the outcome.
+ * limits and the memory budget, runs an exchange for it and records the outcome.
  */
 import * as http from "node:http";
 import * as net from "node:net";
 import * as kernel from "@jackdawbank/kernel";
 import * as admissions from "./admission.ts";
+import * as bodies from "./body_reader.ts";
+import * as resources from "./caller_resources.ts";
 import type * as control from "./control_task.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import type * as logs from "./decision_log.ts";
@@ -23,8 +25,10 @@
 const FIRST_VIEW_WAIT_MS = 1_500;
 /** Share of the caller's deadline that this wait may use. */
 const FIRST_VIEW_WAIT_SHARE = 0.5;
-/** Limit of the HTTP parser; the configured limit is checked afterwards. */
-const MAX_PARSER_HEADER_BYTES = 65_536;
+/** Limit of the HTTP parser, in multiples of the configured one, which is checked afterwards. */
+const PARSER_HEADER_FACTOR = 2;
+/** The parser's own time-out comes later than that of the body, which says why. */
+const PARSER_TIMEOUT_MARGIN_MS = 2_000;
 /** Limits until the first configuration is received. */
 const DEFAULT_LIMITS = {
   maxHeaderBytes: 16_384,
@@ -39,27 +43,17 @@
 /** A path and query; the parser lets further characters through. */
 const TARGET_PATTERN = /^\/[\u0021-\u00ff]*$/;
 const HTTP_BAD_REQUEST = 400;
+const HTTP_REQUEST_TIMEOUT = 408;
 const HTTP_HEADERS_TOO_LARGE = 431;
+const YIELD_RETRY_AFTER_MS = 1_000;
 
 /** Dependencies of the caller server. */
-export interface CallerServerOptions {
+export interface CallerServerOptions extends resources.CallerResourcesOptions {
   readonly dispatcher: dispatchers.Dispatcher;
   readonly watchdog: watchdogs.Watchdog;
   readonly control: control.ControlTask;
   readonly codec: ports.MessageCodec;
-  readonly clock: kernel.Clock;
   readonly log: logs.DecisionLog;
-  readonly telemetry: telemetry.Telemetry;
-}
-
-/** Thrown for a request that violates the protocol or a limit. */
-class RequestReadError extends Error {
-  readonly kind: kernel.ErrorKind;
-
-  constructor(kind: kernel.ErrorKind, message: string) {
-    super(message);
-    this.kind = kind;
-  }
 }
 
 /**
@@ -82,7 +76,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: http.Server;
-  readonly #idleSockets = new Set<net.Socket>();
+  readonly #resources: resources.CallerResources;
   #isDraining = false;
   #isRefusing = false;
   #inFlight = 0;
@@ -91,8 +85,8 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    this.#resources = new resources.CallerResources(options);
     this.#server = http.createServer({
-      maxHeaderSize: MAX_PARSER_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
       keepAlive: true,
       noDelay: true,
@@ -101,11 +95,15 @@
       this.#rejectMalformedRequest(error, socket as net.Socket);
     });
     this.#server.on("connection", (socket: net.Socket) => {
-      this.#idleSockets.add(socket);
-      socket.once("close", () => this.#idleSockets.delete(socket));
+      this.#resources.connections.accept(socket);
     });
   }
 
+  /** What is held for callers, by name of the gauge. */
+  readGauges(): Readonly<Record<string, number>> {
+    return this.#resources.readGauges();
+  }
+
   get inFlight(): number {
     return this.#inFlight;
   }
@@ -119,7 +117,12 @@
   applyLimits(): void {
     const limits = this.#limits;
     this.#server.headersTimeout = limits.headerTimeoutMs;
-    this.#server.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
+    this.#server.requestTimeout = limits.headerTimeoutMs +
+      limits.idleTimeoutMs + PARSER_TIMEOUT_MARGIN_MS;
+    // Read by the server for each new connection, though its type does not declare it.
+    Object.assign(this.#server, {
+      maxHeaderSize: PARSER_HEADER_FACTOR * limits.maxHeaderBytes,
+    });
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
@@ -133,13 +136,14 @@
     this.#isRefusing = true;
     // http.Server.close would also close connections whose responses are still being written.
     net.Server.prototype.close.call(this.#server);
-    for (const socket of this.#idleSockets) socket.end();
+    this.#resources.connections.closeIdle();
   }
 
   /** Closes all connections, also those with requests in flight. */
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
+    this.#resources.close();
   }
 
   get #limits() {
@@ -152,24 +156,28 @@
   ): Promise<void> {
     const receivedAtMs = this.#options.clock.monotonicMs();
     const { socket } = request;
+    if (!this.#resources.connections.startRequest(socket)) return;
     this.#inFlight += 1;
-    this.#idleSockets.delete(socket);
+    const hold = this.#resources.budget.open(socket.remoteAddress ?? "");
     const callerAbort = new AbortController();
     response.once("close", () => {
       this.#inFlight -= 1;
-      if (!socket.destroyed) this.#idleSockets.add(socket);
+      hold.close();
+      this.#resources.connections.endRequest(socket);
       if (!response.writableFinished) callerAbort.abort();
     });
     request.once("aborted", () => callerAbort.abort());
     // The close event reports a lost connection; the write error adds no information.
     response.on("error", () => callerAbort.abort());
-    const writer = new writers.ResponseWriter(
-      response,
-      this.#options.codec,
-      () => this.#isDraining,
-    );
     this.#count += 1;
     let requestId = `unnamed-${this.#count}`;
+    const writer = new writers.ResponseWriter(response, {
+      codec: this.#options.codec,
+      hold,
+      shouldClose: () => this.#isDraining,
+      onCut: (reason) =>
+        this.#options.log.addNotable("caller.cut", { requestId, reason }),
+    });
     let outcome: requests.RequestOutcome;
     let route = "none";
     try {
@@ -178,7 +186,11 @@
         request.rawHeaders,
       );
       requestId = fields.attemptId ?? requestId;
-      const body = await this.#readBody(request);
+      const body = await bodies.readBody(request, hold, {
+        ...this.#limits,
+        deadlineMs: fields.deadlineMs,
+        smallChunkBodies: this.#resources.smallChunkBodies,
+      }).finally(() => this.#resources.connections.endBody(socket));
       const incoming = this.#buildIncomingRequest(request, {
         requestId,
         fields,
@@ -213,7 +225,7 @@
 
   async #exchange(
     incoming: requests.IncomingRequest,
-    writer: requests.CallerResponseWriter,
+    writer: writers.ResponseWriter,
   ): Promise<
     { readonly route: string; readonly outcome: requests.RequestOutcome }
   > {
@@ -242,6 +254,7 @@
       };
     }
     const { route } = admitted.value;
+    writer.setRoute(route);
     const Exchange = route.kind === "stream"
       ? streamExchanges.StreamExchange
       : bufferedExchanges.BufferedExchange;
@@ -262,13 +275,16 @@
   ): requests.IncomingRequest {
     const target = request.url ?? "";
     if (!TARGET_PATTERN.test(target)) {
-      throw new RequestReadError(
+      throw new bodies.RequestReadError(
         "bad-request",
         "the request target must be a path without spaces",
       );
     }
     if ((request.headersDistinct["host"]?.length ?? 0) > 1) {
-      throw new RequestReadError("bad-request", "the request has two hosts");
+      throw new bodies.RequestReadError(
+        "bad-request",
+        "the request has two hosts",
+      );
     }
     const host = request.headers.host ?? "";
     return {
@@ -279,34 +295,6 @@
     };
   }
 
-  async #readBody(request: http.IncomingMessage): Promise<Buffer> {
-    const { maxBodyBytes, maxHeaderBytes } = this.#limits;
-    const headerBytes = request.rawHeaders.reduce(
-      (sum, part) => sum + part.length + 2,
-      request.url?.length ?? 0,
-    );
-    if (headerBytes > maxHeaderBytes) {
-      throw new RequestReadError(
-        "headers-too-large",
-        "the headers are too large",
-      );
-    }
-    const declaredBytes = Number(request.headers["content-length"] ?? 0);
-    if (declaredBytes > maxBodyBytes) {
-      throw new RequestReadError("body-too-large", "the body is too large");
-    }
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      receivedBytes += chunk.length;
-      if (receivedBytes > maxBodyBytes) {
-        throw new RequestReadError("body-too-large", "the body is too large");
-      }
-      chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-  }
-
   #handleFailure(
     thrown: unknown,
     { requestId, writer, socket, signal }: {
@@ -317,10 +305,15 @@
     },
   ): requests.RequestOutcome {
     const reason = kernel.describeThrown(thrown);
-    if (thrown instanceof RequestReadError) {
+    if (thrown instanceof bodies.RequestReadError) {
       // The rest of the request is not read, so the connection cannot be reused.
-      setImmediate(() => socket.end());
-      writer.refuse(kernel.makeError(thrown.kind, reason));
+      setImmediate(() => this.#resources.connections.endSoon(socket));
+      writer.refuse(
+        kernel.makeError(thrown.kind, reason),
+        kernel.findErrorResponse(thrown.kind).retry === "later"
+          ? YIELD_RETRY_AFTER_MS
+          : undefined,
+      );
       return { outcome: thrown.kind, reason };
     }
     if (signal.aborted) return { outcome: "caller-gone", reason };
@@ -363,18 +356,22 @@
   ): void {
     const status = error.code === "HPE_HEADER_OVERFLOW"
       ? HTTP_HEADERS_TOO_LARGE
+      : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
+      ? HTTP_REQUEST_TIMEOUT
       : HTTP_BAD_REQUEST;
     this.#options.log.addNotable("request.malformed", {
       code: error.code,
       reason: error.message,
     });
-    if (!socket.writable) {
+    // An answer that is being written must not be followed by another one.
+    if (!socket.writable || this.#resources.connections.isAnswering(socket)) {
       socket.destroy();
       return;
     }
     const text = http.STATUS_CODES[status] ?? "Bad Request";
-    socket.end(
+    socket.write(
       `HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
     );
+    this.#resources.connections.endSoon(socket);
   }
 }
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -12,6 +12,10 @@
 const DEFAULT_KEEP_ALIVE_MS = 3_000;
 const MAX_KEEP_ALIVE_MS = 30_000;
 const MIN_CONNECTIONS = 4;
+/** Most bytes of large bodies in flight from this process to one replica; one request may have more. */
+const MAX_BODY_BYTES_IN_FLIGHT = 8 * 1_048_576;
+/** A body up to this size is sent whatever others are in flight. */
+const MAX_SMALL_BODY_BYTES = 65_536;
 
 const connect = kernel.markResets(undici.buildConnector({}));
 
@@ -22,6 +26,8 @@
   readonly isReusable: boolean;
   /** Has carried a request before, of which more bytes may arrive. */
   isUsed: boolean;
+  /** Bytes of the body of the request that it carries. */
+  bodyBytes: number;
 }
 
 /** Connections from this process to one replica. */
@@ -31,6 +37,7 @@
   readonly #onOpened: () => void;
   readonly #idle: Connection[] = [];
   readonly #clients = new Set<undici.Client>();
+  #bodyBytesInFlight = 0;
 
   constructor(
     address: ports.Address,
@@ -50,8 +57,26 @@
     return this.#idle.length === 0 && this.#clients.size >= this.#limit;
   }
 
-  /** Acquires a connection; requests that must not run twice need a new one. */
-  acquire(needsNewConnection: boolean): Connection | undefined {
+  /**
+   * Acquires a connection for a body of some bytes; requests that must not run
+   * twice need a new one.
+   */
+  acquire(
+    needsNewConnection: boolean,
+    bodyBytes = 0,
+  ): Connection | undefined {
+    const isOverBound = bodyBytes > MAX_SMALL_BODY_BYTES &&
+      this.#bodyBytesInFlight > 0 &&
+      this.#bodyBytesInFlight + bodyBytes > MAX_BODY_BYTES_IN_FLIGHT;
+    if (isOverBound) return undefined;
+    const connection = this.#acquire(needsNewConnection);
+    if (connection === undefined) return undefined;
+    connection.bodyBytes = bodyBytes;
+    this.#bodyBytesInFlight += bodyBytes;
+    return connection;
+  }
+
+  #acquire(needsNewConnection: boolean): Connection | undefined {
     if (!needsNewConnection) {
       const idle = this.#idle.pop();
       if (idle !== undefined) return idle;
@@ -77,6 +102,7 @@
       client,
       isReusable: !needsNewConnection,
       isUsed: false,
+      bodyBytes: 0,
     };
     client.on("disconnect", () => this.#remove(client));
     return connection;
@@ -84,6 +110,7 @@
 
   /** Returns a connection to the pool after a complete response. */
   release(connection: Connection): void {
+    this.#endBody(connection);
     if (!connection.isReusable || !this.#clients.has(connection.client)) {
       this.discard(connection);
       return;
@@ -94,6 +121,7 @@
 
   /** Closes a connection at once, even with a request in flight. */
   discard(connection: Connection): void {
+    this.#endBody(connection);
     this.#remove(connection.client);
   }
 
@@ -102,6 +130,11 @@
     for (const connection of this.#idle.splice(0)) this.discard(connection);
   }
 
+  #endBody(connection: Connection): void {
+    this.#bodyBytesInFlight -= connection.bodyBytes;
+    connection.bodyBytes = 0;
+  }
+
   #remove(client: undici.Client): void {
     this.#clients.delete(client);
     const index = this.#idle.findIndex((other) => other.client === client);
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -138,6 +138,7 @@
     const pick = table.pick(placement);
     const connection = pick?.state.pool.acquire(
       needsNewConnection || options.refusedBy.has(pick.state.entry.id),
+      request.body.length,
     );
     if (pick === undefined || connection === undefined) {
       const retryAfterMs = table.findRetryAfterMs(placement);
--- /dev/null
+++ b/packages/router/src/memory_budget.ts
@@ -0,0 +1,235 @@
+/**
+ * Accounts for the bytes that this process holds for callers. When it holds too
+ * many, requests that may be given up give way; see `chooseYielding`.
+ */
+import * as decisions from "@jackdawbank/decisions";
+import type * as kernel from "@jackdawbank/kernel";
+import * as garbage from "./garbage_collection.ts";
+
+/** Objects of a connection and its parser, and the head that it may be sending. */
+const CONNECTION_BYTES = 12_288;
+/** Objects of a request beside its body. */
+const REQUEST_BYTES = 6_144;
+/** Yielding goes on below the limit, so that it is not repeated for each chunk. */
+const YIELD_TO_SHARE = 0.85;
+/** Fewer bytes than this are no progress, however often they come. */
+const PROGRESS_BYTES = 16_384;
+const EXPIRY_CHECK_INTERVAL_MS = 500;
+
+/** Why a request is given up. */
+export type YieldReason = "memory" | "time-out";
+
+/** What is held for one request, from its head to the end of its response. */
+export class RequestHold implements decisions.Hold {
+  readonly caller: string;
+  readonly openedAtMs: number;
+  readonly #budget: MemoryBudget;
+  #stage: decisions.HoldStage = "receiving";
+  #bodyBytes = 0;
+  #answerBytes = 0;
+  #progressAtMs: number;
+  #unseenBytes = 0;
+  /** Longest time without progress in this stage, and the end of the stage. */
+  #maxPauseMs = Infinity;
+  #stageEndsAtMs = Infinity;
+  #onYield: (reason: YieldReason) => void = () => {};
+
+  constructor(budget: MemoryBudget, caller: string, nowMs: number) {
+    this.#budget = budget;
+    this.caller = caller;
+    this.openedAtMs = nowMs;
+    this.#progressAtMs = nowMs;
+  }
+
+  get stage(): decisions.HoldStage {
+    return this.#stage;
+  }
+
+  get heldBytes(): number {
+    return REQUEST_BYTES + this.#bodyBytes + this.#answerBytes;
+  }
+
+  /** Bytes held of the request's body. */
+  get bodyBytes(): number {
+    return this.#bodyBytes;
+  }
+
+  get progressAtMs(): number {
+    return this.#progressAtMs;
+  }
+
+  get nowMs(): number {
+    return this.#budget.nowMs;
+  }
+
+  /** Begins a stage; `onYield` is called once if the request must be given up in it. */
+  begin(
+    stage: decisions.HoldStage,
+    options: {
+      readonly maxPauseMs?: number;
+      readonly maxDurationMs?: number;
+      readonly onYield?: (reason: YieldReason) => void;
+    } = {},
+  ): void {
+    const nowMs = this.#budget.nowMs;
+    this.#budget.move(this, stage);
+    this.#stage = stage;
+    this.#progressAtMs = nowMs;
+    this.#unseenBytes = 0;
+    this.#maxPauseMs = options.maxPauseMs ?? Infinity;
+    this.#stageEndsAtMs = nowMs + (options.maxDurationMs ?? Infinity);
+    this.#onYield = options.onYield ?? (() => {});
+  }
+
+  /** Sets the bytes held of the body; returns false if this process holds too much. */
+  setBodyBytes(bytes: number): boolean {
+    const addedBytes = bytes - this.#bodyBytes;
+    this.#bodyBytes = bytes;
+    return this.#budget.add(this.#stage, addedBytes);
+  }
+
+  /** Sets the bytes held of the answer; returns false if this process holds too much. */
+  setAnswerBytes(bytes: number): boolean {
+    const addedBytes = bytes - this.#answerBytes;
+    this.#answerBytes = bytes;
+    return this.#budget.add(this.#stage, addedBytes);
+  }
+
+  /** Records that so many bytes were received or taken; few of them are no progress. */
+  recordProgress(bytes: number): void {
+    this.#unseenBytes += bytes;
+    if (this.#unseenBytes < PROGRESS_BYTES) return;
+    this.#unseenBytes = 0;
+    this.#progressAtMs = this.#budget.nowMs;
+  }
+
+  isExpired(nowMs: number): boolean {
+    return nowMs >= this.#stageEndsAtMs ||
+      nowMs - this.#progressAtMs >= this.#maxPauseMs;
+  }
+
+  yield(reason: YieldReason): void {
+    const onYield = this.#onYield;
+    this.#onYield = () => {};
+    this.#stageEndsAtMs = Infinity;
+    this.#maxPauseMs = Infinity;
+    this.setBodyBytes(0);
+    this.setAnswerBytes(0);
+    this.#budget.reportYield(this, reason);
+    onYield(reason);
+  }
+
+  close(): void {
+    this.#budget.remove(this);
+  }
+}
+
+/** Most that a process holds for its callers. */
+export class MemoryBudget {
+  readonly limitBytes: number;
+  readonly #clock: kernel.Clock;
+  readonly #onYield: (hold: decisions.Hold, reason: YieldReason) => void;
+  readonly #garbage = new garbage.GarbageCollection();
+  readonly #holds = new Set<RequestHold>();
+  readonly #bytesByStage: Record<decisions.HoldStage, number> = {
+    receiving: 0,
+    running: 0,
+    answering: 0,
+  };
+  readonly #timer: NodeJS.Timeout;
+  #connections = 0;
+  #isYielding = false;
+
+  constructor(options: {
+    readonly limitBytes: number;
+    readonly clock: kernel.Clock;
+    readonly onYield: (hold: decisions.Hold, reason: YieldReason) => void;
+  }) {
+    this.limitBytes = options.limitBytes;
+    this.#clock = options.clock;
+    this.#onYield = options.onYield;
+    this.#timer = setInterval(
+      () => this.#expire(),
+      EXPIRY_CHECK_INTERVAL_MS,
+    ).unref();
+  }
+
+  get nowMs(): number {
+    return this.#clock.monotonicMs();
+  }
+
+  get heldBytes(): number {
+    const { receiving, running, answering } = this.#bytesByStage;
+    return receiving + running + answering +
+      this.#connections * CONNECTION_BYTES;
+  }
+
+  get bytesByStage(): Readonly<Record<decisions.HoldStage, number>> {
+    return this.#bytesByStage;
+  }
+
+  openConnection(): void {
+    this.#connections += 1;
+  }
+
+  closeConnection(): void {
+    this.#connections -= 1;
+  }
+
+  /** Begins to account for a request of a caller. */
+  open(caller: string): RequestHold {
+    const hold = new RequestHold(this, caller, this.nowMs);
+    this.#holds.add(hold);
+    this.#bytesByStage[hold.stage] += hold.heldBytes;
+    return hold;
+  }
+
+  remove(hold: RequestHold): void {
+    if (!this.#holds.delete(hold)) return;
+    this.#bytesByStage[hold.stage] -= hold.heldBytes;
+    this.#garbage.recordReleased(hold.heldBytes);
+  }
+
+  move(hold: RequestHold, stage: decisions.HoldStage): void {
+    if (!this.#holds.has(hold)) return;
+    this.#bytesByStage[hold.stage] -= hold.heldBytes;
+    this.#bytesByStage[stage] += hold.heldBytes;
+  }
+
+  /** Adds bytes to a stage; returns false if the limit is exceeded and nothing gives way. */
+  add(stage: decisions.HoldStage, bytes: number): boolean {
+    this.#bytesByStage[stage] += bytes;
+    if (bytes < 0) this.#garbage.recordReleased(-bytes);
+    if (bytes <= 0 || this.heldBytes <= this.limitBytes) return true;
+    this.#yieldHolds();
+    return this.heldBytes <= this.limitBytes;
+  }
+
+  reportYield(hold: RequestHold, reason: YieldReason): void {
+    this.#onYield(hold, reason);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  #yieldHolds(): void {
+    if (this.#isYielding) return;
+    this.#isYielding = true;
+    const neededBytes = this.heldBytes - this.limitBytes * YIELD_TO_SHARE;
+    const chosen = decisions.chooseYielding(
+      this.#holds,
+      neededBytes,
+      this.nowMs,
+    );
+    for (const hold of chosen) hold.yield("memory");
+    this.#isYielding = false;
+  }
+
+  #expire(): void {
+    const { nowMs } = this;
+    for (const hold of [...this.#holds]) {
+      if (hold.isExpired(nowMs)) hold.yield("time-out");
+    }
+  }
+}
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -33,6 +33,11 @@
 /** Writes the response to a caller. */
 export interface CallerResponseWriter {
   readonly isStarted: boolean;
+  /**
+   * Accounts for a response of which so many bytes are held. Returns false if this
+   * process holds too much for it.
+   */
+  reserve(bytes: number): boolean;
   /** Forwards the status and headers of a replica's response. */
   start(status: number, rawHeaders: readonly string[]): void;
   /** Returns false on back pressure: the caller reads more slowly than data arrives. */
@@ -43,7 +48,7 @@
   answer(
     status: number,
     rawHeaders: readonly string[],
-    body: Buffer,
+    bodyParts: readonly Buffer[],
     isFramed: boolean,
   ): void;
   /** Closes the connection so that a truncated response does not look complete. */
--- a/packages/router/src/response_writer.ts
+++ b/packages/router/src/response_writer.ts
@@ -1,9 +1,23 @@
-/** Writes responses to callers: forwarded replica responses, and errors by their kind. */
+/**
+ * Writes responses to callers: forwarded replica responses, and errors by their
+ * kind. A caller that does not read its response is disconnected after some time.
+ */
 import type * as http from "node:http";
+import type * as bundle from "@jackdawbank/bundle";
 import * as kernel from "@jackdawbank/kernel";
+import type * as budgets from "./memory_budget.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
 
+/** Longest pause of a caller that reads a refusal, or whose route is not known. */
+const DEFAULT_MAX_PAUSE_MS = 5_000;
+/** Longest pause that callers bear: a time, or multiples of the route's targets. */
+const MIN_CALLER_PAUSE_MS = 2_000;
+const CALLER_PAUSE_TARGETS = 4;
+const CALLER_PAUSE_GAPS = 8;
+/** Longest time for which a caller may read a buffered response. */
+const MAX_READING_MS = 60_000;
+
 /** Response headers that are hop-by-hop or that this process sets itself. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   "connection",
@@ -40,16 +54,23 @@
 export class ResponseWriter implements requests.CallerResponseWriter {
   readonly #response: http.ServerResponse;
   readonly #codec: ports.MessageCodec;
+  readonly #hold: budgets.RequestHold;
   readonly #shouldClose: () => boolean;
+  readonly #onCut: (reason: budgets.YieldReason) => void;
+  #maxPauseMs = DEFAULT_MAX_PAUSE_MS;
 
-  constructor(
-    response: http.ServerResponse,
-    codec: ports.MessageCodec,
-    shouldClose: () => boolean,
-  ) {
+  constructor(response: http.ServerResponse, options: {
+    readonly codec: ports.MessageCodec;
+    readonly hold: budgets.RequestHold;
+    readonly shouldClose: () => boolean;
+    /** Called when the caller is disconnected because it does not read. */
+    readonly onCut: (reason: budgets.YieldReason) => void;
+  }) {
     this.#response = response;
-    this.#codec = codec;
-    this.#shouldClose = shouldClose;
+    this.#codec = options.codec;
+    this.#hold = options.hold;
+    this.#shouldClose = options.shouldClose;
+    this.#onCut = options.onCut;
   }
 
   get isStarted(): boolean {
@@ -60,33 +81,59 @@
     this.#writeHead(status, listForwardedHeaders(rawHeaders));
   }
 
+  /** Sets for how long the caller may take no part of the response: as long as it waits for one. */
+  setRoute({ targetLatencyMs, maxGapMs }: bundle.Route): void {
+    this.#maxPauseMs = Math.max(
+      MIN_CALLER_PAUSE_MS,
+      CALLER_PAUSE_TARGETS * targetLatencyMs,
+      CALLER_PAUSE_GAPS * maxGapMs,
+    );
+  }
+
+  reserve(bytes: number): boolean {
+    return this.#hold.setAnswerBytes(bytes);
+  }
+
   write(chunk: Buffer): boolean {
-    return this.#response.write(chunk);
+    const isTaken = this.#response.write(chunk);
+    if (!isTaken) {
+      this.#waitForCaller(Infinity);
+      this.#hold.setAnswerBytes(this.#response.writableLength);
+    }
+    return isTaken;
   }
 
   onDrain(callback: () => void): void {
-    this.#response.once("drain", callback);
+    this.#response.once("drain", () => {
+      this.#hold.begin("running");
+      this.#hold.setAnswerBytes(0);
+      callback();
+    });
   }
 
   end(): void {
+    this.#waitForCaller(MAX_READING_MS);
     this.#response.end();
   }
 
   answer(
     status: number,
     rawHeaders: readonly string[],
-    body: Buffer,
+    bodyParts: readonly Buffer[],
     isFramed: boolean,
   ): void {
+    const bodyBytes = bodyParts.reduce((sum, part) => sum + part.length, 0);
     const headers = listForwardedHeaders(rawHeaders);
-    if (isFramed) headers.push("content-length", String(body.length));
+    if (isFramed) headers.push("content-length", String(bodyBytes));
     else {
       // The body may be truncated; a content length would make it look complete.
       this.#response.useChunkedEncodingByDefault = false;
       this.#response.shouldKeepAlive = false;
     }
     this.#writeHead(status, headers);
-    this.#response.end(body);
+    this.#waitForCaller(MAX_READING_MS);
+    this.#hold.setAnswerBytes(bodyBytes);
+    if (!this.#response.destroyed) this.#endWith(bodyParts, bodyBytes);
   }
 
   abort(): void {
@@ -114,9 +161,45 @@
       headers.push(...this.#codec.encodeRetryAfter(retryAfterMs));
     }
     this.#writeHead(status, headers);
+    this.#waitForCaller(MAX_READING_MS);
     this.#response.end(body);
   }
 
+  /** Writes the rest of a response in parts, as fast as the caller reads. */
+  #endWith(bodyParts: readonly Buffer[], bodyBytes: number): void {
+    const rest = [...bodyParts].reverse();
+    let restBytes = bodyBytes;
+    const writeMore = () => {
+      while (rest.length > 1) {
+        const part = rest.pop() as Buffer;
+        restBytes -= part.length;
+        if (this.#response.write(part)) continue;
+        this.#response.once("drain", () => {
+          this.#hold.recordProgress(part.length);
+          this.#hold.setAnswerBytes(restBytes);
+          writeMore();
+        });
+        return;
+      }
+      this.#response.end(rest.pop());
+    };
+    writeMore();
+  }
+
+  /** From now on, the response is given up if the caller does not read it. */
+  #waitForCaller(maxDurationMs: number): void {
+    this.#hold.begin("answering", {
+      maxPauseMs: this.#maxPauseMs,
+      maxDurationMs,
+      onYield: (reason) => this.#cut(reason),
+    });
+  }
+
+  #cut(reason: budgets.YieldReason): void {
+    this.#onCut(reason);
+    this.#response.destroy();
+  }
+
   #writeHead(status: number, headers: string[]): void {
     if (this.#shouldClose()) headers.push("connection", "close");
     this.#response.writeHead(status, headers);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -182,6 +182,7 @@
       clock,
       log,
       telemetry: this.#telemetry,
+      processLimits: settings,
     });
     this.#readiness = http.createServer((request, response) =>
       this.#handleReadinessRequest(request, response)
@@ -311,6 +312,11 @@
 
   #updateGauges(): void {
     this.#telemetry.setGauge("requests_in_flight", this.#callerServer.inFlight);
+    for (
+      const [name, value] of Object.entries(this.#callerServer.readGauges())
+    ) {
+      this.#telemetry.setGauge(name, value);
+    }
     this.#telemetry.setGauge("replicas", this.#table.size);
     this.#telemetry.setGauge("quarantined_parts", this.#quarantine.size);
     this.#telemetry.setGauge(
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -383,7 +383,7 @@
     }
     if (result.type === "failed") {
       const { status, rawHeaders, isFramed } = result.head;
-      this.#writer.answer(status, rawHeaders, result.body, isFramed);
+      this.#writer.answer(status, rawHeaders, [result.body], isFramed);
       return { outcome: "replica-failed", status };
     }
     const isLate = this.#dispatcher.nowMs >= this.#request.deadlineAtMs;
