--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -26,6 +26,7 @@
 export * from "./rollout_stops.ts";
 export * from "./versions.ts";
 export * from "./freshness.ts";
+export * from "./memory/mod.ts";
 export * from "./model_choice.ts";
 export * from "./places/mod.ts";
 export * from "./prompt_blame.ts";
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -227,6 +227,7 @@
       clock,
       log,
       telemetry: this.#telemetry,
+      processLimits: settings,
     });
     this.#readiness = http.createServer((request, response) =>
       this.#handleReadinessRequest(request, response)
@@ -360,6 +361,11 @@
 
   #updateGauges(): void {
     this.#telemetry.setGauge("requests_in_flight", this.#callerServer.inFlight);
+    for (
+      const [name, value] of Object.entries(this.#callerServer.readGauges())
+    ) {
+      this.#telemetry.setGauge(name, value);
+    }
     this.#telemetry.setGauge("replicas", this.#table.size);
     this.#telemetry.setGauge("cold_replicas", this.#fleet.countCold());
     this.#telemetry.setGauge("quarantined_parts", this.#quarantine.size);
