A taken port does not keep an entry from starting; names of the platform stay in its folder

Change: such an entry goes on without telling others, with a log line; the field is coldForMs, the headers moved to the stand-ins. What callers saw: nothing.

--- a/packages/bench/src/memory_harness.ts
+++ b/packages/bench/src/memory_harness.ts
@@ -13,8 +13,9 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as processes from "./processes.ts";
 
-const { HOST, KEY, ROUTES, buildConfiguration } = fakes.samples;
-export { ROUTES };
+const { ROUTES, buildConfiguration } = fakes.samples;
+const { renderHead } = fakes;
+export { renderHead, ROUTES };
 
 export const KB = 1_024;
 export const MB = 1_048_576;
@@ -32,8 +33,6 @@
 /** A crowd that causes no further request for this time has done its part. */
 const SETTLE_MS = 1_500;
 
-const PATIENT_HEADERS = { "x-jackdawbank-deadline-ms": "20000" };
-
 /** Limits of the machine, as its settings state them. */
 export interface MachineLimits {
   readonly memoryMb: number;
@@ -95,13 +94,6 @@
   }
 }
 
-/** Head of a request as raw text, without the line that announces its body. */
-export function renderHead(route: string, extraLines = ""): string {
-  return `POST ${route} HTTP/1.1\r\nhost: ${HOST}\r\n` +
-    `authorization: Token ${KEY}\r\nx-jackdawbank-attempt-id: crowd\r\n` +
-    `x-jackdawbank-deadline-ms: 20000\r\n${extraLines}`;
-}
-
 /** Chunks of a body in the chunked encoding, without the end of the body. */
 export function renderChunks(count: number, bytesPerChunk: number): Buffer {
   const chunk = `${bytesPerChunk.toString(16)}\r\n${
@@ -280,7 +272,7 @@
   async callOrdinary(): Promise<number | string> {
     try {
       const response = await this.#caller.call(ROUTES.check, {
-        headers: PATIENT_HEADERS,
+        headers: fakes.PATIENT_HEADERS,
       });
       return response.status === 200
         ? 200
@@ -314,7 +306,7 @@
       const response = await this.#caller.call(ROUTES.order, {
         method: "POST",
         body: "x".repeat(MAX_BODY_BYTES),
-        headers: PATIENT_HEADERS,
+        headers: fakes.PATIENT_HEADERS,
       });
       return response.status;
     } catch (thrown) {
--- a/packages/decisions/src/places/cold_start.ts
+++ b/packages/decisions/src/places/cold_start.ts
@@ -79,7 +79,7 @@
 
 /** What an entry says about its replica's start and coldness. */
 export interface ColdStatement {
-  readonly coldRemainingMs: number;
+  readonly coldForMs: number;
   /** Wall-clock time of the replica's start; absent if unknown. */
   readonly startedAtMs: number | undefined;
 }
@@ -121,12 +121,10 @@
   },
 ): ColdFinding | undefined {
   const { previous, durationMs, isFirstView, wallMs } = context;
-  const { startedAtMs, coldRemainingMs } = entry;
+  const { startedAtMs, coldForMs } = entry;
   const isStart = previous?.startedAtMs !== startedAtMs ||
     previous === undefined;
-  const stated = isStart || previous.coldRemainingMs !== coldRemainingMs
-    ? coldRemainingMs
-    : 0;
+  const stated = isStart || previous.coldForMs !== coldForMs ? coldForMs : 0;
   const isKnownStart = startedAtMs !== undefined || !isFirstView;
   const assumed = isStart && isKnownStart
     ? estimateRemainingMs(startedAtMs, durationMs, wallMs)
--- a/packages/decisions/src/places/cold_start_test.ts
+++ b/packages/decisions/src/places/cold_start_test.ts
@@ -9,10 +9,10 @@
   isFirstView: false,
   wallMs: 1_000_000,
 };
-const WARM = { startedAtMs: 900_000, coldRemainingMs: 0 };
+const WARM = { startedAtMs: 900_000, coldForMs: 0 };
 
 test("a remaining time counts when it is first seen, and again when it changes", (t) => {
-  const entry = { ...WARM, coldRemainingMs: 2_500 };
+  const entry = { ...WARM, coldForMs: 2_500 };
   const stated = { remainingMs: 2_500, evidence: "entry" } as const;
   const first = { ...CONTEXT, isFirstView: true };
   t.deepEqual(coldStart.findColdness(entry, first), stated);
@@ -32,7 +32,7 @@
 
 test("a start is cold for its duration, and warm after it", (t) => {
   const startedAgo = (ageMs: number) => ({
-    coldRemainingMs: 0,
+    coldForMs: 0,
     startedAtMs: CONTEXT.wallMs - ageMs,
   });
   const remainingMs = (ageMs: number) =>
@@ -46,7 +46,7 @@
 });
 
 test("a replica of unknown start is cold unless it belongs to the first view", (t) => {
-  const entry = { startedAtMs: undefined, coldRemainingMs: 0 };
+  const entry = { startedAtMs: undefined, coldForMs: 0 };
   const first = { ...CONTEXT, isFirstView: true };
   t.is(coldStart.findColdness(entry, first), undefined);
   t.is(coldStart.findColdness(entry, CONTEXT)?.remainingMs, 3_000);
--- a/packages/fakes/src/platform_caller.ts
+++ b/packages/fakes/src/platform_caller.ts
@@ -21,6 +21,20 @@
   readonly agent?: http.Agent;
 }
 
+/** Headers of a caller that waits for long, whatever the machine's speed. */
+export const PATIENT_HEADERS: Readonly<Record<string, string>> = {
+  "x-jackdawbank-deadline-ms": "20000",
+};
+
+/** Head of a patient caller's request as raw text, without the line that announces its body. */
+export function renderHead(route: string, extraLines = ""): string {
+  const patience = Object.entries(PATIENT_HEADERS)
+    .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+  return `POST ${route} HTTP/1.1\r\nhost: ${samples.HOST}\r\n` +
+    `authorization: Token ${samples.KEY}\r\nx-jackdawbank-attempt-id: crowd\r\n` +
+    `${patience}${extraLines}`;
+}
+
 /** Ids of the events of a stream's body, in order. */
 export function listEventIds(body: string): readonly number[] {
   return [...body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
--- a/packages/router/src/cold_replicas.ts
+++ b/packages/router/src/cold_replicas.ts
@@ -131,9 +131,7 @@
       previous: previous && {
         startedAtMs: previous.entry.startedAtMs,
         // An entry that has come back says its remaining time anew.
-        coldRemainingMs: previous.isRemoved
-          ? 0
-          : previous.entry.coldRemainingMs,
+        coldForMs: previous.isRemoved ? 0 : previous.entry.coldForMs,
       },
       durationMs: coldStart.durationMs,
       isFirstView,
@@ -148,13 +146,13 @@
   #logCold(key: number, remainingMs: number, evidence: string): void {
     const entry = this.#replicas.get(key)?.entry;
     if (entry === undefined) return;
-    const { id, service, coldRemainingMs, startedAtMs } = entry;
+    const { id, service, coldForMs, startedAtMs } = entry;
     this.#options.log.addNotable("replica.cold", {
       replica: id,
       service,
       evidence,
       remainingMs: Math.round(remainingMs),
-      statedMs: coldRemainingMs,
+      statedMs: coldForMs,
       startedAtMs,
     });
     this.#scheduleWarmLog(key, id, remainingMs);
--- a/packages/router/src/cold_replicas_test.ts
+++ b/packages/router/src/cold_replicas_test.ts
@@ -27,7 +27,7 @@
     version: "v1",
     slots: 32,
     isDraining: false,
-    coldRemainingMs: 0,
+    coldForMs: 0,
     startedAtMs: START_MS - 60_000,
     ...overrides,
   };
@@ -72,8 +72,8 @@
   cold.put(buildEntry());
   state.hasView = true;
   t.deepEqual(found, []);
-  cold.put(buildEntry({ coldRemainingMs: 2_000 }));
-  cold.put(buildEntry({ coldRemainingMs: 2_000, isDraining: true }));
+  cold.put(buildEntry({ coldForMs: 2_000 }));
+  cold.put(buildEntry({ coldForMs: 2_000, isDraining: true }));
   t.deepEqual(found, [2_000]);
   t.true(readLog().includes('"replica.cold"'));
   const key = decisions.hashText("r1");
@@ -83,7 +83,7 @@
 test("an entry that was removed and comes back states its remaining time anew", (t) => {
   const { cold, found } = createColdReplicas(t);
   cold.setServices(SERVICES);
-  const entry = buildEntry({ coldRemainingMs: 2_000 });
+  const entry = buildEntry({ coldForMs: 2_000 });
   cold.put(entry);
   cold.remove(entry.id);
   cold.put(entry);
@@ -99,7 +99,7 @@
 });
 
 test("without a bound, and for services without a rate, nothing is cold", (t) => {
-  const entry = buildEntry({ coldRemainingMs: 2_000 });
+  const entry = buildEntry({ coldForMs: 2_000 });
   const unbounded = createColdReplicas(t, { hasBound: false });
   unbounded.cold.setServices(SERVICES);
   unbounded.cold.put(entry);
--- a/packages/router/src/control_fault_test.ts
+++ b/packages/router/src/control_fault_test.ts
@@ -21,7 +21,7 @@
       version: "v1",
       slots: 8,
       isDraining: false,
-      coldRemainingMs: 0,
+      coldForMs: 0,
       startedAtMs: 1,
     },
   };
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -72,7 +72,7 @@
   readonly slots: number;
   readonly isDraining: boolean;
   /** Time for which the replica stays cold, as of its entry; 0 if it is warm. */
-  readonly coldRemainingMs: number;
+  readonly coldForMs: number;
   /** Start of the replica's process, which tells restarts under the same ID apart. */
   readonly startedAtMs: number | undefined;
 }
--- a/packages/router/src/relayed_control.ts
+++ b/packages/router/src/relayed_control.ts
@@ -63,9 +63,18 @@
     return this.#findRelay() !== undefined;
   }
 
-  /** Serves relayed changes to peers. */
-  listen(address: ports.Address): Promise<number> {
-    return this.#relay.listen(address);
+  /**
+   * Tells peers of changes; returns the port. If it is taken, they ask other peers
+   * or the control plane.
+   */
+  async serveChanges(address: ports.Address): Promise<number | undefined> {
+    try {
+      return await this.#relay.listen(address);
+    } catch (thrown) {
+      const reason = kernel.describeThrown(thrown);
+      this.#options.log.addNotable("relay.unavailable", { ...address, reason });
+      return undefined;
+    }
   }
 
   async readAll(): Promise<kernel.Outcome<ports.ControlUpdate>> {
--- a/packages/router/src/relayed_control_test.ts
+++ b/packages/router/src/relayed_control_test.ts
@@ -65,7 +65,7 @@
     listRelays,
     isPeerHost,
   });
-  const port = await process.listen({ host: HOST, port: 0 });
+  const port = await process.serveChanges({ host: HOST, port: 0 }) as number;
   t.teardown(() => process.close());
   await process.readAll();
   return { plane, process, port };
@@ -174,3 +174,10 @@
   stranger.plane.change(17);
   t.is((await followed)._unsafeUnwrap().isRelayed, undefined);
 });
+
+test("a process whose port is taken goes on without telling others", async (t) => {
+  const watcher = await startMember(t, () => []);
+  const late = await startMember(t, () => []);
+  const address = { host: HOST, port: watcher.port };
+  t.is(await late.process.serveChanges(address), undefined);
+});
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -33,7 +33,7 @@
     version: "v1",
     slots: 32,
     isDraining: false,
-    coldRemainingMs: 0,
+    coldForMs: 0,
     startedAtMs: 1,
     ...overrides,
   };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -256,7 +256,10 @@
     this.#control.start();
     const peerPort = await this.#fleet.start();
     if (peerPort !== undefined) {
-      await this.#controlPlane.listen({ host: settings.ip, port: peerPort });
+      await this.#controlPlane.serveChanges({
+        host: settings.ip,
+        port: peerPort,
+      });
     }
     const callers = await this.#callerServer.listen(settings.callers);
     const readiness = await telemetry.listen(
