--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -363,31 +363,22 @@
   }
 
   #updateGauges(): void {
-    this.#telemetry.setGauge("requests_in_flight", this.#callerServer.inFlight);
-    for (
-      const [name, value] of Object.entries(this.#callerServer.readGauges())
-    ) {
+    const { droppedLines } = this.#options.log;
+    const viewAgeMs = Math.min(MAX_VIEW_AGE_GAUGE_MS, this.#control.viewAgeMs);
+    const gauges = {
+      ...this.#callerServer.readGauges(),
+      requests_in_flight: this.#callerServer.inFlight,
+      replicas: this.#table.size,
+      cold_replicas: this.#fleet.countCold(),
+      quarantined_parts: this.#quarantine.size,
+      evacuated_data_centres: this.#places.evacuatedCount,
+      view_age_ms: viewAgeMs,
+      table_revision: this.#control.routeIndex?.table.revision ?? 0,
+      log_dropped_lines: droppedLines,
+    };
+    for (const [name, value] of Object.entries(gauges)) {
       this.#telemetry.setGauge(name, value);
     }
-    this.#telemetry.setGauge("replicas", this.#table.size);
-    this.#telemetry.setGauge("cold_replicas", this.#fleet.countCold());
-    this.#telemetry.setGauge("quarantined_parts", this.#quarantine.size);
-    this.#telemetry.setGauge(
-      "evacuated_data_centres",
-      this.#places.evacuatedCount,
-    );
-    this.#telemetry.setGauge(
-      "view_age_ms",
-      Math.min(MAX_VIEW_AGE_GAUGE_MS, this.#control.viewAgeMs),
-    );
-    this.#telemetry.setGauge(
-      "table_revision",
-      this.#control.routeIndex?.table.revision ?? 0,
-    );
-    this.#telemetry.setGauge(
-      "log_dropped_lines",
-      this.#options.log.droppedLines,
-    );
   }
 }
 
