--- a/packages/bench/src/platform_harness.ts
+++ b/packages/bench/src/platform_harness.ts
@@ -33,10 +33,8 @@
   prefixReuseWindowMs: 10_000,
   regionByDataCentre: new Map(),
   coldRateBound: undefined,
-  evacuationBoundMs: undefined,
   memoryBytes: undefined,
   fileDescriptors: undefined,
-  hasReplicaMemoryLimit: false,
 };
 
 class MemorySink implements router.LineSink {
--- a/packages/bench/src/platform_places_test.ts
+++ b/packages/bench/src/platform_places_test.ts
@@ -9,7 +9,6 @@
 
 const REGIONS = {
   regionByDataCentre: new Map([["a", "north"], ["b", "north"], ["c", "south"]]),
-  evacuationBoundMs: 5_000,
 };
 /** Longest time after which a change of the store must be in force here. */
 const APPLY_MS = 2_000;
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -45,14 +45,10 @@
   readonly prefixReuseWindowMs: number;
   /** How far all processes together may exceed the rate of a cold replica; absent without a bound. */
   readonly coldRateBound: ColdRateBound | undefined;
-  /** Time after which an evacuated data centre must get no more requests; absent without a bound. */
-  readonly evacuationBoundMs: number | undefined;
   /** Memory at which this process is ended; absent if the settings name none. */
   readonly memoryBytes: number | undefined;
   /** File descriptors of this process; absent if the settings name none. */
   readonly fileDescriptors: number | undefined;
-  /** Whether a replica crashes when the requests that it holds exceed its memory. */
-  readonly hasReplicaMemoryLimit: boolean;
 }
 
 /** Requests in one second that a cold replica bears: its rate times the factor, and some more. */
@@ -180,8 +176,6 @@
   readonly model: string | undefined;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
-  /** The caller's estimate of the output tokens, right at the median but often far off. */
-  readonly outputTokensHint: number | undefined;
   readonly promptParts: readonly PromptPart[];
   /** ID of the last event received, from which a stream resumes. */
   readonly lastEventId: string | undefined;
--- a/packages/router/src/stream_escalation.ts
+++ b/packages/router/src/stream_escalation.ts
@@ -1,6 +1,7 @@
 /** Whether a larger model is asked, once the head of a stream shows the smaller one's confidence. */
 import * as decisions from "@jackdawbank/decisions";
 import type * as dispatchers from "./dispatcher.ts";
+import * as priorities from "./engine_priority.ts";
 import * as groups from "./replica_group.ts";
 import type * as requests from "./request.ts";
 
@@ -57,7 +58,7 @@
   request: requests.AdmittedRequest,
   input: EscalationInput,
 ): string | undefined {
-  const { route, account, fields, service } = request;
+  const { route, fields, service } = request;
   const { nowMs } = dispatcher;
   const latencyTracker = dispatcher.getLatencyTracker(service);
   const predictedMs = nowMs - request.receivedAtMs +
@@ -72,7 +73,7 @@
     sizes: route.candidateModels,
     model: input.model,
     confidence: input.confidence,
-    priority: account?.priority ?? route.priority,
+    priority: priorities.getPriority(request),
     canResend: canChangeModel && route.isResumable &&
       input.runCount + 1 < route.maxAttempts &&
       hasOpenReplica(dispatcher, request) &&
