In a fleet of many replicas, one question for loads is asked for a prompt

Cause: a question weighs all replicas of its service, and up to three were asked while the backlog was long. Change: over 512 replicas one question is asked. What callers saw: answers late by the processor time of entries.

--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -22,6 +22,8 @@
 /** Backlog above which more candidates are asked, as a share of the shortest target. */
 const WIDE_QUERY_SHARE = 0.15;
 const MAX_WIDE_QUERIES = 2;
+/** Each question weighs all replicas of the service; with more of them, one question is asked. */
+const MAX_WIDE_REPLICAS = 512;
 /** Interval at which a held prompt looks whether this process stops. */
 const STOP_CHECK_MS = 250;
 /** Waits are spread by this share of their length, either way. */
@@ -102,7 +104,7 @@
     const policy = request.fields.promptTokens > 0
       ? this.#findPolicy(request.service)
       : undefined;
-    const keys = await this.#queryLoads(entry, policy);
+    const keys = await this.#queryLoads(request.service, entry, policy);
     if (policy === undefined) return { keys };
     const shares = this.#findShares(request.service);
     const backlogMs = this.#readBacklogMs(keys);
@@ -118,6 +120,7 @@
 
   /** Asks more candidates while those that are known have a long backlog. */
   async #queryLoads(
+    service: string,
     entry: RoomEntry,
     policy: decisions.RoomPolicy | undefined,
   ): Promise<ReadonlySet<number>> {
@@ -126,6 +129,8 @@
     const limitMs = WIDE_QUERY_SHARE * policy.shortestTargetMs;
     for (let queries = 0; queries < MAX_WIDE_QUERIES; queries += 1) {
       if (this.#readBacklogMs(keys) <= limitMs) break;
+      const replicas = this.#options.table.listActive(service).length;
+      if (replicas > MAX_WIDE_REPLICAS) break;
       const added = await entry.queryLoads(keys);
       if (added.size === 0) break;
       keys = new Set([...keys, ...added]);
--- a/packages/router/src/room_gate_test.ts
+++ b/packages/router/src/room_gate_test.ts
@@ -248,3 +248,12 @@
   for (let key = 1; key <= 12; key += 1) state.ownMs.set(key, 900);
   t.is((await enter(0, { prefillMs: 15 })).keys.size, 9);
 });
+
+test("in a fleet of many replicas one question is asked, however long the backlog is", async (t) => {
+  const { state, enter } = createGate();
+  state.backlogMs = 400;
+  state.batches = [[1, 2, 3], [4, 5, 6]];
+  state.keys = Array.from({ length: 600 }, (_, key) => key);
+  const { keys } = await enter(0, { prefillMs: 20 });
+  t.deepEqual([...keys], [1, 2, 3]);
+});
