Bytes that arrive for a caller that has left do not count against the memory budget

Cause: a hold that was closed still told the budget of bytes; an answer that arrives until its attempt is cancelled was added after the hold's own bytes had been taken out, and those were taken out twice when the answer was dropped. The account drifted with each such caller. Found by rereading the change; not seen in a run. Change: a closed hold leaves the account alone. What callers saw: over time, requests refused too early, or the budget not kept. Before: the new test fails; after: it passes, with caller_server_test and platform_request_test (39 passed).

--- a/packages/router/src/memory_budget.ts
+++ b/packages/router/src/memory_budget.ts
@@ -25,6 +25,7 @@
   readonly openedAtMs: number;
   readonly #budget: MemoryBudget;
   #stage: decisions.HoldStage = "receiving";
+  #isClosed = false;
   #bodyBytes = 0;
   #answerBytes = 0;
   #progressAtMs: number;
@@ -85,14 +86,14 @@
   setBodyBytes(bytes: number): boolean {
     const addedBytes = bytes - this.#bodyBytes;
     this.#bodyBytes = bytes;
-    return this.#budget.add(this.#stage, addedBytes);
+    return this.#addToBudget(addedBytes);
   }
 
   /** Sets the bytes held of the answer; returns false if this process holds too much. */
   setAnswerBytes(bytes: number): boolean {
     const addedBytes = bytes - this.#answerBytes;
     this.#answerBytes = bytes;
-    return this.#budget.add(this.#stage, addedBytes);
+    return this.#addToBudget(addedBytes);
   }
 
   /** Records that so many bytes were received or taken; few of them are no progress. */
@@ -121,6 +122,12 @@
 
   close(): void {
     this.#budget.remove(this);
+    this.#isClosed = true;
+  }
+
+  /** After its end, a request may still be told of bytes that arrive for it. */
+  #addToBudget(bytes: number): boolean {
+    return this.#isClosed || this.#budget.add(this.#stage, bytes);
   }
 }
 
--- a/packages/router/src/memory_budget_test.ts
+++ b/packages/router/src/memory_budget_test.ts
@@ -94,3 +94,19 @@
   t.true(gate.admit(third, time.nowMs + 600));
   t.deepEqual(givenWay, [0]);
 });
+
+test("what arrives for a caller that has left does not count", (t) => {
+  const { budget } = createBudget(t);
+  const hold = budget.open("a");
+  hold.begin("running");
+  hold.setBodyBytes(20 * KB);
+  hold.setAnswerBytes(30 * KB);
+  hold.close();
+  t.is(budget.heldBytes, 0);
+  // The replica's answer arrives until the attempt is cancelled.
+  t.true(hold.setAnswerBytes(60 * KB));
+  t.is(budget.heldBytes, 0);
+  hold.setAnswerBytes(0);
+  hold.setBodyBytes(0);
+  t.is(budget.heldBytes, 0);
+});
