Loads of replicas tell the tokens and the body bytes that all processes have there

Cause: nobody knows how much of an engine's memory, and of a replica's memory for bodies, the requests of all processes take; what one process has there is a small part.

Change: the owner's account of a replica carries two more sums, heldTokens (prompt and expected output, by the caller's estimate) and heldBytes. Nothing decides by them yet. The messages have a new version; those of the older one are dropped.

Measured: a message of the most replicas stays within a packet (test).

--- a/packages/decisions/src/load_ledger.ts
+++ b/packages/decisions/src/load_ledger.ts
@@ -12,6 +12,10 @@
   readonly running: number;
   /** Predicted time until the prompts in flight are prefilled. */
   readonly pendingMs: number;
+  /** Predicted tokens of the requests in flight in the engine's memory: prompts and output. */
+  readonly heldTokens: number;
+  /** Bytes of the bodies of the requests in flight. */
+  readonly heldBytes: number;
   /** Time since any of them received a byte from the replica. */
   readonly silentMs: number;
   readonly evidence: evidence.EvidenceSums;
@@ -20,6 +24,8 @@
 export const NO_LOAD_STATE: ReplicaLoadState = {
   running: 0,
   pendingMs: 0,
+  heldTokens: 0,
+  heldBytes: 0,
   silentMs: Infinity,
   evidence: evidence.NO_EVIDENCE,
 };
@@ -51,6 +57,8 @@
   return {
     running: a.running + b.running,
     pendingMs: a.pendingMs + b.pendingMs,
+    heldTokens: a.heldTokens + b.heldTokens,
+    heldBytes: a.heldBytes + b.heldBytes,
     silentMs: Math.min(a.silentMs, b.silentMs),
     evidence: evidence.addEvidence(a.evidence, b.evidence),
   };
@@ -100,6 +108,8 @@
         total = addLoads(total, {
           running: isLoadValid ? state.running : 0,
           pendingMs: isLoadValid ? state.pendingMs : 0,
+          heldTokens: isLoadValid ? state.heldTokens : 0,
+          heldBytes: isLoadValid ? state.heldBytes : 0,
           silentMs: state.silentMs + ageMs,
           evidence: evidence.decayEvidence(state.evidence, ageMs),
         });
--- a/packages/peers/src/load_exchange_test.ts
+++ b/packages/peers/src/load_exchange_test.ts
@@ -220,3 +220,26 @@
   for (const bytes of sent) socket.onDatagram?.(bytes, "b");
   t.deepEqual(received, ["report 153,1", "load 149,2"]);
 });
+
+test("a message of the most replicas fits into a datagram, and is decoded as it was encoded", (t) => {
+  const load = {
+    ...decisions.NO_LOAD_STATE,
+    running: 300,
+    pendingMs: 70_000,
+    heldTokens: 560_000,
+    heldBytes: 9_437_184,
+    silentMs: 70_000,
+    evidence: { attempts: 900, failures: 800, latencyMs: 900_000 },
+  };
+  const message: messages.LoadMessage = {
+    type: "update",
+    name: "edge-central-a-12",
+    sequence: 1_796_000_000_000_000,
+    loads: Array.from({ length: messages.MAX_LOADS_PER_MESSAGE }, (_, at) => ({
+      replicaKey: 4_000_000_000 + at,
+      load,
+    })),
+  };
+  const bytes = messages.encodeLoadMessage(message);
+  t.deepEqual(messages.decodeLoadMessage(bytes), message);
+});
--- a/packages/peers/src/load_message.ts
+++ b/packages/peers/src/load_message.ts
@@ -37,16 +37,19 @@
   };
 
 /** Must change with the layout; messages of another version are dropped. */
-const FORMAT_VERSION = 1;
+const FORMAT_VERSION = 2;
 const TYPE_CODES = { update: 1, query: 2, totals: 3 } as const;
 /** Replicas in one message; keeps a message within one packet. */
 export const MAX_LOADS_PER_MESSAGE = 32;
-const NUMBERS_PER_LOAD = 7;
+const NUMBERS_PER_LOAD = 9;
 /** A longer silence is sent as this one. */
 const MAX_SILENT_MS = 600_000;
 const MAX_MESSAGE_BYTES = 1_200;
 /** Decayed counts are sent as whole numbers of this fraction. */
 const COUNT_SCALE = 10;
+/** Tokens and bytes that are held are sent in whole units, rounded up. */
+const TOKENS_PER_UNIT = 16;
+const BYTES_PER_UNIT = 1_024;
 
 /** Elements of the list that a message is encoded as. */
 const LAYOUT_LENGTH = 5;
@@ -106,11 +109,14 @@
 }
 
 function flattenLoad({ replicaKey, load }: KeyedLoad): readonly number[] {
-  const { running, pendingMs, silentMs, evidence } = load;
+  const { running, pendingMs, heldTokens, heldBytes, silentMs, evidence } =
+    load;
   return [
     replicaKey,
     running,
     Math.round(pendingMs),
+    Math.ceil(heldTokens / TOKENS_PER_UNIT),
+    Math.ceil(heldBytes / BYTES_PER_UNIT),
     Math.round(Math.min(MAX_SILENT_MS, silentMs)),
     Math.round(evidence.attempts * COUNT_SCALE),
     Math.round(evidence.failures * COUNT_SCALE),
@@ -130,6 +136,8 @@
       replicaKey,
       running,
       pendingMs,
+      heldTokenUnits,
+      heldByteUnits,
       silentMs,
       attempts,
       failures,
@@ -143,12 +151,16 @@
         number,
         number,
         number,
+        number,
+        number,
       ];
     return {
       replicaKey,
       load: {
         running,
         pendingMs,
+        heldTokens: heldTokenUnits * TOKENS_PER_UNIT,
+        heldBytes: heldByteUnits * BYTES_PER_UNIT,
         silentMs: silentMs >= MAX_SILENT_MS ? Infinity : silentMs,
         evidence: {
           attempts: attempts / COUNT_SCALE,
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -196,7 +196,7 @@
     const { state } = sent;
     this.#sendCount += 1;
     this.#triedReplicaIds.add(state.entry.id);
-    dispatcher.dependencies.table.recordEnd(state, sent.prefillMs);
+    dispatcher.dependencies.table.recordEnd(state, sent);
     if (result.type === "not-run") {
       this.#refusedBy.add(state.entry.id);
       dispatcher.recorder.recordNotRun(sent, result.reason);
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -53,6 +53,11 @@
     this.#limit = Math.max(MIN_CONNECTIONS, limit);
   }
 
+  /** Bytes of the bodies in flight from this process. */
+  get bodyBytesInFlight(): number {
+    return this.#bodyBytesInFlight;
+  }
+
   get isFull(): boolean {
     return this.#idle.length === 0 && this.#clients.size >= this.#limit;
   }
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -152,7 +152,8 @@
     );
     const peerLoad = this.dependencies.fleet.readLoad(state.key);
     const queuedMs = state.pendingMs + peerLoad.pendingMs;
-    table.recordSent(state, prefillMs);
+    const heldTokens = fields.promptTokens + fields.expectedOutputTokens;
+    table.recordSent(state, { prefillMs, heldTokens });
     this.#recordSession(request, state.entry.version);
     this.dependencies.log.addRoutine("attempt.sent", {
       requestId: request.requestId,
@@ -188,6 +189,7 @@
       sentAtMs: clock.monotonicMs(),
       cachedTokens: pick.cachedTokens,
       prefillMs,
+      heldTokens,
       queuedMs,
     });
   }
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -244,6 +244,9 @@
     return {
       running: Math.max(0, reported.running - own.running),
       pendingMs: Math.max(0, reported.pendingMs - own.pendingMs),
+      // Reports to all leave these out.
+      heldTokens: 0,
+      heldBytes: 0,
       silentMs: Infinity,
       evidence: this.#loads?.readEvidence(replicaKey) ?? decisions.NO_EVIDENCE,
     };
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -176,6 +176,8 @@
   readonly model: string | undefined;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** The caller's estimate, often far off, or else the maximum. */
+  readonly expectedOutputTokens: number;
   readonly promptParts: readonly PromptPart[];
   /** ID of the last event received, from which a stream resumes. */
   readonly lastEventId: string | undefined;
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -19,6 +19,8 @@
   inFlight: number;
   /** Predicted prefill time of this process's pending prompts. */
   pendingMs: number;
+  /** Predicted tokens that this process's requests take of the engine's memory. */
+  heldTokens: number;
   /** Monotonic time at which the newest byte was received from the replica. */
   lastByteAtMs: number;
   avoidUntilMs: number;
@@ -27,6 +29,14 @@
   isRemoved: boolean;
 }
 
+/** What one attempt adds to the load of its replica. */
+export interface SentLoad {
+  /** Predicted prefill time of the prompt tokens that are not cached. */
+  readonly prefillMs: number;
+  /** Predicted tokens of prompt and output. */
+  readonly heldTokens: number;
+}
+
 /** A request for which a replica is chosen. */
 export interface PlacementRequest {
   readonly service: string;
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -201,9 +201,13 @@
     }).map(({ state }) => state.key);
   }
 
-  recordSent(state: groups.ReplicaState, prefillMs: number): void {
+  recordSent(
+    state: groups.ReplicaState,
+    { prefillMs, heldTokens }: groups.SentLoad,
+  ): void {
     state.inFlight += 1;
     state.pendingMs += prefillMs;
+    state.heldTokens += heldTokens;
     if (this.#isEngine(state)) {
       this.#options.onLoadChanged(state.key, "increase");
     }
@@ -224,10 +228,14 @@
     state.prefixes.record(prefill);
   }
 
-  /** Records the end of an attempt and subtracts the prefill time that it still had pending. */
-  recordEnd(state: groups.ReplicaState, remainingPrefillMs: number): void {
+  /** Records the end of an attempt, with the prefill time that it still had pending. */
+  recordEnd(
+    state: groups.ReplicaState,
+    { prefillMs, heldTokens }: groups.SentLoad,
+  ): void {
     state.inFlight = Math.max(0, state.inFlight - 1);
-    state.pendingMs = Math.max(0, state.pendingMs - remainingPrefillMs);
+    state.pendingMs = Math.max(0, state.pendingMs - prefillMs);
+    state.heldTokens = Math.max(0, state.heldTokens - heldTokens);
     this.#options.onLoadChanged(
       state.key,
       this.#isEngine(state) ? "decrease" : "evidence",
@@ -263,10 +271,13 @@
   readOwnLoad(replicaKey: number, nowMs: number): decisions.ReplicaLoadState {
     const state = this.#stateByKey.get(replicaKey);
     if (state === undefined) return decisions.NO_LOAD_STATE;
-    const { inFlight, pendingMs, lastByteAtMs, evidence } = state;
+    const { inFlight, pendingMs, heldTokens, pool, lastByteAtMs, evidence } =
+      state;
     return {
       running: inFlight,
       pendingMs,
+      heldTokens,
+      heldBytes: pool.bodyBytesInFlight,
       silentMs: nowMs - lastByteAtMs,
       evidence: evidence.read(nowMs),
     };
@@ -312,6 +323,7 @@
       prefixes: new prefixes.PrefixMemory(),
       inFlight: 0,
       pendingMs: 0,
+      heldTokens: 0,
       lastByteAtMs: -Infinity,
       avoidUntilMs: -Infinity,
       isDoubtful: false,
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -185,7 +185,9 @@
     };
     t.is(pick({ versionPreference })?.entry.id, "r2");
     t.is(pick({ excluded: new Set(["r1", "r2"]) })?.entry.id, "r3");
-    if (first !== undefined) table.recordSent(first, 0);
+    if (first !== undefined) {
+      table.recordSent(first, { prefillMs: 0, heldTokens: 0 });
+    }
     t.not(pick()?.entry.id, "r1");
     table.close();
   },
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -29,13 +29,11 @@
 }
 
 /** An attempt in flight at a replica. */
-export interface SentAttempt {
+export interface SentAttempt extends groups.SentLoad {
   readonly attempt: attempts.Attempt;
   readonly state: groups.ReplicaState;
   readonly sentAtMs: number;
   readonly cachedTokens: number;
-  /** Predicted prefill time of the prompt tokens that are not cached. */
-  readonly prefillMs: number;
   /** Predicted prefill time of the prompts that were ahead of this one. */
   readonly queuedMs: number;
 }
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -323,7 +323,10 @@
     const { table, quarantine } = this.#dispatcher.dependencies;
     this.#sendCount += 1;
     this.#triedReplicaIds.add(state.entry.id);
-    table.recordEnd(state, current.isPrefilled ? 0 : sent.prefillMs);
+    table.recordEnd(state, {
+      prefillMs: current.isPrefilled ? 0 : sent.prefillMs,
+      heldTokens: sent.heldTokens,
+    });
     if (result.type === "not-run") {
       this.#refusedBy.add(state.entry.id);
       this.#dispatcher.recorder.recordNotRun(sent, result.reason);
