The cost of a choice no longer grows with the number of replicas

Cause: each question and each choice filtered and weighed all replicas of a service, and each change of the peers ranked all processes for all replicas again. With this the limit of one question above 512 replicas is gone.

The order of a prompt's prefix is by mixed hashes, so the homes of prefixes move once; owners of replicas stay as they were.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -6,6 +6,7 @@
 import * as cascadeModels from "./measure/cascade_model.ts";
 import * as cascadeRuns from "./measure/cascade_run.ts";
 import * as guardRuns from "./measure/guard_run.ts";
+import * as placements from "./measure/placement.ts";
 import * as randoms from "./measure/random.ts";
 import * as routingRuns from "./measure/routing_run.ts";
 import * as timings from "./measure/timing.ts";
@@ -27,6 +28,7 @@
 const TARGET_REPLICAS = 750;
 const CURRENT_REPLICAS = 13;
 const VERSION_COUNT = 13;
+const PLACEMENT_REPLICAS: readonly number[] = [30, 300, 3_000];
 
 /** A row of the table: a figure over all seeds, with its target. */
 interface FigureRow {
@@ -307,6 +309,21 @@
   return { target, current };
 }
 
+function measurePlacement(): void {
+  for (const replicas of PLACEMENT_REPLICAS) {
+    const { promptMicros, peerChangeMicros } = placements.measurePlacement(
+      replicas,
+    );
+    addFigure(`router, ${replicas} replicas: microseconds a prompt`, [
+      promptMicros,
+    ]);
+    addFigure(
+      `router, ${replicas} replicas: microseconds a change of the peers`,
+      [peerChangeMicros],
+    );
+  }
+}
+
 function renderRow(row: FigureRow): string {
   const { median, low, high } = row.spread;
   const verdict = row.isMet === undefined ? "" : row.isMet ? "met" : "MISSED";
@@ -348,6 +365,7 @@
   const routing = run("routing", measureRouting);
   const guard = run("guard", measureGuard);
   const timing = run("timing", measureTiming);
+  run("placement", measurePlacement);
   if (process.argv.includes("--json")) {
     process.stdout.write(`${
       JSON.stringify({
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -113,6 +113,18 @@
   );
 }
 
+/** The first candidates in the order of the prompt's prefix. */
+function findHomes<C extends ReplicaCandidate>(
+  candidates: readonly C[],
+  { affinityKey }: PromptPlacement,
+  count: number,
+): readonly C[] {
+  if (affinityKey === undefined) return [];
+  const hashes = candidates.map(({ id }) => hash.hashText(id));
+  return hash.findRendezvousHomes(hashes, affinityKey, count)
+    .map((index) => candidates[index] as C);
+}
+
 /**
  * Chooses the candidates whose load is asked for before the choice: the first two
  * in the order of the prompt's prefix, so that it is cached at few replicas, and
@@ -128,14 +140,9 @@
     return drawSample(candidates, PLAIN_CANDIDATES, random);
   }
   if (candidates.length <= MAX_QUERY_CANDIDATES) return candidates;
-  const byId = new Map(candidates.map((each) => [each.id, each]));
-  const homes = placement.affinityKey === undefined
-    ? []
-    : hash.rankByRendezvous([...byId.keys()], placement.affinityKey)
-      .slice(0, QUERIED_HOMES);
-  const chosen = homes.map((id) => byId.get(id) as C);
-  for (const id of homes) byId.delete(id);
-  const sample = drawSample([...byId.values()], QUERY_SAMPLE, random);
+  const chosen = findHomes(candidates, placement, QUERIED_HOMES);
+  const others = candidates.filter((each) => !chosen.includes(each));
+  const sample = drawSample(others, QUERY_SAMPLE, random);
   const context = {
     affinityReplicaId: undefined,
     medianLatencyMs: findMedianLatencyMs(candidates),
@@ -159,14 +166,9 @@
   random: () => number,
 ): C | undefined {
   if (candidates.length === 0) return undefined;
-  const affinityReplicaId = placement.affinityKey === undefined
-    ? undefined
-    : hash.rankByRendezvous(
-      candidates.map(({ id }) => id),
-      placement.affinityKey,
-    )[0];
+  const [home] = findHomes(candidates, placement, 1);
   const context = {
-    affinityReplicaId,
+    affinityReplicaId: home?.id,
     medianLatencyMs: findMedianLatencyMs(candidates),
   };
   let best: C | undefined;
--- a/packages/peers/src/cold_grants.ts
+++ b/packages/peers/src/cold_grants.ts
@@ -75,9 +75,15 @@
 
   /** Number of replicas that are cold now. */
   countCold(): number {
+    return this.listCold().length;
+  }
+
+  /** Keys of the replicas that are cold now. */
+  listCold(): readonly number[] {
     const nowMs = this.#nowMs;
-    return [...this.#replicas.values()].filter(({ untilMs }) => untilMs > nowMs)
-      .length;
+    return [...this.#replicas].flatMap(([key, { untilMs }]) =>
+      untilMs > nowMs ? [key] : []
+    );
   }
 
   /**
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -35,8 +35,8 @@
 /** Provides what this process has at a replica. */
 export interface LoadSource {
   readLoad(replicaKey: number): decisions.ReplicaLoadState;
-  /** Keys of all known replicas. */
-  listReplicaKeys(): readonly number[];
+  /** Keys of the replicas at which this process has requests. */
+  listBusyKeys(): readonly number[];
 }
 
 export interface LoadExchangeOptions {
@@ -123,12 +123,8 @@
 
   /** Repeats the states of all replicas at which this process has requests, or new evidence. */
   refresh(): void {
-    const { source } = this.#options;
-    this.#sendStates(
-      source.listReplicaKeys().filter((key) =>
-        source.readLoad(key).running > 0 || this.#evidenceKeys.has(key)
-      ),
-    );
+    const busyKeys = this.#options.source.listBusyKeys();
+    this.#sendStates([...new Set([...busyKeys, ...this.#evidenceKeys])]);
     this.#evidenceKeys.clear();
   }
 
@@ -224,13 +220,13 @@
       : decisions.decayEvidence(answer.load.evidence, ageMs);
   }
 
-  /** Loads of all processes, this one included, at the replicas that this process owns. */
+  /** Loads of all processes, this one included, at the busy replicas that this process owns. */
   listOwned(): readonly messages.KeyedLoad[] {
     const { owners, source, clock } = this.#options;
     const nowMs = clock.monotonicMs();
     const keys = new Set([
       ...this.#ledger.listReplicaKeys(),
-      ...source.listReplicaKeys(),
+      ...source.listBusyKeys(),
     ]);
     return [...keys].filter((key) => owners.find(key) === undefined).map((
       replicaKey,
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -1,6 +1,7 @@
 /** Reports that the processes of one installation exchange over UDP. */
 export * from "./cold_grants.ts";
 export * from "./datagram_channel.ts";
+export * from "./known_rate.ts";
 export * from "./load_exchange.ts";
 export * from "./load_message.ts";
 export * from "./peer_table.ts";
--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -18,6 +18,8 @@
 const LOAD_TTL_MS = 800;
 /** Lifetime of the reported counts of requests in flight; repeated like loads. */
 const RUNNING_TTL_MS = 3_000;
+/** Time for which sums over more than `MAX_RECEIVERS` peers are used, whatever is heard meanwhile. */
+const TOTALS_REUSE_MS = 100;
 const MAX_FORMER_PEERS = 4_096;
 /** A report is accepted regardless of its number after a silence longer than this. */
 const RESTART_DETECTION_MS = 3_500;
@@ -62,6 +64,7 @@
   /** Announced peers in the order in which they get reports. */
   #rotation: readonly PeerEndpoint[] | undefined;
   #rotationIndex = 0;
+  #totalsAtMs = -Infinity;
   #totalsExpireAtMs = -Infinity;
 
   constructor(self: string) {
@@ -141,7 +144,11 @@
     if (report.running !== undefined) {
       this.#running.set(report.name, { counts: report.running, atMs: nowMs });
     }
-    this.#totalsExpireAtMs = -Infinity;
+    const reuseMs = this.#received.size > MAX_RECEIVERS ? TOTALS_REUSE_MS : 0;
+    this.#totalsExpireAtMs = Math.min(
+      this.#totalsExpireAtMs,
+      this.#totalsAtMs + reuseMs,
+    );
     return true;
   }
 
@@ -153,6 +160,7 @@
 
   #computeTotals(nowMs: number): void {
     this.#totals.clear();
+    this.#totalsAtMs = nowMs;
     this.#totalsExpireAtMs = Infinity;
     for (const { report, atMs } of this.#received.values()) {
       if (!this.#isValid(atMs + LOAD_TTL_MS, nowMs)) continue;
--- a/packages/peers/src/rate_exchange.ts
+++ b/packages/peers/src/rate_exchange.ts
@@ -10,6 +10,7 @@
 import type * as kernel from "@jackdawbank/kernel";
 import * as colds from "./cold_grants.ts";
 import * as openAsks from "./open_asks.ts";
+import * as knownRates from "./known_rate.ts";
 import * as messages from "./rate_message.ts";
 import type * as owners from "./replica_owners.ts";
 import type * as tables from "./peer_table.ts";
@@ -24,16 +25,13 @@
 const ENDED_NOTICE_MS = 10_000;
 const MAX_KNOWN_REPLICAS = 4_096;
 
-/** Requests to be left for more urgent ones: one, except by the most urgent. */
-export type ReservedRequests = 0 | 1;
-
 /** What is asked for. */
 interface Question {
-  readonly reserved: ReservedRequests;
+  readonly reserved: knownRates.ReservedRequests;
   /** Whether the request goes first while the replica is cold. */
   readonly isPreferred: boolean;
   /** The less urgent of what the two say: 0 is asked for first. */
-  readonly rank: ReservedRequests;
+  readonly rank: knownRates.ReservedRequests;
 }
 
 export interface RateExchangeOptions {
@@ -48,36 +46,11 @@
     | undefined;
 }
 
-/** What is known of a replica that names a rate, or did lately. */
-interface KnownRate {
-  statement: decisions.RateStatement;
-  /** When the owner was last told. */
-  toldAtMs: number;
-  /** Times before which no request is asked for, by the question's rank. */
-  readonly waitUntilMs: [number, number];
-  /** Kept by the owner. */
-  account: decisions.RateAccount | undefined;
-  /** This process's share while the owner does not answer. */
-  share: decisions.RateAccount | undefined;
-  /** Requests that the owner has refused since it last granted one. */
-  refusedAsks: number;
-}
-
-/** Where a more urgent request was refused, a less urgent one would be, too. */
-function delayAsks(
-  { waitUntilMs }: KnownRate,
-  rank: ReservedRequests,
-  untilMs: number,
-): void {
-  if (rank === 0) waitUntilMs[0] = untilMs;
-  waitUntilMs[1] = Math.max(waitUntilMs[1], untilMs);
-}
-
 /** Rates as one process knows them. */
 export class RateExchange {
   readonly #options: RateExchangeOptions;
-  readonly #rates = new Map<number, KnownRate>();
-  readonly #asks = new openAsks.OpenAsks<ReservedRequests>();
+  readonly #rates = new Map<number, knownRates.KnownRate>();
+  readonly #asks = new openAsks.OpenAsks<knownRates.ReservedRequests>();
   readonly #silentUntilMs = new Map<string, number>();
   readonly #cold: colds.ColdGrants;
 
@@ -105,6 +78,16 @@
       : Math.min(named, cold);
   }
 
+  /** Keys of the replicas that take requests at a rate. */
+  *listRated(): Iterable<number> {
+    for (const [key, { statement }] of this.#rates) {
+      if (statement.rate !== undefined) yield key;
+    }
+    for (const key of this.#cold.listCold()) {
+      if (this.isCold(key)) yield key;
+    }
+  }
+
   /** Whether a replica is cold and therefore takes requests at a rate. */
   isCold(replicaKey: number): boolean {
     return this.#cold.readRate(replicaKey) !== undefined;
@@ -115,7 +98,10 @@
   }
 
   /** Time until a request to a replica may be asked for; 0 without a limit. */
-  findWaitMs(replicaKey: number, reserved: ReservedRequests): number {
+  findWaitMs(
+    replicaKey: number,
+    reserved: knownRates.ReservedRequests,
+  ): number {
     const known = this.#rates.get(replicaKey);
     if (known === undefined) return 0;
     const isNamed = known.statement.rate !== undefined;
@@ -172,7 +158,7 @@
    */
   async take(
     replicaKey: number,
-    reserved: ReservedRequests,
+    reserved: knownRates.ReservedRequests,
     isPreferred = false,
   ): Promise<boolean> {
     const { rate } = this.#readStatement(replicaKey);
@@ -246,7 +232,7 @@
       decisions.NO_RATE_STATEMENT;
   }
 
-  #keep(replicaKey: number): KnownRate {
+  #keep(replicaKey: number): knownRates.KnownRate {
     return this.#rates.get(replicaKey) ??
       this.#setStatement(replicaKey, decisions.NO_RATE_STATEMENT);
   }
@@ -254,8 +240,8 @@
   #setStatement(
     replicaKey: number,
     statement: decisions.RateStatement,
-  ): KnownRate {
-    const known: KnownRate = this.#rates.get(replicaKey) ?? {
+  ): knownRates.KnownRate {
+    const known: knownRates.KnownRate = this.#rates.get(replicaKey) ?? {
       statement,
       toldAtMs: -Infinity,
       waitUntilMs: [-Infinity, -Infinity],
@@ -276,7 +262,7 @@
   /** Grants a request to a replica; returns 0, or when to ask again. */
   #grant(
     replicaKey: number,
-    known: KnownRate,
+    known: knownRates.KnownRate,
     question: { readonly reserved: number; readonly isPreferred: boolean },
   ): number {
     const { rate } = known.statement;
@@ -294,30 +280,34 @@
     return 0;
   }
 
-  #takeNamed(known: KnownRate, rate: number, reserved: number): number {
+  #takeNamed(
+    known: knownRates.KnownRate,
+    rate: number,
+    reserved: number,
+  ): number {
     const nowMs = this.#nowMs;
     known.account ??= new decisions.RateAccount(nowMs);
     return known.account.take(rate, nowMs, reserved);
   }
 
-  #refuse(known: KnownRate, waitMs: number): number {
+  #refuse(known: knownRates.KnownRate, waitMs: number): number {
     known.refusedAsks += 1;
     // Spreads the processes that wait, of which one at a time will be granted a request.
     const spreadMs = waitMs * known.refusedAsks / 2 * this.#options.random();
     return Math.min(MAX_WAIT_MS, waitMs + spreadMs);
   }
 
-  #takeShare(known: KnownRate, rate: number): boolean {
+  #takeShare(known: knownRates.KnownRate, rate: number): boolean {
     const nowMs = this.#nowMs;
     const processes = this.#options.owners.list().length + 1;
     known.share ??= new decisions.RateAccount(nowMs, this.#options.random());
     const waitMs = known.share.takeUnowned(rate, nowMs, processes);
     // Before that the owner may have answered again.
-    delayAsks(known, 0, nowMs + Math.min(SILENT_OWNER_MS, waitMs));
+    knownRates.delayAsks(known, 0, nowMs + Math.min(SILENT_OWNER_MS, waitMs));
     return waitMs === 0;
   }
 
-  #tellOwner(replicaKey: number, known: KnownRate): void {
+  #tellOwner(replicaKey: number, known: knownRates.KnownRate): void {
     const owner = this.#options.owners.find(replicaKey);
     if (owner === undefined) return;
     this.#sendAsk(owner, {
@@ -332,12 +322,12 @@
   async #askGrantor(
     grantor: tables.PeerEndpoint | undefined,
     replicaKey: number,
-    known: KnownRate,
+    known: knownRates.KnownRate,
     question: Question,
   ): Promise<boolean | undefined> {
     if (grantor === undefined) {
       const waitMs = this.#grant(replicaKey, known, question);
-      delayAsks(known, question.rank, this.#nowMs + waitMs);
+      knownRates.delayAsks(known, question.rank, this.#nowMs + waitMs);
       return waitMs === 0;
     }
     const silentUntilMs = this.#silentUntilMs.get(grantor.name) ?? -Infinity;
@@ -353,10 +343,14 @@
     return undefined;
   }
 
-  #recordAnswer(askId: number, known: KnownRate, waitMs: number): void {
+  #recordAnswer(
+    askId: number,
+    known: knownRates.KnownRate,
+    waitMs: number,
+  ): void {
     const rank = askId === 0 ? 0 : this.#asks.finish(askId, waitMs === 0);
     if (rank === undefined || waitMs === 0) return;
-    delayAsks(known, rank, this.#nowMs + waitMs);
+    knownRates.delayAsks(known, rank, this.#nowMs + waitMs);
   }
 
   #sendAsk(
@@ -367,7 +361,7 @@
       readonly reserved: number;
       readonly isPreferred: boolean;
     },
-    { statement }: KnownRate,
+    { statement }: knownRates.KnownRate,
   ): void {
     const { name, send } = this.#options;
     const stated = messages.buildAgedRate(statement, this.#nowMs);
--- a/packages/peers/src/replica_owners.ts
+++ b/packages/peers/src/replica_owners.ts
@@ -8,13 +8,17 @@
 
 /** Owner and deputy. */
 const RANKED_PROCESSES = 2;
+const MAX_RANKED_REPLICAS = 16_384;
 
 /** Owners by replica, from the announced peers. */
 export class ReplicaOwners {
   readonly #self: string;
   readonly #peers = new Map<string, tables.PeerEndpoint>();
-  /** Names of owner and deputy by replica key; emptied when peers change. */
-  readonly #rankingByReplica = new Map<number, readonly string[]>();
+  /** Owner and deputy by replica key; a change of the peers replaces only what it changes. */
+  readonly #rankingByReplica = new Map<
+    number,
+    readonly decisions.RankedMember[]
+  >();
 
   constructor(self: string) {
     this.#self = self;
@@ -22,31 +26,37 @@
 
   put(endpoint: tables.PeerEndpoint): void {
     if (endpoint.name === this.#self) return;
-    if (!this.#peers.has(endpoint.name)) this.#rankingByReplica.clear();
+    const isNew = !this.#peers.has(endpoint.name);
     this.#peers.set(endpoint.name, endpoint);
+    if (isNew) this.#rankNewPeer(endpoint.name);
   }
 
   remove(name: string): void {
-    if (this.#peers.delete(name)) this.#rankingByReplica.clear();
+    if (!this.#peers.delete(name)) return;
+    for (const [key, ranking] of this.#rankingByReplica) {
+      if (ranking.some(({ id }) => id === name)) {
+        this.#rankingByReplica.delete(key);
+      }
+    }
   }
 
   /** Endpoint of a replica's owner, or `undefined` if this process owns it. */
   find(replicaKey: number): tables.PeerEndpoint | undefined {
-    const [owner = this.#self] = this.#rank(replicaKey);
-    return this.#peers.get(owner);
+    const [owner] = this.#rank(replicaKey);
+    return this.#peers.get(owner?.id ?? this.#self);
   }
 
   /** Endpoint of the process that stands in for a silent owner; `undefined` if it is this one or none. */
   findDeputy(replicaKey: number): tables.PeerEndpoint | undefined {
     const [, deputy] = this.#rank(replicaKey);
-    return deputy === undefined ? undefined : this.#peers.get(deputy);
+    return deputy === undefined ? undefined : this.#peers.get(deputy.id);
   }
 
   /** Whether this process is the owner of a replica, its deputy, or neither. */
   findOwnRole(replicaKey: number): "owner" | "deputy" | undefined {
     const [owner, deputy] = this.#rank(replicaKey);
-    if (owner === this.#self) return "owner";
-    return deputy === this.#self ? "deputy" : undefined;
+    if (owner?.id === this.#self) return "owner";
+    return deputy?.id === this.#self ? "deputy" : undefined;
   }
 
   /** All announced peers. */
@@ -60,14 +70,30 @@
     return peer?.host === host ? peer : undefined;
   }
 
-  #rank(replicaKey: number): readonly string[] {
+  #rank(replicaKey: number): readonly decisions.RankedMember[] {
     const known = this.#rankingByReplica.get(replicaKey);
     if (known !== undefined) return known;
-    const ranking = decisions.rankByRendezvous(
-      [this.#self, ...this.#peers.keys()],
-      String(replicaKey),
-    ).slice(0, RANKED_PROCESSES);
+    const key = String(replicaKey);
+    const ranking = [this.#self, ...this.#peers.keys()]
+      .map((name) => decisions.weighMember(name, key))
+      .toSorted(decisions.compareMembers).slice(0, RANKED_PROCESSES);
     this.#rankingByReplica.set(replicaKey, ranking);
+    decisions.trimOldest(this.#rankingByReplica, MAX_RANKED_REPLICAS);
     return ranking;
   }
+
+  #rankNewPeer(name: string): void {
+    for (const [replicaKey, ranking] of this.#rankingByReplica) {
+      const member = decisions.weighMember(name, String(replicaKey));
+      const last = ranking.at(-1);
+      const isRanked = ranking.length < RANKED_PROCESSES ||
+        last !== undefined && decisions.compareMembers(member, last) < 0;
+      if (!isRanked) continue;
+      const members = [...ranking, member].toSorted(decisions.compareMembers);
+      this.#rankingByReplica.set(
+        replicaKey,
+        members.slice(0, RANKED_PROCESSES),
+      );
+    }
+  }
 }
--- a/packages/router/src/cold_replicas.ts
+++ b/packages/router/src/cold_replicas.ts
@@ -10,7 +10,7 @@
 import type * as ports from "./ports.ts";
 import * as prefixes from "./prefix_memory.ts";
 import type * as groups from "./replica_group.ts";
-import type * as replicas from "./replica_table.ts";
+import type * as choosers from "./replica_chooser.ts";
 
 const MAX_KNOWN_REPLICAS = 4_096;
 
@@ -32,18 +32,19 @@
 
 /** Whether a request goes first at a cold replica that was picked for it among `states`. */
 export function isPreferredWhileCold(
-  { state, cachedTokens }: replicas.PickedReplica,
+  { state, cachedTokens }: choosers.PickedReplica,
   { model, parts, promptTokens, prefillMsPerToken }: groups.PlacementRequest,
   states: readonly groups.ReplicaState[],
 ): boolean {
   const { key } = prefixes.findSharedPrefix(parts);
   if (key === undefined) return false;
-  const [home] = decisions.rankByRendezvous(
-    states.map(({ entry }) => entry.id),
+  const [home] = decisions.findRendezvousHomes(
+    states.map((each) => each.key),
     prefixes.buildCacheKey(model, key),
+    1,
   );
   return decisions.isPreferredWhileCold({
-    isHome: home === state.entry.id,
+    isHome: home !== undefined && states[home] === state,
     prefillMs: (promptTokens - cachedTokens) * prefillMsPerToken,
   });
 }
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -23,8 +23,8 @@
 /** State of this process that its peers are told. */
 export interface FleetSource
   extends Omit<peers.ReportSource, "listLoads" | "listRunning"> {
-  /** Keys of all known replicas. */
-  listReplicaKeys(): readonly number[];
+  /** Keys of the replicas at which this process has requests. */
+  listBusyKeys(): readonly number[];
   /** What peers should know of suspected parts of prompts. */
   listPromptTallies(): readonly peers.PartTally[];
   /** What this process has at a replica. */
@@ -121,7 +121,7 @@
       owners: this.#owners,
       source: {
         readLoad: (key) => source.readOwnLoad(key),
-        listReplicaKeys: () => source.listReplicaKeys(),
+        listBusyKeys: () => source.listBusyKeys(),
       },
       onQuery: (sender, keys) => this.#rates.notify(sender, keys),
       onMessage: (what) => telemetry.countEvent(`loads.${what}`),
@@ -147,15 +147,13 @@
         readView: () => source.readView(),
         listVersionOutcomes: () => source.listVersionOutcomes(),
         listLoads: () =>
-          loads.listOwned().map(({ replicaKey, load }) => ({
-            replicaKey,
-            pendingMs: load.pendingMs,
-          })),
+          loads.listOwned().map(({ replicaKey, load: { pendingMs } }) => (
+            { replicaKey, pendingMs }
+          )),
         listRunning: () =>
-          loads.listOwned().map(({ replicaKey, load }) => ({
-            replicaKey,
-            count: load.running,
-          })),
+          loads.listOwned().map(({ replicaKey, load: { running } }) => (
+            { replicaKey, count: running }
+          )),
       },
       listener,
       onReport: (what) => telemetry.countEvent(`peers.${what}`),
@@ -257,6 +255,11 @@
     return this.#rates.readRate(replicaKey);
   }
 
+  /** Keys of the replicas that take requests at a rate. */
+  listRated(): Iterable<number> {
+    return this.#rates.listRated();
+  }
+
   /** Time until a request to a replica with a rate may be asked for. */
   findRateWaitMs(
     replicaKey: number,
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -4,5 +4,6 @@
  */
 export * from "./decision_log.ts";
 export * from "./ports.ts";
+export * from "./replica_table.ts";
 export * from "./router.ts";
 export * from "./telemetry.ts";
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -70,6 +70,8 @@
   readRate(replicaKey: number): number | undefined;
   /** Time until a request may be asked for; 0 without a limit. */
   findWaitMs(replicaKey: number, reserved: peers.ReservedRequests): number;
+  /** Keys of the replicas that name a rate. */
+  listRated(): Iterable<number>;
   /** Called when a replica has started again. */
   reset(replicaKey: number): void;
 }
@@ -123,6 +125,27 @@
   return homeDataCentres?.has(entry.dataCentre) ?? true;
 }
 
+/**
+ * The usable replicas of the preferred version that are expected to answer soon:
+ * the best group, unless it is empty or perhaps held back.
+ */
+export function findFirstGroup(
+  states: readonly ReplicaState[],
+  request: PlacementRequest,
+  sources: LoadSources,
+): readonly ReplicaState[] {
+  const { heldBackDataCentres, nowMs } = request;
+  const group = states.filter((state) =>
+    isUsable(state, request, sources.rates) &&
+    isPreferred(state, request) && isAvailable(state, nowMs)
+  );
+  if (heldBackDataCentres === undefined) return group;
+  const others = group.filter(({ entry }) =>
+    !heldBackDataCentres.has(entry.dataCentre)
+  );
+  return others.some((state) => hasRoom(state, sources, nowMs)) ? others : [];
+}
+
 /** The best group of usable replicas that is not empty. */
 export function findGroup(
   states: readonly ReplicaState[],
@@ -150,24 +173,33 @@
   return running < state.entry.slots && isUnrestricted(state, rates, nowMs);
 }
 
+function isUsable(
+  state: ReplicaState,
+  request: PlacementRequest,
+  rates: ReplicaRates,
+): boolean {
+  return !request.excluded.has(state.entry.id) &&
+    !request.versionPreference.banned.includes(state.entry.version) &&
+    isAtHome(state, request) &&
+    (request.needsNewConnection || !state.pool.isFull) &&
+    isOpen(state, request.nowMs) && isWithinRate(state, request, rates);
+}
+
+function isPreferred(
+  { entry }: ReplicaState,
+  { versionPreference: { target, prefersTarget } }: PlacementRequest,
+): boolean {
+  return target === undefined || (entry.version === target) === prefersTarget;
+}
+
 function findBestGroup(
   states: readonly ReplicaState[],
   request: PlacementRequest,
   rates: ReplicaRates,
 ): readonly ReplicaState[] | undefined {
   const { nowMs } = request;
-  const usable = states.filter((state) =>
-    !request.excluded.has(state.entry.id) &&
-    !request.versionPreference.banned.includes(state.entry.version) &&
-    isAtHome(state, request) &&
-    (request.needsNewConnection || !state.pool.isFull) &&
-    isOpen(state, nowMs) && isWithinRate(state, request, rates)
-  );
-  const { target, prefersTarget } = request.versionPreference;
-  const isPreferred = (state: ReplicaState) =>
-    target === undefined ||
-    (state.entry.version === target) === prefersTarget;
-  const preferred = usable.filter(isPreferred);
+  const usable = states.filter((state) => isUsable(state, request, rates));
+  const preferred = usable.filter((state) => isPreferred(state, request));
   const groups = [
     preferred.filter((state) => isAvailable(state, nowMs)),
     // Keeping a session on its version matters more than avoiding an unavailable replica.
@@ -184,16 +216,15 @@
   request: PlacementRequest,
   rates: ReplicaRates,
 ): number | undefined {
-  const waits = states.filter((state) =>
-    !state.demands.isLeaving && isAtHome(state, request)
-  ).map((
-    { key, demands },
-  ) =>
-    Math.max(
+  let shortestMs = Infinity;
+  for (const state of states) {
+    const { key, demands } = state;
+    if (demands.isLeaving || !isAtHome(state, request)) continue;
+    const waitMs = Math.max(
       demands.pausedUntilMs - request.nowMs,
       rates.findWaitMs(key, request.reserved),
-    )
-  );
-  const shortestMs = Math.min(...waits);
+    );
+    shortestMs = Math.min(shortestMs, waitMs);
+  }
   return Number.isFinite(shortestMs) && shortestMs > 0 ? shortestMs : undefined;
 }
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -7,41 +7,32 @@
 import * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
 import * as groups from "./replica_group.ts";
+import * as choosers from "./replica_chooser.ts";
+import * as members from "./replica_members.ts";
 import type * as tableOptions from "./replica_table_options.ts";
 import * as prefixes from "./prefix_memory.ts";
-import * as queries from "./query_choice.ts";
+import * as scans from "./service_scan.ts";
 
 /** Time in which a replica is avoided after an attempt that it did not run. */
 const AVOID_BUSY_MS = 150;
 /** Time in which a replica is avoided after its address answered as another replica. */
 const AVOID_MISDIRECTED_MS = 1_000;
-/** With a smaller share of certain replicas, the doubtful ones are used as well. */
-const MIN_CERTAIN_SHARE = 0.5;
 /** Assumed number of processes that share a replica's connections, until peers are known. */
 const DEFAULT_PROCESS_COUNT = 6;
 
 /** Incarnations of replicas whose demands are kept, also after their removal. */
 const MAX_INCARNATIONS = 4_096;
 
-/** A chosen replica, with the inputs of the choice for the log. */
-export interface PickedReplica {
-  readonly state: groups.ReplicaState;
-  /** Prompt tokens that are probably cached at the replica. */
-  readonly cachedTokens: number;
-  /** Number of replicas that were considered. */
-  readonly candidates: number;
-}
-
-interface Candidate extends decisions.ReplicaCandidate {
-  readonly state: groups.ReplicaState;
-}
-
 /** The replicas of all services. */
 export class ReplicaTable {
   readonly #options: tableOptions.ReplicaTableOptions;
   readonly #states = new Map<string, groups.ReplicaState>();
   readonly #stateByKey = new Map<number, groups.ReplicaState>();
-  readonly #statesByService = new Map<string, Set<groups.ReplicaState>>();
+  readonly #members: members.ReplicaMembers;
+  readonly #chooser: choosers.ReplicaChooser;
+  /** Keys of the replicas at which this process has requests. */
+  readonly #busyKeys = new Set<number>();
+  readonly #occupancy = new scans.ServiceScan();
   readonly #demandsByIncarnation = new Map<
     string,
     decisions.ReplicaDemandState
@@ -51,6 +42,14 @@
 
   constructor(options: tableOptions.ReplicaTableOptions) {
     this.#options = options;
+    this.#members = new members.ReplicaMembers((dataCentre) =>
+      options.isEvacuated?.(dataCentre) ?? false
+    );
+    this.#chooser = new choosers.ReplicaChooser({
+      ...options,
+      members: this.#members,
+      find: (key) => this.#stateByKey.get(key),
+    });
   }
 
   get size(): number {
@@ -62,13 +61,7 @@
    * so many are that an outage must be the reason.
    */
   listActive(service: string): readonly groups.ReplicaState[] {
-    const active = [...this.#statesByService.get(service) ?? []].filter((
-      state,
-    ) => !state.entry.isDraining && !this.isEvacuated(state));
-    const certain = active.filter((state) => !state.isDoubtful);
-    return certain.length >= MIN_CERTAIN_SHARE * active.length
-      ? certain
-      : active;
+    return this.#members.findActive(service).states;
   }
 
   /** Whether the replica's data centre is evacuated. */
@@ -99,9 +92,7 @@
       : this.#createState(entry);
     this.#states.set(entry.id, state);
     this.#stateByKey.set(state.key, state);
-    const members = this.#statesByService.get(entry.service) ?? new Set();
-    members.add(state);
-    this.#statesByService.set(entry.service, members);
+    this.#members.put(state);
   }
 
   remove(id: string): void {
@@ -111,13 +102,16 @@
     state.pool.close();
     this.#states.delete(id);
     this.#stateByKey.delete(state.key);
-    this.#statesByService.get(state.entry.service)?.delete(state);
+    this.#busyKeys.delete(state.key);
+    this.#members.remove(state);
   }
 
   /** Marks a replica whose entry is missing after an outage of the control plane. */
   markDoubtful(id: string): void {
     const state = this.#states.get(id);
-    if (state !== undefined) state.isDoubtful = true;
+    if (state === undefined) return;
+    state.isDoubtful = true;
+    this.#members.put(state);
   }
 
   /** Whether an available replica that is not excluded has a free connection. */
@@ -140,9 +134,21 @@
 
   /** Ratio of requests of all processes to slots, over a service's available replicas. */
   measureOccupancy(service: string, nowMs: number): number {
+    const states = this.listActive(service);
+    return this.#occupancy.read(
+      service,
+      { replicas: states.length, nowMs },
+      () => this.#computeOccupancy(states, nowMs),
+    );
+  }
+
+  #computeOccupancy(
+    states: readonly groups.ReplicaState[],
+    nowMs: number,
+  ): number {
     let running = 0;
     let slots = 0;
-    for (const state of this.listActive(service)) {
+    for (const state of states) {
       if (!groups.isUnrestricted(state, this.#options.rates, nowMs)) continue;
       running += state.inFlight +
         this.#options.readPeerLoad(state.key).running;
@@ -152,21 +158,23 @@
   }
 
   /** Picks a replica of the preferred version, or else of another permitted one. */
-  pick(request: groups.PlacementRequest): PickedReplica | undefined {
-    const group = this.#findGroup(request);
-    if (group === undefined) return undefined;
-    const granted = group.filter(({ key }) => key === request.grantedKey);
-    const queried = group.filter(({ key }) => request.queriedKeys?.has(key));
-    const preferred = granted.length > 0 ? granted : queried;
-    return this.#choose(preferred.length > 0 ? preferred : group, request);
+  pick(request: groups.PlacementRequest): choosers.PickedReplica | undefined {
+    return this.#chooser.pick(request);
+  }
+
+  /** Keys of the replicas whose load should be asked for before `pick`. */
+  listQueryKeys(request: groups.PlacementRequest): readonly number[] {
+    return this.#chooser.listQueryKeys(request);
   }
 
   /** Whether any replica of a service names a rate. */
   hasRates(service: string): boolean {
-    const { rates } = this.#options;
-    return this.listActive(service).some(({ key }) =>
-      rates.readRate(key) !== undefined
-    );
+    const active = this.listActive(service);
+    for (const key of this.#options.rates.listRated()) {
+      const state = this.#stateByKey.get(key);
+      if (state !== undefined && active.includes(state)) return true;
+    }
+    return false;
   }
 
   /** Time after which a replica would take a request that none takes now; absent if unknown. */
@@ -175,37 +183,12 @@
     return groups.findRetryAfterMs(states, request, this.#options.rates);
   }
 
-  #findGroup(
-    request: groups.PlacementRequest,
-  ): readonly groups.ReplicaState[] | undefined {
-    const states = this.listActive(request.service);
-    return groups.findGroup(states, request, this.#options);
-  }
-
-  /** Keys of the replicas whose load should be asked for before `pick`. */
-  listQueryKeys(request: groups.PlacementRequest): readonly number[] {
-    const group = this.#findGroup(request) ?? [];
-    if (group.length < 2) return [];
-    const candidates = group.map((state) =>
-      this.#buildCandidate(state, request)
-    );
-    return queries.limitRatedCandidates(candidates, {
-      choose: (from) =>
-        decisions.chooseQueryCandidates(
-          from,
-          this.#buildPlacement(request),
-          this.#options.random,
-        ),
-      hasRate: ({ state }) =>
-        this.#options.rates.readRate(state.key) !== undefined,
-    }).map(({ state }) => state.key);
-  }
-
   recordSent(
     state: groups.ReplicaState,
     { prefillMs, heldTokens }: groups.SentLoad,
   ): void {
     state.inFlight += 1;
+    if (!state.isRemoved) this.#busyKeys.add(state.key);
     state.pendingMs += prefillMs;
     state.heldTokens += heldTokens;
     if (this.#isEngine(state)) {
@@ -234,6 +217,9 @@
     { prefillMs, heldTokens }: groups.SentLoad,
   ): void {
     state.inFlight = Math.max(0, state.inFlight - 1);
+    if (state.inFlight === 0 && !state.isRemoved) {
+      this.#busyKeys.delete(state.key);
+    }
     state.pendingMs = Math.max(0, state.pendingMs - prefillMs);
     state.heldTokens = Math.max(0, state.heldTokens - heldTokens);
     this.#options.onLoadChanged(
@@ -263,8 +249,9 @@
     return this.#stateByKey.get(replicaKey);
   }
 
-  listReplicaKeys(): readonly number[] {
-    return [...this.#stateByKey.keys()];
+  /** Keys of the replicas at which this process has requests. */
+  listBusyKeys(): readonly number[] {
+    return [...this.#busyKeys];
   }
 
   /** What this process has at a replica. */
@@ -341,64 +328,4 @@
     decisions.trimOldest(this.#demandsByIncarnation, MAX_INCARNATIONS);
     return demands;
   }
-
-  #choose(
-    states: readonly groups.ReplicaState[],
-    request: groups.PlacementRequest,
-  ): PickedReplica | undefined {
-    const candidates = states.map((state) =>
-      this.#buildCandidate(state, request)
-    );
-    const chosen = decisions.chooseReplica(
-      candidates,
-      this.#buildPlacement(request),
-      this.#options.random,
-    );
-    return chosen && {
-      state: chosen.state,
-      cachedTokens: chosen.cachedTokens,
-      candidates: candidates.length,
-    };
-  }
-
-  #buildPlacement(request: groups.PlacementRequest): decisions.PromptPlacement {
-    const sharedPrefix = prefixes.findSharedPrefix(request.parts);
-    return {
-      promptTokens: request.promptTokens,
-      prefillMsPerToken: request.prefillMsPerToken,
-      affinityKey: sharedPrefix.key === undefined
-        ? undefined
-        : prefixes.buildCacheKey(request.model, sharedPrefix.key),
-      sharedTokens: sharedPrefix.tokens,
-    };
-  }
-
-  #buildCandidate(
-    state: groups.ReplicaState,
-    request: groups.PlacementRequest,
-  ): Candidate {
-    const peerLoad = this.#options.readPeerLoad(state.key);
-    const evidence = decisions.addEvidence(
-      state.evidence.read(request.nowMs),
-      peerLoad.evidence,
-    );
-    return {
-      state,
-      id: state.entry.id,
-      isLocal: state.entry.dataCentre === this.#options.dataCentre,
-      inFlight: state.inFlight + peerLoad.running,
-      pendingMs: state.pendingMs + peerLoad.pendingMs,
-      slots: state.entry.slots,
-      cachedTokens: state.prefixes.countTokens(
-        request,
-        this.#options.prefixReuseWindowMs,
-      ),
-      failureRate: Math.max(
-        state.health.failureRate,
-        decisions.estimateFailureRate(evidence),
-      ),
-      meanLatencyMs: decisions.estimateMeanLatencyMs(evidence) ??
-        state.health.meanLatencyMs,
-    };
-  }
 }
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -13,6 +13,7 @@
     onConnectionOpened: () => {},
     rates: {
       readRate: () => undefined,
+      listRated: () => [],
       findWaitMs: () => 0,
       reset: () => {},
     },
--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -13,6 +13,7 @@
 import type * as fleets from "./fleet.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
+import * as scans from "./service_scan.ts";
 import type * as telemetry from "./telemetry.ts";
 
 /** Prompts that one process holds; further ones are sent at once. */
@@ -22,8 +23,6 @@
 /** Backlog above which more candidates are asked, as a share of the shortest target. */
 const WIDE_QUERY_SHARE = 0.15;
 const MAX_WIDE_QUERIES = 2;
-/** Each question weighs all replicas of the service; with more of them, one question is asked. */
-const MAX_WIDE_REPLICAS = 512;
 /** Interval at which a held prompt looks whether this process stops. */
 const STOP_CHECK_MS = 250;
 /** Waits are spread by this share of their length, either way. */
@@ -89,6 +88,7 @@
   readonly #sharesByService = new Map<string, decisions.AccountShares>();
   #policies = new Map<string, decisions.RoomPolicy | undefined>();
   #policiesOf: bundle.RouteIndex | undefined;
+  readonly #shortestBacklogs = new scans.ServiceScan();
   #heldCount = 0;
   #meanBacklogMs = 0;
 
@@ -104,7 +104,7 @@
     const policy = request.fields.promptTokens > 0
       ? this.#findPolicy(request.service)
       : undefined;
-    const keys = await this.#queryLoads(request.service, entry, policy);
+    const keys = await this.#queryLoads(entry, policy);
     if (policy === undefined) return { keys };
     const shares = this.#findShares(request.service);
     const backlogMs = this.#readBacklogMs(keys);
@@ -120,7 +120,6 @@
 
   /** Asks more candidates while those that are known have a long backlog. */
   async #queryLoads(
-    service: string,
     entry: RoomEntry,
     policy: decisions.RoomPolicy | undefined,
   ): Promise<ReadonlySet<number>> {
@@ -129,8 +128,6 @@
     const limitMs = WIDE_QUERY_SHARE * policy.shortestTargetMs;
     for (let queries = 0; queries < MAX_WIDE_QUERIES; queries += 1) {
       if (this.#readBacklogMs(keys) <= limitMs) break;
-      const replicas = this.#options.table.listActive(service).length;
-      if (replicas > MAX_WIDE_REPLICAS) break;
       const added = await entry.queryLoads(keys);
       if (added.size === 0) break;
       keys = new Set([...keys, ...added]);
@@ -220,8 +217,11 @@
     const remainingMs = request.deadlineAtMs - nowMs;
     if (backlogMs < remainingMs + MIN_REFUSAL_MARGIN_MS) return undefined;
     const { table, log, telemetry, random } = this.#options;
-    const shortestMs = this.#readBacklogMs(
-      table.listActive(request.service).map(({ key }) => key),
+    const states = table.listActive(request.service);
+    const shortestMs = this.#shortestBacklogs.read(
+      request.service,
+      { replicas: states.length, nowMs },
+      () => this.#readBacklogMs(states.map(({ key }) => key)),
     );
     if (shortestMs < remainingMs + MIN_REFUSAL_MARGIN_MS) return undefined;
     const retryAfterMs = (0.5 + 0.5 * random()) *
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -97,6 +97,7 @@
       onConnectionOpened: () => this.#telemetry.countEvent("connection.opened"),
       rates: {
         readRate: (key) => this.#fleet.readRate(key),
+        listRated: () => this.#fleet.listRated(),
         findWaitMs: (key, reserved) =>
           this.#fleet.findRateWaitMs(key, reserved),
         reset: (key) => this.#fleet.resetRate(key),
@@ -129,7 +130,7 @@
       telemetry: this.#telemetry,
       random,
       source: {
-        listReplicaKeys: () => this.#table.listReplicaKeys(),
+        listBusyKeys: () => this.#table.listBusyKeys(),
         readOwnLoad: (key) =>
           this.#table.readOwnLoad(key, this.#options.clock.monotonicMs()),
         readView: () => this.#control.view,
