--- a/packages/fakes/src/platform_store.ts
+++ b/packages/fakes/src/platform_store.ts
@@ -51,6 +51,8 @@
 /** Tests also put and remove items directly, without HTTP. */
 export class FakePlatformStore {
   mode: PlatformStoreMode = "up";
+  /** Whether watches are refused, while all else is served. */
+  refusesWatches = false;
   /** Delay before each response. */
   delayMs = 0;
   /** Time over which the body of a watch's answer is sent, in small pieces, as over a slow link. */
@@ -63,6 +65,11 @@
   #changes: Change[] = [];
   #oldestRevision = 0;
   #revision = 10;
+  /** What stale reads answer, with its revision; the current items if absent. */
+  #stale: {
+    readonly items: ReadonlyMap<string, Item>;
+    readonly revision: number;
+  } | undefined;
   readonly #server = http.createServer((request, response) => {
     void this.#serve(request, response);
   });
@@ -144,6 +151,11 @@
       : JSON.parse(Buffer.from(item.value, "base64").toString("utf8"));
   }
 
+  /** Lets stale reads answer from now on what is current now. */
+  freezeStaleReads(): void {
+    this.#stale = { items: new Map(this.#items), revision: this.#revision };
+  }
+
   /** Drops the change history: watches from an earlier revision get 410. */
   compact(): void {
     this.#changes = [];
@@ -212,13 +224,16 @@
   #serveRange(url: URL, response: http.ServerResponse): void {
     const prefix = url.searchParams.get("pathPrefix") ?? "";
     const afterKey = url.searchParams.get("after") ?? "";
-    const matching = [...this.#items.values()]
+    const isStale = url.searchParams.get("staleRead") === "1";
+    const { items, revision } = (isStale ? this.#stale : undefined) ??
+      { items: this.#items, revision: this.#revision };
+    const matching = [...items.values()]
       .filter((item) => item.key.startsWith(prefix) && item.key > afterKey)
       .toSorted((a, b) => a.key < b.key ? -1 : 1);
     send(response, 200, {
       items: matching.slice(0, PAGE_SIZE),
       hasMore: matching.length > PAGE_SIZE,
-      at: this.#revision,
+      at: revision,
     });
   }
 
@@ -226,6 +241,10 @@
     const afterRevision = Number(url.searchParams.get("after"));
     const prefix = url.searchParams.get("pathPrefix") ?? "";
     const deadlineMs = Date.now() + Number(url.searchParams.get("waitMs"));
+    if (this.refusesWatches) {
+      response.writeHead(503).end();
+      return;
+    }
     for (;;) {
       if (afterRevision < this.#oldestRevision) {
         response.writeHead(410).end();
--- a/packages/router/src/relayed_control.ts
+++ b/packages/router/src/relayed_control.ts
@@ -78,8 +78,17 @@
   }
 
   async readAll(): Promise<kernel.Outcome<ports.ControlUpdate>> {
-    const read = await this.#options.controlPlane.readAll();
-    if (read.isOk()) this.#relay.reset(read.value.revision);
+    const { controlPlane, clock, log } = this.#options;
+    const startedAtMs = clock.monotonicMs();
+    const read = await controlPlane.readAll();
+    if (read.isErr()) return read;
+    const { items, revision } = read.value;
+    this.#relay.reset(revision);
+    log.addNotable("control.read", {
+      items: items.length,
+      revision,
+      tookMs: Math.round(clock.monotonicMs() - startedAtMs),
+    });
     return read;
   }
 
--- a/packages/router/src/replica_chooser.ts
+++ b/packages/router/src/replica_chooser.ts
@@ -18,7 +18,12 @@
 export interface ReplicaChooserOptions extends
   Pick<
     tableOptions.ReplicaTableOptions,
-    "dataCentre" | "prefixReuseWindowMs" | "random" | "rates" | "readPeerLoad"
+    | "dataCentre"
+    | "prefixReuseWindowMs"
+    | "random"
+    | "rates"
+    | "readPeerLoad"
+    | "onFullScan"
   > {
   readonly members: members.ReplicaMembers;
   readonly find: (replicaKey: number) => groups.ReplicaState | undefined;
@@ -102,6 +107,7 @@
       const drawn = this.#draw(preferred, request);
       const group = groups.findFirstGroup(drawn, request, this.#options);
       if (group.length >= MIN_CONTENDERS) return group;
+      this.#options.onFullScan?.();
     }
     const { states } = known.findActive(service);
     return groups.findGroup(states, request, this.#options);
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -39,6 +39,7 @@
   >();
   #services: ReadonlyMap<string, bundle.RouteTableService> = new Map();
   #processes: number | undefined;
+  #areLimitsDue = false;
 
   constructor(options: tableOptions.ReplicaTableOptions) {
     this.#options = options;
@@ -279,7 +280,13 @@
   /** Sets the number of processes that share a replica's connection limit. */
   setProcessCount(processes: number): void {
     this.#processes = processes;
-    this.#updateConnectionLimits();
+    if (this.#areLimitsDue) return;
+    this.#areLimitsDue = true;
+    // At a start, hundreds of processes become known in one turn of the event loop.
+    queueMicrotask(() => {
+      this.#areLimitsDue = false;
+      this.#updateConnectionLimits();
+    });
   }
 
   #updateConnectionLimits(): void {
--- a/packages/router/src/replica_table_options.ts
+++ b/packages/router/src/replica_table_options.ts
@@ -14,6 +14,8 @@
   readonly isEvacuated?: (dataCentre: string) => boolean;
   /** Load that peers have in flight at a replica. */
   readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
+  /** Called when all of many replicas were looked at, as too few of a sample were usable. */
+  readonly onFullScan?: () => void;
   /** Called when this process's load at a replica, or its evidence, has changed. */
   readonly onLoadChanged: (
     replicaKey: number,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -104,6 +104,7 @@
       },
       isEvacuated: (dataCentre) => this.#places.isEvacuated(dataCentre),
       readPeerLoad: (key) => this.#fleet.readLoad(key),
+      onFullScan: () => this.#telemetry.countEvent("choice.full-scan"),
       onLoadChanged: (key, change) => this.#fleet.recordLoadChange(key, change),
     });
     this.#cold = new colds.ColdReplicas({
