Long prompts go where they interrupt few streams

Engines prefill prompts in chunks between the steps of their streams; beside nearly all late streams, prompts with more than 600 ms of prefill were read. The cost of a replica counted the streams beside a prompt linearly, whether or not it makes them late.

Change: a prompt that is prefilled for longer than 0.6 of the accepted pause counts the streams that it makes late, and its own answer if that would be late behind others; for it more replicas are compared and asked. attempt.ended tells the longest gap of a stream, attempt.sent the predicted prefill.

--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -36,6 +36,7 @@
 export * from "./replica_evidence.ts";
 export * from "./replica_health.ts";
 export * from "./room/account_shares.ts";
+export * from "./room/stream_delay.ts";
 export * from "./room/turn.ts";
 export * from "./sliding_retry_budget.ts";
 export * from "./rollout_plan.ts";
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -5,6 +5,7 @@
  * slot, the distance between data centres, and the replica's failures and slowness.
  */
 import * as hash from "./hash.ts";
+import * as streamDelay from "./room/stream_delay.ts";
 
 /** A replica that may be chosen. */
 export interface ReplicaCandidate {
@@ -27,6 +28,10 @@
 export interface PromptPlacement {
   readonly promptTokens: number;
   readonly prefillMsPerToken: number;
+  /** Longest pause that callers accept in streams of the service; absent without streams. */
+  readonly maxGapMs?: number | undefined;
+  /** Time until the prompt's target latency is over. */
+  readonly remainingTargetMs?: number | undefined;
   /** Identifies the prompt's shared prefix; requests with the same key prefer the same replica. */
   readonly affinityKey: string | undefined;
   /** Tokens that requests with the same key share. */
@@ -47,6 +52,8 @@
 const FAILURE_COST_MS = 2_000;
 /** Candidates whose load is asked for; each costs a message and its answer. */
 const MAX_QUERY_CANDIDATES = 3;
+/** Candidates for a prompt that interrupts running streams, whose number differs widely. */
+const MAX_LONG_QUERY_CANDIDATES = 5;
 /**
  * Candidates for a request without a prompt. Two at random: its choice uses loads
  * that are not quite new, and by those all processes would prefer the same replica.
@@ -56,6 +63,7 @@
 const QUERIED_HOMES = 2;
 /** Random sample from which the others are chosen. */
 const QUERY_SAMPLE = 4;
+const LONG_QUERY_SAMPLE = 12;
 /** Weight of the time by which a replica's mean latency exceeds the median. */
 const SLOWNESS_WEIGHT = 0.5;
 
@@ -83,6 +91,13 @@
       Math.max(placement.prefillMsPerToken, MIN_PREFILL_COST_MS_PER_TOKEN) +
     candidate.pendingMs +
     candidate.inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
+    streamDelay.predictInterruptionCostMs({
+      pendingMs: candidate.pendingMs,
+      prefillMs,
+      running: candidate.inFlight,
+      maxGapMs: placement.maxGapMs,
+      remainingTargetMs: placement.remainingTargetMs,
+    }) +
     candidate.inFlight * RUNNING_REQUEST_COST_MS *
       (8 / Math.max(8, candidate.slots)) +
     Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS +
@@ -127,7 +142,12 @@
   if (placement.promptTokens === 0) {
     return drawSample(candidates, PLAIN_CANDIDATES, random);
   }
-  if (candidates.length <= MAX_QUERY_CANDIDATES) return candidates;
+  const isLong = streamDelay.interruptsStreams(
+    placement.promptTokens * placement.prefillMsPerToken,
+    placement.maxGapMs,
+  );
+  const count = isLong ? MAX_LONG_QUERY_CANDIDATES : MAX_QUERY_CANDIDATES;
+  if (candidates.length <= count) return candidates;
   const byId = new Map(candidates.map((each) => [each.id, each]));
   const homes = placement.affinityKey === undefined
     ? []
@@ -135,7 +155,11 @@
       .slice(0, QUERIED_HOMES);
   const chosen = homes.map((id) => byId.get(id) as C);
   for (const id of homes) byId.delete(id);
-  const sample = drawSample([...byId.values()], QUERY_SAMPLE, random);
+  const sample = drawSample(
+    [...byId.values()],
+    isLong ? LONG_QUERY_SAMPLE : QUERY_SAMPLE,
+    random,
+  );
   const context = {
     affinityReplicaId: undefined,
     medianLatencyMs: findMedianLatencyMs(candidates),
@@ -146,9 +170,7 @@
   })).toSorted((a, b) => a.costMs - b.costMs);
   return [
     ...chosen,
-    ...ranked.slice(0, MAX_QUERY_CANDIDATES - chosen.length).map((
-      { candidate },
-    ) => candidate),
+    ...ranked.slice(0, count - chosen.length).map(({ candidate }) => candidate),
   ];
 }
 
--- a/packages/router/src/attempt_recorder.ts
+++ b/packages/router/src/attempt_recorder.ts
@@ -37,6 +37,8 @@
       readonly events?: number;
       /** Time from the send to the head of the response. */
       readonly headMs?: number | undefined;
+      /** Longest time between two of these events, or between the head and the first. */
+      readonly longestGapMs?: number;
     },
   ): void {
     const { log, telemetry, settings } = this.#options;
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -155,6 +155,9 @@
     const heldTokens = fields.promptTokens + fields.expectedOutputTokens;
     table.recordSent(state, { prefillMs, heldTokens });
     this.#recordSession(request, state.entry.version);
+    if (decisions.interruptsStreams(prefillMs, placement.maxGapMs)) {
+      this.dependencies.telemetry.countEvent("streams.interrupted");
+    }
     this.dependencies.log.addRoutine("attempt.sent", {
       requestId: request.requestId,
       route: request.route.name,
@@ -167,6 +170,7 @@
       candidates: pick.candidates,
       cachedTokens: pick.cachedTokens,
       inFlight: state.inFlight,
+      prefillMs: Math.round(prefillMs),
       pendingMs: Math.round(state.pendingMs),
       peerPendingMs: Math.round(peerLoad.pendingMs),
       peerRunning: peerLoad.running,
@@ -351,6 +355,8 @@
         options.model,
         1,
       ),
+      maxGapMs: route.kind === "stream" ? route.maxGapMs : undefined,
+      remainingTargetMs: request.receivedAtMs + route.targetLatencyMs - nowMs,
       parts: fields.promptParts,
       excluded: options.excluded,
       needsNewConnection: route.kind === "non-idempotent",
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -44,6 +44,10 @@
   readonly promptTokens: number;
   /** Predicted prefill time of one token. */
   readonly prefillMsPerToken: number;
+  /** Longest pause that callers accept in streams of the service; absent without streams. */
+  readonly maxGapMs?: number | undefined;
+  /** Time until the request's target latency is over. */
+  readonly remainingTargetMs?: number | undefined;
   readonly parts: readonly ports.PromptPart[];
   /** IDs of replicas that must not be used. */
   readonly excluded: ReadonlySet<string>;
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -366,6 +366,8 @@
     return {
       promptTokens: request.promptTokens,
       prefillMsPerToken: request.prefillMsPerToken,
+      maxGapMs: request.maxGapMs,
+      remainingTargetMs: request.remainingTargetMs,
       affinityKey: sharedPrefix.key === undefined
         ? undefined
         : prefixes.buildCacheKey(request.model, sharedPrefix.key),
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -40,6 +40,8 @@
   headAtMs: number | undefined;
   /** Time of the newest event, or of the head; bytes that complete no event do not count. */
   lastEventAtMs: number;
+  /** Longest time between two events, or between the head and the first one. */
+  longestGapMs: number;
   /** The replica has processed the prompt. */
   isPrefilled: boolean;
   readonly pace: paces.StreamPaceTracker;
@@ -63,12 +65,22 @@
     startedAtMs,
     headAtMs: undefined,
     lastEventAtMs: startedAtMs,
+    longestGapMs: 0,
     isPrefilled: false,
     pace: new paces.StreamPaceTracker(),
     isBrokenOff: false,
   };
 }
 
+/** Records that events have arrived. */
+export function recordEvents(current: StreamAttempt, nowMs: number): void {
+  current.longestGapMs = Math.max(
+    current.longestGapMs,
+    nowMs - current.lastEventAtMs,
+  );
+  current.lastEventAtMs = nowMs;
+}
+
 /** Keeps a part of the body of a failure response; returns false if it is too long. */
 export function addFailureBody(current: StreamAttempt, chunk: Buffer): boolean {
   current.bodyBytes += chunk.length;
@@ -126,13 +138,23 @@
   return hasFailed ? "failed" : "whole";
 }
 
-/** Time from the start of an attempt to the head of its response, in whole milliseconds. */
-export function measureHeadMs(
-  { headAtMs, startedAtMs }: StreamAttempt,
-): number | undefined {
-  return headAtMs === undefined
-    ? undefined
-    : Math.round(headAtMs - startedAtMs);
+/** Progress of an attempt for the log, in whole milliseconds. */
+export function describeTimes(
+  { headAtMs, startedAtMs, longestGapMs, splitter }: StreamAttempt,
+): {
+  /** Complete events. */
+  readonly events: number;
+  /** Time from the start to the head of the response. */
+  readonly headMs: number | undefined;
+  readonly longestGapMs: number;
+} {
+  return {
+    events: splitter.count,
+    headMs: headAtMs === undefined
+      ? undefined
+      : Math.round(headAtMs - startedAtMs),
+    longestGapMs: Math.round(longestGapMs),
+  };
 }
 
 /** Time to the head of an attempt's response, and what it says about the version's pace. */
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -229,7 +229,7 @@
   ): void {
     const { nowMs } = this.#dispatcher;
     if (completeEvents.count > 0) {
-      current.lastEventAtMs = nowMs;
+      streamAttempts.recordEvents(current, nowMs);
       const { totalLagMs } = this.#watchdog;
       current.pace.recordEvents(completeEvents.count, nowMs, totalLagMs);
       this.#offerPace(current, false);
@@ -323,10 +323,8 @@
     const { table, quarantine } = this.#dispatcher.dependencies;
     this.#sendCount += 1;
     this.#triedReplicaIds.add(state.entry.id);
-    table.recordEnd(state, {
-      prefillMs: current.isPrefilled ? 0 : sent.prefillMs,
-      heldTokens: sent.heldTokens,
-    });
+    const prefillMs = current.isPrefilled ? 0 : sent.prefillMs;
+    table.recordEnd(state, { prefillMs, heldTokens: sent.heldTokens });
     if (result.type === "not-run") {
       this.#refusedBy.add(state.entry.id);
       this.#dispatcher.recorder.recordNotRun(sent, result.reason);
@@ -346,8 +344,7 @@
       outcome: result.type === "complete" ? "whole" : result.type,
       ...("reason" in result ? { reason: result.reason } : {}),
       ...(result.type === "failed" ? { status: result.head.status } : {}),
-      events: current.splitter.count,
-      headMs: streamAttempts.measureHeadMs(current),
+      ...streamAttempts.describeTimes(current),
     });
   }
 
