--- a/packages/router/src/replica_chooser.ts
+++ b/packages/router/src/replica_chooser.ts
@@ -154,6 +154,8 @@
     return {
       promptTokens: request.promptTokens,
       prefillMsPerToken: request.prefillMsPerToken,
+      maxGapMs: request.maxGapMs,
+      remainingTargetMs: request.remainingTargetMs,
       affinityKey: sharedPrefix.key === undefined
         ? undefined
         : prefixes.buildCacheKey(request.model, sharedPrefix.key),
