Outcomes of a version on more routes than a report holds are told in turn

A report to peers holds four routes of a version under trial, and always the same first four were sent: evidence on the fifth stayed with the process that saw it. Reports carry totals, so that turns lose nothing.

Test: peer_reporter_test, seven routes reach the peers within four reports.

--- a/packages/peers/src/peer_reporter.ts
+++ b/packages/peers/src/peer_reporter.ts
@@ -172,12 +172,15 @@
     content: Pick<reports.PeerReport, "loads" | "running" | "versionOutcomes">,
   ): void {
     this.#number += 1;
+    // All peers in rotation get the same outcomes before the next ones take their turn.
+    const turn = Math.floor(this.#number / this.table.reportsPerRotation);
     const report = reports.trimReport({
       name: this.#options.name,
       view: this.#options.source.readView(),
       startedAtMs: this.#startedAtMs,
       number: this.#number,
       ...content,
+      versionOutcomes: reports.rotateOutcomes(content.versionOutcomes, turn),
       sessions: [...this.#queuedSessions.values()].map(({ item }) => item),
     });
     for (const { service, session } of report.sessions) {
--- a/packages/peers/src/peer_reporter_test.ts
+++ b/packages/peers/src/peer_reporter_test.ts
@@ -251,6 +251,28 @@
   t.true(setting.channel.sent.length - sentAfterRollout <= 6);
 });
 
+// Guards against EXPOSURE: evidence on the fifth of a version's routes reached no peer.
+test("outcomes of more routes than a report holds are sent in turn", (t) => {
+  const setting = startReporter(t);
+  advance(setting, 1_500);
+  const sentBefore = setting.channel.sent.length;
+  const routes = ["r1", "r2", "r3", "r4", "r5", "r6", "r7"];
+  setting.localOutcomes.push(...routes.map((route) => ({
+    service: "llm",
+    orderRevision: 3,
+    route,
+    answers: 4,
+    failures: [{ replicaKey: 5, count: 1 }],
+  })));
+  advance(setting, 2_500);
+  const sent = setting.channel.sent.slice(sentBefore);
+  const sentRoutes = sent.flatMap((report) =>
+    report.versionOutcomes.map(({ route }) => route)
+  );
+  t.deepEqual([...new Set(sentRoutes)].toSorted(), routes);
+  t.true(sent.length <= 4);
+});
+
 // Guards against CONFIG and DRAIN: a peer whose watch was lost heard of a change up to a second
 // later, which was half of the bound for changes.
 test("a new revision is reported soon in a small fleet, and once", (t) => {
--- a/packages/peers/src/report.ts
+++ b/packages/peers/src/report.ts
@@ -103,6 +103,19 @@
   return areAccepted(service, session, version);
 }
 
+/**
+ * Moves version outcomes to the front that the previous turn's report had no room for.
+ * Totals are reported, so that what was left out is made up for.
+ */
+export function rotateOutcomes(
+  outcomes: readonly VersionOutcomes[],
+  turn: number,
+): readonly VersionOutcomes[] {
+  if (outcomes.length <= MAX_VERSION_OUTCOMES) return outcomes;
+  const first = turn * MAX_VERSION_OUTCOMES % outcomes.length;
+  return [...outcomes.slice(first), ...outcomes.slice(0, first)];
+}
+
 /**
  * Cuts the lists of a report to their limits; the largest loads and counts are kept.
  * Sessions and routes that receivers would not accept are left out.
