A version most of whose streams are slower than usual is stopped

Cause: slow requests slow down their batch, so that nearly all streams of a version slow by four in a quarter of its answers are slower by a half. The limit for a slow stream lies above the longest tenth of the stable streams, which prompts beside them lengthen as much: 39 of 166 streams passed it. Of each replica two slow streams count, while good ones count without an end: after 12 the test could only fall.

Change: a second test asks whether most streams are slower by a fifth than the median of the stable ones at a similar load (up to 45 in 100: not blamed; 95 in 100: detected). Raised streams of a replica count up to four more than half of the replicas have. Where the trend over loads would decide, a stream counts neither way.

--- a/packages/decisions/src/gap_baseline.ts
+++ b/packages/decisions/src/gap_baseline.ts
@@ -29,6 +29,9 @@
 const MAX_TAIL_LOAD_RATIO = 2;
 /** The same at a higher load than any that is known, where the trend may be steeper. */
 const UNKNOWN_LOAD_SLOW_FACTOR = 2.5;
+/** A stream this many times slower than usual at its load is slower than most, though not slow. */
+const RAISED_FACTOR = 1.2;
+const RAISED_MARGIN_MS = 1;
 
 /** Median of at least one number; the lower one of two in the middle. */
 export function findMedian(values: readonly number[]): number {
@@ -58,6 +61,17 @@
   return meanGapMs + slope * (load - meanLoad);
 }
 
+/** Paces of the stable version that one stream is compared with. */
+interface Comparison {
+  readonly similar: readonly StreamPace[];
+  /** Median gap of those. */
+  readonly medianMs: number;
+  /** Whether the load is higher than any that is known. */
+  readonly isUnknownLoad: boolean;
+  /** Factor on the usual gap at a lower load than any that is known, at most 1. */
+  readonly trendShare: number;
+}
+
 /** The newest paces of the stable version's streams of one model. */
 export class GapBaseline {
   #paces: readonly StreamPace[] = [];
@@ -68,26 +82,54 @@
 
   /** Longest median gap that is not slow; infinite while too few streams are known. */
   computeLimitMs(load: number): number {
-    if (this.#paces.length < MIN_SAMPLES) return Infinity;
-    const similar = this.#paces.toSorted((a, b) =>
-      Math.abs(a.load - load) - Math.abs(b.load - load)
-    ).slice(0, COMPARED_SAMPLES);
-    const gapsMs = similar.map(({ medianGapMs }) => medianGapMs);
-    const medianMs = findMedian(gapsMs);
-    const loads = this.#paces.map((pace) => pace.load);
-    if (load > Math.max(...loads)) {
+    const comparison = this.#compare(load);
+    if (comparison === undefined) return Infinity;
+    const { similar, medianMs, isUnknownLoad, trendShare } = comparison;
+    if (isUnknownLoad) {
       return UNKNOWN_LOAD_SLOW_FACTOR * medianMs + SLOW_MARGIN_MS;
     }
     const tailGapsMs = similar.filter((pace) =>
       pace.load <= MAX_TAIL_LOAD_RATIO * load
     ).map(({ medianGapMs }) => medianGapMs);
+    return trendShare * Math.max(
+          SLOW_FACTOR * medianMs,
+          TAIL_FACTOR * findQuantile(tailGapsMs, TAIL_QUANTILE),
+        ) + SLOW_MARGIN_MS;
+  }
+
+  /**
+   * Whether a stream is slower than most stable ones are at its load; undefined if too few
+   * of them are known, or if it depends on the trend of the gaps outside their loads.
+   */
+  isRaised({ medianGapMs, load }: StreamPace): boolean | undefined {
+    const comparison = this.#compare(load);
+    if (comparison === undefined) return undefined;
+    const { similar, medianMs, isUnknownLoad, trendShare } = comparison;
+    const limitMs = RAISED_FACTOR * medianMs + RAISED_MARGIN_MS;
+    // The gap grows at most in proportion to the load.
+    const maxGrowth = isUnknownLoad
+      ? load / Math.max(1, average(similar.map((pace) => pace.load)))
+      : 1;
+    if (medianGapMs > maxGrowth * limitMs) return true;
+    return medianGapMs > trendShare * limitMs ? undefined : false;
+  }
+
+  #compare(load: number): Comparison | undefined {
+    if (this.#paces.length < MIN_SAMPLES) return undefined;
+    const similar = this.#paces.toSorted((a, b) =>
+      Math.abs(a.load - load) - Math.abs(b.load - load)
+    ).slice(0, COMPARED_SAMPLES);
+    const medianMs = findMedian(similar.map(({ medianGapMs }) => medianGapMs));
+    const loads = this.#paces.map((pace) => pace.load);
     // A version on trial may have less load than any stable replica.
     const trendShare = load >= Math.min(...loads)
       ? 1
       : Math.max(MIN_TREND_SHARE, predictGapMs(this.#paces, load) / medianMs);
-    return Math.min(1, trendShare) * Math.max(
-          SLOW_FACTOR * medianMs,
-          TAIL_FACTOR * findQuantile(tailGapsMs, TAIL_QUANTILE),
-        ) + SLOW_MARGIN_MS;
+    return {
+      similar,
+      medianMs,
+      isUnknownLoad: load > Math.max(...loads),
+      trendShare: Math.min(1, trendShare),
+    };
   }
 }
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -16,6 +16,7 @@
 export * from "./engine_latency.ts";
 export * from "./fair_queue.ts";
 export * from "./rollout_guard.ts";
+export * from "./failure_tally.ts";
 export * from "./gap_baseline.ts";
 export * from "./hash.ts";
 export * from "./load_ledger.ts";
--- a/packages/decisions/src/rollout_guard.ts
+++ b/packages/decisions/src/rollout_guard.ts
@@ -12,6 +12,10 @@
   readonly maxErrorIncrease: number;
   /** Decrease of the mean rating that the test detects. */
   readonly maxRatingDecrease: number;
+  /** Error rate of the rolling version up to which it is not blamed, whatever the stable one has. */
+  readonly minBaseRate?: number;
+  /** Smallest error rate that the test detects. */
+  readonly minRaisedRate?: number;
 }
 
 /** Why a roll-out was stopped. */
@@ -101,7 +105,11 @@
       return this.#verdict;
     }
     const baseRate = this.#estimateStableErrorRate();
-    const raisedRate = Math.min(0.99, baseRate + this.#limits.maxErrorIncrease);
+    const { maxErrorIncrease, minRaisedRate = 0 } = this.#limits;
+    const raisedRate = Math.min(
+      0.99,
+      Math.max(minRaisedRate, baseRate + maxErrorIncrease),
+    );
     const step = isError
       ? Math.log(raisedRate / baseRate)
       : Math.log((1 - raisedRate) / (1 - baseRate));
@@ -134,7 +142,9 @@
   /** Error rate of the stable version, blended with the prior. */
   #estimateStableErrorRate(): number {
     const { mean, count } = this.#stableErrors;
-    return (mean * count + PRIOR_ERRORS) / (count + PRIOR_REQUESTS);
+    const rate = (mean * count + PRIOR_ERRORS) / (count + PRIOR_REQUESTS);
+    const { minBaseRate = 0 } = this.#limits;
+    return Math.max(minBaseRate, rate);
   }
 
   #updateVerdict(reason: GuardVerdict, sum: number): GuardVerdict | undefined {
--- a/packages/decisions/src/version_pace_test.ts
+++ b/packages/decisions/src/version_pace_test.ts
@@ -25,22 +25,41 @@
 const COLD_SHARE = 0.08;
 const COLD_FACTOR = 2;
 
+/** Share of the streams at the stable load whose gaps prompts beside them lengthen, and by how much at most. */
+const PROMPT_SHARE = 0.25;
+const MAX_PROMPT_FACTOR = 3.5;
+/** Gap that hardly grows with the load, as of an engine whose batches are limited by memory. */
+const FLAT_GAP_MS = 30;
+const FLAT_GAP_NOISE = 0.1;
+
 interface Version {
   /** Load of its replicas against that of the stable ones. */
   readonly loadRatio: number;
   readonly slowShare: number;
   readonly slowFactor: number;
   readonly isCold: boolean;
+  /** Whether gaps are flat over loads and have a long tail by prompts beside the streams. */
+  readonly hasPrompts?: boolean;
 }
 
 /** Runs a trial; returns the number of answers after which the version was stopped. */
 function runTrial(version: Version, seed: number): number | undefined {
   const generator = xoroshiro.xoroshiro128plus(seed);
   const random = () => float64.uniformFloat64(generator);
-  const drawNoise = d3Random.randomLogNormal.source(random)(0, GAP_NOISE);
+  const { hasPrompts = false } = version;
+  const drawNoise = d3Random.randomLogNormal.source(random)(
+    0,
+    hasPrompts ? FLAT_GAP_NOISE : GAP_NOISE,
+  );
   const drawLoad = (mean: number) =>
     Math.max(1, Math.round(mean * (0.4 + 1.2 * random())));
-  const drawGapMs = (load: number) => (20 + 2 * load) * drawNoise();
+  const drawPromptFactor = (load: number) =>
+    hasPrompts && random() < PROMPT_SHARE * Math.min(1, load / STABLE_LOAD)
+      ? 1 + (MAX_PROMPT_FACTOR - 1) * random()
+      : 1;
+  const drawGapMs = (load: number) =>
+    (hasPrompts ? FLAT_GAP_MS : 20 + 2 * load) * drawNoise() *
+    drawPromptFactor(load);
   const trial = new trials.VersionTrial();
   const recordAnswer = (isTarget: boolean, at: number) => {
     const answer = {
@@ -125,3 +144,39 @@
     });
   }
 }
+
+/** Loads above all stable ones are compared by the trend of the gaps alone. */
+const GOOD_LOAD_RATIOS = [...LOAD_RATIOS, 2.5];
+const WITH_PROMPTS = { slowShare: 0, slowFactor: 1, hasPrompts: true };
+
+// Guards against EXPOSURE: where prompts lengthen the gaps of many stable streams, hardly any
+// stream of a version slower by a half passed the limit for slow ones.
+for (const loadRatio of LOAD_RATIOS) {
+  test(`a version slow by 1.55 in all its answers is stopped at ${loadRatio} of the stable load, with prompts beside`, (t) => {
+    const version = {
+      ...WITH_PROMPTS,
+      loadRatio,
+      slowShare: 1,
+      slowFactor: 1.55,
+      isCold: false,
+    };
+    const kept = SEEDS.filter((seed) => runTrial(version, seed) === undefined);
+    t.deepEqual(kept, [], `kept with ${kept.length} seeds`);
+  });
+}
+
+function listStoppedGood(isCold: boolean): readonly string[] {
+  return GOOD_LOAD_RATIOS.flatMap((loadRatio) =>
+    SEEDS.filter((seed) =>
+      runTrial({ ...WITH_PROMPTS, loadRatio, isCold }, seed) !== undefined
+    ).map((seed) => `load ${loadRatio}, seed ${seed}`)
+  );
+}
+
+test("a good version is not stopped at any load, with prompts beside, warm", (t) => {
+  t.deepEqual(listStoppedGood(false), []);
+});
+
+test("a good version is not stopped at any load, with prompts beside, cold", (t) => {
+  t.deepEqual(listStoppedGood(true), []);
+});
--- a/packages/decisions/src/version_trial.ts
+++ b/packages/decisions/src/version_trial.ts
@@ -3,6 +3,7 @@
  * together, against the stable version. Only few failures of each replica count,
  * so that one faulty replica does not stop its version.
  */
+import * as tallies from "./failure_tally.ts";
 import * as gaps from "./gap_baseline.ts";
 import * as guards from "./rollout_guard.ts";
 
@@ -20,10 +21,6 @@
 const MIN_PACE_SAMPLES = 8;
 /** Weight of the newest stable answer in the mean. */
 const PACE_WEIGHT = 0.05;
-/** Failures over all replicas that suffice to stop a version, whatever the tests' sums were before. */
-const DECISIVE_FAILURES = 6;
-/** Smallest share of a version's replicas that must fail before the version is blamed. */
-const FAILING_REPLICA_SHARE = 0.25;
 /** Name of the test over all routes. */
 const ALL_ROUTES = "";
 /**
@@ -31,8 +28,12 @@
  * small part of all answers where most are dropped after their head.
  */
 const STREAM_PACES = "~stream-paces";
-/** Failures of one replica that count in any case, however many replicas there are. */
-const MIN_COUNTED_FAILURES = 2;
+/** The same for the test whether most streams are slower than most stable ones are. */
+const RAISED_PACES = "~raised-paces";
+/** Share of raised streams up to which a version is not blamed, and the share that the test detects. */
+const MAX_USUAL_RAISED_SHARE = 0.45;
+const MIN_RAISED_SHARE = 0.95;
+const MIN_RAISED_INCREASE = 0.1;
 
 /** Result of one request, as evidence for or against its version. */
 export interface VersionOutcome {
@@ -76,33 +77,6 @@
   meanMs: number;
 }
 
-/** Returns how many failures of one replica count as evidence against its version. */
-export function getMaxCountedFailures(replicas: number): number {
-  return Math.max(
-    MIN_COUNTED_FAILURES,
-    Math.ceil(DECISIVE_FAILURES / Math.max(1, replicas)),
-  );
-}
-
-/** Returns how many replicas must fail before their version is blamed. */
-export function getMinFailingReplicas(replicas: number): number {
-  return replicas <= 2
-    ? 1
-    : Math.max(2, Math.ceil(FAILING_REPLICA_SHARE * replicas));
-}
-
-/** Counts a failure, unless as many of its replica as may count were counted already. */
-function tryCountFailure(
-  counted: Map<number, number>,
-  replicaKey: number,
-  replicas: number,
-): boolean {
-  const count = (counted.get(replicaKey) ?? 0) + 1;
-  if (count > getMaxCountedFailures(replicas)) return false;
-  counted.set(replicaKey, count);
-  return true;
-}
-
 /** Number of requests at a replica. */
 export interface ReplicaCount {
   /** Hash of the replica's ID, which takes five bytes in a report instead of a name. */
@@ -128,13 +102,12 @@
   readonly #guards = new Map<string, guards.RolloutGuard>();
   readonly #paceBaselines = new Map<string, PaceBaseline>();
   readonly #gapBaselines = new Map<string | undefined, gaps.GapBaseline>();
-  readonly #failuresByReplica = new Map<number, number>();
-  readonly #slowStreamsByReplica = new Map<number, number>();
+  readonly #failures = new tallies.CappedTally();
+  readonly #slowStreams = new tallies.CappedTally();
+  readonly #raisedStreams = new tallies.ProportionalTally();
   readonly #localCounts = new Map<string, RouteCounts>();
   readonly #losses = new Map<number, PendingLoss>();
   #verdict: string | undefined;
-  #failures = 0;
-  #slowStreams = 0;
   #samples = 0;
 
   /** Why the version should be stopped; never cleared once it is set. */
@@ -147,14 +120,17 @@
     readonly failures: number;
     readonly samples: number;
     readonly failingReplicas: number;
+    /** Streams that are slower than most stable ones are. */
+    readonly raisedStreams: number;
   } {
     return {
-      failures: this.#failures,
+      failures: this.#failures.counted + this.#slowStreams.counted,
       samples: this.#samples,
       failingReplicas: new Set([
-        ...this.#failuresByReplica.keys(),
-        ...this.#slowStreamsByReplica.keys(),
+        ...this.#failures.replicaKeys,
+        ...this.#slowStreams.replicaKeys,
       ]).size,
+      raisedStreams: this.#raisedStreams.counted,
     };
   }
 
@@ -207,15 +183,25 @@
     const { route, replicaKey, model, pace } = evidence;
     const { isTarget, replicas } = context;
     const isBad = this.isSlowStream(evidence);
+    const isRaised = this.#gapBaselines.get(model)?.isRaised(pace);
     if (isTarget) {
       this.#recordLocal(route, { replicaKey, replicas, isBad: false });
       this.#recordLocal(STREAM_PACES, { replicaKey, replicas, isBad });
+      if (isRaised === undefined) return isBad;
+      this.#recordLocal(RAISED_PACES, {
+        replicaKey,
+        replicas,
+        isBad: isRaised,
+      });
     } else {
       const baseline = this.#gapBaselines.get(model) ?? new gaps.GapBaseline();
       this.#gapBaselines.set(model, baseline);
       baseline.add(pace);
       this.#recordStable(route, false);
       this.#guard(STREAM_PACES).recordStableOutcome(isBad);
+      if (isRaised !== undefined) {
+        this.#guard(RAISED_PACES).recordStableOutcome(isRaised);
+      }
     }
     return isBad;
   }
@@ -233,7 +219,9 @@
     const losses = this.#losses.get(replicaKey) ??
       { routes: [], newestAtMs: endedAtMs };
     losses.newestAtMs = endedAtMs;
-    if (losses.routes.length < DECISIVE_FAILURES) losses.routes.push(route);
+    if (losses.routes.length < tallies.DECISIVE_FAILURES) {
+      losses.routes.push(route);
+    }
     this.#losses.set(replicaKey, losses);
   }
 
@@ -282,45 +270,50 @@
     replicas: number,
   ): void {
     const isBad = failedReplicaKey !== undefined;
-    const isPace = route === STREAM_PACES;
-    const counted = isPace
-      ? this.#slowStreamsByReplica
-      : this.#failuresByReplica;
-    if (isBad) {
-      if (!tryCountFailure(counted, failedReplicaKey, replicas)) return;
-      this.#failures += 1;
-    }
+    const tally = this.#getTally(route);
+    if (isBad && !tally.tryCount(failedReplicaKey, replicas)) return;
+    const isPace = tally !== this.#failures;
     if (!isPace) this.#samples += 1;
-    else if (isBad) this.#slowStreams += 1;
-    const names = isPace ? [STREAM_PACES] : [route, ALL_ROUTES];
-    this.#test(names, { isBad, replicas, failingReplicas: counted.size });
+    for (const name of isPace ? [route] : [route, ALL_ROUTES]) {
+      this.#test(name, { isBad, replicas, tally });
+    }
+  }
+
+  #getTally(route: string): tallies.FailureTally {
+    if (route === STREAM_PACES) return this.#slowStreams;
+    return route === RAISED_PACES ? this.#raisedStreams : this.#failures;
   }
 
   #test(
-    names: readonly string[],
+    name: string,
     answer: {
       readonly isBad: boolean;
       readonly replicas: number;
-      /** Replicas with failures of the kind that is tested. */
-      readonly failingReplicas: number;
+      readonly tally: tallies.FailureTally;
     },
   ): void {
-    const { isBad, replicas, failingReplicas } = answer;
-    for (const name of names) {
-      const guard = this.#guard(name);
-      guard.recordRollingOutcome(isBad);
-      if (this.#verdict !== undefined || !guard.isErrorBoundExceeded) continue;
-      if (failingReplicas < getMinFailingReplicas(replicas)) continue;
-      const isDecisive = name !== STREAM_PACES ||
-        this.#slowStreams >= DECISIVE_FAILURES;
-      if (!isDecisive) continue;
-      this.#verdict = `${this.#failures} of ${this.#samples} answers were bad` +
-        (name === STREAM_PACES
-          ? ", its streams are slow"
-          : name === ALL_ROUTES
-          ? ""
-          : `, on route ${name}`);
+    const { isBad, replicas, tally } = answer;
+    const guard = this.#guard(name);
+    guard.recordRollingOutcome(isBad);
+    if (this.#verdict !== undefined || !guard.isErrorBoundExceeded) return;
+    const minReplicas = tallies.getMinFailingReplicas(replicas);
+    if (tally.replicaKeys.size < minReplicas) return;
+    const isDecisive = tally === this.#failures ||
+      tally.counted >= tallies.DECISIVE_FAILURES;
+    if (isDecisive) this.#verdict = this.#describe(name);
+  }
+
+  #describe(name: string): string {
+    if (name === RAISED_PACES) {
+      return `${this.#raisedStreams.counted} of its streams are slower than usual`;
     }
+    const { failures, samples } = this.evidence;
+    return `${failures} of ${samples} answers were bad` +
+      (name === STREAM_PACES
+        ? ", its streams are slow"
+        : name === ALL_ROUTES
+        ? ""
+        : `, on route ${name}`);
   }
 
   #isSlow(outcome: VersionOutcome, isTarget: boolean): boolean {
@@ -347,12 +340,28 @@
     if (existing !== undefined) return existing;
     const guard = new guards.RolloutGuard({
       minSamples: MIN_SAMPLES,
-      maxErrorIncrease: name === STREAM_PACES
-        ? MAX_SLOW_INCREASE
-        : MAX_ERROR_INCREASE,
       maxRatingDecrease: 1,
+      ...getErrorLimits(name),
     });
     this.#guards.set(name, guard);
     return guard;
   }
 }
+
+/** Returns which increase of the error rate a test detects. */
+function getErrorLimits(
+  name: string,
+): Omit<guards.GuardLimits, "minSamples" | "maxRatingDecrease"> {
+  switch (name) {
+    case STREAM_PACES:
+      return { maxErrorIncrease: MAX_SLOW_INCREASE };
+    case RAISED_PACES:
+      return {
+        maxErrorIncrease: MIN_RAISED_INCREASE,
+        minBaseRate: MAX_USUAL_RAISED_SHARE,
+        minRaisedRate: MIN_RAISED_SHARE,
+      };
+    default:
+      return { maxErrorIncrease: MAX_ERROR_INCREASE };
+  }
+}
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -163,13 +163,14 @@
       isTarget,
       replicas: this.#options.countReplicas(service, targetVersion),
     });
-    if (isTarget && isSlow) {
+    if (isTarget && (isSlow || previous !== evaluator.verdict)) {
       const { route, replicaKey, pace } = evidence;
       this.#logEvidence(order, evaluator, {
         route,
         replicaKey,
-        result: "slow",
+        result: isSlow ? "slow" : "raised",
         paceMs: pace.medianGapMs,
+        load: pace.load,
       });
     }
     if (previous === undefined && evaluator.verdict !== undefined) this.check();
@@ -218,7 +219,10 @@
     evaluator: decisions.VersionTrial,
     outcome?:
       & Pick<ServiceVersionOutcome, "route" | "replicaKey" | "paceMs">
-      & { readonly result: ServiceVersionOutcome["result"] | "slow" },
+      & {
+        readonly result: ServiceVersionOutcome["result"] | "slow" | "raised";
+        readonly load?: number;
+      },
   ): void {
     this.#options.log.addNotable("rollout.evidence", {
       service: order.service,
@@ -227,6 +231,7 @@
       replicaKey: outcome?.replicaKey,
       result: outcome?.result,
       paceMs: outcome?.paceMs,
+      load: outcome?.load,
       ...evaluator.evidence,
       verdict: evaluator.verdict,
     });
