Tests of deployments start two at a time, and wait for what they check

Cause, measured beside 6 busy processes (load average 42 to 53, two files, 19 tests): all tests of a file start their deployments together, 131 processes. A spawn took up to 3.6 s, in which the event loop of the tests' own process stands, 5.6 and 7.1 s at most. Calls of the tests and of the operator ran out of their limit of 2 s although they were answered, and our programs took 10.6 s on average to print their ports.

Change: - At most two deployments of a file start at a time. No limit of time is changed. - The runs of a stand-in are asked for again if the call runs out of time. Before, such a call counted as no runs: a crash of the test, or, for engines, runs that were not counted. - "broken and cancelled answers are not billed" left after 120 ms, whether the run had begun or not, or was over. It leaves while the run goes on, now, and waits for its end before the next one. The checks are the same.

Callers: nothing changes.

--- a/packages/bench/src/billing_fault_test.ts
+++ b/packages/bench/src/billing_fault_test.ts
@@ -149,15 +149,25 @@
   t.false(
     (await caller.chat({ model: "verse-small", isStreamed: true })).isComplete,
   );
-  await deployment.configure(engine, { breakAfterTokens: 0, tokenMs: 50 });
+  await deployment.configure(engine, { breakAfterTokens: 0, tokenMs: 1_000 });
   const abort = new AbortController();
-  setTimeout(() => abort.abort(), 120);
-  const cancelled = await caller.chat({
+  const cancelled = caller.chat({
     model: "verse-small",
     isStreamed: true,
     signal: abort.signal,
   });
-  t.false(cancelled.isComplete);
+  const readOutcome = async () =>
+    (await deployment.listEngineRuns())[1]?.outcome;
+  await processes.waitFor(
+    "the second run goes on",
+    async () => await readOutcome() === "running",
+  );
+  abort.abort();
+  t.false((await cancelled).isComplete);
+  await processes.waitFor(
+    "the second run has ended",
+    async () => await readOutcome() !== "running",
+  );
   await deployment.configure(engine, { tokenMs: 0 });
   t.true((await caller.chat({ model: "verse-small" })).isComplete);
   await waitForBills(deployment, 1);
--- a/packages/bench/src/control_calls.ts
+++ b/packages/bench/src/control_calls.ts
@@ -1,5 +1,6 @@
 /** HTTP calls to the control interfaces of fakes and to the processes' status pages. */
 import * as undici from "undici";
+import * as processes from "./processes.ts";
 
 const CONTROL_TIMEOUT_MS = 2_000;
 
@@ -15,6 +16,20 @@
   }
 }
 
+/**
+ * Reads JSON of a stand-in that runs, and asks again if a call runs out of time: while a
+ * test starts processes, its own event loop may stand longer than that. Throws if none
+ * is answered.
+ */
+export async function readJson(url: string): Promise<unknown> {
+  let answer: unknown;
+  await processes.waitFor(`${url} answers`, async () => {
+    answer = await getJson(url);
+    return Object.keys(answer as object).length > 0;
+  });
+  return answer;
+}
+
 async function sendJson(
   method: "PUT" | "POST",
   url: string,
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -324,7 +324,7 @@
       .filter((upstream) => upstream.plan.orders === undefined);
     const parts = await Promise.all(
       engines.map(({ backend }) =>
-        calls.getJson(`http://127.0.0.1:${backend.port("port")}/control/runs`)
+        calls.readJson(`http://127.0.0.1:${backend.port("port")}/control/runs`)
       ),
     );
     return parts.flatMap((part) =>
@@ -337,7 +337,7 @@
     const counts = new Map<string, number>();
     for (const upstream of this.upstreams.values()) {
       if (upstream.plan.orders === undefined) continue;
-      const data = await calls.getJson(
+      const data = await calls.readJson(
         `http://127.0.0.1:${upstream.backend.port("port")}/control/runs`,
       );
       const { runs } = data as { readonly runs: Record<string, number> };
--- a/packages/bench/src/fixture.ts
+++ b/packages/bench/src/fixture.ts
@@ -2,6 +2,11 @@
 import type * as bundle from "@jackdawbank/bundle";
 import * as callers from "./caller.ts";
 import * as deployments from "./deployment.ts";
+import * as gates from "./start_gate.ts";
+
+/** Deployments of one test file that start at the same time. */
+const MAX_STARTING = 2;
+const startGate = new gates.StartGate(MAX_STARTING);
 
 /** The part of a test context that the helpers use. */
 export interface TearDownContext {
@@ -13,7 +18,9 @@
   t: TearDownContext,
   plan: deployments.DeploymentPlan = deployments.buildStandardPlan(),
 ): Promise<deployments.Deployment> {
-  const deployment = await deployments.Deployment.start(plan);
+  const deployment = await startGate.run(() =>
+    deployments.Deployment.start(plan)
+  );
   t.teardown(() => deployment.close());
   return deployment;
 }
