Large bodies are sent where the bodies of all processes leave room at a replica

Cause: each process bounded the bytes of large bodies in flight to a replica by itself (8 MB), so 31 entries could have 248 MB there; a replica crashes above its memory.

Change: decisions.fitsReplica decides by the account of the replica's owner. A body over 64 KB is counted as this process's own, told to the owner and only then asked about; it goes to another replica where it does not fit, and is refused as not run (503, Retry-After 1 s) if it fits none. Small bodies have a bound of their own, 8 MB more. While an owner is silent, few processes keep shares of 4 MB together. A load without requests, but with bytes, is no empty state of the ledger any more.

What callers see: requests with bodies over 64 KB wait for two more round trips between VMs; others nothing.

--- a/packages/decisions/src/load_ledger.ts
+++ b/packages/decisions/src/load_ledger.ts
@@ -45,8 +45,10 @@
 }
 
 /** Whether a sender has nothing at a replica, and nothing to say about it. */
-function isEmptyLoad({ running, evidence }: ReplicaLoadState): boolean {
-  return running === 0 && evidence.attempts === 0;
+function isEmptyLoad(
+  { running, heldBytes, evidence }: ReplicaLoadState,
+): boolean {
+  return running === 0 && heldBytes === 0 && evidence.attempts === 0;
 }
 
 /** Adds the loads of two sets of processes. */
--- a/packages/decisions/src/memory/memory_test.ts
+++ b/packages/decisions/src/memory/memory_test.ts
@@ -53,3 +53,42 @@
   const running = makeHold({ stage: "running", progressAtMs: 0 });
   t.deepEqual(memory.chooseYielding([running], MB, NOW_MS), []);
 });
+
+// Load: every process fills its share of a replica whose owner is silent.
+test("the shares of a silent owner's replica add up to no more than the bounds, and one holds any body", (t) => {
+  for (const processes of [1, 2, 7, 31, 400]) {
+    for (const maxBodyBytes of [65_536, MB, 4 * MB, 64 * MB]) {
+      const countFitting = (rank: number, bodyBytes: number) => {
+        const account = { type: "silent", processes, rank } as const;
+        let ownBytes = 0;
+        while (
+          memory.fitsReplica({ bodyBytes, ownBytes, maxBodyBytes }, account)
+        ) ownBytes += bodyBytes;
+        return ownBytes;
+      };
+      const ranks = Array.from({ length: processes }, (_, rank) => rank);
+      const bodyBytes = Math.max(100_000, Math.floor(maxBodyBytes / 3));
+      const largeBytes = ranks.reduce(
+        (sum, rank) => sum + countFitting(rank, bodyBytes),
+        0,
+      );
+      const boundBytes = processes === 1
+        ? memory.computeLargeBodiesBytes(maxBodyBytes)
+        : memory.computeSilentBytes(maxBodyBytes);
+      t.true(largeBytes <= boundBytes, `${processes}, ${maxBodyBytes}`);
+      t.true(ranks.some((rank) => countFitting(rank, maxBodyBytes) > 0));
+    }
+  }
+});
+
+test("small bodies fit where large ones do not, up to a bound of their own", (t) => {
+  const fits = (bodyBytes: number, othersBytes: number) =>
+    memory.fitsReplica(
+      { bodyBytes, ownBytes: 65_536, maxBodyBytes: MB },
+      { type: "answered", othersBytes },
+    );
+  t.true(fits(MB, 6 * MB));
+  t.false(fits(MB, 7.5 * MB));
+  t.true(fits(65_536, 15 * MB));
+  t.false(fits(65_536, 16 * MB));
+});
--- a/packages/peers/src/load_exchange.ts
+++ b/packages/peers/src/load_exchange.ts
@@ -19,6 +19,8 @@
 export const REFRESH_INTERVAL_MS = 1_000;
 /** Longest wait for the owners' answers before a choice; a few round trips between data centres. */
 const ANSWER_TIMEOUT_MS = 8;
+/** The same where the request is refused without an answer; a busy process reads it late. */
+const REQUIRED_ANSWER_TIMEOUT_MS = 40;
 /** Owners of which one need not have answered: with fewer, the choice would be too small. */
 const MIN_OWNERS_TO_LEAVE_OUT = 3;
 /** An answer of this age still counts as the answer to the latest question. */
@@ -51,6 +53,8 @@
     replicaKeys: readonly number[],
   ) => void;
   /** Called for each message that was sent, and each that was accepted or dropped. */
+  /** Replaced in tests. */
+  readonly requiredAnswerTimeoutMs?: number;
   readonly onMessage: (what: "sent" | "taken" | "dropped" | "missed") => void;
 }
 
@@ -141,6 +145,27 @@
     return replicaKeys.filter((key) => this.#isCurrent(key));
   }
 
+  /**
+   * Tells the replica's owner what this process has there, then asks for what all
+   * others have: of two processes that do so at once, the owner tells the later one
+   * of the earlier one. Resolves to `undefined` if the owner does not answer.
+   */
+  async tellAndAsk(
+    replicaKey: number,
+  ): Promise<decisions.ReplicaLoadState | undefined> {
+    this.#changedKeys.add(replicaKey);
+    this.flush();
+    const previous = this.#answers.get(replicaKey);
+    await this.#ask(
+      this.#groupByOwner([replicaKey]),
+      this.#options.requiredAnswerTimeoutMs ?? REQUIRED_ANSWER_TIMEOUT_MS,
+    );
+    const isOwner = this.#options.owners.find(replicaKey) === undefined;
+    return isOwner || this.#answers.get(replicaKey) !== previous
+      ? this.readOthers(replicaKey)
+      : undefined;
+  }
+
   #isCurrent(replicaKey: number): boolean {
     if (this.#options.owners.find(replicaKey) === undefined) return true;
     const answer = this.#answers.get(replicaKey);
@@ -150,6 +175,7 @@
 
   #ask(
     keysByOwner: ReadonlyMap<tables.PeerEndpoint, readonly number[]>,
+    timeoutMs = ANSWER_TIMEOUT_MS,
   ): Promise<void> {
     if (keysByOwner.size === 0) return Promise.resolve();
     this.#queryCount += 1;
@@ -164,7 +190,7 @@
       const timer = setTimeout(() => {
         this.#options.onMessage("missed");
         finish();
-      }, ANSWER_TIMEOUT_MS);
+      }, timeoutMs);
       const finish = () => {
         clearTimeout(timer);
         this.#queries.delete(queryId);
--- a/packages/peers/src/replica_owners.ts
+++ b/packages/peers/src/replica_owners.ts
@@ -49,6 +49,14 @@
     return deputy === this.#self ? "deputy" : undefined;
   }
 
+  /** Place of this process in a replica's order of all processes, 0 for its owner. */
+  findOwnRank(replicaKey: number): number {
+    return decisions.rankByRendezvous(
+      [this.#self, ...this.#peers.keys()],
+      String(replicaKey),
+    ).indexOf(this.#self);
+  }
+
   /** All announced peers. */
   list(): readonly tables.PeerEndpoint[] {
     return [...this.#peers.values()];
--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -15,6 +15,8 @@
 const MAX_AGE_FOR_UNKNOWN_MS = 2_500;
 /** Retry-After where no replica is available. */
 const NO_REPLICA_RETRY_AFTER_MS = 400;
+/** Retry-After where other bodies take the memory of all replicas. */
+const NO_BODY_ROOM_RETRY_AFTER_MS = 1_000;
 /** Retry-After while the local configuration is missing or out of date. */
 const STALE_RETRY_AFTER_MS = 500;
 
@@ -64,6 +66,12 @@
   return makeRefusal("overloaded", reason, retryAfterMs);
 }
 
+/** Creates the refusal of a request whose body no replica has memory for. */
+export function makeNoBodyRoomRefusal(service: string): Refusal {
+  const reason = `no replica of '${service}' has memory for the body`;
+  return makeRefusal("overloaded", reason, NO_BODY_ROOM_RETRY_AFTER_MS);
+}
+
 /** Admits requests by the current configuration. */
 export class Admission {
   readonly #control: control.ControlTask;
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -2,6 +2,7 @@
  * Connection pool for one replica. Each connection carries one request at a
  * time; after a failure or an unexpected response it is not reused.
  */
+import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as undici from "undici";
 import type * as ports from "./ports.ts";
@@ -12,10 +13,6 @@
 const DEFAULT_KEEP_ALIVE_MS = 3_000;
 const MAX_KEEP_ALIVE_MS = 30_000;
 const MIN_CONNECTIONS = 4;
-/** Most bytes of large bodies in flight from this process to one replica; one request may have more. */
-const MAX_BODY_BYTES_IN_FLIGHT = 8 * 1_048_576;
-/** A body up to this size is sent whatever others are in flight. */
-const MAX_SMALL_BODY_BYTES = 65_536;
 
 const connect = kernel.markResets(undici.buildConnector({}));
 
@@ -35,16 +32,23 @@
   readonly #origin: string;
   #limit = MIN_CONNECTIONS;
   readonly #onOpened: () => void;
+  readonly #onLargeBodyEnd: () => void;
   readonly #idle: Connection[] = [];
   readonly #clients = new Set<undici.Client>();
   #bodyBytesInFlight = 0;
 
   constructor(
     address: ports.Address,
-    options: { readonly limit: number; readonly onOpened: () => void },
+    options: {
+      readonly limit: number;
+      readonly onOpened: () => void;
+      /** Called when a large body, or the room reserved for one, is not held any more. */
+      readonly onLargeBodyEnd?: () => void;
+    },
   ) {
     this.#origin = `http://${address.host}:${address.port}`;
     this.#onOpened = options.onOpened;
+    this.#onLargeBodyEnd = options.onLargeBodyEnd ?? (() => {});
     this.setLimit(options.limit);
   }
 
@@ -53,7 +57,7 @@
     this.#limit = Math.max(MIN_CONNECTIONS, limit);
   }
 
-  /** Bytes of the bodies in flight from this process. */
+  /** Bytes of the bodies in flight from this process, or with room reserved for them. */
   get bodyBytesInFlight(): number {
     return this.#bodyBytesInFlight;
   }
@@ -62,6 +66,12 @@
     return this.#idle.length === 0 && this.#clients.size >= this.#limit;
   }
 
+  /** Counts a body that is about to be sent; returns the end of that, to be called once. */
+  reserveBody(bodyBytes: number): () => void {
+    this.#bodyBytesInFlight += bodyBytes;
+    return () => this.#removeBody(bodyBytes);
+  }
+
   /**
    * Acquires a connection for a body of some bytes; requests that must not run
    * twice need a new one.
@@ -70,10 +80,6 @@
     needsNewConnection: boolean,
     bodyBytes = 0,
   ): Connection | undefined {
-    const isOverBound = bodyBytes > MAX_SMALL_BODY_BYTES &&
-      this.#bodyBytesInFlight > 0 &&
-      this.#bodyBytesInFlight + bodyBytes > MAX_BODY_BYTES_IN_FLIGHT;
-    if (isOverBound) return undefined;
     const connection = this.#acquire(needsNewConnection);
     if (connection === undefined) return undefined;
     connection.bodyBytes = bodyBytes;
@@ -136,10 +142,15 @@
   }
 
   #endBody(connection: Connection): void {
-    this.#bodyBytesInFlight -= connection.bodyBytes;
+    this.#removeBody(connection.bodyBytes);
     connection.bodyBytes = 0;
   }
 
+  #removeBody(bodyBytes: number): void {
+    this.#bodyBytesInFlight -= bodyBytes;
+    if (decisions.isLargeBody(bodyBytes)) this.#onLargeBodyEnd();
+  }
+
   #remove(client: undici.Client): void {
     this.#clients.delete(client);
     const index = this.#idle.findIndex((other) => other.client === client);
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import * as admissions from "./admission.ts";
 import * as attempts from "./attempt.ts";
 import * as recorders from "./attempt_recorder.ts";
+import * as bodyRooms from "./body_rooms.ts";
 import * as colds from "./cold_replicas.ts";
 import * as demandTrackers from "./demand_tracker.ts";
 import type * as parts from "./dispatcher_dependencies.ts";
@@ -33,6 +34,7 @@
   readonly recorder: recorders.AttemptRecorder;
   readonly #retryBudgets: retries.RetryBudgets;
   readonly #roomGate: rooms.RoomGate;
+  readonly #bodyRooms: bodyRooms.BodyRooms;
   readonly #latencyTrackerByService = new Map<
     string,
     decisions.EngineLatencyTracker
@@ -48,6 +50,13 @@
       getRouteIndex: () => dependencies.control.routeIndex,
       isStopping: () => dependencies.shutdown.hasStarted,
     });
+    this.#bodyRooms = new bodyRooms.BodyRooms({
+      ...dependencies,
+      accounts: new bodyRooms.BodyAccounts(
+        () => fleet,
+        () => dependencies.control.routeIndex,
+      ),
+    });
     this.#retryBudgets = new retries.RetryBudgets(
       clock,
       settings,
@@ -98,10 +107,19 @@
     if (refusal !== undefined) {
       return { queriedKeys, grantedKey: undefined, refusal };
     }
-    const grantedKey = this.dependencies.table.hasRates(request.service)
-      ? await this.#takeAtRate(request, options, queriedKeys)
+    const room = decisions.isLargeBody(request.body.length)
+      ? await this.#bodyRooms.reserve(request, {
+        ...this.#buildPlacement(request, options),
+        queriedKeys,
+      })
+      : {};
+    const reservedKey = room.reservation?.replicaKey;
+    const mayBeSent = room.refusal === undefined &&
+      this.dependencies.table.hasRates(request.service);
+    const grantedKey = mayBeSent
+      ? await this.#takeAtRate(request, options, { queriedKeys, reservedKey })
       : undefined;
-    return { queriedKeys, grantedKey };
+    return { queriedKeys, grantedKey, ...room };
   }
 
   /** Sends a request to the best replica that is not excluded. */
@@ -111,6 +129,8 @@
     listener: attempts.AttemptListener,
   ): neverthrow.Result<sends.SentAttempt, admissions.Refusal> {
     const { table, places, codec, clock } = this.dependencies;
+    // From here to the connection nothing waits, so that the room is not lost.
+    options.reservation?.release();
     const refusal = this.#findRefusal(request, options.hasRun) ??
       options.refusal;
     if (refusal !== undefined) return this.#refuse(refusal);
@@ -121,6 +141,7 @@
       ...this.#buildPlacement(request, options),
       queriedKeys,
       grantedKey,
+      reservedKey: options.reservation?.replicaKey,
     };
     const { needsNewConnection, versionPreference, nowMs } = placement;
     const pick = table.pick(placement);
@@ -292,8 +313,12 @@
       ...this.#buildPlacement(request, options),
       excluded: new Set([...options.excluded, ...askedIds]),
       mayAskForRate: true,
+      mayReserveRoom: true,
     });
-    if (request.fields.promptTokens > 0) {
+    if (
+      request.fields.promptTokens > 0 ||
+      decisions.isLargeBody(request.body.length)
+    ) {
       return new Set(await fleet.queryLoads(keys));
     }
     // A plain request would wait longer for the answers than it gains by them: they
@@ -308,7 +333,7 @@
   async #takeAtRate(
     request: requests.AdmittedRequest,
     options: sends.SendOptions,
-    queriedKeys: ReadonlySet<number>,
+    known: Pick<groups.PlacementRequest, "queriedKeys" | "reservedKey">,
   ): Promise<number | undefined> {
     const { table, fleet } = this.dependencies;
     const excluded = new Set(options.excluded);
@@ -316,7 +341,7 @@
       const placement = this.#buildPlacement(request, { ...options, excluded });
       const pick = table.pick({
         ...placement,
-        queriedKeys,
+        ...known,
         mayAskForRate: true,
       });
       if (pick === undefined) break;
@@ -356,6 +381,7 @@
       needsNewConnection: route.kind === "non-idempotent",
       versionPreference: this.#chooseVersionPreference(request),
       reserved: priorities.getPriority(request) === 0 ? 0 : 1,
+      bodyBytes: request.body.length,
       nowMs,
     };
   }
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -88,6 +88,15 @@
     });
   }
 
+  /** Absent until peers' reports are exchanged. */
+  get loads(): peers.LoadExchange | undefined {
+    return this.#loads;
+  }
+
+  get owners(): peers.ReplicaOwners {
+    return this.#owners;
+  }
+
   /** Number of announced processes, including this one. */
   get size(): number {
     return 1 + (this.#reporter?.table.size ?? 0);
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -1,5 +1,5 @@
 /** Which replicas a request may be sent to: the group from which one is chosen. */
-import type * as decisions from "@jackdawbank/decisions";
+import * as decisions from "@jackdawbank/decisions";
 import type * as peers from "@jackdawbank/peers";
 import type * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
@@ -61,6 +61,11 @@
   readonly grantedKey?: number | undefined;
   /** Whether replicas with a rate are considered too, as one of them may grant the request. */
   readonly mayAskForRate?: boolean;
+  readonly bodyBytes: number;
+  /** Replica at which room is reserved for a large body. */
+  readonly reservedKey?: number | undefined;
+  /** Whether replicas are considered at which room may still be reserved. */
+  readonly mayReserveRoom?: boolean;
   readonly nowMs: number;
 }
 
@@ -74,9 +79,19 @@
   reset(replicaKey: number): void;
 }
 
-/** What is known of the replicas' rates and of the load of peers. */
+/** What processes know of the bodies that are in flight to replicas. */
+export interface ReplicaBodies {
+  /** Largest body that callers may send. */
+  readonly maxBodyBytes: number;
+  /** What the replica's owner has told lately; absent if nothing. */
+  readBodies(replicaKey: number): decisions.BodyAccount | undefined;
+  buildSilentAccount(replicaKey: number): decisions.BodyAccount;
+}
+
+/** What is known of the replicas' rates and bodies, and of the load of peers. */
 export interface LoadSources {
   readonly rates: ReplicaRates;
+  readonly bodies: ReplicaBodies;
   readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
 }
 
@@ -123,13 +138,35 @@
   return homeDataCentres?.has(entry.dataCentre) ?? true;
 }
 
+/** Whether a replica has memory for the request's body, or may have it. */
+function hasBodyRoom(
+  { key, pool }: ReplicaState,
+  request: PlacementRequest,
+  bodies: ReplicaBodies,
+): boolean {
+  const { bodyBytes, reservedKey, mayReserveRoom } = request;
+  const ownBytes = pool.bodyBytesInFlight;
+  const body = { bodyBytes, ownBytes, maxBodyBytes: bodies.maxBodyBytes };
+  if (decisions.isLargeBody(bodyBytes)) {
+    if (mayReserveRoom !== true) return key === reservedKey;
+    const known = bodies.readBodies(key) ??
+      { type: "answered", othersBytes: 0 };
+    return decisions.fitsReplica(body, known);
+  }
+  return decisions.fitsWithoutAccount(body) ||
+    decisions.fitsReplica(
+      body,
+      bodies.readBodies(key) ?? bodies.buildSilentAccount(key),
+    );
+}
+
 /** The best group of usable replicas that is not empty. */
 export function findGroup(
   states: readonly ReplicaState[],
   request: PlacementRequest,
   sources: LoadSources,
 ): readonly ReplicaState[] | undefined {
-  const group = findBestGroup(states, request, sources.rates);
+  const group = findBestGroup(states, request, sources);
   const { heldBackDataCentres, nowMs } = request;
   if (group === undefined || heldBackDataCentres === undefined) return group;
   // Within the group, so that a version or an available replica elsewhere goes first.
@@ -153,7 +190,7 @@
 function findBestGroup(
   states: readonly ReplicaState[],
   request: PlacementRequest,
-  rates: ReplicaRates,
+  { rates, bodies }: LoadSources,
 ): readonly ReplicaState[] | undefined {
   const { nowMs } = request;
   const usable = states.filter((state) =>
@@ -161,7 +198,8 @@
     !request.versionPreference.banned.includes(state.entry.version) &&
     isAtHome(state, request) &&
     (request.needsNewConnection || !state.pool.isFull) &&
-    isOpen(state, nowMs) && isWithinRate(state, request, rates)
+    isOpen(state, nowMs) && isWithinRate(state, request, rates) &&
+    hasBodyRoom(state, request, bodies)
   );
   const { target, prefersTarget } = request.versionPreference;
   const isPreferred = (state: ReplicaState) =>
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -310,12 +310,14 @@
   }
 
   #createState(entry: ports.ReplicaEntry): groups.ReplicaState {
+    const key = decisions.hashText(entry.id);
     return {
       entry,
-      key: decisions.hashText(entry.id),
+      key,
       pool: new connections.ConnectionPool(entry.address, {
         limit: this.#computeConnectionLimit(entry),
         onOpened: this.#options.onConnectionOpened,
+        onLargeBodyEnd: () => this.#options.onLoadChanged(key, "increase"),
       }),
       health: new decisions.ReplicaHealth(),
       evidence: new decisions.ReplicaEvidence(),
--- a/packages/router/src/replica_table_options.ts
+++ b/packages/router/src/replica_table_options.ts
@@ -10,6 +10,7 @@
   readonly random: () => number;
   readonly onConnectionOpened: () => void;
   readonly rates: groups.ReplicaRates;
+  readonly bodies: groups.ReplicaBodies;
   /** Whether nothing may be sent to a data centre's replicas; absent if all are in use. */
   readonly isEvacuated?: (dataCentre: string) => boolean;
   /** Load that peers have in flight at a replica. */
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -16,6 +16,11 @@
       findWaitMs: () => 0,
       reset: () => {},
     },
+    bodies: {
+      maxBodyBytes: 1_048_576,
+      readBodies: () => undefined,
+      buildSilentAccount: () => ({ type: "silent", processes: 1, rank: 0 }),
+    },
     readPeerLoad: () => decisions.NO_LOAD_STATE,
     onLoadChanged: () => {},
   });
@@ -52,6 +57,7 @@
     needsNewConnection: false,
     versionPreference: NO_PREFERENCE,
     reserved: 0,
+    bodyBytes: 0,
     nowMs: 0,
     ...overrides,
   };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,6 +7,7 @@
 import * as logs from "./decision_log.ts";
 import * as dispatchers from "./dispatcher.ts";
 import * as fleets from "./fleet.ts";
+import * as bodyRooms from "./body_rooms.ts";
 import * as callerServers from "./caller_server.ts";
 import * as places from "./places.ts";
 import * as colds from "./cold_replicas.ts";
@@ -101,6 +102,10 @@
           this.#fleet.findRateWaitMs(key, reserved),
         reset: (key) => this.#fleet.resetRate(key),
       },
+      bodies: new bodyRooms.BodyAccounts(
+        () => this.#fleet,
+        () => this.#control.routeIndex,
+      ),
       isEvacuated: (dataCentre) => this.#places.isEvacuated(dataCentre),
       readPeerLoad: (key) => this.#fleet.readLoad(key),
       onLoadChanged: (key, change) => this.#fleet.recordLoadChange(key, change),
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -18,12 +18,20 @@
   readonly hasRun: boolean;
 }
 
+/** Room for a large body at one replica. */
+export interface BodyReservation {
+  readonly replicaKey: number;
+  readonly release: () => void;
+}
+
 /** What the other processes answered before the choice of a replica. */
 export interface Preparation {
   /** Keys of the replicas whose load is known now. */
   readonly queriedKeys: ReadonlySet<number>;
   /** Replica with a rate that may get this request. */
   readonly grantedKey: number | undefined;
+  /** Room for a large body at the replica that gets it; ended by the send. */
+  readonly reservation?: BodyReservation | undefined;
   /** Why the request must not be sent; absent if it may be. */
   readonly refusal?: admissions.Refusal;
 }
