Requests count with their heads, and those behind an unanswered one end with their connection

Cause: 300 callers that each send 32 requests in a row, the first of which is not answered, took an entry to 241 MB (machine of 200 MB). A request counted as 6 KB, whatever its head (measured: 10 KB and the head); opening one never asked for the limit; and the runtime reports a closed connection only for the response that is being written, so that requests behind it stayed in the account and in the count of requests in flight for ever (1,678 with no connection open). A response that waited for an earlier one was not cut when it gave way, either.

Change: heads count; a request over the budget is refused as not run, or its connection is closed if others of it are unanswered; each request ends when its connection does; what gave way is not chosen again (1.3 million times in that crowd).

What callers see: nothing, unless they send requests in a row without reading.

--- a/packages/bench/src/memory_fault_test.ts
+++ b/packages/bench/src/memory_fault_test.ts
@@ -109,6 +109,29 @@
     t.is(await machine.callLargest(), 200);
   }));
 
+test("requests in a row behind one that is not answered do not end an entry", async (t) => {
+  const limits = { ...LIMITS, fileDescriptors: 2_000, replicaSlots: 2_400 };
+  await withSmallMachine(limits, async (machine) => {
+    machine.desk.answer = ({ path }) =>
+      path === ROUTES.order ? { type: "hang" } : { type: "ok" };
+    const first = memory.renderHead(
+      ROUTES.order,
+      "content-length: 0\r\n\r\n",
+    );
+    const next = memory.renderHead(
+      ROUTES.check,
+      `x-long: ${"x".repeat(6 * KB)}\r\ncontent-length: 0\r\n\r\n`,
+    );
+    await machine.crowd.send(300, [first, next.repeat(31)]);
+    await memory.settle();
+    machine.crowd.close();
+    machine.desk.answer = () => ({ type: "ok" });
+    await machine.waitUntilServing();
+    await memory.assertWithinLimits(t, machine, limits);
+    t.is(await machine.callLargest(), 200);
+  });
+});
+
 test("callers that read no event of a stream do not end an entry", (t) =>
   withSmallMachine(LIMITS, async (machine) => {
     machine.engine.answer = () => ({
--- a/packages/bench/src/memory_harness.ts
+++ b/packages/bench/src/memory_harness.ts
@@ -23,7 +23,7 @@
 export const MAX_BODY_BYTES = MB;
 /** Heap limit that the deploy file gives an entry. */
 const HEAP_LIMIT_MB = 200;
-/** Requests that each replica serves at once. */
+/** Requests that each replica serves at once, unless the test says otherwise. */
 const SLOTS = 64;
 /** Long enough that an answer does not depend on the machine's speed. */
 const ROUTE_TIMEOUT_MS = 10_000;
@@ -37,6 +37,8 @@
 export interface MachineLimits {
   readonly memoryMb: number;
   readonly fileDescriptors: number;
+  /** Requests that each replica serves at once; an entry opens a sixth of that many connections. */
+  readonly replicaSlots?: number;
   /** Whether replicas crash when the requests that they hold exceed their memory. */
   readonly hasReplicaMemoryLimit?: boolean;
 }
@@ -94,6 +96,11 @@
   }
 }
 
+/** Waits for what a crowd has caused. */
+export function settle(): Promise<void> {
+  return kernel.sleep(SETTLE_MS);
+}
+
 /** Chunks of a body in the chunked encoding, without the end of the body. */
 export function renderChunks(count: number, bytesPerChunk: number): Buffer {
   const chunk = `${bytesPerChunk.toString(16)}\r\n${
@@ -211,8 +218,9 @@
     }));
     await desk.listen();
     await engine.listen();
-    store.putReplica(desk.id, desk.buildEntry("desk", { slots: SLOTS }));
-    store.putReplica(engine.id, engine.buildEntry("llm", { slots: SLOTS }));
+    const slots = limits.replicaSlots ?? SLOTS;
+    store.putReplica(desk.id, desk.buildEntry("desk", { slots }));
+    store.putReplica(engine.id, engine.buildEntry("llm", { slots }));
     const { routes } = buildConfiguration() as {
       readonly routes: readonly Readonly<Record<string, unknown>>[];
     };
@@ -261,11 +269,16 @@
       engine,
       folder,
     });
+    await machine.waitUntilServing();
+    return machine;
+  }
+
+  /** Waits until an ordinary request is answered, or fails after long. */
+  async waitUntilServing(): Promise<void> {
     await processes.waitFor(
       "the entry serves requests",
-      async () => await machine.callOrdinary() === 200,
+      async () => await this.callOrdinary() === 200,
     );
-    return machine;
   }
 
   /** Sends one small request; resolves with its status, or why there is none. */
--- a/packages/router/src/body_reader.ts
+++ b/packages/router/src/body_reader.ts
@@ -117,13 +117,26 @@
   readonly deadlineMs: number | undefined;
 }
 
-/** Throws if the head is too large, or announces too large a body. */
-function checkHead(request: http.IncomingMessage, limits: BodyLimits): void {
-  const headerBytes = request.rawHeaders.reduce(
+/** Measures the target and the headers of a request, in bytes. */
+export function measureHead(request: http.IncomingMessage): number {
+  return request.rawHeaders.reduce(
     (sum, part) => sum + part.length + 2,
     request.url?.length ?? 0,
   );
-  if (headerBytes > limits.maxHeaderBytes) {
+}
+
+/** The error of a request for which others that run leave no memory. */
+export function makeOverBudgetError(): RequestReadError {
+  return new RequestReadError("overloaded", "too many requests are held");
+}
+
+/** Throws if the head is too large, or announces too large a body. */
+function checkHead(
+  request: http.IncomingMessage,
+  { headBytes }: budgets.RequestHold,
+  limits: BodyLimits,
+): void {
+  if (headBytes > limits.maxHeaderBytes) {
     throw new RequestReadError(
       "headers-too-large",
       "the headers are too large",
@@ -146,7 +159,7 @@
     readonly smallChunkBodies: smallChunks.SmallChunkBodies;
   },
 ): Promise<Buffer> {
-  checkHead(request, limits);
+  checkHead(request, hold, limits);
   const maxDurationMs = Math.min(
     limits.headerTimeoutMs + limits.idleTimeoutMs,
     limits.deadlineMs ?? Infinity,
@@ -206,9 +219,7 @@
       if (hold.setBodyBytes(body.length)) resolve(body);
       else {
         hold.setBodyBytes(0);
-        reject(
-          new RequestReadError("overloaded", "too many requests are held"),
-        );
+        reject(makeOverBudgetError());
       }
     };
     const handleClose = () => {
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -22,8 +22,8 @@
 
 /** Requests of one connection. */
 interface ConnectionState {
-  /** Requests without a complete response. */
-  requestCount: number;
+  /** Called for each request without a complete response if the connection closes before. */
+  readonly onClosed: Set<() => void>;
   /** Whether the body of the newest one is still being read. */
   isReading: boolean;
 }
@@ -56,30 +56,42 @@
       this.#remove(longestIdle);
       longestIdle.destroy();
     }
-    this.#states.set(socket, { requestCount: 0, isReading: false });
+    const state: ConnectionState = { onClosed: new Set(), isReading: false };
+    this.#states.set(socket, state);
     this.#idle.add(socket);
     onOpened();
     socket.once("close", () => {
       this.#remove(socket);
       onClosed();
+      for (const end of [...state.onClosed]) end();
     });
   }
 
-  /** Records a request; returns false if the connection had too many and was closed. */
-  startRequest(socket: net.Socket): boolean {
+  /**
+   * Records a request; returns false if the connection had too many and was closed.
+   * `onClosed` is called if it closes before the end of the response: the runtime
+   * reports that for the response that is being written only.
+   */
+  startRequest(socket: net.Socket, onClosed: () => void): boolean {
     const state = this.#states.get(socket);
     if (state === undefined) return !socket.destroyed;
-    if (state.requestCount >= MAX_PIPELINED_REQUESTS) {
-      this.#options.onRefused("pipelined");
-      socket.destroy();
+    if (state.onClosed.size >= MAX_PIPELINED_REQUESTS) {
+      this.#refusePipelined(socket);
       return false;
     }
-    state.requestCount += 1;
+    state.onClosed.add(onClosed);
     state.isReading = true;
     this.#idle.delete(socket);
     return true;
   }
 
+  /** Closes the connection if another of its requests has no complete response; returns whether it had. */
+  refuseBehindOthers(socket: net.Socket): boolean {
+    const isBehind = (this.#states.get(socket)?.onClosed.size ?? 0) > 1;
+    if (isBehind) this.#refusePipelined(socket);
+    return isBehind;
+  }
+
   /** Records that the body of the newest request was read. */
   endBody(socket: net.Socket): void {
     const state = this.#states.get(socket);
@@ -87,18 +99,17 @@
   }
 
   /** Records the end of a response. */
-  endRequest(socket: net.Socket): void {
+  endRequest(socket: net.Socket, onClosed: () => void): void {
     const state = this.#states.get(socket);
-    if (state === undefined || state.requestCount === 0) return;
-    state.requestCount -= 1;
-    if (state.requestCount === 0 && !socket.destroyed) this.#idle.add(socket);
+    if (state === undefined || !state.onClosed.delete(onClosed)) return;
+    if (state.onClosed.size === 0 && !socket.destroyed) this.#idle.add(socket);
   }
 
   /** Whether a request that was read has no complete response yet. */
   isAnswering(socket: net.Socket): boolean {
     const state = this.#states.get(socket);
     if (state === undefined) return false;
-    return state.requestCount > (state.isReading ? 1 : 0);
+    return state.onClosed.size > (state.isReading ? 1 : 0);
   }
 
   /** Ends a connection after what was written; its caller may not keep it open. */
@@ -113,6 +124,11 @@
     for (const socket of this.#idle) socket.end();
   }
 
+  #refusePipelined(socket: net.Socket): void {
+    this.#options.onRefused("pipelined");
+    socket.destroy();
+  }
+
   #remove(socket: net.Socket): void {
     this.#states.delete(socket);
     this.#idle.delete(socket);
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -156,16 +156,27 @@
   ): Promise<void> {
     const receivedAtMs = this.#options.clock.monotonicMs();
     const { socket } = request;
-    if (!this.#resources.connections.startRequest(socket)) return;
-    this.#inFlight += 1;
-    const hold = this.#resources.budget.open(socket.remoteAddress ?? "");
+    const { budget, connections } = this.#resources;
     const callerAbort = new AbortController();
-    response.once("close", () => {
+    let hasEnded = false;
+    const end = () => {
+      if (hasEnded) return;
+      hasEnded = true;
       this.#inFlight -= 1;
       hold.close();
-      this.#resources.connections.endRequest(socket);
+      connections.endRequest(socket, end);
       if (!response.writableFinished) callerAbort.abort();
-    });
+    };
+    if (!connections.startRequest(socket, end)) return;
+    this.#inFlight += 1;
+    const hold = budget.open(
+      socket.remoteAddress ?? "",
+      bodies.measureHead(request),
+    );
+    response.once("close", end);
+    const isOverBudget = budget.isExceeded;
+    // Its refusal would be held until those before it are answered.
+    if (isOverBudget && connections.refuseBehindOthers(socket)) return;
     request.once("aborted", () => callerAbort.abort());
     // The close event reports a lost connection; the write error adds no information.
     response.on("error", () => callerAbort.abort());
@@ -186,6 +197,7 @@
         request.rawHeaders,
       );
       requestId = fields.attemptId ?? requestId;
+      if (isOverBudget) throw bodies.makeOverBudgetError();
       const body = await bodies.readBody(request, hold, {
         ...this.#limits,
         deadlineMs: fields.deadlineMs,
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -1,6 +1,7 @@
 /** Tests that each request gets a final response, whatever fails while it is handled. */
 import * as ava from "ava";
 import * as http from "node:http";
+import * as net from "node:net";
 import * as kernel from "@jackdawbank/kernel";
 import * as neverthrow from "neverthrow";
 import * as callerServers from "./caller_server.ts";
@@ -163,3 +164,20 @@
   t.like(findLines("request.ended").at(0), { outcome: "caller-gone" });
   t.is(findLines("request.fault").length, 0);
 });
+
+// Guards against memory: the runtime reports a closed connection only for the response that is being
+// written, so that requests behind it were counted for ever.
+test("requests behind one that is not answered end with their connection", async (t) => {
+  const { port, server } = await startFailingServer(t, { in: "exchange" });
+  const socket = net.connect(port, "127.0.0.1");
+  socket.on("error", () => {});
+  socket.write("GET /orders/1 HTTP/1.1\r\nhost: a\r\n\r\n".repeat(5));
+  while (server.inFlight < 5) await kernel.sleep(5);
+  t.true(server.readGauges()["held_bytes"] as number > 0);
+  socket.destroy();
+  while (server.readGauges()["caller_connections"] !== 0) {
+    await kernel.sleep(5);
+  }
+  t.is(server.inFlight, 0);
+  t.is(server.readGauges()["held_bytes"], 0);
+});
--- a/packages/router/src/memory_budget.ts
+++ b/packages/router/src/memory_budget.ts
@@ -8,8 +8,8 @@
 
 /** Objects of a connection and its parser, and the head that it may be sending. */
 const CONNECTION_BYTES = 12_288;
-/** Objects of a request beside its body. */
-const REQUEST_BYTES = 6_144;
+/** Objects of a request beside its head and its body. */
+const REQUEST_BYTES = 10_240;
 /** Yielding goes on below the limit, so that it is not repeated for each chunk. */
 const YIELD_TO_SHARE = 0.85;
 /** Fewer bytes than this are no progress, however often they come. */
@@ -23,9 +23,13 @@
 export class RequestHold implements decisions.Hold {
   readonly caller: string;
   readonly openedAtMs: number;
+  /** Bytes of the request's head. */
+  readonly headBytes: number;
   readonly #budget: MemoryBudget;
   #stage: decisions.HoldStage = "receiving";
   #isClosed = false;
+  /** Whether it was given up, so that its bytes are free as soon as its connection is closed. */
+  #isGivenUp = false;
   #bodyBytes = 0;
   #answerBytes = 0;
   #progressAtMs: number;
@@ -35,19 +39,27 @@
   #stageEndsAtMs = Infinity;
   #onYield: (reason: YieldReason) => void = () => {};
 
-  constructor(budget: MemoryBudget, caller: string, nowMs: number) {
+  constructor(
+    budget: MemoryBudget,
+    request: { readonly caller: string; readonly headBytes: number },
+  ) {
     this.#budget = budget;
-    this.caller = caller;
-    this.openedAtMs = nowMs;
-    this.#progressAtMs = nowMs;
+    this.caller = request.caller;
+    this.headBytes = request.headBytes;
+    this.openedAtMs = budget.nowMs;
+    this.#progressAtMs = budget.nowMs;
   }
 
   get stage(): decisions.HoldStage {
     return this.#stage;
   }
 
+  get isGivenUp(): boolean {
+    return this.#isGivenUp;
+  }
+
   get heldBytes(): number {
-    return REQUEST_BYTES + this.#bodyBytes + this.#answerBytes;
+    return REQUEST_BYTES + this.headBytes + this.#bodyBytes + this.#answerBytes;
   }
 
   /** Bytes held of the request's body. */
@@ -110,6 +122,7 @@
   }
 
   yield(reason: YieldReason): void {
+    this.#isGivenUp = true;
     const onYield = this.#onYield;
     this.#onYield = () => {};
     this.#stageEndsAtMs = Infinity;
@@ -183,11 +196,16 @@
     this.#connections -= 1;
   }
 
-  /** Begins to account for a request of a caller. */
-  open(caller: string): RequestHold {
-    const hold = new RequestHold(this, caller, this.nowMs);
+  /** Whether more is held than the limit allows, also after others gave way. */
+  get isExceeded(): boolean {
+    return this.heldBytes > this.limitBytes;
+  }
+
+  /** Begins to account for a request of a caller; others may give way to it. */
+  open(caller: string, headBytes = 0): RequestHold {
+    const hold = new RequestHold(this, { caller, headBytes });
+    this.add(hold.stage, hold.heldBytes);
     this.#holds.add(hold);
-    this.#bytesByStage[hold.stage] += hold.heldBytes;
     return hold;
   }
 
@@ -207,9 +225,9 @@
   add(stage: decisions.HoldStage, bytes: number): boolean {
     this.#bytesByStage[stage] += bytes;
     if (bytes < 0) this.#garbage.recordReleased(-bytes);
-    if (bytes <= 0 || this.heldBytes <= this.limitBytes) return true;
+    if (bytes <= 0 || !this.isExceeded) return true;
     this.#yieldHolds();
-    return this.heldBytes <= this.limitBytes;
+    return !this.isExceeded;
   }
 
   reportYield(hold: RequestHold, reason: YieldReason): void {
@@ -225,7 +243,7 @@
     this.#isYielding = true;
     const neededBytes = this.heldBytes - this.limitBytes * YIELD_TO_SHARE;
     const chosen = decisions.chooseYielding(
-      this.#holds,
+      [...this.#holds].filter(({ isGivenUp }) => !isGivenUp),
       neededBytes,
       this.nowMs,
     );
--- a/packages/router/src/memory_budget_test.ts
+++ b/packages/router/src/memory_budget_test.ts
@@ -49,6 +49,20 @@
   t.false(next.setBodyBytes(100 * KB));
 });
 
+test("a request counts with its head, and what has given way does not do so again", (t) => {
+  const { budget, yields } = createBudget(t);
+  const holds = Array.from({ length: 30 }, () => {
+    const hold = budget.open("a", 20 * KB);
+    hold.begin("answering");
+    return hold;
+  });
+  t.true(budget.isExceeded);
+  t.true(yields.length > 0 && yields.length <= holds.length);
+  for (const hold of holds) hold.close();
+  t.false(budget.isExceeded);
+  t.is(budget.heldBytes, 0);
+});
+
 test("a byte now and then is no progress", (t) => {
   const { budget, time } = createBudget(t);
   const hold = budget.open("a");
--- a/packages/router/src/response_writer.ts
+++ b/packages/router/src/response_writer.ts
@@ -197,6 +197,8 @@
 
   #cut(reason: budgets.YieldReason): void {
     this.#onCut(reason);
+    // A response that waits for an earlier one has no socket of its own yet.
+    this.#response.req.socket.destroy();
     this.#response.destroy();
   }
 
