--- a/packages/decisions/src/memory/memory_limits.ts
+++ b/packages/decisions/src/memory/memory_limits.ts
@@ -8,6 +8,8 @@
 const MIN_BUDGET_BYTES = 16 * 1_048_576;
 /** Used where the settings state no memory. */
 const DEFAULT_BUDGET_BYTES = 256 * 1_048_576;
+/** Share of the memory for the heap; the rest is for code, buffers and their garbage. */
+const HEAP_SHARE = 0.4;
 /** Descriptors that the platform reserves for files. */
 const RESERVED_DESCRIPTORS = 200;
 /** Share of the other ones for callers; the rest is for replicas, the store and peers. */
@@ -23,6 +25,11 @@
   );
 }
 
+/** Size of the heap above which a process collects garbage early, by its machine's memory in bytes. */
+export function computeHeapBytes(memoryBytes: number | undefined): number {
+  return memoryBytes === undefined ? Infinity : memoryBytes * HEAP_SHARE;
+}
+
 /** Most connections of callers that a process keeps open; infinite if no limit is known. */
 export function computeCallerConnections(
   fileDescriptors: number | undefined,
--- a/packages/router/src/caller_resources.ts
+++ b/packages/router/src/caller_resources.ts
@@ -9,7 +9,7 @@
 
 export interface CallerResourcesOptions {
   readonly clock: kernel.Clock;
-  readonly telemetry: telemetry.Telemetry;
+  readonly telemetry: Pick<telemetry.Telemetry, "countEvent">;
   /** Limits of this process, if they are known. */
   readonly processLimits?: Pick<
     ports.RouterSettings,
@@ -26,6 +26,7 @@
   constructor({ clock, telemetry, processLimits }: CallerResourcesOptions) {
     this.budget = new budgets.MemoryBudget({
       limitBytes: decisions.computeMemoryBudget(processLimits?.memoryBytes),
+      heapBytes: decisions.computeHeapBytes(processLimits?.memoryBytes),
       clock,
       onYield: ({ stage }, reason) =>
         telemetry.countEvent(`caller.${stage}.${reason}`),
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -49,6 +49,7 @@
 
 /** Dependencies of the caller server. */
 export interface CallerServerOptions extends resources.CallerResourcesOptions {
+  readonly telemetry: telemetry.Telemetry;
   readonly dispatcher: dispatchers.Dispatcher;
   readonly watchdog: watchdogs.Watchdog;
   readonly control: control.ControlTask;
--- a/packages/router/src/memory_budget.ts
+++ b/packages/router/src/memory_budget.ts
@@ -15,6 +15,8 @@
 /** Fewer bytes than this are no progress, however often they come. */
 const PROGRESS_BYTES = 16_384;
 const EXPIRY_CHECK_INTERVAL_MS = 500;
+/** Requests after which the size of the heap is looked at, beside that interval. */
+const REQUESTS_BETWEEN_HEAP_CHECKS = 256;
 
 /** Why a request is given up. */
 export type YieldReason = "memory" | "time-out";
@@ -149,7 +151,8 @@
   readonly limitBytes: number;
   readonly #clock: kernel.Clock;
   readonly #onYield: (hold: decisions.Hold, reason: YieldReason) => void;
-  readonly #garbage = new garbage.GarbageCollection();
+  readonly #garbage: garbage.GarbageCollection;
+  #requestsSinceHeapCheck = 0;
   readonly #holds = new Set<RequestHold>();
   readonly #bytesByStage: Record<decisions.HoldStage, number> = {
     receiving: 0,
@@ -162,12 +165,15 @@
 
   constructor(options: {
     readonly limitBytes: number;
+    /** Size above which the heap is collected early; absent if the memory is unknown. */
+    readonly heapBytes?: number;
     readonly clock: kernel.Clock;
     readonly onYield: (hold: decisions.Hold, reason: YieldReason) => void;
   }) {
     this.limitBytes = options.limitBytes;
     this.#clock = options.clock;
     this.#onYield = options.onYield;
+    this.#garbage = new garbage.GarbageCollection(options.heapBytes);
     this.#timer = setInterval(
       () => this.#expire(),
       EXPIRY_CHECK_INTERVAL_MS,
@@ -206,6 +212,10 @@
     const hold = new RequestHold(this, { caller, headBytes });
     this.add(hold.stage, hold.heldBytes);
     this.#holds.add(hold);
+    this.#requestsSinceHeapCheck += 1;
+    if (this.#requestsSinceHeapCheck >= REQUESTS_BETWEEN_HEAP_CHECKS) {
+      this.#checkHeap();
+    }
     return hold;
   }
 
@@ -251,7 +261,13 @@
     this.#isYielding = false;
   }
 
+  #checkHeap(): void {
+    this.#requestsSinceHeapCheck = 0;
+    this.#garbage.checkHeap();
+  }
+
   #expire(): void {
+    this.#checkHeap();
     const { nowMs } = this;
     for (const hold of [...this.#holds]) {
       if (hold.isExpired(nowMs)) hold.yield("time-out");
