Callers without limits do not end the processes of our own interface

Cause: shown with a test of small crowds on the code before (processes of 200 MB): 200 bodies that stop short took an entry to 394 MB; 500 idle connections to 530 descriptors of 400; 80 unfinished frames of strangers took an upstream process to 405 MB, 500 idle connections to 524 descriptors.

Change: RequestGuard puts the platform entry's budget, connections and body reader before the callers' and the admin listener; the mesh listener takes 32 KB from a connection before its proof of the secret, and such connections give way to new ones.

What callers see: 503 not run, 408 or a closed connection where memory is short.

--- a/packages/admin/src/server.ts
+++ b/packages/admin/src/server.ts
@@ -4,11 +4,12 @@
 import * as honoServer from "@hono/node-server";
 import * as hono from "hono";
 import * as honoBodyLimit from "hono/body-limit";
-import type * as http from "node:http";
+import * as http from "node:http";
+import type * as net from "node:net";
 import * as neverthrow from "neverthrow";
 import * as commands from "./commands.ts";
 
-const MAX_BUNDLE_REQUEST_BYTES = bundle.MAX_BUNDLE_BYTES + 65_536;
+export const MAX_BUNDLE_REQUEST_BYTES = bundle.MAX_BUNDLE_BYTES + 65_536;
 
 export interface ListenAddress {
   readonly host: string;
@@ -113,17 +114,70 @@
   return app;
 }
 
+/** Keeps what callers send and do not read within the process's memory and descriptors. */
+export interface RequestGuard {
+  readonly serverOptions: http.ServerOptions;
+  accept(socket: net.Socket): void;
+  /** Fails with the error to answer, or with `undefined` if the connection is closed. */
+  readBody(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<neverthrow.Result<Buffer, kernel.AppError | undefined>>;
+}
+
+/** How a listener treats requests before its app gets them. */
+export interface ListenOptions {
+  readonly guard: RequestGuard;
+  readonly renderRefusal: (error: kernel.AppError) => Response;
+}
+
+/** Renders the refusal of a request to the admin listener. */
+export function renderAdminRefusal(
+  { kind, message }: kernel.AppError,
+): Response {
+  const { status } = kernel.findErrorResponse(kind);
+  return Response.json({ error: { kind, message } }, { status });
+}
+
+/** Creates a server that passes whole requests on to an app. */
+function createServer<E extends hono.Env>(
+  app: hono.Hono<E>,
+  { guard, renderRefusal }: ListenOptions,
+): http.Server {
+  const pass = honoServer.getRequestListener(app.fetch);
+  const handle = async (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ) => {
+    const body = await guard.readBody(request, response);
+    if (body.isOk()) {
+      // The adapter takes the body from here, as the request has been read.
+      await pass(Object.assign(request, { rawBody: body.value }), response);
+    } else if (body.error !== undefined) {
+      const refusal = renderRefusal(body.error);
+      response.writeHead(refusal.status, {
+        ...Object.fromEntries(refusal.headers),
+        connection: "close",
+      });
+      response.end(await refusal.text());
+    }
+  };
+  const server = http.createServer(
+    guard.serverOptions,
+    (request, response) => void handle(request, response),
+  );
+  server.on("connection", (socket: net.Socket) => guard.accept(socket));
+  return server;
+}
+
 /** Binds an HTTP listener for an app. */
 export function listenHttp<E extends hono.Env>(
   app: hono.Hono<E>,
   address: ListenAddress,
-  options: http.ServerOptions = {},
+  options: ListenOptions,
 ): Promise<kernel.Outcome<HttpListener>> {
   return new Promise((resolve) => {
-    const server = honoServer.createAdaptorServer({
-      fetch: app.fetch,
-      serverOptions: options,
-    }) as http.Server;
+    const server = createServer(app, options);
     server.once("error", (error) => {
       resolve(
         kernel.fail("settings-invalid", `cannot listen: ${error.message}`),
--- a/packages/bench/src/run_tests.ts
+++ b/packages/bench/src/run_tests.ts
@@ -18,6 +18,7 @@
 /** Tests that measure a process, each in a run of its own. */
 const ISOLATED_TESTS = [
   "packages/bench/dist/memory_fault_test.js",
+  "packages/bench/dist/own_memory_fault_test.js",
   "packages/bench/dist/stress_test.js",
 ];
 
--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -1,4 +1,5 @@
 /** The entry role: serves the callers' HTTP API and dispatches requests to upstream processes. */
+import * as crypto from "node:crypto";
 import * as admin from "@jackdawbank/admin";
 import * as billing from "@jackdawbank/billing";
 import type * as config from "@jackdawbank/config";
@@ -6,6 +7,7 @@
 import type * as mesh from "@jackdawbank/mesh";
 import * as neverthrow from "neverthrow";
 import type * as stores from "@jackdawbank/store";
+import * as callerRequests from "./caller_request.ts";
 import * as relays from "./response_relay.ts";
 import * as dispatchers from "./dispatch.ts";
 import * as fleets from "./fleet.ts";
@@ -22,7 +24,6 @@
 export * from "./requests.ts";
 export * from "./tokens.ts";
 
-const MAX_HEADER_BYTES = 16_384;
 const FLUSH_TIMEOUT_MS = 5_000;
 
 /** Dependencies and settings of the entry role. */
@@ -34,6 +35,7 @@
   readonly ratings: stores.RatingsClient | undefined;
   readonly identity: mesh.MeshIdentity;
   readonly listen: admin.ListenAddress;
+  readonly guard: admin.RequestGuard;
   readonly drainTimeoutMs: number;
   readonly random: () => number;
 }
@@ -91,7 +93,9 @@
     tracker,
   });
   const listener = await admin.listenHttp(app.build(), options.listen, {
-    maxHeaderSize: MAX_HEADER_BYTES,
+    guard: options.guard,
+    renderRefusal: (error) =>
+      callerRequests.createErrorResponse(error, crypto.randomUUID()),
   });
   if (listener.isErr()) {
     await fleet.close();
--- a/packages/jackdawd/src/daemon.ts
+++ b/packages/jackdawd/src/daemon.ts
@@ -8,6 +8,7 @@
 import * as neverthrow from "neverthrow";
 import * as stores from "@jackdawbank/store";
 import * as upstream from "@jackdawbank/upstream";
+import * as guards from "./guards.ts";
 import * as watchers from "./watchers.ts";
 import type * as daemonSettings from "./settings.ts";
 
@@ -24,6 +25,7 @@
   readonly holder: config.BundleHolder;
   readonly store: stores.Store;
   readonly identity: mesh.MeshIdentity;
+  readonly guards: guards.ListenerGuards;
 }
 
 function createComponents(
@@ -49,21 +51,26 @@
   });
   const store = new stores.EtcdStore(settings.store);
   const holder = new config.BundleHolder(host.services, settings.signers);
+  const listenerGuards = new guards.ListenerGuards(host.services, settings);
+  host.addTeardown(() => listenerGuards.close());
   host.addTeardown(() => metrics.close());
   host.addTeardown(() => store.close());
   host.addTeardown(config.registerConfig(host, holder));
-  host.addTeardown(registerProcessStatus(host));
+  host.addTeardown(registerProcessStatus(host, listenerGuards));
   const identity = {
     processId,
     incarnation,
     dataCentre,
     secret: settings.meshSecret,
   };
-  return { host, holder, store, identity };
+  return { host, holder, store, identity, guards: listenerGuards };
 }
 
 /** Adds the CPU and memory use of the process to /status, for operators and capacity measurements. */
-function registerProcessStatus(host: kernel.Kernel): kernel.Teardown {
+function registerProcessStatus(
+  host: kernel.Kernel,
+  listenerGuards: guards.ListenerGuards,
+): kernel.Teardown {
   return host.registerCommand(admin.COLLECT_STATUS, (command) => {
     const { user, system } = process.cpuUsage();
     const { rss, heapUsed } = process.memoryUsage();
@@ -72,6 +79,7 @@
       cpuMicros: user + system,
       residentBytes: rss,
       heapBytes: heapUsed,
+      ...listenerGuards.readGauges(),
     });
     return false;
   });
@@ -82,7 +90,10 @@
   settings: daemonSettings.CommonSettings,
 ): Promise<kernel.Outcome<number>> {
   const app = admin.createAdminApp(components.host);
-  const listener = await admin.listenHttp(app, settings.adminListen);
+  const listener = await admin.listenHttp(app, settings.adminListen, {
+    guard: components.guards.createAdminGuard(),
+    renderRefusal: admin.renderAdminRefusal,
+  });
   return listener.map((bound) => {
     components.host.addTeardown(() => bound.close());
     return bound.port;
@@ -118,6 +129,7 @@
       ? undefined
       : new stores.HttpRatingsClient(settings.ratings),
     listen: settings.listen,
+    guard: components.guards.createCallerGuard(components.holder),
     drainTimeoutMs: settings.drainTimeoutMs,
     random: Math.random,
   });
@@ -149,6 +161,7 @@
     backend,
     type: settings.type,
     listen: settings.meshListen,
+    guard: components.guards.createMeshGuard(),
     drainTimeoutMs: settings.drainTimeoutMs,
   });
   if (role.isErr()) {
--- a/packages/jackdawd/src/settings.ts
+++ b/packages/jackdawd/src/settings.ts
@@ -9,6 +9,9 @@
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
 const MIN_SECRET_CHARS = 16;
 const MAX_PORT = 65_535;
+/** An idle process needs about as much. */
+const MIN_MEMORY_MB = 128;
+const MIN_FILE_DESCRIPTORS = 256;
 
 /** A host and port to listen on or to send to. */
 export interface Address {
@@ -73,6 +76,8 @@
   logJson: z.stringbool().or(z.boolean()).default(false),
   logLevel: z.coerce.number().int().min(0).max(5).default(3),
   drainTimeoutMs: millisecondsSchema.default(DEFAULT_DRAIN_TIMEOUT_MS),
+  memoryMb: z.coerce.number().int().min(MIN_MEMORY_MB).optional(),
+  fileDescriptors: z.coerce.number().int().min(MIN_FILE_DESCRIPTORS).optional(),
 };
 
 const entrySchema = z.object({
@@ -187,6 +192,20 @@
         "time limit for requests in flight when stopping, in milliseconds",
       )
         .default(String(DEFAULT_DRAIN_TIMEOUT_MS)),
+    )
+    .addOption(
+      createOption(
+        "--memory-mb <count>",
+        "JACKDAW_MEMORY_MB",
+        "memory of this process, in MB, which bounds what it holds for callers",
+      ),
+    )
+    .addOption(
+      createOption(
+        "--file-descriptors <count>",
+        "JACKDAW_FILE_DESCRIPTORS",
+        "file descriptors of this process, which bound its connections",
+      ),
     );
 }
 
--- a/packages/mesh/src/server.ts
+++ b/packages/mesh/src/server.ts
@@ -1,5 +1,6 @@
 /** Accepts mesh connections from entries. */
-import type * as http from "node:http";
+import * as http from "node:http";
+import type * as net from "node:net";
 import * as kernel from "@jackdawbank/kernel";
 import * as neverthrow from "neverthrow";
 import * as ws from "ws";
@@ -9,24 +10,59 @@
 import * as identities from "./identity.ts";
 
 const CLOSE_POLICY_VIOLATION = 1008;
+/** Most that the other end may send before it is authenticated. */
+const MAX_BYTES_OF_STRANGER = 32_768;
+/** Time for the head of the request that opens a connection. */
+const HEADER_TIMEOUT_MS = 5_000;
+const CONNECTION_CHECK_INTERVAL_MS = 500;
+const MAX_HEADER_BYTES = 16_384;
+const HTTP_UPGRADE_REQUIRED = 426;
+
+/** Keeps the connections within the process's descriptors. */
+export interface ConnectionGuard {
+  /** Accounts for a new connection; it may give way to others. */
+  accept(socket: net.Socket): void;
+  /** From now on, the connection gives way to no other. */
+  keep(socket: net.Socket): void;
+}
 
 export interface ServerOptions extends connections.ConnectionOptions {
   readonly log: kernel.Logger;
+  readonly guard: ConnectionGuard;
+}
+
+/** Creates the HTTP server whose requests only open connections. */
+function createHttpServer(guard: ConnectionGuard): http.Server {
+  const server = http.createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADER_TIMEOUT_MS,
+    requestTimeout: HEADER_TIMEOUT_MS,
+    connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+  }, (request, response) => {
+    request.resume();
+    response.writeHead(HTTP_UPGRADE_REQUIRED, { connection: "close" }).end();
+    response.once("finish", () => request.socket.destroy());
+  });
+  server.on("connection", (socket: net.Socket) => guard.accept(socket));
+  return server;
 }
 
 /** Listens on one address and authenticates incoming connections. */
 export class MeshServer {
   readonly #server: ws.WebSocketServer;
+  readonly #http: http.Server;
   readonly #identity: identities.MeshIdentity;
   readonly #options: ServerOptions;
   readonly #connections = new Set<connections.MeshConnection>();
 
   private constructor(
     server: ws.WebSocketServer,
+    httpServer: http.Server,
     identity: identities.MeshIdentity,
     options: ServerOptions,
   ) {
     this.#server = server;
+    this.#http = httpServer;
     this.#identity = identity;
     this.#options = options;
     server.on("connection", (socket, request) => this.#accept(socket, request));
@@ -43,8 +79,9 @@
     options: ServerOptions,
   ): Promise<kernel.Outcome<MeshServer>> {
     return new Promise((resolve) => {
+      const httpServer = createHttpServer(options.guard);
       const server = new ws.WebSocketServer({
-        ...address,
+        server: httpServer,
         maxPayload: frames.MAX_FRAME_BYTES,
         perMessageDeflate: false,
       });
@@ -58,8 +95,11 @@
       });
       server.once("listening", () => {
         server.removeAllListeners("error");
-        resolve(neverthrow.ok(new MeshServer(server, identity, options)));
+        resolve(
+          neverthrow.ok(new MeshServer(server, httpServer, identity, options)),
+        );
       });
+      httpServer.listen(address.port, address.host);
     });
   }
 
@@ -75,8 +115,10 @@
   /** Closes the listener and terminates every connection. */
   close(): Promise<void> {
     return new Promise((resolve) => {
-      this.#server.close(() => resolve());
+      this.#server.close();
+      this.#http.close(() => resolve());
       for (const client of this.#server.clients) client.terminate();
+      this.#http.closeAllConnections();
     });
   }
 
@@ -86,6 +128,7 @@
       () => socket.terminate(),
       identities.HANDSHAKE_TIMEOUT_MS,
     );
+    const endWatch = watchStranger(request.socket);
     socket.on("error", (error) => {
       this.#options.log.warn(
         `mesh connection from ${request.socket.remoteAddress}: ${error.message}`,
@@ -96,6 +139,7 @@
     );
     socket.once("message", (data) => {
       clearTimeout(timer);
+      endWatch();
       const frame = connections.decodeFrame(connections.toBytes(data));
       if (frame?.type !== "hello" || !this.#isAuthentic(frame, serverNonce)) {
         this.#options.log.warn(
@@ -104,7 +148,7 @@
         socket.close(CLOSE_POLICY_VIOLATION, "not authenticated");
         return;
       }
-      this.#welcome(socket, frame, serverNonce);
+      this.#welcome(socket, frame, { serverNonce, request });
     });
   }
 
@@ -123,7 +167,10 @@
   #welcome(
     socket: ws.WebSocket,
     hello: frames.FrameOf<"hello">,
-    serverNonce: string,
+    { serverNonce, request }: {
+      readonly serverNonce: string;
+      readonly request: http.IncomingMessage;
+    },
   ): void {
     const { processId, incarnation, dataCentre, secret } = this.#identity;
     const proof = handshake.computeProof({
@@ -148,7 +195,19 @@
       this.#options,
     );
     this.#connections.add(connection);
+    this.#options.guard.keep(request.socket);
     socket.on("close", () => this.#connections.delete(connection));
     this.#options.listener.onOpen(connection);
   }
 }
+
+/** Closes a socket that receives much before its authentication; returns the end of the watch. */
+function watchStranger(socket: net.Socket): () => void {
+  let receivedBytes = 0;
+  const count = (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+    if (receivedBytes > MAX_BYTES_OF_STRANGER) socket.destroy();
+  };
+  socket.on("data", count);
+  return () => socket.off("data", count);
+}
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -2,7 +2,9 @@
  * The router: routes callers' requests by host and path and sends them directly
  * to replicas. `registerRouter` starts it and closes it when its kernel closes.
  */
+export * from "./caller_resources.ts";
 export * from "./decision_log.ts";
 export * from "./ports.ts";
+export * from "./request_guard.ts";
 export * from "./router.ts";
 export * from "./telemetry.ts";
--- a/packages/upstream/src/mod.ts
+++ b/packages/upstream/src/mod.ts
@@ -31,6 +31,7 @@
   readonly type: "model" | "service";
   readonly identity: mesh.MeshIdentity;
   readonly listen: { readonly host: string; readonly port: number };
+  readonly guard: mesh.ConnectionGuard;
   readonly drainTimeoutMs: number;
 }
 
@@ -73,6 +74,7 @@
   });
   const listened = await mesh.MeshServer.listen(options.listen, identity, {
     listener,
+    guard: options.guard,
     log: services.log,
     timeline: services.timeline,
   });
