--- a/packages/bench/src/measure/placement.ts
+++ b/packages/bench/src/measure/placement.ts
@@ -79,6 +79,11 @@
     random: randoms.createRandom(1),
     onConnectionOpened: () => {},
     rates,
+    bodies: {
+      maxBodyBytes: 1_048_576,
+      readBodies: () => undefined,
+      buildSilentAccount: () => ({ type: "silent", processes: 1, rank: 0 }),
+    },
     readPeerLoad: (key) => loads.readOthers(key) ?? decisions.NO_LOAD_STATE,
     onLoadChanged: () => {},
   });
@@ -108,6 +113,7 @@
       service: SERVICE,
       model: "small",
       promptTokens: 2_000,
+      bodyBytes: 0,
       prefillMsPerToken: 0.02,
       parts: [
         { id: `prefix-${at % SHARED_PREFIXES}`, tokens: 1_500 },
--- a/packages/router/src/replica_chooser.ts
+++ b/packages/router/src/replica_chooser.ts
@@ -22,6 +22,7 @@
     | "prefixReuseWindowMs"
     | "random"
     | "rates"
+    | "bodies"
     | "readPeerLoad"
     | "onFullScan"
   > {
--- a/packages/router/src/replica_chooser_test.ts
+++ b/packages/router/src/replica_chooser_test.ts
@@ -23,6 +23,11 @@
       findWaitMs: () => 0,
       reset: () => {},
     },
+    bodies: {
+      maxBodyBytes: 1_048_576,
+      readBodies: () => undefined,
+      buildSilentAccount: () => ({ type: "silent", processes: 1, rank: 0 }),
+    },
     isEvacuated: (dataCentre) => state.evacuated.has(dataCentre),
     readPeerLoad: () => {
       state.loadReads += 1;
@@ -53,6 +58,7 @@
     service: SERVICE,
     model: "small",
     promptTokens: 1_000,
+    bodyBytes: 0,
     prefillMsPerToken: 0.025,
     parts: [{ id: "shared", tokens: 800 }, { id: "own", tokens: 200 }],
     excluded: new Set(),
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -1,5 +1,5 @@
 /** Which replicas a request may be sent to: the group from which one is chosen. */
-import type * as decisions from "@jackdawbank/decisions";
+import * as decisions from "@jackdawbank/decisions";
 import type * as peers from "@jackdawbank/peers";
 import type * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
@@ -65,6 +65,11 @@
   readonly grantedKey?: number | undefined;
   /** Whether replicas with a rate are considered too, as one of them may grant the request. */
   readonly mayAskForRate?: boolean;
+  readonly bodyBytes: number;
+  /** Replica at which room is reserved for a large body. */
+  readonly reservedKey?: number | undefined;
+  /** Whether replicas are considered at which room may still be reserved. */
+  readonly mayReserveRoom?: boolean;
   readonly nowMs: number;
 }
 
@@ -80,9 +85,19 @@
   reset(replicaKey: number): void;
 }
 
-/** What is known of the replicas' rates and of the load of peers. */
+/** What processes know of the bodies that are in flight to replicas. */
+export interface ReplicaBodies {
+  /** Largest body that callers may send. */
+  readonly maxBodyBytes: number;
+  /** What the replica's owner has told lately; absent if nothing. */
+  readBodies(replicaKey: number): decisions.BodyAccount | undefined;
+  buildSilentAccount(replicaKey: number): decisions.BodyAccount;
+}
+
+/** What is known of the replicas' rates and bodies, and of the load of peers. */
 export interface LoadSources {
   readonly rates: ReplicaRates;
+  readonly bodies: ReplicaBodies;
   readonly readPeerLoad: (replicaKey: number) => decisions.ReplicaLoadState;
 }
 
@@ -129,6 +144,28 @@
   return homeDataCentres?.has(entry.dataCentre) ?? true;
 }
 
+/** Whether a replica has memory for the request's body, or may have it. */
+function hasBodyRoom(
+  { key, pool }: ReplicaState,
+  request: PlacementRequest,
+  bodies: ReplicaBodies,
+): boolean {
+  const { bodyBytes, reservedKey, mayReserveRoom } = request;
+  const ownBytes = pool.bodyBytesInFlight;
+  const body = { bodyBytes, ownBytes, maxBodyBytes: bodies.maxBodyBytes };
+  if (decisions.isLargeBody(bodyBytes)) {
+    if (mayReserveRoom !== true) return key === reservedKey;
+    const known = bodies.readBodies(key) ??
+      { type: "answered", othersBytes: 0 };
+    return decisions.fitsReplica(body, known);
+  }
+  return decisions.fitsWithoutAccount(body) ||
+    decisions.fitsReplica(
+      body,
+      bodies.readBodies(key) ?? bodies.buildSilentAccount(key),
+    );
+}
+
 /**
  * The usable replicas of the preferred version that are expected to answer soon:
  * the best group, unless it is empty or perhaps held back.
@@ -140,7 +177,7 @@
 ): readonly ReplicaState[] {
   const { heldBackDataCentres, nowMs } = request;
   const group = states.filter((state) =>
-    isUsable(state, request, sources.rates) &&
+    isUsable(state, request, sources) &&
     isPreferred(state, request) && isAvailable(state, nowMs)
   );
   if (heldBackDataCentres === undefined) return group;
@@ -156,7 +193,7 @@
   request: PlacementRequest,
   sources: LoadSources,
 ): readonly ReplicaState[] | undefined {
-  const group = findBestGroup(states, request, sources.rates);
+  const group = findBestGroup(states, request, sources);
   const { heldBackDataCentres, nowMs } = request;
   if (group === undefined || heldBackDataCentres === undefined) return group;
   // Within the group, so that a version or an available replica elsewhere goes first.
@@ -180,13 +217,14 @@
 function isUsable(
   state: ReplicaState,
   request: PlacementRequest,
-  rates: ReplicaRates,
+  { rates, bodies }: LoadSources,
 ): boolean {
   return !request.excluded.has(state.entry.id) &&
     !request.versionPreference.banned.includes(state.entry.version) &&
     isAtHome(state, request) &&
     (request.needsNewConnection || !state.pool.isFull) &&
-    isOpen(state, request.nowMs) && isWithinRate(state, request, rates);
+    isOpen(state, request.nowMs) && isWithinRate(state, request, rates) &&
+    hasBodyRoom(state, request, bodies);
 }
 
 function isPreferred(
@@ -199,10 +237,10 @@
 function findBestGroup(
   states: readonly ReplicaState[],
   request: PlacementRequest,
-  rates: ReplicaRates,
+  sources: LoadSources,
 ): readonly ReplicaState[] | undefined {
   const { nowMs } = request;
-  const usable = states.filter((state) => isUsable(state, request, rates));
+  const usable = states.filter((state) => isUsable(state, request, sources));
   const preferred = usable.filter((state) => isPreferred(state, request));
   const groups = [
     preferred.filter((state) => isAvailable(state, nowMs)),
