Replicas are compared by what answers took against the prediction, and by failures beyond the usual

Cause: a replica's mean latency against the median, by half, and its failure rate, with the entry's own failures remembered without end, decided where requests go. Both measure the requests too.

Change: a speed factor for each replica, from two decayed sums of predicted and taken time that all processes pool in place of the sum of latencies; it acts on the predicted cost, the room's backlog, the silence of streams and what the trackers learn.

--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -40,4 +40,5 @@
 export * from "./sliding_retry_budget.ts";
 export * from "./rollout_plan.ts";
 export * from "./stream_silence.ts";
+export * from "./uneven/mod.ts";
 export * from "./version_trial.ts";
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -2,7 +2,7 @@
  * Chooses a replica by a predicted cost in milliseconds. The cost is made of the
  * prompts already waiting for prefill there, the prefill of the tokens that are
  * not cached there, the delay that this causes to running streams, the wait for a
- * slot, the distance between data centres, and the replica's failures and slowness.
+ * slot, the distance between data centres, and the replica's failures and speed.
  */
 import * as hash from "./hash.ts";
 
@@ -13,14 +13,15 @@
   readonly isLocal: boolean;
   /** Requests in flight there, as far as this process knows. */
   readonly inFlight: number;
-  /** Predicted time until the prompts in flight there are prefilled. */
+  /** Time until the prompts in flight there are prefilled, at the usual speed. */
   readonly pendingMs: number;
   readonly slots: number;
   /** Tokens of this prompt that are likely cached there. */
   readonly cachedTokens: number;
-  /** Recent share of failed requests, from 0 to 1. */
+  /** Recent share of failed requests beyond the usual one, from 0 to 1. */
   readonly failureRate: number;
-  readonly meanLatencyMs: number | undefined;
+  /** Factor by which it takes longer than a usual replica of its service. */
+  readonly speedFactor: number;
 }
 
 /** A prompt for which a replica is chosen. */
@@ -31,6 +32,8 @@
   readonly affinityKey: string | undefined;
   /** Tokens that requests with the same key share. */
   readonly sharedTokens: number;
+  /** Predicted time of an answer at a usual replica; 0 for a prompt, whose prefill is predicted. */
+  readonly answerMs: number;
 }
 
 /** Smallest cost of prefilling a token, also for fast models, because it delays other requests. */
@@ -56,49 +59,31 @@
 const QUERIED_HOMES = 2;
 /** Random sample from which the others are chosen. */
 const QUERY_SAMPLE = 4;
-/** Weight of the time by which a replica's mean latency exceeds the median. */
-const SLOWNESS_WEIGHT = 0.5;
 
 /** Predicted cost of sending a prompt to a replica. */
 export function predictCostMs(
   candidate: ReplicaCandidate,
   placement: PromptPlacement,
-  context: {
-    readonly affinityReplicaId: string | undefined;
-    readonly medianLatencyMs: number;
-  },
+  affinityReplicaId: string | undefined,
 ): number {
   // Other processes prefer the same replica for this key, so the shared prefix is likely cached.
-  const cachedTokens = context.affinityReplicaId === candidate.id
+  const cachedTokens = affinityReplicaId === candidate.id
     ? Math.max(candidate.cachedTokens, placement.sharedTokens)
     : candidate.cachedTokens;
   const uncachedTokens = Math.max(0, placement.promptTokens - cachedTokens);
   const prefillMs = uncachedTokens * placement.prefillMsPerToken;
-  const excessLatencyMs = Math.max(
-    0,
-    (candidate.meanLatencyMs ?? context.medianLatencyMs) -
-      context.medianLatencyMs,
-  );
-  return uncachedTokens *
+  // What the replica computes takes as much longer as it is slower than a usual one.
+  const computedMs = uncachedTokens *
       Math.max(placement.prefillMsPerToken, MIN_PREFILL_COST_MS_PER_TOKEN) +
     candidate.pendingMs +
     candidate.inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
     candidate.inFlight * RUNNING_REQUEST_COST_MS *
       (8 / Math.max(8, candidate.slots)) +
-    Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS +
+    Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS;
+  return (placement.answerMs + computedMs) * candidate.speedFactor -
+    placement.answerMs +
     (candidate.isLocal ? 0 : REMOTE_COST_MS) +
-    candidate.failureRate * FAILURE_COST_MS +
-    excessLatencyMs * SLOWNESS_WEIGHT;
-}
-
-/** Lower median, so that the slower one of two candidates is recognised. */
-function findMedianLatencyMs(
-  candidates: readonly ReplicaCandidate[],
-): number {
-  const sorted = candidates.flatMap(({ meanLatencyMs }) =>
-    meanLatencyMs === undefined ? [] : [meanLatencyMs]
-  ).toSorted((a, b) => a - b);
-  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+    candidate.failureRate * FAILURE_COST_MS;
 }
 
 function drawSample<T>(
@@ -136,13 +121,9 @@
   const chosen = homes.map((id) => byId.get(id) as C);
   for (const id of homes) byId.delete(id);
   const sample = drawSample([...byId.values()], QUERY_SAMPLE, random);
-  const context = {
-    affinityReplicaId: undefined,
-    medianLatencyMs: findMedianLatencyMs(candidates),
-  };
   const ranked = sample.map((candidate) => ({
     candidate,
-    costMs: predictCostMs(candidate, placement, context),
+    costMs: predictCostMs(candidate, placement, undefined),
   })).toSorted((a, b) => a.costMs - b.costMs);
   return [
     ...chosen,
@@ -165,15 +146,12 @@
       candidates.map(({ id }) => id),
       placement.affinityKey,
     )[0];
-  const context = {
-    affinityReplicaId,
-    medianLatencyMs: findMedianLatencyMs(candidates),
-  };
   let best: C | undefined;
   let lowestCostMs = Infinity;
   for (const candidate of candidates) {
     // Up to 1 ms of noise spreads requests over replicas of equal cost.
-    const costMs = predictCostMs(candidate, placement, context) + random();
+    const costMs = predictCostMs(candidate, placement, affinityReplicaId) +
+      random();
     if (costMs < lowestCostMs) {
       best = candidate;
       lowestCostMs = costMs;
--- a/packages/decisions/src/replica_evidence.ts
+++ b/packages/decisions/src/replica_evidence.ts
@@ -2,27 +2,28 @@
  * Evidence about a replica's answers that several processes can pool: sums that
  * decay with time, so that old answers count less, and that can be added up.
  */
+import * as speeds from "./uneven/replica_speed.ts";
 
 /** Decayed sums over recent attempts. */
-export interface EvidenceSums {
+export interface EvidenceSums extends speeds.SpeedSums {
   readonly attempts: number;
   readonly failures: number;
-  /** Sum of the latencies of the attempts that did not fail. */
-  readonly latencyMs: number;
 }
 
 export const NO_EVIDENCE: EvidenceSums = {
   attempts: 0,
   failures: 0,
-  latencyMs: 0,
+  ...speeds.NO_SPEED,
 };
 
 /** Time constant of the exponential decay. */
 const DECAY_MS = 4_000;
 /** Attempts without failure that are assumed beside the observed ones. */
 const PRIOR_SUCCESSES = 2;
-/** Fewer attempts say too little about the latency. */
-const MIN_LATENCY_ATTEMPTS = 3;
+/** Standard deviations from the usual failure rate that are taken for chance. */
+const CHANCE_DEVIATIONS = 2;
+/** Fewer attempts at a replica say too little about what is usual in its service. */
+const MIN_USUAL_ATTEMPTS = 5;
 
 /** Reduces sums that are `ageMs` old. */
 export function decayEvidence(sums: EvidenceSums, ageMs: number): EvidenceSums {
@@ -30,7 +31,8 @@
   return {
     attempts: sums.attempts * factor,
     failures: sums.failures * factor,
-    latencyMs: sums.latencyMs * factor,
+    predictedMs: sums.predictedMs * factor,
+    tookMs: sums.tookMs * factor,
   };
 }
 
@@ -38,7 +40,8 @@
   return {
     attempts: a.attempts + b.attempts,
     failures: a.failures + b.failures,
-    latencyMs: a.latencyMs + b.latencyMs,
+    predictedMs: a.predictedMs + b.predictedMs,
+    tookMs: a.tookMs + b.tookMs,
   };
 }
 
@@ -47,12 +50,29 @@
   return sums.failures / (sums.attempts + PRIOR_SUCCESSES);
 }
 
-/** Mean latency, or `undefined` while there is little evidence. */
-export function estimateMeanLatencyMs(sums: EvidenceSums): number | undefined {
-  const successes = sums.attempts - sums.failures;
-  return successes < MIN_LATENCY_ATTEMPTS
-    ? undefined
-    : sums.latencyMs / successes;
+/** Failure rate of the middle replica, the better one of two; 0 if too little is known. */
+export function findUsualFailureRate(
+  replicas: readonly EvidenceSums[],
+): number {
+  const rates = replicas.flatMap(({ attempts, failures }) =>
+    attempts < MIN_USUAL_ATTEMPTS ? [] : [failures / attempts]
+  ).toSorted((a, b) => a - b);
+  return rates[Math.floor((rates.length - 1) / 2)] ?? 0;
+}
+
+/**
+ * Share of failed attempts beyond the one that is usual in the service, for which
+ * the requests are the reason, and beyond its chance variation. Without usual
+ * failures it is the failure rate.
+ */
+export function estimateExcessFailureRate(
+  sums: EvidenceSums,
+  usualRate: number,
+): number {
+  const attempts = sums.attempts + PRIOR_SUCCESSES;
+  const rate = (sums.failures + PRIOR_SUCCESSES * usualRate) / attempts;
+  const deviation = Math.sqrt(usualRate * (1 - usualRate) / attempts);
+  return Math.max(0, rate - usualRate - CHANCE_DEVIATIONS * deviation);
 }
 
 /** Evidence of one process about one replica. */
@@ -60,12 +80,19 @@
   #sums = NO_EVIDENCE;
   #updatedAtMs = 0;
 
-  recordSuccess(latencyMs: number, nowMs: number): void {
-    this.#add({ attempts: 1, failures: 0, latencyMs }, nowMs);
+  recordSuccess(nowMs: number): void {
+    this.#add({ ...NO_EVIDENCE, attempts: 1 }, nowMs);
   }
 
   recordFailure(nowMs: number): void {
-    this.#add({ attempts: 1, failures: 1, latencyMs: 0 }, nowMs);
+    this.#add({ ...NO_EVIDENCE, attempts: 1, failures: 1 }, nowMs);
+  }
+
+  recordSpeed(sample: speeds.SpeedSample, nowMs: number): void {
+    this.#add(
+      { ...NO_EVIDENCE, ...speeds.weighSpeedSample(sample) },
+      nowMs,
+    );
   }
 
   read(nowMs: number): EvidenceSums {
--- a/packages/decisions/src/replica_health.ts
+++ b/packages/decisions/src/replica_health.ts
@@ -1,54 +1,41 @@
 /**
  * Passive health check of one replica, from the results of its requests alone.
  * Consecutive requests without an answer eject the replica for a time that
- * doubles with each ejection; a success ends the ejection. Its failure rate and
- * its mean latency count against it in the choice of replicas.
+ * doubles with each ejection; a success ends the ejection. The share of requests
+ * without an answer counts against it for some seconds in the choice of replicas.
  */
 
 /** Consecutive requests without an answer that eject a replica. */
 const NO_ANSWERS_TO_EJECT = 2;
 const FIRST_EJECTION_MS = 500;
 const MAX_EJECTION_MS = 4_000;
-/** Weight of the newest request in the failure rate. */
-const FAILURE_WEIGHT = 0.1;
-/** Weight of the newest answer in the mean latency. */
-const LATENCY_WEIGHT = 0.1;
+/** Weight of the newest request in the share without an answer. */
+const NO_ANSWER_WEIGHT = 0.1;
+/** Time constant of its exponential decay, so that a replica that gets no requests is tried again. */
+const DECAY_MS = 4_000;
 
 export class ReplicaHealth {
   #consecutiveNoAnswers = 0;
   #ejections = 0;
   #ejectedUntilMs = 0;
-  #failureRate = 0;
-  #meanLatencyMs: number | undefined;
+  #noAnswerRate = 0;
+  #updatedAtMs = -Infinity;
 
-  /** Recent share of failed requests, from 0 to 1. */
-  get failureRate(): number {
-    return this.#failureRate;
-  }
-
-  /** Mean latency of recent answers: until the headers of a stream, or the end of another answer. */
-  get meanLatencyMs(): number | undefined {
-    return this.#meanLatencyMs;
+  /** Recent share of requests without an answer, from 0 to 1. */
+  readNoAnswerRate(nowMs: number): number {
+    const ageMs = Math.max(0, nowMs - this.#updatedAtMs);
+    return this.#noAnswerRate * Math.exp(-ageMs / DECAY_MS);
   }
 
   isEjected(nowMs: number): boolean {
     return nowMs < this.#ejectedUntilMs;
   }
 
-  recordSuccess(latencyMs: number): void {
+  recordSuccess(nowMs: number): void {
     this.#consecutiveNoAnswers = 0;
     this.#ejections = 0;
     this.#ejectedUntilMs = 0;
-    this.#failureRate *= 1 - FAILURE_WEIGHT;
-    this.#meanLatencyMs = this.#meanLatencyMs === undefined
-      ? latencyMs
-      : this.#meanLatencyMs +
-        LATENCY_WEIGHT * (latencyMs - this.#meanLatencyMs);
-  }
-
-  /** Records an answer that reports a failure; the replica is alive, so it is not ejected. */
-  recordFailedAnswer(): void {
-    this.#failureRate += FAILURE_WEIGHT * (1 - this.#failureRate);
+    this.#updateRate(0, nowMs);
   }
 
   /**
@@ -56,7 +43,7 @@
    * nothing arrived in time. Returns whether this ejects the replica.
    */
   recordNoAnswer(nowMs: number): boolean {
-    this.recordFailedAnswer();
+    this.#updateRate(1, nowMs);
     this.#consecutiveNoAnswers += 1;
     if (
       this.#consecutiveNoAnswers < NO_ANSWERS_TO_EJECT || this.isEjected(nowMs)
@@ -69,4 +56,10 @@
     this.#ejectedUntilMs = nowMs + ejectionMs;
     return true;
   }
+
+  #updateRate(sample: number, nowMs: number): void {
+    const rate = this.readNoAnswerRate(nowMs);
+    this.#noAnswerRate = rate + NO_ANSWER_WEIGHT * (sample - rate);
+    this.#updatedAtMs = nowMs;
+  }
 }
--- /dev/null
+++ b/packages/decisions/src/uneven/mod.ts
@@ -0,0 +1,2 @@
+export * from "./answer_time.ts";
+export * from "./replica_speed.ts";
--- a/packages/peers/src/load_message.ts
+++ b/packages/peers/src/load_message.ts
@@ -41,7 +41,7 @@
 const TYPE_CODES = { update: 1, query: 2, totals: 3 } as const;
 /** Replicas in one message; keeps a message within one packet. */
 export const MAX_LOADS_PER_MESSAGE = 32;
-const NUMBERS_PER_LOAD = 9;
+const NUMBERS_PER_LOAD = 10;
 /** A longer silence is sent as this one. */
 const MAX_SILENT_MS = 600_000;
 const MAX_MESSAGE_BYTES = 1_200;
@@ -50,6 +50,8 @@
 /** Tokens and bytes that are held are sent in whole units, rounded up. */
 const TOKENS_PER_UNIT = 16;
 const BYTES_PER_UNIT = 1_024;
+/** Silences and sums of times are sent in whole units. */
+const MS_PER_UNIT = 16;
 
 /** Elements of the list that a message is encoded as. */
 const LAYOUT_LENGTH = 5;
@@ -117,10 +119,11 @@
     Math.round(pendingMs),
     Math.ceil(heldTokens / TOKENS_PER_UNIT),
     Math.ceil(heldBytes / BYTES_PER_UNIT),
-    Math.round(Math.min(MAX_SILENT_MS, silentMs)),
+    Math.round(Math.min(MAX_SILENT_MS, silentMs) / MS_PER_UNIT),
     Math.round(evidence.attempts * COUNT_SCALE),
     Math.round(evidence.failures * COUNT_SCALE),
-    Math.round(evidence.latencyMs),
+    Math.round(evidence.predictedMs / MS_PER_UNIT),
+    Math.round(evidence.tookMs / MS_PER_UNIT),
   ];
 }
 
@@ -138,10 +141,11 @@
       pendingMs,
       heldTokenUnits,
       heldByteUnits,
-      silentMs,
+      silentUnits,
       attempts,
       failures,
-      latencyMs,
+      predictedUnits,
+      tookUnits,
     ] = list
       .slice(start, start + NUMBERS_PER_LOAD) as [
         number,
@@ -153,7 +157,9 @@
         number,
         number,
         number,
+        number,
       ];
+    const silentMs = silentUnits * MS_PER_UNIT;
     return {
       replicaKey,
       load: {
@@ -165,7 +171,8 @@
         evidence: {
           attempts: attempts / COUNT_SCALE,
           failures: failures / COUNT_SCALE,
-          latencyMs,
+          predictedMs: predictedUnits * MS_PER_UNIT,
+          tookMs: tookUnits * MS_PER_UNIT,
         },
       },
     };
--- a/packages/router/src/attempt_recorder.ts
+++ b/packages/router/src/attempt_recorder.ts
@@ -80,12 +80,11 @@
     const nowMs = this.#options.clock.monotonicMs();
     const { entry, key, health, evidence } = sent.state;
     if (run.result === "lost") health.recordNoAnswer(nowMs);
-    else if (run.result === "failed") health.recordFailedAnswer();
-    else if (run.latencyMs !== undefined) health.recordSuccess(run.latencyMs);
-    if (run.result !== "whole") evidence.recordFailure(nowMs);
-    else if (run.latencyMs !== undefined) {
-      evidence.recordSuccess(run.latencyMs, nowMs);
+    else if (run.result === "whole" && run.latencyMs !== undefined) {
+      health.recordSuccess(nowMs);
     }
+    if (run.result !== "whole") evidence.recordFailure(nowMs);
+    else if (run.latencyMs !== undefined) evidence.recordSuccess(nowMs);
     // The measured pace would reflect the lag of this process, not the replica.
     if (run.result === "whole" && (run.isLagging || run.isPaceJudged)) return;
     this.#options.rollouts.record({
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -216,18 +216,22 @@
     sent: sends.SentAttempt,
     result: Exclude<AttemptResult, { type: "not-run" }>,
   ): void {
-    const tookMs = this.#dispatcher.nowMs - sent.sentAtMs;
+    const { nowMs, speeds } = this.#dispatcher;
+    const tookMs = nowMs - sent.sentAtMs;
+    const { isLagging } = this.#watchdog;
+    const isWhole = result.type === "answered" &&
+      !check.isServerError(result.head.status);
+    if (isWhole) {
+      const outcome = { ...sent, tookMs, nowMs, isLagging };
+      speeds.recordAnswer(this.#request, outcome);
+    }
     this.#dispatcher.recorder.recordRun(this.#request, sent, {
       model: undefined,
-      result: result.type === "lost"
-        ? "lost"
-        : check.isServerError(result.head.status)
-        ? "failed"
-        : "whole",
+      result: result.type === "lost" ? "lost" : isWhole ? "whole" : "failed",
       latencyMs: tookMs,
       paceMs: tookMs,
       isPaceJudged: false,
-      isLagging: this.#watchdog.isLagging,
+      isLagging,
     });
   }
 
--- a/packages/router/src/cold_replicas.ts
+++ b/packages/router/src/cold_replicas.ts
@@ -10,7 +10,6 @@
 import type * as ports from "./ports.ts";
 import * as prefixes from "./prefix_memory.ts";
 import type * as groups from "./replica_group.ts";
-import type * as replicas from "./replica_table.ts";
 
 const MAX_KNOWN_REPLICAS = 4_096;
 
@@ -32,7 +31,7 @@
 
 /** Whether a request goes first at a cold replica that was picked for it among `states`. */
 export function isPreferredWhileCold(
-  { state, cachedTokens }: replicas.PickedReplica,
+  { state, cachedTokens }: groups.PickedReplica,
   { model, parts, promptTokens, prefillMsPerToken }: groups.PlacementRequest,
   states: readonly groups.ReplicaState[],
 ): boolean {
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -18,6 +18,7 @@
 import * as retries from "./retry_budgets.ts";
 import * as rooms from "./room_gate.ts";
 import type * as sends from "./send.ts";
+import * as speedRecorders from "./speed_recorder.ts";
 
 /** Interval at which the evidence about a plain service's replica is asked for. */
 const EVIDENCE_QUERY_INTERVAL_MS = 1_000;
@@ -25,18 +26,14 @@
 const MAX_RATE_QUESTIONS = 2;
 /** Interval at which the load of a replica is asked for while a stream waits there for long. */
 const STALL_QUERY_INTERVAL_MS = 200;
-
 /** Sends the requests of one process. */
 export class Dispatcher {
   readonly dependencies: parts.DispatcherDependencies;
   readonly demands: demandTrackers.DemandTracker;
   readonly recorder: recorders.AttemptRecorder;
+  readonly speeds = new speedRecorders.SpeedRecorder();
   readonly #retryBudgets: retries.RetryBudgets;
   readonly #roomGate: rooms.RoomGate;
-  readonly #latencyTrackerByService = new Map<
-    string,
-    decisions.EngineLatencyTracker
-  >();
 
   constructor(dependencies: parts.DispatcherDependencies) {
     this.dependencies = dependencies;
@@ -152,6 +149,12 @@
     );
     const peerLoad = this.dependencies.fleet.readLoad(state.key);
     const queuedMs = state.pendingMs + peerLoad.pendingMs;
+    const prediction = this.speeds.predict(request, {
+      inFlight: state.inFlight + peerLoad.running,
+      slots: state.entry.slots,
+      prefillMs: queuedMs + prefillMs,
+      speedFactor: table.speeds.readFactor(state, nowMs),
+    });
     const heldTokens = fields.promptTokens + fields.expectedOutputTokens;
     table.recordSent(state, { prefillMs, heldTokens });
     this.#recordSession(request, state.entry.version);
@@ -170,6 +173,8 @@
       pendingMs: Math.round(state.pendingMs),
       peerPendingMs: Math.round(peerLoad.pendingMs),
       peerRunning: peerLoad.running,
+      predictedMs: Math.round(prediction.predictedMs),
+      speedFactor: Number(prediction.speedFactor.toFixed(2)),
       session: fields.session,
       rolloutTarget: versionPreference.target,
       tableRevision: this.dependencies.control.routeIndex?.table.revision,
@@ -191,6 +196,7 @@
       prefillMs,
       heldTokens,
       queuedMs,
+      prediction,
     });
   }
 
@@ -201,11 +207,7 @@
   }
 
   getLatencyTracker(service: string): decisions.EngineLatencyTracker {
-    const existing = this.#latencyTrackerByService.get(service);
-    if (existing !== undefined) return existing;
-    const latencyTracker = new decisions.EngineLatencyTracker();
-    this.#latencyTrackerByService.set(service, latencyTracker);
-    return latencyTracker;
+    return this.speeds.getTracker(service);
   }
 
   /** Shortage of engine capacity for a service; see `combinePressure`. */
@@ -235,7 +237,8 @@
       others.silentMs - peers.REFRESH_INTERVAL_MS,
     );
     return {
-      pendingPrefillMs: state.pendingMs + others.pendingMs,
+      pendingPrefillMs: (state.pendingMs + others.pendingMs) *
+        this.dependencies.table.speeds.readFactor(state, nowMs),
       silentMs: others.running > 0
         ? Math.min(ownSilentMs, othersSilentMs)
         : ownSilentMs,
@@ -351,6 +354,7 @@
         options.model,
         1,
       ),
+      answerMs: this.speeds.predictAnswerMs(request),
       parts: fields.promptParts,
       excluded: options.excluded,
       needsNewConnection: route.kind === "non-idempotent",
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -17,7 +17,7 @@
   readonly demands: decisions.ReplicaDemandState;
   readonly prefixes: prefixes.PrefixMemory;
   inFlight: number;
-  /** Predicted prefill time of this process's pending prompts. */
+  /** Predicted prefill time of this process's pending prompts, at the usual speed. */
   pendingMs: number;
   /** Predicted tokens that this process's requests take of the engine's memory. */
   heldTokens: number;
@@ -31,12 +31,21 @@
 
 /** What one attempt adds to the load of its replica. */
 export interface SentLoad {
-  /** Predicted prefill time of the prompt tokens that are not cached. */
+  /** Predicted prefill time of the prompt tokens that are not cached, at the usual speed. */
   readonly prefillMs: number;
   /** Predicted tokens of prompt and output. */
   readonly heldTokens: number;
 }
 
+/** A chosen replica, with the inputs of the choice for the log. */
+export interface PickedReplica {
+  readonly state: ReplicaState;
+  /** Prompt tokens that are probably cached at the replica. */
+  readonly cachedTokens: number;
+  /** Number of replicas that were considered. */
+  readonly candidates: number;
+}
+
 /** A request for which a replica is chosen. */
 export interface PlacementRequest {
   readonly service: string;
@@ -44,6 +53,8 @@
   readonly promptTokens: number;
   /** Predicted prefill time of one token. */
   readonly prefillMsPerToken: number;
+  /** Predicted time of the answer at a usual replica; 0 for a prompt. */
+  readonly answerMs: number;
   readonly parts: readonly ports.PromptPart[];
   /** IDs of replicas that must not be used. */
   readonly excluded: ReadonlySet<string>;
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -10,6 +10,7 @@
 import type * as tableOptions from "./replica_table_options.ts";
 import * as prefixes from "./prefix_memory.ts";
 import * as queries from "./query_choice.ts";
+import * as speeds from "./replica_speeds.ts";
 
 /** Time in which a replica is avoided after an attempt that it did not run. */
 const AVOID_BUSY_MS = 150;
@@ -23,21 +24,13 @@
 /** Incarnations of replicas whose demands are kept, also after their removal. */
 const MAX_INCARNATIONS = 4_096;
 
-/** A chosen replica, with the inputs of the choice for the log. */
-export interface PickedReplica {
-  readonly state: groups.ReplicaState;
-  /** Prompt tokens that are probably cached at the replica. */
-  readonly cachedTokens: number;
-  /** Number of replicas that were considered. */
-  readonly candidates: number;
-}
-
 interface Candidate extends decisions.ReplicaCandidate {
   readonly state: groups.ReplicaState;
 }
 
 /** The replicas of all services. */
 export class ReplicaTable {
+  readonly speeds: speeds.ReplicaSpeeds;
   readonly #options: tableOptions.ReplicaTableOptions;
   readonly #states = new Map<string, groups.ReplicaState>();
   readonly #stateByKey = new Map<number, groups.ReplicaState>();
@@ -51,6 +44,7 @@
 
   constructor(options: tableOptions.ReplicaTableOptions) {
     this.#options = options;
+    this.speeds = new speeds.ReplicaSpeeds(this, options);
   }
 
   get size(): number {
@@ -71,6 +65,10 @@
       : active;
   }
 
+  listServices(): Iterable<string> {
+    return this.#statesByService.keys();
+  }
+
   /** Whether the replica's data centre is evacuated. */
   isEvacuated({ entry }: groups.ReplicaState): boolean {
     return this.#options.isEvacuated?.(entry.dataCentre) ?? false;
@@ -152,7 +150,7 @@
   }
 
   /** Picks a replica of the preferred version, or else of another permitted one. */
-  pick(request: groups.PlacementRequest): PickedReplica | undefined {
+  pick(request: groups.PlacementRequest): groups.PickedReplica | undefined {
     const group = this.#findGroup(request);
     if (group === undefined) return undefined;
     const granted = group.filter(({ key }) => key === request.grantedKey);
@@ -345,7 +343,7 @@
   #choose(
     states: readonly groups.ReplicaState[],
     request: groups.PlacementRequest,
-  ): PickedReplica | undefined {
+  ): groups.PickedReplica | undefined {
     const candidates = states.map((state) =>
       this.#buildCandidate(state, request)
     );
@@ -370,6 +368,7 @@
         ? undefined
         : prefixes.buildCacheKey(request.model, sharedPrefix.key),
       sharedTokens: sharedPrefix.tokens,
+      answerMs: request.answerMs,
     };
   }
 
@@ -393,12 +392,7 @@
         request,
         this.#options.prefixReuseWindowMs,
       ),
-      failureRate: Math.max(
-        state.health.failureRate,
-        decisions.estimateFailureRate(evidence),
-      ),
-      meanLatencyMs: decisions.estimateMeanLatencyMs(evidence) ??
-        state.health.meanLatencyMs,
+      ...this.speeds.compare(state, evidence, request.nowMs),
     };
   }
 }
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -47,6 +47,7 @@
     model: "small",
     promptTokens: 1_000,
     prefillMsPerToken: 0.025,
+    answerMs: 0,
     parts: [],
     excluded: new Set(),
     needsNewConnection: false,
--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -11,6 +11,7 @@
 import type * as logs from "./decision_log.ts";
 import * as priorities from "./engine_priority.ts";
 import type * as fleets from "./fleet.ts";
+import type * as speeds from "./replica_speeds.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import type * as telemetry from "./telemetry.ts";
@@ -46,7 +47,9 @@
     telemetry.Telemetry,
     "countEvent" | "observeRoomWait" | "setGauge"
   >;
-  readonly table: Pick<replicas.ReplicaTable, "find" | "listActive">;
+  readonly table: Pick<replicas.ReplicaTable, "find" | "listActive"> & {
+    readonly speeds: Pick<speeds.ReplicaSpeeds, "readFactor">;
+  };
   readonly fleet: Pick<fleets.Fleet, "readLoad">;
   readonly random: () => number;
   readonly getRouteIndex: () => bundle.RouteIndex | undefined;
@@ -274,13 +277,14 @@
   }
 
   #readBacklogMs(keys: Iterable<number>): number {
-    const { table, fleet } = this.#options;
+    const { table, fleet, clock } = this.#options;
     const rooms = [...keys].flatMap((key): decisions.ReplicaRoom[] => {
       const state = table.find(key);
       if (state === undefined) return [];
       const others = fleet.readLoad(key);
       return [{
-        backlogMs: state.pendingMs + others.pendingMs,
+        backlogMs: (state.pendingMs + others.pendingMs) *
+          table.speeds.readFactor(state, clock.monotonicMs()),
         running: state.inFlight + others.running,
         slots: state.entry.slots,
       }];
--- a/packages/router/src/room_gate_test.ts
+++ b/packages/router/src/room_gate_test.ts
@@ -18,6 +18,7 @@
   const state = {
     clock,
     backlogMs: 0,
+    speedFactor: 1,
     hasEngine: true,
     isStopping: false,
     isRefused: false,
@@ -57,6 +58,7 @@
     table: {
       find: createReplica,
       listActive: () => state.keys.map(createReplica),
+      speeds: { readFactor: () => state.speedFactor },
     } as unknown as gates.RoomGateOptions["table"],
     fleet: {
       readLoad: () => ({
@@ -257,3 +259,12 @@
   const { keys } = await enter(0, { prefillMs: 20 });
   t.deepEqual([...keys], [1, 2, 3]);
 });
+
+test("the backlog of a slow replica counts by the time that it takes there", async (t) => {
+  const { state, enter } = createGate();
+  state.batches = [[1, 2, 3], [4, 5, 6]];
+  for (let key = 1; key <= 3; key += 1) state.ownMs.set(key, 100);
+  t.is((await enter(0, { prefillMs: 15 })).keys.size, 3);
+  state.speedFactor = 3;
+  t.is((await enter(0, { prefillMs: 15 })).keys.size, 6);
+});
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -3,6 +3,7 @@
 import type * as admissions from "./admission.ts";
 import type * as attempts from "./attempt.ts";
 import type * as groups from "./replica_group.ts";
+import type * as speeds from "./speed_recorder.ts";
 
 /** Options of one attempt. */
 export interface SendOptions {
@@ -36,6 +37,7 @@
   readonly cachedTokens: number;
   /** Predicted prefill time of the prompts that were ahead of this one. */
   readonly queuedMs: number;
+  readonly prediction: speeds.SpeedPrediction;
 }
 
 /** Outcome of an attempt that its replica ran, or may have run. */
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -177,11 +177,11 @@
     });
     current.isPrefilled = true;
     const { route, service } = this.#request;
-    const latencyTracker = this.#dispatcher.getLatencyTracker(service);
-    latencyTracker.recordFirstByte({
+    this.#dispatcher.speeds.recordFirstByte(this.#request, {
+      ...sent,
       model: this.#model,
-      uncachedTokens: fields.promptTokens - sent.cachedTokens,
-      firstByteMs: nowMs - current.startedAtMs,
+      tookMs: nowMs - current.startedAtMs,
+      isLagging: this.#watchdog.isLagging,
       nowMs,
     });
     const model = escalations.judgeAnswer(this.#dispatcher, this.#request, {
@@ -193,7 +193,7 @@
       isAnswerStarted: this.#writer.isStarted,
     });
     if (model === undefined) {
-      latencyTracker.recordAnswer({
+      this.#dispatcher.getLatencyTracker(service).recordAnswer({
         latencyMs: nowMs - this.#request.receivedAtMs,
         objectiveMs: route.targetLatencyMs,
         nowMs,
