Requests without a prompt are spread over replicas by chance, weighted by their predicted cost

Cause: loads of plain services are up to a second old, and all entries preferred the replica that was idle then.

Change: the cost of a replica for such a request gets Gumbel noise of 0.4 of the answer time, so that it is chosen with a probability that falls exponentially with its cost. Prompts are chosen as before.

--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -57,6 +57,12 @@
 const PLAIN_CANDIDATES = 2;
 /** Candidates among them that are chosen by the prompt's prefix. */
 const QUERIED_HOMES = 2;
+/**
+ * Spread of the costs of a request without a prompt, as a share of its answer time.
+ * All processes choose by loads up to a second old: without it, they would send
+ * all requests of that second to the replica that was best before.
+ */
+const PLAIN_SPREAD_SHARE = 0.4;
 /** Random sample from which the others are chosen. */
 const QUERY_SAMPLE = 4;
 
@@ -133,7 +139,23 @@
   ];
 }
 
-/** Chooses the candidate with the lowest predicted cost; ties are broken at random. */
+/**
+ * Draws what is added to the cost of a candidate. For a prompt, up to 1 ms spreads
+ * requests over replicas of equal cost. For another request, the noise has Gumbel's
+ * distribution: a candidate is chosen with a probability that falls exponentially
+ * with its cost.
+ */
+function drawNoiseMs(
+  { promptTokens, answerMs }: PromptPlacement,
+  random: () => number,
+): number {
+  if (promptTokens > 0) return random();
+  const spreadMs = Math.max(1, PLAIN_SPREAD_SHARE * answerMs);
+  const draw = Math.min(1 - 1e-9, Math.max(1e-9, random()));
+  return spreadMs * Math.log(-Math.log(draw));
+}
+
+/** Chooses the candidate with the lowest predicted cost, with noise that spreads requests. */
 export function chooseReplica<C extends ReplicaCandidate>(
   candidates: readonly C[],
   placement: PromptPlacement,
@@ -149,9 +171,8 @@
   let best: C | undefined;
   let lowestCostMs = Infinity;
   for (const candidate of candidates) {
-    // Up to 1 ms of noise spreads requests over replicas of equal cost.
     const costMs = predictCostMs(candidate, placement, affinityReplicaId) +
-      random();
+      drawNoiseMs(placement, random);
     if (costMs < lowestCostMs) {
       best = candidate;
       lowestCostMs = costMs;
