Memory of the engines counts as room, with the outputs' lengths corrected by what was seen

Cause: nobody read the engines' memory. Requests went to replicas into which they did not fit, whose engines then preempted others and read them in again. Callers' estimates of the output are right at the median but often far off.

Change: what a request takes is its prompt and its expected output: the estimate, times the 0.75 quantile of the real lengths relative to it by route; the tokens of an event are learnt from the middle ratio. A running stream that exceeds it counts as what it is. Replicas into which a request does not fit by the account of all entries are left out while there are others, a cost rises from 0.85 of the memory on, the room counts missing memory like slots, and a prompt larger than any replica's memory is refused at once as not run. Where nothing is short, nothing changes.

--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -2,9 +2,11 @@
  * Chooses a replica by a predicted cost in milliseconds. The cost is made of the
  * prompts already waiting for prefill there, the prefill of the tokens that are
  * not cached there, the delay that this causes to running streams, the wait for a
- * slot, the distance between data centres, and the replica's failures and speed.
+ * slot, the prompts that are read in again where memory is short, the distance
+ * between data centres, and the replica's failures and speed.
  */
 import * as hash from "./hash.ts";
+import * as memories from "./uneven/engine_memory.ts";
 
 /** A replica that may be chosen. */
 export interface ReplicaCandidate {
@@ -22,6 +24,8 @@
   readonly failureRate: number;
   /** Factor by which it takes longer than a usual replica of its service. */
   readonly speedFactor: number;
+  /** Share of the engine's memory that would be held with this request; 0 without an engine. */
+  readonly memoryShare: number;
 }
 
 /** A prompt for which a replica is chosen. */
@@ -85,7 +89,9 @@
     candidate.inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
     candidate.inFlight * RUNNING_REQUEST_COST_MS *
       (8 / Math.max(8, candidate.slots)) +
-    Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS;
+    Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS +
+    memories.computePreemptions(candidate.memoryShare) *
+      placement.promptTokens * placement.prefillMsPerToken;
   return (placement.answerMs + computedMs) * candidate.speedFactor -
     placement.answerMs +
     (candidate.isLocal ? 0 : REMOTE_COST_MS) +
@@ -170,7 +176,10 @@
     )[0];
   let best: C | undefined;
   let lowestCostMs = Infinity;
-  for (const candidate of candidates) {
+  const fitting = candidates.filter(({ memoryShare }) =>
+    memories.fitsMemory(memoryShare)
+  );
+  for (const candidate of fitting.length > 0 ? fitting : candidates) {
     const costMs = predictCostMs(candidate, placement, affinityReplicaId) +
       drawNoiseMs(placement, random);
     if (costMs < lowestCostMs) {
--- a/packages/decisions/src/room/turn.ts
+++ b/packages/decisions/src/room/turn.ts
@@ -11,6 +11,8 @@
   readonly backlogMs: number;
   readonly running: number;
   readonly slots: number;
+  /** Requests of mean size that must end before the memory holds one more; 0 while it does. */
+  readonly missingRequests: number;
 }
 
 /** What the routes of a service ask of its engines. */
@@ -73,7 +75,7 @@
 const MAX_HOLD_TARGET_SHARE = 0.75;
 /** Longest hold of an account that is over its share, as a share of the time to the deadline. */
 const MAX_HOLD_DEADLINE_SHARE = 0.5;
-/** Delay by each running request beyond the slots of a replica. */
+/** Delay by each running request beyond the slots or the memory of a replica. */
 const SLOT_WAIT_MS = 120;
 const MIN_WAIT_MS = 40;
 const MAX_WAIT_MS = 250;
@@ -103,8 +105,9 @@
 export function findBacklogMs(rooms: readonly ReplicaRoom[]): number {
   if (rooms.length === 0) return 0;
   return Math.min(
-    ...rooms.map(({ backlogMs, running, slots }) =>
-      backlogMs + Math.max(0, running + 1 - slots) * SLOT_WAIT_MS
+    ...rooms.map(({ backlogMs, running, slots, missingRequests }) =>
+      backlogMs +
+      Math.max(0, running + 1 - slots, missingRequests) * SLOT_WAIT_MS
     ),
   );
 }
--- a/packages/decisions/src/router_rules_test.ts
+++ b/packages/decisions/src/router_rules_test.ts
@@ -208,6 +208,7 @@
   cachedTokens: 0,
   failureRate: 0,
   speedFactor: 1,
+  memoryShare: 0,
 };
 const PLACEMENT: choice.PromptPlacement = {
   promptTokens: 4_000,
--- a/packages/decisions/src/uneven/plain_choice_test.ts
+++ b/packages/decisions/src/uneven/plain_choice_test.ts
@@ -48,6 +48,7 @@
       cachedTokens: 0,
       failureRate: 0,
       speedFactor: 1,
+      memoryShare: 0,
     }));
     const placement = {
       promptTokens: 0,
--- a/packages/decisions/src/uneven/replica_speed_test.ts
+++ b/packages/decisions/src/uneven/replica_speed_test.ts
@@ -79,6 +79,7 @@
       cachedTokens: 0,
       failureRate: 0,
       speedFactor,
+      memoryShare: 0,
     }));
     const asked = choice.chooseQueryCandidates(candidates, placement, draw);
     const id = Number(choice.chooseReplica(asked, placement, draw)?.id);
--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -64,6 +64,12 @@
   return makeRefusal("overloaded", reason, retryAfterMs);
 }
 
+/** Creates the refusal of a request whose prompt is larger than the memory of every replica. */
+export function makeTooLargeRefusal(service: string): Refusal {
+  const reason = `the prompt is larger than the memory of '${service}'`;
+  return makeRefusal("overloaded", reason);
+}
+
 /** Admits requests by the current configuration. */
 export class Admission {
   readonly #control: control.ControlTask;
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -85,10 +85,11 @@
   ): Promise<sends.Preparation> {
     const { keys: queriedKeys, refusal } = await this.#roomGate.enter(request, {
       hasBeenSent: options.earlierSends > 0,
-      prefillMs: this.getLatencyTracker(request.service).predictPrefillMs(
+      prefillMs: this.speeds.getTracker(request.service).predictPrefillMs(
         options.model,
         request.fields.promptTokens,
       ),
+      neededTokens: this.dependencies.table.memories.predictTokens(request),
       queryLoads: (askedKeys) => this.#queryLoads(request, options, askedKeys),
       isRefused: () => this.#findRefusal(request, options.hasRun) !== undefined,
     });
@@ -112,7 +113,7 @@
       options.refusal;
     if (refusal !== undefined) return this.#refuse(refusal);
     const { fields, service } = request;
-    const latencyTracker = this.getLatencyTracker(service);
+    const latencyTracker = this.speeds.getTracker(service);
     const { queriedKeys, grantedKey } = options;
     const placement = {
       ...this.#buildPlacement(request, options),
@@ -155,7 +156,11 @@
       prefillMs: queuedMs + prefillMs,
       speedFactor: table.speeds.readFactor(state, nowMs),
     });
-    const heldTokens = fields.promptTokens + fields.expectedOutputTokens;
+    const heldTokens = placement.neededTokens;
+    const memoryShare = table.memories.readShare(state, heldTokens);
+    if (!decisions.fitsMemory(memoryShare)) {
+      this.dependencies.telemetry.countEvent("memory.beyond");
+    }
     table.recordSent(state, { prefillMs, heldTokens });
     this.#recordSession(request, state.entry.version);
     this.dependencies.log.addRoutine("attempt.sent", {
@@ -175,6 +180,8 @@
       peerRunning: peerLoad.running,
       predictedMs: Math.round(prediction.predictedMs),
       speedFactor: Number(prediction.speedFactor.toFixed(2)),
+      heldTokens: Math.round(heldTokens),
+      memoryShare: Number(memoryShare.toFixed(2)),
       session: fields.session,
       rolloutTarget: versionPreference.target,
       tableRevision: this.dependencies.control.routeIndex?.table.revision,
@@ -206,15 +213,11 @@
     return this.#retryBudgets.canRetry(service, share);
   }
 
-  getLatencyTracker(service: string): decisions.EngineLatencyTracker {
-    return this.speeds.getTracker(service);
-  }
-
   /** Shortage of engine capacity for a service; see `combinePressure`. */
   measurePressure(service: string): number {
     const { nowMs } = this;
     return decisions.combinePressure(
-      this.getLatencyTracker(service).pressure(nowMs),
+      this.speeds.getTracker(service).pressure(nowMs),
       this.dependencies.table.measureOccupancy(service, nowMs),
     );
   }
@@ -262,12 +265,14 @@
     hasRun: boolean,
   ): admissions.Refusal | undefined {
     if (request.signal.aborted) return admissions.CALLER_GONE_REFUSAL;
-    const { admission, places, quarantine, shutdown } = this.dependencies;
+    const { admission, places, quarantine, shutdown, table } =
+      this.dependencies;
     if (!hasRun && !shutdown.canSend(this.nowMs, request.deadlineAtMs)) {
       return admissions.LEAVING_REFUSAL;
     }
     return admission.checkConfigurationAge(request) ??
-      places.findRefusal(request) ?? quarantine.check(request);
+      places.findRefusal(request) ?? table.memories.findRefusal(request) ??
+      quarantine.check(request);
   }
 
   /** Refuses a request, and counts it if its homes are a reason. */
@@ -350,11 +355,12 @@
       service,
       model: options.model,
       promptTokens: fields.promptTokens,
-      prefillMsPerToken: this.getLatencyTracker(service).predictPrefillMs(
+      prefillMsPerToken: this.speeds.getTracker(service).predictPrefillMs(
         options.model,
         1,
       ),
       answerMs: this.speeds.predictAnswerMs(request),
+      neededTokens: this.dependencies.table.memories.predictTokens(request),
       parts: fields.promptParts,
       excluded: options.excluded,
       needsNewConnection: route.kind === "non-idempotent",
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -55,6 +55,8 @@
   readonly prefillMsPerToken: number;
   /** Predicted time of the answer at a usual replica; 0 for a prompt. */
   readonly answerMs: number;
+  /** Tokens that the request takes of an engine's memory; 0 without an engine. */
+  readonly neededTokens: number;
   readonly parts: readonly ports.PromptPart[];
   /** IDs of replicas that must not be used. */
   readonly excluded: ReadonlySet<string>;
--- a/packages/router/src/replica_speeds.ts
+++ b/packages/router/src/replica_speeds.ts
@@ -13,7 +13,6 @@
 
 /** Replicas that are compared. */
 export interface ReplicaLists {
-  listServices(): Iterable<string>;
   listActive(service: string): readonly groups.ReplicaState[];
 }
 
@@ -59,8 +58,11 @@
     };
   }
 
-  readGauges(nowMs: number): Readonly<Record<string, number>> {
-    const factors = [...this.#lists.listServices()].flatMap((service) =>
+  readGauges(
+    services: Iterable<string>,
+    nowMs: number,
+  ): Readonly<Record<string, number>> {
+    const factors = [...services].flatMap((service) =>
       this.#lists.listActive(service).map((state) =>
         this.readFactor(state, nowMs)
       )
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -8,6 +8,7 @@
 import type * as ports from "./ports.ts";
 import * as groups from "./replica_group.ts";
 import type * as tableOptions from "./replica_table_options.ts";
+import * as memories from "./engine_memories.ts";
 import * as prefixes from "./prefix_memory.ts";
 import * as queries from "./query_choice.ts";
 import * as speeds from "./replica_speeds.ts";
@@ -31,6 +32,7 @@
 /** The replicas of all services. */
 export class ReplicaTable {
   readonly speeds: speeds.ReplicaSpeeds;
+  readonly memories: memories.EngineMemories;
   readonly #options: tableOptions.ReplicaTableOptions;
   readonly #states = new Map<string, groups.ReplicaState>();
   readonly #stateByKey = new Map<number, groups.ReplicaState>();
@@ -45,6 +47,7 @@
   constructor(options: tableOptions.ReplicaTableOptions) {
     this.#options = options;
     this.speeds = new speeds.ReplicaSpeeds(this, options);
+    this.memories = new memories.EngineMemories(options);
   }
 
   get size(): number {
@@ -65,10 +68,6 @@
       : active;
   }
 
-  listServices(): Iterable<string> {
-    return this.#statesByService.keys();
-  }
-
   /** Whether the replica's data centre is evacuated. */
   isEvacuated({ entry }: groups.ReplicaState): boolean {
     return this.#options.isEvacuated?.(entry.dataCentre) ?? false;
@@ -284,6 +283,7 @@
   /** Sets the services' connection limits, which may arrive after their replicas. */
   setServices(services: ReadonlyMap<string, bundle.RouteTableService>): void {
     this.#services = services;
+    this.memories.setServices(services);
     this.#updateConnectionLimits();
   }
 
@@ -392,6 +392,7 @@
         request,
         this.#options.prefixReuseWindowMs,
       ),
+      memoryShare: this.memories.readShare(state, request.neededTokens),
       ...this.speeds.compare(state, evidence, request.nowMs),
     };
   }
--- a/packages/router/src/replica_table_test.ts
+++ b/packages/router/src/replica_table_test.ts
@@ -48,6 +48,7 @@
     promptTokens: 1_000,
     prefillMsPerToken: 0.025,
     answerMs: 0,
+    neededTokens: 0,
     parts: [],
     excluded: new Set(),
     needsNewConnection: false,
--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -11,6 +11,7 @@
 import type * as logs from "./decision_log.ts";
 import * as priorities from "./engine_priority.ts";
 import type * as fleets from "./fleet.ts";
+import type * as memories from "./engine_memories.ts";
 import type * as speeds from "./replica_speeds.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
@@ -49,6 +50,7 @@
   >;
   readonly table: Pick<replicas.ReplicaTable, "find" | "listActive"> & {
     readonly speeds: Pick<speeds.ReplicaSpeeds, "readFactor">;
+    readonly memories: Pick<memories.EngineMemories, "read">;
   };
   readonly fleet: Pick<fleets.Fleet, "readLoad">;
   readonly random: () => number;
@@ -65,6 +67,8 @@
   readonly hasBeenSent: boolean;
   /** Predicted prefill time of the prompt. */
   readonly prefillMs: number;
+  /** Tokens that it takes of an engine's memory. */
+  readonly neededTokens: number;
   /** Chooses candidates beyond those asked, and asks for their load; resolves with the known ones. */
   readonly queryLoads: (
     askedKeys: ReadonlySet<number>,
@@ -110,7 +114,7 @@
     const keys = await this.#queryLoads(request.service, entry, policy);
     if (policy === undefined) return { keys };
     const shares = this.#findShares(request.service);
-    const backlogMs = this.#readBacklogMs(keys);
+    const backlogMs = this.#readBacklogMs(keys, entry.neededTokens);
     shares.record(getAccountName(request), entry.prefillMs, {
       isRoomShort: decisions.isRoomShort(backlogMs, shares.meanPrefillMs),
       nowMs: this.#options.clock.monotonicMs(),
@@ -131,7 +135,8 @@
     if (policy === undefined || keys.size === 0) return keys;
     const limitMs = WIDE_QUERY_SHARE * policy.shortestTargetMs;
     for (let queries = 0; queries < MAX_WIDE_QUERIES; queries += 1) {
-      if (this.#readBacklogMs(keys) <= limitMs) break;
+      const backlogMs = this.#readBacklogMs(keys, entry.neededTokens);
+      if (backlogMs <= limitMs) break;
       const replicas = this.#options.table.listActive(service).length;
       if (replicas > MAX_WIDE_REPLICAS) break;
       const added = await entry.queryLoads(keys);
@@ -156,9 +161,13 @@
     try {
       for (;;) {
         const nowMs = clock.monotonicMs();
-        const backlogMs = this.#readBacklogMs(keys);
+        const backlogMs = this.#readBacklogMs(keys, entry.neededTokens);
         const input = this.#buildInput(request, entry, state.shares, nowMs);
-        const refusal = this.#findRefusal(request, input, backlogMs, nowMs);
+        const refusal = this.#findRefusal(request, entry, {
+          input,
+          backlogMs,
+          nowMs,
+        });
         if (refusal !== undefined) return { keys, refusal };
         const turn = decisions.decideTurn(input, backlogMs, state.policy);
         const isOver = turn.type === "now" || isStopping() ||
@@ -216,15 +225,19 @@
   /** Refuses a request only if no replica of its service can begin it in time. */
   #findRefusal(
     request: requests.AdmittedRequest,
-    input: decisions.RoomRequest,
-    backlogMs: number,
-    nowMs: number,
+    { neededTokens }: RoomEntry,
+    { input, backlogMs, nowMs }: {
+      readonly input: decisions.RoomRequest;
+      readonly backlogMs: number;
+      readonly nowMs: number;
+    },
   ): admissions.Refusal | undefined {
     const remainingMs = request.deadlineAtMs - nowMs;
     if (backlogMs < remainingMs + MIN_REFUSAL_MARGIN_MS) return undefined;
     const { table, log, telemetry, random } = this.#options;
     const shortestMs = this.#readBacklogMs(
       table.listActive(request.service).map(({ key }) => key),
+      neededTokens,
     );
     if (shortestMs < remainingMs + MIN_REFUSAL_MARGIN_MS) return undefined;
     const retryAfterMs = (0.5 + 0.5 * random()) *
@@ -276,7 +289,7 @@
     this.#options.telemetry.setGauge("room_backlog_ms", this.#meanBacklogMs);
   }
 
-  #readBacklogMs(keys: Iterable<number>): number {
+  #readBacklogMs(keys: Iterable<number>, neededTokens: number): number {
     const { table, fleet, clock } = this.#options;
     const rooms = [...keys].flatMap((key): decisions.ReplicaRoom[] => {
       const state = table.find(key);
@@ -287,6 +300,10 @@
           table.speeds.readFactor(state, clock.monotonicMs()),
         running: state.inFlight + others.running,
         slots: state.entry.slots,
+        missingRequests: decisions.countMissingRequests(
+          table.memories.read(state),
+          neededTokens,
+        ),
       }];
     });
     return decisions.findBacklogMs(rooms);
--- a/packages/router/src/room_gate_test.ts
+++ b/packages/router/src/room_gate_test.ts
@@ -19,6 +19,11 @@
     clock,
     backlogMs: 0,
     speedFactor: 1,
+    memory: {
+      heldTokens: 0,
+      runningRequests: 0,
+      capacityTokens: undefined,
+    } as decisions.EngineMemory,
     hasEngine: true,
     isStopping: false,
     isRefused: false,
@@ -59,6 +64,7 @@
       find: createReplica,
       listActive: () => state.keys.map(createReplica),
       speeds: { readFactor: () => state.speedFactor },
+      memories: { read: () => state.memory },
     } as unknown as gates.RoomGateOptions["table"],
     fleet: {
       readLoad: () => ({
@@ -97,6 +103,7 @@
     return gate.enter(request, {
       hasBeenSent: options.hasBeenSent ?? false,
       prefillMs: options.prefillMs,
+      neededTokens: 1_000,
       queryLoads: (askedKeys) => {
         const batch = state.batches.find((keys) =>
           keys.every((key) => !askedKeys.has(key))
@@ -268,3 +275,21 @@
   state.speedFactor = 3;
   t.is((await enter(0, { prefillMs: 15 })).keys.size, 6);
 });
+
+test("where the memory of engines is short, it counts like slots", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  const held = { heldTokens: 40_000, runningRequests: 20 };
+  state.memory = { ...held, capacityTokens: 50_000 };
+  state.questions = 0;
+  await enter(1, { prefillMs: 800 });
+  t.is(state.questions, 1);
+  // Two requests of mean size more than fit, and then room again.
+  state.memory = { ...held, capacityTokens: 37_000 };
+  state.onSleep = () => {
+    state.memory = { ...held, capacityTokens: 50_000 };
+  };
+  await enter(1, { prefillMs: 800 });
+  t.is(state.logged.at(-1)?.["sentAs"], "no-shortage");
+  t.is(state.logged.at(-1)?.["reason"], "above-ceiling");
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -367,7 +367,10 @@
     const viewAgeMs = Math.min(MAX_VIEW_AGE_GAUGE_MS, this.#control.viewAgeMs);
     const gauges = {
       ...this.#callerServer.readGauges(),
-      ...this.#table.speeds.readGauges(this.#options.clock.monotonicMs()),
+      ...this.#table.speeds.readGauges(
+        this.#control.routeIndex?.serviceByName.keys() ?? [],
+        this.#options.clock.monotonicMs(),
+      ),
       requests_in_flight: this.#callerServer.inFlight,
       replicas: this.#table.size,
       cold_replicas: this.#fleet.countCold(),
--- a/packages/router/src/shared_load_test.ts
+++ b/packages/router/src/shared_load_test.ts
@@ -216,6 +216,7 @@
         cachedTokens: 0,
         failureRate: 0,
         speedFactor: 1,
+        memoryShare: 0,
       };
     });
   }
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -1,7 +1,9 @@
 /** State of one attempt of a stream exchange, and the classification of its end. */
+import type * as kernel from "@jackdawbank/kernel";
 import type * as admissions from "./admission.ts";
 import * as check from "./response_check.ts";
 import type * as attempts from "./attempt.ts";
+import type * as requests from "./request.ts";
 import type * as sends from "./send.ts";
 import * as splitting from "./event_splitter.ts";
 import * as paces from "./stream_pace.ts";
@@ -9,6 +11,10 @@
 /** With more prefill ahead of a prompt, the time to its first byte is no pace of its version. */
 const MAX_QUEUED_FOR_PACE_MS = 50;
 const MAX_FAILURE_BODY_BYTES = 65_536;
+/** Time-out for the first byte, in multiples of the route's target latency. */
+const FIRST_BYTE_TIMEOUT_FACTOR = 1;
+/** Prefill rate of an engine that also serves other requests; extends that time-out. */
+const SHARED_PREFILL_TOKENS_PER_MS = 20;
 
 /** Result of one attempt. */
 export type StreamAttemptResult =
@@ -40,6 +46,10 @@
   headAtMs: number | undefined;
   /** Time of the newest event, or of the head; bytes that complete no event do not count. */
   lastEventAtMs: number;
+  /** Tokens that its output takes beyond those expected. */
+  extraTokens: number;
+  /** It goes on where an earlier attempt broke off. */
+  readonly isResumed: boolean;
   /** The replica has processed the prompt. */
   isPrefilled: boolean;
   readonly pace: paces.StreamPaceTracker;
@@ -51,6 +61,7 @@
 export function createStreamAttempt(
   startedAtMs: number,
   options: { readonly isResumable: boolean },
+  lastEventId: string | undefined,
 ): StreamAttempt {
   return {
     sent: undefined,
@@ -63,6 +74,8 @@
     startedAtMs,
     headAtMs: undefined,
     lastEventAtMs: startedAtMs,
+    extraTokens: 0,
+    isResumed: lastEventId !== undefined,
     isPrefilled: false,
     pace: new paces.StreamPaceTracker(),
     isBrokenOff: false,
@@ -126,6 +139,22 @@
   return hasFailed ? "failed" : "whole";
 }
 
+/** Why a stream that did not begin is answered with an error. */
+export function classifyFailure(
+  { hasRun, isLate }: { readonly hasRun: boolean; readonly isLate: boolean },
+): kernel.ErrorKind {
+  if (!hasRun) return "overloaded";
+  return isLate ? "deadline-after-run" : "upstream-failed";
+}
+
+/** Time-out for the first byte of a stream. */
+export function computeFirstByteTimeoutMs(
+  { route, fields }: Pick<requests.AdmittedRequest, "route" | "fields">,
+): number {
+  return FIRST_BYTE_TIMEOUT_FACTOR * route.targetLatencyMs +
+    fields.promptTokens / SHARED_PREFILL_TOKENS_PER_MS;
+}
+
 /** Time from the start of an attempt to the head of its response, in whole milliseconds. */
 export function measureHeadMs(
   { headAtMs, startedAtMs }: StreamAttempt,
--- a/packages/router/src/stream_escalation.ts
+++ b/packages/router/src/stream_escalation.ts
@@ -60,7 +60,7 @@
 ): string | undefined {
   const { route, fields, service } = request;
   const { nowMs } = dispatcher;
-  const latencyTracker = dispatcher.getLatencyTracker(service);
+  const latencyTracker = dispatcher.speeds.getTracker(service);
   const predictedMs = nowMs - request.receivedAtMs +
     latencyTracker.predictFirstByteMs(
       route.candidateModels.at(-1),
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -18,12 +18,8 @@
 import * as paces from "./stream_pace.ts";
 import type * as watchdogs from "./watchdog.ts";
 
-/** Time-out for the first byte, in multiples of the route's target latency. */
-const FIRST_BYTE_TIMEOUT_FACTOR = 1;
 /** Share of a stream's time-out after which the load of its replica is watched closely. */
 const LOAD_QUERY_SHARE = 0.5;
-/** Prefill rate of an engine that also serves other requests; extends that time-out. */
-const SHARED_PREFILL_TOKENS_PER_MS = 20;
 /** Attempts beyond the route's limit, after earlier ones were provably not run. */
 const MAX_ATTEMPTS_BEYOND_LIMIT = 2;
 const OVERLOADED_RETRY_AFTER_MS = 300;
@@ -109,6 +105,7 @@
     const current = streamAttempts.createStreamAttempt(
       startedAtMs,
       this.#request.route,
+      this.#lastEventId,
     );
     const refusal = await new Promise<admissions.Refusal | undefined>(
       (resolve) => {
@@ -193,7 +190,7 @@
       isAnswerStarted: this.#writer.isStarted,
     });
     if (model === undefined) {
-      this.#dispatcher.getLatencyTracker(service).recordAnswer({
+      this.#dispatcher.speeds.getTracker(service).recordAnswer({
         latencyMs: nowMs - this.#request.receivedAtMs,
         objectiveMs: route.targetLatencyMs,
         nowMs,
@@ -227,15 +224,16 @@
     head: attempts.ResponseHead,
     completeEvents: splitting.CompleteEvents,
   ): void {
-    const { nowMs } = this.#dispatcher;
+    const { nowMs, dependencies } = this.#dispatcher;
     if (completeEvents.count > 0) {
       current.lastEventAtMs = nowMs;
+      dependencies.table.memories.recordOutput(this.#request, sent, current);
       const { totalLagMs } = this.#watchdog;
       current.pace.recordEvents(completeEvents.count, nowMs, totalLagMs);
       this.#offerPace(current, false);
     }
     if (completeEvents.count === current.splitter.count) {
-      this.#dispatcher.dependencies.quarantine.recordBegun(this.#request);
+      dependencies.quarantine.recordBegun(this.#request);
     }
     this.#startResponse(head);
     this.#lastEventId = current.splitter.lastEventId ?? this.#lastEventId;
@@ -263,10 +261,10 @@
 
   /** Cancels the attempt on a stall, at the deadline, or when the caller disconnects. */
   #watchAttempt(current: streamAttempts.StreamAttempt): () => void {
-    const { route, signal, fields } = this.#request;
-    const firstByteTimeoutMs =
-      FIRST_BYTE_TIMEOUT_FACTOR * route.targetLatencyMs +
-      fields.promptTokens / SHARED_PREFILL_TOKENS_PER_MS;
+    const { route, signal } = this.#request;
+    const firstByteTimeoutMs = streamAttempts.computeFirstByteTimeoutMs(
+      this.#request,
+    );
     const attempt = current.sent?.attempt;
     return this.#watchdog.watch((nowMs) => {
       if (signal.aborted) return attempt?.cancel("the caller disconnected");
@@ -294,7 +292,10 @@
         pendingPrefillMs: replica.pendingPrefillMs,
       });
       // A stalled stream is kept unless it can be resumed at another replica.
-      if (isStalled && this.#canReroute(sent)) attempt?.cancel("stalled");
+      if (!isStalled) return;
+      const excluded = new Set([...this.#triedReplicaIds, sent.state.entry.id]);
+      const canMove = this.#dispatcher.canReroute(this.#request, excluded);
+      if (canMove) attempt?.cancel("stalled");
     }, signal);
   }
 
@@ -308,11 +309,6 @@
     paces.offerPace(pace, this.#dispatcher, this.#request, options);
   }
 
-  #canReroute({ state }: sends.SentAttempt): boolean {
-    const excluded = new Set([...this.#triedReplicaIds, state.entry.id]);
-    return this.#dispatcher.canReroute(this.#request, excluded);
-  }
-
   #recordResult(
     current: streamAttempts.StreamAttempt,
     result: streamAttempts.StreamAttemptResult,
@@ -325,8 +321,11 @@
     this.#triedReplicaIds.add(state.entry.id);
     table.recordEnd(state, {
       prefillMs: current.isPrefilled ? 0 : sent.prefillMs,
-      heldTokens: sent.heldTokens,
+      heldTokens: sent.heldTokens + current.extraTokens,
     });
+    if (result.type === "complete" && !current.isResumed) {
+      table.memories.recordLength(this.#request, current.splitter.count);
+    }
     if (result.type === "not-run") {
       this.#refusedBy.add(state.entry.id);
       this.#dispatcher.recorder.recordNotRun(sent, result.reason);
@@ -389,11 +388,11 @@
       this.#writer.answer(status, rawHeaders, [result.body], isFramed);
       return { outcome: "replica-failed", status };
     }
-    const isLate = this.#dispatcher.nowMs >= this.#request.deadlineAtMs;
     const hasRun = this.#runCount > 0;
-    const kind: kernel.ErrorKind = hasRun
-      ? isLate ? "deadline-after-run" : "upstream-failed"
-      : "overloaded";
+    const kind = streamAttempts.classifyFailure({
+      hasRun,
+      isLate: this.#dispatcher.nowMs >= this.#request.deadlineAtMs,
+    });
     this.#writer.refuse(
       kernel.makeError(kind, reason),
       hasRun ? undefined : OVERLOADED_RETRY_AFTER_MS,
