Usual failures are those of the better half of the replicas; refused connections are remembered longer

Change: the usual rate is that of the better half together. What an entry remembers of requests without an answer decays with 20 s instead of 4.

--- a/packages/decisions/src/replica_evidence.ts
+++ b/packages/decisions/src/replica_evidence.ts
@@ -50,14 +50,19 @@
   return sums.failures / (sums.attempts + PRIOR_SUCCESSES);
 }
 
-/** Failure rate of the middle replica, the better one of two; 0 if too little is known. */
+/**
+ * Failure rate of the better half of the replicas together, as the requests cause
+ * it: also where half of the replicas are broken. 0 if too little is known.
+ */
 export function findUsualFailureRate(
   replicas: readonly EvidenceSums[],
 ): number {
-  const rates = replicas.flatMap(({ attempts, failures }) =>
-    attempts < MIN_USUAL_ATTEMPTS ? [] : [failures / attempts]
-  ).toSorted((a, b) => a - b);
-  return rates[Math.floor((rates.length - 1) / 2)] ?? 0;
+  const known = replicas.filter(({ attempts }) =>
+    attempts >= MIN_USUAL_ATTEMPTS
+  ).toSorted((a, b) => a.failures / a.attempts - b.failures / b.attempts);
+  const better = known.slice(0, Math.ceil(known.length / 2));
+  const sums = better.reduce(addEvidence, NO_EVIDENCE);
+  return sums.attempts === 0 ? 0 : sums.failures / sums.attempts;
 }
 
 /**
--- a/packages/decisions/src/replica_health.ts
+++ b/packages/decisions/src/replica_health.ts
@@ -2,7 +2,7 @@
  * Passive health check of one replica, from the results of its requests alone.
  * Consecutive requests without an answer eject the replica for a time that
  * doubles with each ejection; a success ends the ejection. The share of requests
- * without an answer counts against it for some seconds in the choice of replicas.
+ * without an answer counts against it in the choice of replicas, for long.
  */
 
 /** Consecutive requests without an answer that eject a replica. */
@@ -11,8 +11,11 @@
 const MAX_EJECTION_MS = 4_000;
 /** Weight of the newest request in the share without an answer. */
 const NO_ANSWER_WEIGHT = 0.1;
-/** Time constant of its exponential decay, so that a replica that gets no requests is tried again. */
-const DECAY_MS = 4_000;
+/**
+ * Time constant of its exponential decay. Long, since a replica that is lost for good
+ * may stay listed; ejections alone would let it use up the retry budget.
+ */
+const DECAY_MS = 20_000;
 
 export class ReplicaHealth {
   #consecutiveNoAnswers = 0;
--- a/packages/decisions/src/uneven/replica_speed_test.ts
+++ b/packages/decisions/src/uneven/replica_speed_test.ts
@@ -194,6 +194,10 @@
     t.true(evidence.estimateExcessFailureRate(each, usual) < 0.03);
   }
   t.true(evidence.estimateExcessFailureRate(build(20, 9), usual) > 0.15);
+  // Half of a fleet is lost: its failures are not taken for usual ones.
+  const lost = [1, 2, 3, 4, 5].flatMap(() => [build(30, 0), build(9, 4)]);
+  const usualOfHalf = evidence.findUsualFailureRate(lost);
+  t.is(evidence.estimateExcessFailureRate(build(9, 4), usualOfHalf), 4 / 11);
   // Where nothing fails usually, the first failure counts as before.
   t.is(evidence.estimateExcessFailureRate(build(1, 1), 0), 1 / 3);
 });
