--- a/packages/bench/src/measure/placement.ts
+++ b/packages/bench/src/measure/placement.ts
@@ -115,6 +115,8 @@
       promptTokens: 2_000,
       bodyBytes: 0,
       prefillMsPerToken: 0.02,
+      answerMs: 0,
+      neededTokens: 0,
       parts: [
         { id: `prefix-${at % SHARED_PREFIXES}`, tokens: 1_500 },
         { id: `own-${at}`, tokens: 500 },
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -2,10 +2,12 @@
  * Chooses a replica by a predicted cost in milliseconds. The cost is made of the
  * prompts already waiting for prefill there, the prefill of the tokens that are
  * not cached there, the delay that this causes to running streams, the wait for a
- * slot, the distance between data centres, and the replica's failures and slowness.
+ * slot, the prompts that are read in again where memory is short, the distance
+ * between data centres, and the replica's failures and speed.
  */
 import * as hash from "./hash.ts";
 import * as streamDelay from "./room/stream_delay.ts";
+import * as memories from "./uneven/engine_memory.ts";
 
 /** A replica that may be chosen. */
 export interface ReplicaCandidate {
@@ -14,14 +16,17 @@
   readonly isLocal: boolean;
   /** Requests in flight there, as far as this process knows. */
   readonly inFlight: number;
-  /** Predicted time until the prompts in flight there are prefilled. */
+  /** Time until the prompts in flight there are prefilled, at the usual speed. */
   readonly pendingMs: number;
   readonly slots: number;
   /** Tokens of this prompt that are likely cached there. */
   readonly cachedTokens: number;
-  /** Recent share of failed requests, from 0 to 1. */
+  /** Recent share of failed requests beyond the usual one, from 0 to 1. */
   readonly failureRate: number;
-  readonly meanLatencyMs: number | undefined;
+  /** Factor by which it takes longer than a usual replica of its service. */
+  readonly speedFactor: number;
+  /** Share of the engine's memory that would be held with this request; 0 without an engine. */
+  readonly memoryShare: number;
 }
 
 /** A prompt for which a replica is chosen. */
@@ -36,6 +41,8 @@
   readonly affinityKey: string | undefined;
   /** Tokens that requests with the same key share. */
   readonly sharedTokens: number;
+  /** Predicted time of an answer at a usual replica; 0 for a prompt, whose prefill is predicted. */
+  readonly answerMs: number;
 }
 
 /** Smallest cost of prefilling a token, also for fast models, because it delays other requests. */
@@ -61,33 +68,30 @@
 const PLAIN_CANDIDATES = 2;
 /** Candidates among them that are chosen by the prompt's prefix. */
 const QUERIED_HOMES = 2;
+/**
+ * Spread of the costs of a request without a prompt, as a share of its answer time.
+ * All processes choose by loads up to a second old: without it, they would send
+ * all requests of that second to the replica that was best before.
+ */
+const PLAIN_SPREAD_SHARE = 0.4;
 /** Random sample from which the others are chosen. */
 const QUERY_SAMPLE = 4;
 const LONG_QUERY_SAMPLE = 12;
-/** Weight of the time by which a replica's mean latency exceeds the median. */
-const SLOWNESS_WEIGHT = 0.5;
 
 /** Predicted cost of sending a prompt to a replica. */
 export function predictCostMs(
   candidate: ReplicaCandidate,
   placement: PromptPlacement,
-  context: {
-    readonly affinityReplicaId: string | undefined;
-    readonly medianLatencyMs: number;
-  },
+  affinityReplicaId: string | undefined,
 ): number {
   // Other processes prefer the same replica for this key, so the shared prefix is likely cached.
-  const cachedTokens = context.affinityReplicaId === candidate.id
+  const cachedTokens = affinityReplicaId === candidate.id
     ? Math.max(candidate.cachedTokens, placement.sharedTokens)
     : candidate.cachedTokens;
   const uncachedTokens = Math.max(0, placement.promptTokens - cachedTokens);
   const prefillMs = uncachedTokens * placement.prefillMsPerToken;
-  const excessLatencyMs = Math.max(
-    0,
-    (candidate.meanLatencyMs ?? context.medianLatencyMs) -
-      context.medianLatencyMs,
-  );
-  return uncachedTokens *
+  // What the replica computes takes as much longer as it is slower than a usual one.
+  const computedMs = uncachedTokens *
       Math.max(placement.prefillMsPerToken, MIN_PREFILL_COST_MS_PER_TOKEN) +
     candidate.pendingMs +
     candidate.inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
@@ -101,19 +105,12 @@
     candidate.inFlight * RUNNING_REQUEST_COST_MS *
       (8 / Math.max(8, candidate.slots)) +
     Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS +
+    memories.computePreemptions(candidate.memoryShare) *
+      placement.promptTokens * placement.prefillMsPerToken;
+  return (placement.answerMs + computedMs) * candidate.speedFactor -
+    placement.answerMs +
     (candidate.isLocal ? 0 : REMOTE_COST_MS) +
-    candidate.failureRate * FAILURE_COST_MS +
-    excessLatencyMs * SLOWNESS_WEIGHT;
-}
-
-/** Lower median, so that the slower one of two candidates is recognised. */
-function findMedianLatencyMs(
-  candidates: readonly ReplicaCandidate[],
-): number {
-  const sorted = candidates.flatMap(({ meanLatencyMs }) =>
-    meanLatencyMs === undefined ? [] : [meanLatencyMs]
-  ).toSorted((a, b) => a - b);
-  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+    candidate.failureRate * FAILURE_COST_MS;
 }
 
 function drawSample<T>(
@@ -167,13 +164,9 @@
     isLong ? LONG_QUERY_SAMPLE : QUERY_SAMPLE,
     random,
   );
-  const context = {
-    affinityReplicaId: undefined,
-    medianLatencyMs: findMedianLatencyMs(candidates),
-  };
   const ranked = sample.map((candidate) => ({
     candidate,
-    costMs: predictCostMs(candidate, placement, context),
+    costMs: predictCostMs(candidate, placement, undefined),
   })).toSorted((a, b) => a.costMs - b.costMs);
   return [
     ...chosen,
@@ -181,7 +174,23 @@
   ];
 }
 
-/** Chooses the candidate with the lowest predicted cost; ties are broken at random. */
+/**
+ * Draws what is added to the cost of a candidate. For a prompt, up to 1 ms spreads
+ * requests over replicas of equal cost. For another request, the noise has Gumbel's
+ * distribution: a candidate is chosen with a probability that falls exponentially
+ * with its cost.
+ */
+function drawNoiseMs(
+  { promptTokens, answerMs }: PromptPlacement,
+  random: () => number,
+): number {
+  if (promptTokens > 0) return random();
+  const spreadMs = Math.max(1, PLAIN_SPREAD_SHARE * answerMs);
+  const draw = Math.min(1 - 1e-9, Math.max(1e-9, random()));
+  return spreadMs * Math.log(-Math.log(draw));
+}
+
+/** Chooses the candidate with the lowest predicted cost, with noise that spreads requests. */
 export function chooseReplica<C extends ReplicaCandidate>(
   candidates: readonly C[],
   placement: PromptPlacement,
@@ -189,15 +198,14 @@
 ): C | undefined {
   if (candidates.length === 0) return undefined;
   const [home] = findHomes(candidates, placement, 1);
-  const context = {
-    affinityReplicaId: home?.id,
-    medianLatencyMs: findMedianLatencyMs(candidates),
-  };
   let best: C | undefined;
   let lowestCostMs = Infinity;
-  for (const candidate of candidates) {
-    // Up to 1 ms of noise spreads requests over replicas of equal cost.
-    const costMs = predictCostMs(candidate, placement, context) + random();
+  const fitting = candidates.filter(({ memoryShare }) =>
+    memories.fitsMemory(memoryShare)
+  );
+  for (const candidate of fitting.length > 0 ? fitting : candidates) {
+    const costMs = predictCostMs(candidate, placement, home?.id) +
+      drawNoiseMs(placement, random);
     if (costMs < lowestCostMs) {
       best = candidate;
       lowestCostMs = costMs;
--- a/packages/decisions/src/room/stream_delay_test.ts
+++ b/packages/decisions/src/room/stream_delay_test.ts
@@ -23,7 +23,8 @@
     slots: 48,
     cachedTokens: 0,
     failureRate: 0,
-    meanLatencyMs: undefined,
+    speedFactor: 1,
+    memoryShare: 0,
     ...load,
   };
 }
@@ -39,6 +40,7 @@
     remainingTargetMs: 4_000,
     affinityKey: undefined,
     sharedTokens: 0,
+    answerMs: 0,
   };
 }
 
--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -72,6 +72,12 @@
   return makeRefusal("overloaded", reason, NO_BODY_ROOM_RETRY_AFTER_MS);
 }
 
+/** Creates the refusal of a request whose prompt is larger than the memory of every replica. */
+export function makeTooLargeRefusal(service: string): Refusal {
+  const reason = `the prompt is larger than the memory of '${service}'`;
+  return makeRefusal("overloaded", reason);
+}
+
 /** Admits requests by the current configuration. */
 export class Admission {
   readonly #control: control.ControlTask;
--- a/packages/router/src/body_rooms_test.ts
+++ b/packages/router/src/body_rooms_test.ts
@@ -93,6 +93,8 @@
       model: undefined,
       promptTokens: 0,
       prefillMsPerToken: 0,
+      answerMs: 0,
+      neededTokens: 0,
       parts: [],
       excluded: new Set(),
       needsNewConnection: true,
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -19,6 +19,7 @@
 import * as retries from "./retry_budgets.ts";
 import * as rooms from "./room_gate.ts";
 import type * as sends from "./send.ts";
+import * as speedRecorders from "./speed_recorder.ts";
 
 /** Interval at which the evidence about a plain service's replica is asked for. */
 const EVIDENCE_QUERY_INTERVAL_MS = 1_000;
@@ -26,19 +27,15 @@
 const MAX_RATE_QUESTIONS = 2;
 /** Interval at which the load of a replica is asked for while a stream waits there for long. */
 const STALL_QUERY_INTERVAL_MS = 200;
-
 /** Sends the requests of one process. */
 export class Dispatcher {
   readonly dependencies: parts.DispatcherDependencies;
   readonly demands: demandTrackers.DemandTracker;
   readonly recorder: recorders.AttemptRecorder;
+  readonly speeds = new speedRecorders.SpeedRecorder();
   readonly #retryBudgets: retries.RetryBudgets;
   readonly #roomGate: rooms.RoomGate;
   readonly #bodyRooms: bodyRooms.BodyRooms;
-  readonly #latencyTrackerByService = new Map<
-    string,
-    decisions.EngineLatencyTracker
-  >();
 
   constructor(dependencies: parts.DispatcherDependencies) {
     this.dependencies = dependencies;
@@ -97,10 +94,11 @@
   ): Promise<sends.Preparation> {
     const { keys: queriedKeys, refusal } = await this.#roomGate.enter(request, {
       hasBeenSent: options.earlierSends > 0,
-      prefillMs: this.getLatencyTracker(request.service).predictPrefillMs(
+      prefillMs: this.speeds.getTracker(request.service).predictPrefillMs(
         options.model,
         request.fields.promptTokens,
       ),
+      neededTokens: this.dependencies.table.memories.predictTokens(request),
       queryLoads: (askedKeys) => this.#queryLoads(request, options, askedKeys),
       isRefused: () => this.#findRefusal(request, options.hasRun) !== undefined,
     });
@@ -135,7 +133,7 @@
       options.refusal;
     if (refusal !== undefined) return this.#refuse(refusal);
     const { fields, service } = request;
-    const latencyTracker = this.getLatencyTracker(service);
+    const latencyTracker = this.speeds.getTracker(service);
     const { queriedKeys, grantedKey } = options;
     const placement = {
       ...this.#buildPlacement(request, options),
@@ -173,7 +171,17 @@
     );
     const peerLoad = this.dependencies.fleet.readLoad(state.key);
     const queuedMs = state.pendingMs + peerLoad.pendingMs;
-    const heldTokens = fields.promptTokens + fields.expectedOutputTokens;
+    const prediction = this.speeds.predict(request, {
+      inFlight: state.inFlight + peerLoad.running,
+      slots: state.entry.slots,
+      prefillMs: queuedMs + prefillMs,
+      speedFactor: table.speeds.readFactor(state, nowMs),
+    });
+    const heldTokens = placement.neededTokens;
+    const memoryShare = table.memories.readShare(state, heldTokens);
+    if (!decisions.fitsMemory(memoryShare)) {
+      this.dependencies.telemetry.countEvent("memory.beyond");
+    }
     table.recordSent(state, { prefillMs, heldTokens });
     this.#recordSession(request, state.entry.version);
     if (decisions.interruptsStreams(prefillMs, placement.maxGapMs)) {
@@ -195,6 +203,10 @@
       pendingMs: Math.round(state.pendingMs),
       peerPendingMs: Math.round(peerLoad.pendingMs),
       peerRunning: peerLoad.running,
+      predictedMs: Math.round(prediction.predictedMs),
+      speedFactor: Number(prediction.speedFactor.toFixed(2)),
+      heldTokens: Math.round(heldTokens),
+      memoryShare: Number(memoryShare.toFixed(2)),
       session: fields.session,
       rolloutTarget: versionPreference.target,
       tableRevision: this.dependencies.control.routeIndex?.table.revision,
@@ -216,6 +228,7 @@
       prefillMs,
       heldTokens,
       queuedMs,
+      prediction,
     });
   }
 
@@ -225,19 +238,11 @@
     return this.#retryBudgets.canRetry(service, share);
   }
 
-  getLatencyTracker(service: string): decisions.EngineLatencyTracker {
-    const existing = this.#latencyTrackerByService.get(service);
-    if (existing !== undefined) return existing;
-    const latencyTracker = new decisions.EngineLatencyTracker();
-    this.#latencyTrackerByService.set(service, latencyTracker);
-    return latencyTracker;
-  }
-
   /** Shortage of engine capacity for a service; see `combinePressure`. */
   measurePressure(service: string): number {
     const { nowMs } = this;
     return decisions.combinePressure(
-      this.getLatencyTracker(service).pressure(nowMs),
+      this.speeds.getTracker(service).pressure(nowMs),
       this.dependencies.table.measureOccupancy(service, nowMs),
     );
   }
@@ -260,7 +265,8 @@
       others.silentMs - peers.REFRESH_INTERVAL_MS,
     );
     return {
-      pendingPrefillMs: state.pendingMs + others.pendingMs,
+      pendingPrefillMs: (state.pendingMs + others.pendingMs) *
+        this.dependencies.table.speeds.readFactor(state, nowMs),
       silentMs: others.running > 0
         ? Math.min(ownSilentMs, othersSilentMs)
         : ownSilentMs,
@@ -284,12 +290,14 @@
     hasRun: boolean,
   ): admissions.Refusal | undefined {
     if (request.signal.aborted) return admissions.CALLER_GONE_REFUSAL;
-    const { admission, places, quarantine, shutdown } = this.dependencies;
+    const { admission, places, quarantine, shutdown, table } =
+      this.dependencies;
     if (!hasRun && !shutdown.canSend(this.nowMs, request.deadlineAtMs)) {
       return admissions.LEAVING_REFUSAL;
     }
     return admission.checkConfigurationAge(request) ??
-      places.findRefusal(request) ?? quarantine.check(request);
+      places.findRefusal(request) ?? table.memories.findRefusal(request) ??
+      quarantine.check(request);
   }
 
   /** Refuses a request, and counts it if its homes are a reason. */
@@ -376,12 +384,14 @@
       service,
       model: options.model,
       promptTokens: fields.promptTokens,
-      prefillMsPerToken: this.getLatencyTracker(service).predictPrefillMs(
+      prefillMsPerToken: this.speeds.getTracker(service).predictPrefillMs(
         options.model,
         1,
       ),
       maxGapMs: route.kind === "stream" ? route.maxGapMs : undefined,
       remainingTargetMs: request.receivedAtMs + route.targetLatencyMs - nowMs,
+      answerMs: this.speeds.predictAnswerMs(request),
+      neededTokens: this.dependencies.table.memories.predictTokens(request),
       parts: fields.promptParts,
       excluded: options.excluded,
       needsNewConnection: route.kind === "non-idempotent",
--- a/packages/router/src/replica_chooser.ts
+++ b/packages/router/src/replica_chooser.ts
@@ -7,8 +7,10 @@
 import * as contenders from "./contenders.ts";
 import * as prefixes from "./prefix_memory.ts";
 import * as queries from "./query_choice.ts";
+import type * as memories from "./engine_memories.ts";
 import * as groups from "./replica_group.ts";
 import * as members from "./replica_members.ts";
+import type * as speeds from "./replica_speeds.ts";
 import type * as tableOptions from "./replica_table_options.ts";
 
 /** With fewer usable replicas in a sample, all are looked at. */
@@ -27,18 +29,11 @@
     | "onFullScan"
   > {
   readonly members: members.ReplicaMembers;
+  readonly speeds: speeds.ReplicaSpeeds;
+  readonly memories: memories.EngineMemories;
   readonly find: (replicaKey: number) => groups.ReplicaState | undefined;
 }
 
-/** A chosen replica, with the inputs of the choice for the log. */
-export interface PickedReplica {
-  readonly state: groups.ReplicaState;
-  /** Prompt tokens that are probably cached at the replica. */
-  readonly cachedTokens: number;
-  /** Number of replicas that were considered. */
-  readonly candidates: number;
-}
-
 interface Candidate extends decisions.ReplicaCandidate {
   readonly state: groups.ReplicaState;
 }
@@ -52,7 +47,7 @@
   }
 
   /** Picks a replica of the preferred version, or else of another permitted one. */
-  pick(request: groups.PlacementRequest): PickedReplica | undefined {
+  pick(request: groups.PlacementRequest): groups.PickedReplica | undefined {
     const asked = this.#listAsked(request);
     const first = groups.findFirstGroup(asked, request, this.#options);
     const group = first.length > 0 ? first : this.#findGroup(request);
@@ -134,7 +129,7 @@
   #choose(
     states: readonly groups.ReplicaState[],
     request: groups.PlacementRequest,
-  ): PickedReplica | undefined {
+  ): groups.PickedReplica | undefined {
     const candidates = states.map((state) =>
       this.#buildCandidate(state, request)
     );
@@ -157,6 +152,7 @@
       prefillMsPerToken: request.prefillMsPerToken,
       maxGapMs: request.maxGapMs,
       remainingTargetMs: request.remainingTargetMs,
+      answerMs: request.answerMs,
       affinityKey: sharedPrefix.key === undefined
         ? undefined
         : prefixes.buildCacheKey(request.model, sharedPrefix.key),
@@ -184,12 +180,12 @@
         request,
         this.#options.prefixReuseWindowMs,
       ),
-      failureRate: Math.max(
-        state.health.failureRate,
-        decisions.estimateFailureRate(evidence),
+      memoryShare: this.#options.memories.readShare(
+        state,
+        request.neededTokens,
+        peerLoad,
       ),
-      meanLatencyMs: decisions.estimateMeanLatencyMs(evidence) ??
-        state.health.meanLatencyMs,
+      ...this.#options.speeds.compare(state, evidence, request.nowMs),
     };
   }
 }
--- a/packages/router/src/replica_chooser_test.ts
+++ b/packages/router/src/replica_chooser_test.ts
@@ -60,6 +60,8 @@
     promptTokens: 1_000,
     bodyBytes: 0,
     prefillMsPerToken: 0.025,
+    answerMs: 0,
+    neededTokens: 0,
     parts: [{ id: "shared", tokens: 800 }, { id: "own", tokens: 200 }],
     excluded: new Set(),
     needsNewConnection: false,
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -10,8 +10,10 @@
 import * as choosers from "./replica_chooser.ts";
 import * as members from "./replica_members.ts";
 import type * as tableOptions from "./replica_table_options.ts";
+import * as memories from "./engine_memories.ts";
 import * as prefixes from "./prefix_memory.ts";
 import * as scans from "./service_scan.ts";
+import * as speeds from "./replica_speeds.ts";
 
 /** Time in which a replica is avoided after an attempt that it did not run. */
 const AVOID_BUSY_MS = 150;
@@ -25,6 +27,8 @@
 
 /** The replicas of all services. */
 export class ReplicaTable {
+  readonly speeds: speeds.ReplicaSpeeds;
+  readonly memories: memories.EngineMemories;
   readonly #options: tableOptions.ReplicaTableOptions;
   readonly #states = new Map<string, groups.ReplicaState>();
   readonly #stateByKey = new Map<number, groups.ReplicaState>();
@@ -43,12 +47,16 @@
 
   constructor(options: tableOptions.ReplicaTableOptions) {
     this.#options = options;
+    this.speeds = new speeds.ReplicaSpeeds(this, options);
+    this.memories = new memories.EngineMemories(options);
     this.#members = new members.ReplicaMembers((dataCentre) =>
       options.isEvacuated?.(dataCentre) ?? false
     );
     this.#chooser = new choosers.ReplicaChooser({
       ...options,
       members: this.#members,
+      speeds: this.speeds,
+      memories: this.memories,
       find: (key) => this.#stateByKey.get(key),
     });
   }
@@ -159,7 +167,7 @@
   }
 
   /** Picks a replica of the preferred version, or else of another permitted one. */
-  pick(request: groups.PlacementRequest): choosers.PickedReplica | undefined {
+  pick(request: groups.PlacementRequest): groups.PickedReplica | undefined {
     return this.#chooser.pick(request);
   }
 
@@ -274,6 +282,7 @@
   /** Sets the services' connection limits, which may arrive after their replicas. */
   setServices(services: ReadonlyMap<string, bundle.RouteTableService>): void {
     this.#services = services;
+    this.memories.setServices(services);
     this.#updateConnectionLimits();
   }
 
--- a/packages/router/src/room_gate_test.ts
+++ b/packages/router/src/room_gate_test.ts
@@ -18,6 +18,12 @@
   const state = {
     clock,
     backlogMs: 0,
+    speedFactor: 1,
+    memory: {
+      heldTokens: 0,
+      runningRequests: 0,
+      capacityTokens: undefined,
+    } as decisions.EngineMemory,
     hasEngine: true,
     isStopping: false,
     isRefused: false,
@@ -57,6 +63,8 @@
     table: {
       find: createReplica,
       listActive: () => state.keys.map(createReplica),
+      speeds: { readFactor: () => state.speedFactor },
+      memories: { read: () => state.memory },
     } as unknown as gates.RoomGateOptions["table"],
     fleet: {
       readLoad: () => ({
@@ -95,6 +103,7 @@
     return gate.enter(request, {
       hasBeenSent: options.hasBeenSent ?? false,
       prefillMs: options.prefillMs,
+      neededTokens: 1_000,
       queryLoads: (askedKeys) => {
         const batch = state.batches.find((keys) =>
           keys.every((key) => !askedKeys.has(key))
@@ -257,3 +266,30 @@
   const { keys } = await enter(0, { prefillMs: 20 });
   t.deepEqual([...keys], [1, 2, 3, 4, 5, 6, 7, 8, 9]);
 });
+
+test("the backlog of a slow replica counts by the time that it takes there", async (t) => {
+  const { state, enter } = createGate();
+  state.batches = [[1, 2, 3], [4, 5, 6]];
+  for (let key = 1; key <= 3; key += 1) state.ownMs.set(key, 100);
+  t.is((await enter(0, { prefillMs: 15 })).keys.size, 3);
+  state.speedFactor = 3;
+  t.is((await enter(0, { prefillMs: 15 })).keys.size, 6);
+});
+
+test("where the memory of engines is short, it counts like slots", async (t) => {
+  const { state, enter } = createGate();
+  await learnMean(enter);
+  const held = { heldTokens: 40_000, runningRequests: 20 };
+  state.memory = { ...held, capacityTokens: 50_000 };
+  state.questions = 0;
+  await enter(1, { prefillMs: 800 });
+  t.is(state.questions, 1);
+  // Two requests of mean size more than fit, and then room again.
+  state.memory = { ...held, capacityTokens: 37_000 };
+  state.onSleep = () => {
+    state.memory = { ...held, capacityTokens: 50_000 };
+  };
+  await enter(1, { prefillMs: 800 });
+  t.is(state.logged.at(-1)?.["sentAs"], "no-shortage");
+  t.is(state.logged.at(-1)?.["reason"], "above-ceiling");
+});
