--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -4,6 +4,7 @@
  */
 export * from "./caller_resources.ts";
 export * from "./decision_log.ts";
+export * from "./descriptor_sink.ts";
 export * from "./ports.ts";
 export * from "./replica_table.ts";
 export * from "./request_guard.ts";
