An answer of the store that never ends is cut off

Cause: the stores' clients bounded heads and silence only.

Change: kernel.boundAnswers closes a connection that has received more than 16 MB (our own store: 32 MB) since a request was sent on it; the list of VMs and the ratings, too.

What callers see: nothing; the store counts as unavailable.

--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -1,4 +1,5 @@
 /** Stand-ins for the outside systems that jackdawbank uses. */
+export * from "./endless_bytes.ts";
 export * from "./engine.ts";
 export * from "./listen.ts";
 export * from "./order_service.ts";
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -1,4 +1,5 @@
 /** The kernel: the base of every process and plug-in. */
+export * from "./answer_bound.ts";
 export * from "./clock.ts";
 export * from "./errors.ts";
 export * from "./kernel.ts";
--- a/packages/store/src/etcd_store.ts
+++ b/packages/store/src/etcd_store.ts
@@ -9,6 +9,8 @@
 import type * as stores from "./store.ts";
 
 const DEFAULT_TIMEOUT_MS = 1_000;
+/** Longest answer of the store; one with more is taken for endless. */
+const MAX_ANSWER_BYTES = 32 * 1_048_576;
 const MAX_WATCH_BUFFER_CHARS = 8 * 1_048_576;
 
 const keyValueSchema = z.object({
@@ -64,7 +66,13 @@
   readonly #timeoutMs: number;
 
   constructor(url: string, timeoutMs = DEFAULT_TIMEOUT_MS) {
-    this.#client = new undici.Pool(url, { connections: 8 });
+    this.#client = new undici.Pool(url, {
+      connections: 8,
+      connect: kernel.boundAnswers(
+        undici.buildConnector({}),
+        MAX_ANSWER_BYTES,
+      ),
+    });
     this.#timeoutMs = timeoutMs;
   }
 
--- a/packages/store/src/ratings.ts
+++ b/packages/store/src/ratings.ts
@@ -5,6 +5,8 @@
 import * as z from "zod";
 
 const REQUEST_TIMEOUT_MS = 1_000;
+/** Longest answer; one with more is taken for endless. */
+const MAX_ANSWER_BYTES = 16 * 1_048_576;
 
 const ratingSchema = z.object({
   /** Sequence number; clients request the ratings after a given number. */
@@ -27,7 +29,13 @@
   readonly #client: undici.Pool;
 
   constructor(url: string) {
-    this.#client = new undici.Pool(url, { connections: 1 });
+    this.#client = new undici.Pool(url, {
+      connections: 1,
+      connect: kernel.boundAnswers(
+        undici.buildConnector({}),
+        MAX_ANSWER_BYTES,
+      ),
+    });
   }
 
   async readAfter(number: number): Promise<kernel.Outcome<readonly Rating[]>> {
--- a/packages/store/src/vm_list.ts
+++ b/packages/store/src/vm_list.ts
@@ -24,6 +24,8 @@
 export type Vm = z.infer<typeof vmSchema>;
 
 const REQUEST_TIMEOUT_MS = 1_000;
+/** Longest answer; one with more is taken for endless. */
+const MAX_ANSWER_BYTES = 16 * 1_048_576;
 
 function decodeVms(entries: readonly unknown[]): readonly Vm[] {
   return entries.flatMap((entry) => {
@@ -42,7 +44,13 @@
   readonly #client: undici.Pool;
 
   constructor(url: string) {
-    this.#client = new undici.Pool(url, { connections: 1 });
+    this.#client = new undici.Pool(url, {
+      connections: 1,
+      connect: kernel.boundAnswers(
+        undici.buildConnector({}),
+        MAX_ANSWER_BYTES,
+      ),
+    });
   }
 
   async read(): Promise<kernel.Outcome<readonly Vm[]>> {
