Metrics, readiness and relay listeners leave an entry its descriptors

Cause: 300 idle connections each to the metrics and the readiness address took an entry to 624 descriptors of 400 (test first); nothing bounded them, nor what is not read.

Change: createSideServer, with the callers' connections: few of them, the longest idle gives way, one request at a time, closed when nothing moves.

What callers see: nothing.

Not shown by a test: the relay listener, whose server is the same.

--- a/packages/bench/src/memory_fault_test.ts
+++ b/packages/bench/src/memory_fault_test.ts
@@ -171,3 +171,29 @@
     t.true(peakHeldBytes <= MAX_HELD_BY_REPLICA_BYTES);
   });
 });
+
+test("connections to the metrics and the readiness address leave an entry its other descriptors", async (t) => {
+  const limits = { ...LIMITS, fileDescriptors: 400 };
+  await withSmallMachine(limits, async (machine) => {
+    for (const crowd of [machine.metricsCrowd, machine.readinessCrowd]) {
+      await crowd.send(150, []);
+      await crowd.send(150, [
+        `GET / HTTP/1.1\r\nx-long: ${"x".repeat(6 * KB)}`,
+      ]);
+    }
+    await memory.settle();
+    await memory.assertWithinLimits(t, machine, limits);
+    t.is(await machine.callLargest(), 200);
+  });
+});
+
+test("metrics that nobody reads do not end an entry", (t) =>
+  withSmallMachine(LIMITS, async (machine) => {
+    const request = `GET ${memory.METRICS_PATH} HTTP/1.1\r\nhost: a\r\n\r\n`;
+    await machine.metricsCrowd.send(150, [request.repeat(200)], {
+      readsAnswers: false,
+    });
+    await memory.settle();
+    await memory.assertWithinLimits(t, machine, LIMITS);
+    t.is(await machine.callLargest(), 200);
+  }));
--- a/packages/bench/src/memory_harness.ts
+++ b/packages/bench/src/memory_harness.ts
@@ -29,6 +29,7 @@
 const ROUTE_TIMEOUT_MS = 10_000;
 /** Ends a crowd that is neither served nor cut off. */
 const CROWD_TIMEOUT_MS = 40_000;
+export const METRICS_PATH = "/metrics";
 const SAMPLE_INTERVAL_MS = 20;
 /** A crowd that causes no further request for this time has done its part. */
 const SETTLE_MS = 1_500;
@@ -173,6 +174,9 @@
   readonly entry: processes.TestProcess;
   readonly usage: ProcessUsage;
   readonly crowd: Crowd;
+  /** Crowds at the other listeners of the entry. */
+  readonly metricsCrowd: Crowd;
+  readonly readinessCrowd: Crowd;
   readonly desk: fakes.FakeReplica;
   readonly engine: fakes.FakeReplica;
   readonly #store: fakes.FakePlatformStore;
@@ -184,6 +188,8 @@
   private constructor(parts: {
     readonly entry: processes.TestProcess;
     readonly callersPort: number;
+    readonly metricsPort: number;
+    readonly readinessPort: number;
     readonly store: fakes.FakePlatformStore;
     readonly desk: fakes.FakeReplica;
     readonly engine: fakes.FakeReplica;
@@ -192,6 +198,8 @@
     this.entry = parts.entry;
     this.usage = new ProcessUsage(parts.entry.pid);
     this.crowd = new Crowd(parts.callersPort);
+    this.metricsCrowd = new Crowd(parts.metricsPort);
+    this.readinessCrowd = new Crowd(parts.readinessPort);
     this.desk = parts.desk;
     this.engine = parts.engine;
     this.#store = parts.store;
@@ -237,6 +245,8 @@
       },
     }));
     const callersPort = await findFreePort();
+    const metricsPort = await findFreePort();
+    const readinessPort = await findFreePort();
     const settingsPath = path.join(folder, "settings.toml");
     const contracts = limits.hasReplicaMemoryLimit === true
       ? 'contracts = ["pressure"]\n'
@@ -244,7 +254,7 @@
     // How old a confirmed configuration may be would depend on the machine's speed.
     const settings = fakes.samples.renderSettings({
       callers: callersPort,
-      readiness: await findFreePort(),
+      readiness: readinessPort,
       store: storePort,
     }).replace("strictRevocation = true", "strictRevocation = false");
     fs.writeFileSync(
@@ -255,7 +265,7 @@
     const entry = await processes.TestProcess.start(
       "platform-entry",
       "jackdawd",
-      ["platform-entry"],
+      ["platform-entry", "--metrics", `${metricsPort}${METRICS_PATH}`],
       {
         ...fakes.samples.buildEnvironment(settingsPath),
         NODE_OPTIONS: `--max-old-space-size=${HEAP_LIMIT_MB}`,
@@ -264,6 +274,8 @@
     const machine = new SmallMachine({
       entry,
       callersPort,
+      metricsPort,
+      readinessPort,
       store,
       desk,
       engine,
@@ -329,6 +341,8 @@
 
   async close(): Promise<void> {
     this.crowd.close();
+    this.metricsCrowd.close();
+    this.readinessCrowd.close();
     this.usage.close();
     clearInterval(this.#holdTimer);
     await this.entry.kill();
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -14,6 +14,8 @@
 
 export interface CallerConnectionsOptions {
   readonly maxConnections: number;
+  /** Requests of one connection without a complete response. */
+  readonly maxRequests?: number;
   readonly onOpened: () => void;
   readonly onClosed: () => void;
   /** Called for each connection that is closed because of a limit. */
@@ -75,7 +77,8 @@
   startRequest(socket: net.Socket, onClosed: () => void): boolean {
     const state = this.#states.get(socket);
     if (state === undefined) return !socket.destroyed;
-    if (state.onClosed.size >= MAX_PIPELINED_REQUESTS) {
+    const { maxRequests = MAX_PIPELINED_REQUESTS } = this.#options;
+    if (state.onClosed.size >= maxRequests) {
       this.#refusePipelined(socket);
       return false;
     }
--- a/packages/router/src/control_relay.ts
+++ b/packages/router/src/control_relay.ts
@@ -3,8 +3,9 @@
  * themselves. It keeps the latest changes and answers long polls over HTTP; how
  * current the answers are is not said here but in the peers' reports.
  */
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as ports from "./ports.ts";
+import * as sides from "./side_listener.ts";
 import * as telemetry from "./telemetry.ts";
 
 /** Changes with more items in total are not kept; who needs them asks the control plane. */
@@ -13,6 +14,8 @@
 const MAX_ANSWER_CHARS = 32_768;
 const MAX_WAIT_MS = 30_000;
 const MAX_CONNECTIONS = 256;
+/** Longer than the longest poll. */
+const IDLE_TIMEOUT_MS = MAX_WAIT_MS + 10_000;
 /** Changes with the layout of the answers, so that other builds are not asked. */
 const PATH = "/changes/1";
 const HTTP_OK = 200;
@@ -73,10 +76,10 @@
 
   constructor(options: ControlRelayOptions) {
     this.#options = options;
-    this.#server = http.createServer((request, response) =>
-      this.#handleRequest(request, response)
+    this.#server = sides.createSideServer(
+      { maxConnections: MAX_CONNECTIONS, idleTimeoutMs: IDLE_TIMEOUT_MS },
+      (request, response) => this.#handleRequest(request, response),
     );
-    this.#server.maxConnections = MAX_CONNECTIONS;
   }
 
   listen(address: ports.Address): Promise<number> {
@@ -116,7 +119,6 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
-    request.resume();
     const host = request.socket.remoteAddress ?? "";
     if (!this.#options.isPeerHost(host.replace(/^::ffff:/, ""))) {
       return this.#refuse(response, HTTP_FORBIDDEN);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,5 +1,5 @@
 /** Creates and connects the components of a router, and shuts them down in order. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import * as kernel from "@jackdawbank/kernel";
 import type * as peers from "@jackdawbank/peers";
 import * as admissions from "./admission.ts";
@@ -17,6 +17,7 @@
 import * as replicas from "./replica_table.ts";
 import * as rollouts from "./rollout_task.ts";
 import * as sessions from "./sessions.ts";
+import * as sides from "./side_listener.ts";
 import * as shutdowns from "./shutdown.ts";
 import * as telemetry from "./telemetry.ts";
 import * as watchdogs from "./watchdog.ts";
@@ -234,8 +235,9 @@
       telemetry: this.#telemetry,
       processLimits: settings,
     });
-    this.#readiness = http.createServer((request, response) =>
-      this.#handleReadinessRequest(request, response)
+    this.#readiness = sides.createSideServer(
+      sides.READINESS_LIMITS,
+      (request, response) => this.#handleReadinessRequest(request, response),
     );
     this.#metrics = options.metrics &&
       new telemetry.MetricsServer(
--- a/packages/router/src/telemetry.ts
+++ b/packages/router/src/telemetry.ts
@@ -1,7 +1,8 @@
 /** Prometheus counters, gauges and latency histograms of a router. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import * as prom from "prom-client";
 import type * as ports from "./ports.ts";
+import * as sides from "./side_listener.ts";
 
 /** Histogram buckets, from fast buffered responses to long streams. */
 const LATENCY_BUCKETS_S = [
@@ -110,17 +111,20 @@
   readonly #server: http.Server;
 
   constructor(telemetry: Telemetry, path: string, refresh: () => void) {
-    this.#server = http.createServer((request, response) => {
-      if (request.url !== path) {
-        response.writeHead(HTTP_NOT_FOUND).end();
-        return;
-      }
-      refresh();
-      void telemetry.render().then((text) => {
-        response.writeHead(HTTP_OK, { "content-type": "text/plain" });
-        response.end(text);
-      });
-    });
+    this.#server = sides.createSideServer(
+      sides.METRICS_LIMITS,
+      (request, response) => {
+        if (request.url !== path) {
+          response.writeHead(HTTP_NOT_FOUND).end();
+          return;
+        }
+        refresh();
+        void telemetry.render().then((text) => {
+          response.writeHead(HTTP_OK, { "content-type": "text/plain" });
+          response.end(text);
+        });
+      },
+    );
   }
 
   listen(address: ports.Address): Promise<number> {
