What peers' datagrams name takes a bounded memory

Reports under forged names and of ever new services were bounded already.

Change: the rankings and the reports keep 4,096 entries, the newest.

What callers see: nothing.

--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -19,6 +19,8 @@
 /** Lifetime of the reported counts of requests in flight; repeated like loads. */
 const RUNNING_TTL_MS = 3_000;
 const MAX_FORMER_PEERS = 4_096;
+/** Senders whose reports are kept, those of ended announcements included. */
+const MAX_REPORTS = 4_096;
 /** A report is accepted regardless of its number after a silence longer than this. */
 const RESTART_DETECTION_MS = 3_500;
 
@@ -137,9 +139,13 @@
       (wasSilent ? undefined : this.#formerHosts.get(report.name));
     if (knownHost !== host) return false;
     if (!wasSilent && !isNewer(report, previous.report)) return false;
+    this.#received.delete(report.name);
     this.#received.set(report.name, { report, atMs: nowMs });
+    decisions.trimOldest(this.#received, MAX_REPORTS);
     if (report.running !== undefined) {
+      this.#running.delete(report.name);
       this.#running.set(report.name, { counts: report.running, atMs: nowMs });
+      decisions.trimOldest(this.#running, MAX_REPORTS);
     }
     this.#totalsExpireAtMs = -Infinity;
     return true;
--- a/packages/peers/src/replica_owners.ts
+++ b/packages/peers/src/replica_owners.ts
@@ -8,6 +8,8 @@
 
 /** Owner and deputy. */
 const RANKED_PROCESSES = 2;
+/** Bounds the memory for keys of replicas that no longer exist, or never did. */
+const MAX_RANKINGS = 4_096;
 
 /** Owners by replica, from the announced peers. */
 export class ReplicaOwners {
@@ -76,6 +78,7 @@
       String(replicaKey),
     ).slice(0, RANKED_PROCESSES);
     this.#rankingByReplica.set(replicaKey, ranking);
+    decisions.trimOldest(this.#rankingByReplica, MAX_RANKINGS);
     return ranking;
   }
 }
