--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -60,7 +60,7 @@
   #reporter: peers.PeerReporter | undefined;
   #loads: peers.LoadExchange | undefined;
   #prompts: peers.PromptExchange | undefined;
-  readonly #owners: peers.ReplicaOwners;
+  readonly owners: peers.ReplicaOwners;
   readonly #rates: peers.RateExchange;
   #rateChannel: peers.PeerChannel | undefined;
   #lease: ports.PeerLease | undefined;
@@ -72,11 +72,11 @@
   constructor(options: FleetOptions) {
     this.#options = options;
     const { settings, clock, random } = options;
-    this.#owners = new peers.ReplicaOwners(settings.vmName);
+    this.owners = new peers.ReplicaOwners(settings.vmName);
     this.#rates = new peers.RateExchange({
       name: settings.vmName,
       clock,
-      owners: this.#owners,
+      owners: this.owners,
       random,
       cold: {
         ...options.cold,
@@ -93,10 +93,6 @@
     return this.#loads;
   }
 
-  get owners(): peers.ReplicaOwners {
-    return this.#owners;
-  }
-
   /** Number of announced processes, including this one. */
   get size(): number {
     return 1 + (this.#reporter?.table.size ?? 0);
@@ -127,7 +123,7 @@
       name: settings.vmName,
       clock,
       channel: channels.loads,
-      owners: this.#owners,
+      owners: this.owners,
       source: {
         readLoad: (key) => source.readOwnLoad(key),
         listReplicaKeys: () => source.listReplicaKeys(),
@@ -143,8 +139,8 @@
       name: settings.vmName,
       clock,
       channel: channels.prompts,
-      listPeers: () => this.#owners.list(),
-      findSender: (name, host) => this.#owners.findSender(name, host),
+      listPeers: () => this.owners.list(),
+      findSender: (name, host) => this.owners.findSender(name, host),
       listTallies: () => source.listPromptTallies(),
       onTallies: (message) => listener.onPromptTallies(message),
     });
@@ -183,7 +179,7 @@
     const previous = this.#peers.get(peer.name);
     this.#peers.set(peer.name, peer);
     this.#reporter?.table.put(peer);
-    this.#owners.put(peer);
+    this.owners.put(peer);
     if (previous?.host === peer.host && previous.port === peer.port) return;
     this.#options.log.addNotable("peer.known", {
       ...peer,
@@ -196,7 +192,7 @@
     const { settings, log, onSizeChange } = this.#options;
     this.#peers.delete(name);
     this.#reporter?.table.remove(name);
-    this.#owners.remove(name);
+    this.owners.remove(name);
     log.addNotable("peer.gone", { name, processes: this.size });
     onSizeChange(this.size);
     if (name !== settings.vmName) return;
@@ -221,7 +217,7 @@
 
   /** Whether a host is that of an announced process. */
   isPeerHost(host: string): boolean {
-    return this.#owners.list().some((peer) => peer.host === host);
+    return this.owners.list().some((peer) => peer.host === host);
   }
 
   /** Tells the replica's owner that this process's load there has changed. */
@@ -251,12 +247,10 @@
     const reported = this.#reporter?.readLoad(replicaKey) ?? peers.NO_LOAD;
     const own = this.#options.source.readOwnLoad(replicaKey);
     return {
+      // Reports to all leave the other fields out.
+      ...decisions.NO_LOAD_STATE,
       running: Math.max(0, reported.running - own.running),
       pendingMs: Math.max(0, reported.pendingMs - own.pendingMs),
-      // Reports to all leave these out.
-      heldTokens: 0,
-      heldBytes: 0,
-      silentMs: Infinity,
       evidence: this.#loads?.readEvidence(replicaKey) ?? decisions.NO_EVIDENCE,
     };
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -235,9 +235,8 @@
       telemetry: this.#telemetry,
       processLimits: settings,
     });
-    this.#readiness = sides.createSideServer(
-      sides.READINESS_LIMITS,
-      (request, response) => this.#handleReadinessRequest(request, response),
+    this.#readiness = sides.createReadinessServer((request, response) =>
+      this.#handleReadinessRequest(request, response)
     );
     this.#metrics = options.metrics &&
       new telemetry.MetricsServer(
--- a/packages/router/src/side_listener.ts
+++ b/packages/router/src/side_listener.ts
@@ -22,7 +22,7 @@
 }
 
 /** Probes and scrapes are few; a scrape that is not read is given up. */
-export const READINESS_LIMITS: SideListenerOptions = {
+const READINESS_LIMITS: SideListenerOptions = {
   maxConnections: 64,
   idleTimeoutMs: 60_000,
 };
@@ -60,3 +60,10 @@
   server.setTimeout(options.idleTimeoutMs);
   return server;
 }
+
+/** Creates the server of the readiness probe. */
+export function createReadinessServer(
+  handle: http.RequestListener,
+): http.Server {
+  return createSideServer(READINESS_LIMITS, handle);
+}
