The place of a process among a replica's is kept, as its share is asked for often

Cause: while owners are silent, the share of bodies ranked all processes for each replica of each choice.

--- a/packages/peers/src/replica_owners.ts
+++ b/packages/peers/src/replica_owners.ts
@@ -17,6 +17,8 @@
   readonly #peers = new Map<string, tables.PeerEndpoint>();
   /** Names of owner and deputy by replica key; emptied when peers change. */
   readonly #rankingByReplica = new Map<number, readonly string[]>();
+  /** The same for places of this process; only few are asked for. */
+  readonly #ownRankByReplica = new Map<number, number>();
 
   constructor(self: string) {
     this.#self = self;
@@ -24,12 +26,12 @@
 
   put(endpoint: tables.PeerEndpoint): void {
     if (endpoint.name === this.#self) return;
-    if (!this.#peers.has(endpoint.name)) this.#rankingByReplica.clear();
+    if (!this.#peers.has(endpoint.name)) this.#forgetRankings();
     this.#peers.set(endpoint.name, endpoint);
   }
 
   remove(name: string): void {
-    if (this.#peers.delete(name)) this.#rankingByReplica.clear();
+    if (this.#peers.delete(name)) this.#forgetRankings();
   }
 
   /** Endpoint of a replica's owner, or `undefined` if this process owns it. */
@@ -53,10 +55,15 @@
 
   /** Place of this process in a replica's order of all processes, 0 for its owner. */
   findOwnRank(replicaKey: number): number {
-    return decisions.rankByRendezvous(
+    const known = this.#ownRankByReplica.get(replicaKey);
+    if (known !== undefined) return known;
+    const rank = decisions.rankByRendezvous(
       [this.#self, ...this.#peers.keys()],
       String(replicaKey),
     ).indexOf(this.#self);
+    this.#ownRankByReplica.set(replicaKey, rank);
+    decisions.trimOldest(this.#ownRankByReplica, MAX_RANKINGS);
+    return rank;
   }
 
   /** All announced peers. */
@@ -70,6 +77,11 @@
     return peer?.host === host ? peer : undefined;
   }
 
+  #forgetRankings(): void {
+    this.#rankingByReplica.clear();
+    this.#ownRankByReplica.clear();
+  }
+
   #rank(replicaKey: number): readonly string[] {
     const known = this.#rankingByReplica.get(replicaKey);
     if (known !== undefined) return known;
