--- a/packages/upstream/src/http_backends.ts
+++ b/packages/upstream/src/http_backends.ts
@@ -256,16 +256,22 @@
     body: undici.Dispatcher.ResponseData["body"],
     sink: backends.ResponseSink,
   ): Promise<kernel.Outcome<mesh.Usage>> {
-    const data = await body.bytes();
-    if (data.byteLength > MAX_BUFFERED_RESPONSE_BYTES) {
-      return kernel.fail(
-        "upstream-failed",
-        "the upstream's response is larger than 32 MiB",
-      );
+    const chunks: Uint8Array[] = [];
+    let byteCount = 0;
+    for await (const chunk of body) {
+      chunks.push(chunk as Uint8Array);
+      byteCount += (chunk as Uint8Array).byteLength;
+      if (byteCount > MAX_BUFFERED_RESPONSE_BYTES) {
+        return kernel.fail(
+          "upstream-failed",
+          "the upstream's response is larger than 32 MiB",
+        );
+      }
     }
+    const data = Buffer.concat(chunks);
     await sendInChunks(data, sink);
     return neverthrow.ok(
-      readUsage(parseJson(Buffer.from(data).toString())) ?? NO_USAGE,
+      readUsage(parseJson(data.toString())) ?? NO_USAGE,
     );
   }
 
--- a/packages/upstream/src/http_backends_test.ts
+++ b/packages/upstream/src/http_backends_test.ts
@@ -6,6 +6,9 @@
 import * as httpBackends from "./http_backends.ts";
 
 const test = ava.default;
+const MB = 1_048_576;
+/** Above the largest answer that is read, with what both ends buffer. */
+const MAX_TAKEN_BYTES = 48 * MB;
 const SINK = { onHead: () => {}, onChunk: () => Promise.resolve() };
 
 interface CountingServer {
@@ -202,3 +205,35 @@
     t.is((await runServiceCall(backend)).body, `answer ${call}`);
   }
 });
+
+test("a model's whole answer that never ends is given up", async (t) => {
+  let takenBytes = 0;
+  const server = http.createServer((request, response) => {
+    request.resume();
+    const block = Buffer.alloc(MB, " ");
+    const writeMore = () => {
+      while (!response.destroyed && takenBytes <= 2 * MAX_TAKEN_BYTES) {
+        takenBytes += block.length;
+        if (!response.write(block)) return;
+      }
+      // A client without a bound would take all memory.
+      response.destroy();
+    };
+    response.on("drain", writeMore);
+    writeMore();
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as net.AddressInfo;
+  const backend = new httpBackends.ModelBackend(`http://127.0.0.1:${port}`);
+  t.teardown(async () => {
+    await backend.close();
+    server.closeAllConnections();
+    server.close();
+  });
+  const result = await runModelCall(backend, undefined);
+  t.is(result._unsafeUnwrapErr().kind, "upstream-failed");
+  t.log(`${takenBytes} bytes`);
+  t.true(takenBytes <= MAX_TAKEN_BYTES);
+});
