--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -21,6 +21,8 @@
 /** Time for which sums over more than `MAX_RECEIVERS` peers are used, whatever is heard meanwhile. */
 const TOTALS_REUSE_MS = 100;
 const MAX_FORMER_PEERS = 4_096;
+/** Senders whose reports are kept, those of ended announcements included. */
+const MAX_REPORTS = 4_096;
 /** A report is accepted regardless of its number after a silence longer than this. */
 const RESTART_DETECTION_MS = 3_500;
 
@@ -140,9 +142,13 @@
       (wasSilent ? undefined : this.#formerHosts.get(report.name));
     if (knownHost !== host) return false;
     if (!wasSilent && !isNewer(report, previous.report)) return false;
+    this.#received.delete(report.name);
     this.#received.set(report.name, { report, atMs: nowMs });
+    decisions.trimOldest(this.#received, MAX_REPORTS);
     if (report.running !== undefined) {
+      this.#running.delete(report.name);
       this.#running.set(report.name, { counts: report.running, atMs: nowMs });
+      decisions.trimOldest(this.#running, MAX_REPORTS);
     }
     const reuseMs = this.#received.size > MAX_RECEIVERS ? TOTALS_REUSE_MS : 0;
     this.#totalsExpireAtMs = Math.min(
--- a/packages/peers/src/replica_owners.ts
+++ b/packages/peers/src/replica_owners.ts
@@ -8,6 +8,7 @@
 
 /** Owner and deputy. */
 const RANKED_PROCESSES = 2;
+/** Bounds the memory for keys of replicas that no longer exist, or never did. */
 const MAX_RANKED_REPLICAS = 16_384;
 
 /** Owners by replica, from the announced peers. */
@@ -19,6 +20,8 @@
     number,
     readonly decisions.RankedMember[]
   >();
+  /** The same for places of this process; only few are asked for. */
+  readonly #ownRankByReplica = new Map<number, number>();
 
   constructor(self: string) {
     this.#self = self;
@@ -27,12 +30,14 @@
   put(endpoint: tables.PeerEndpoint): void {
     if (endpoint.name === this.#self) return;
     const isNew = !this.#peers.has(endpoint.name);
+    if (isNew) this.#ownRankByReplica.clear();
     this.#peers.set(endpoint.name, endpoint);
     if (isNew) this.#rankNewPeer(endpoint.name);
   }
 
   remove(name: string): void {
     if (!this.#peers.delete(name)) return;
+    this.#ownRankByReplica.clear();
     for (const [key, ranking] of this.#rankingByReplica) {
       if (ranking.some(({ id }) => id === name)) {
         this.#rankingByReplica.delete(key);
@@ -61,10 +66,15 @@
 
   /** Place of this process in a replica's order of all processes, 0 for its owner. */
   findOwnRank(replicaKey: number): number {
-    return decisions.rankByRendezvous(
+    const known = this.#ownRankByReplica.get(replicaKey);
+    if (known !== undefined) return known;
+    const rank = decisions.rankByRendezvous(
       [this.#self, ...this.#peers.keys()],
       String(replicaKey),
     ).indexOf(this.#self);
+    this.#ownRankByReplica.set(replicaKey, rank);
+    decisions.trimOldest(this.#ownRankByReplica, MAX_RANKED_REPLICAS);
+    return rank;
   }
 
   /** All announced peers. */
