Explain: where a request would go now, and why, without sending it

Cause: an operator who asks why a request goes elsewhere, waits or is refused has only the log of requests that were sent.

Change: POST /explain on the metrics address of an entry, and `jackdawctl explain` as its client. Admission, refusals, room and the choice of a replica are asked by the code that a send uses: Dispatcher.preview, RoomGate.preview, ReplicaTable.weigh, and costReplicas, which now keeps the terms of a predicted cost apart. It asks no other process and records nothing. Accounts are given by name; no key or digest is in a question, an answer or a log line. Questions are bounded in size, number and time; bad ones name the field. attempt.sent tells the replica's data centre.

Callers are served as before.

--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -59,15 +59,32 @@
 /** Weight of the time by which a replica's mean latency exceeds the median. */
 const SLOWNESS_WEIGHT = 0.5;
 
-/** Predicted cost of sending a prompt to a replica. */
-export function predictCostMs(
+/** The parts of a predicted cost, in milliseconds. */
+export interface CostTerms {
+  /** Prefill of the tokens that are not cached there. */
+  readonly prefillMs: number;
+  /** Prompts that wait for prefill there. */
+  readonly pendingMs: number;
+  /** Delay of the running streams by this prompt. */
+  readonly streamsMs: number;
+  readonly runningMs: number;
+  readonly slotWaitMs: number;
+  readonly remoteMs: number;
+  readonly failuresMs: number;
+  readonly slownessMs: number;
+}
+
+interface CostContext {
+  readonly affinityReplicaId: string | undefined;
+  readonly medianLatencyMs: number;
+}
+
+/** Parts of the predicted cost of sending a prompt to a replica. */
+function predictCostTerms(
   candidate: ReplicaCandidate,
   placement: PromptPlacement,
-  context: {
-    readonly affinityReplicaId: string | undefined;
-    readonly medianLatencyMs: number;
-  },
-): number {
+  context: CostContext,
+): CostTerms {
   // Other processes prefer the same replica for this key, so the shared prefix is likely cached.
   const cachedTokens = context.affinityReplicaId === candidate.id
     ? Math.max(candidate.cachedTokens, placement.sharedTokens)
@@ -79,16 +96,31 @@
     (candidate.meanLatencyMs ?? context.medianLatencyMs) -
       context.medianLatencyMs,
   );
-  return uncachedTokens *
-      Math.max(placement.prefillMsPerToken, MIN_PREFILL_COST_MS_PER_TOKEN) +
-    candidate.pendingMs +
-    candidate.inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
-    candidate.inFlight * RUNNING_REQUEST_COST_MS *
-      (8 / Math.max(8, candidate.slots)) +
-    Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS +
-    (candidate.isLocal ? 0 : REMOTE_COST_MS) +
-    candidate.failureRate * FAILURE_COST_MS +
-    excessLatencyMs * SLOWNESS_WEIGHT;
+  const { inFlight, slots, isLocal } = candidate;
+  return {
+    prefillMs: uncachedTokens *
+      Math.max(placement.prefillMsPerToken, MIN_PREFILL_COST_MS_PER_TOKEN),
+    pendingMs: candidate.pendingMs,
+    streamsMs: inFlight * prefillMs * PREFILL_SHARE_PER_STREAM,
+    runningMs: inFlight * RUNNING_REQUEST_COST_MS * (8 / Math.max(8, slots)),
+    slotWaitMs: Math.max(0, inFlight + 1 - slots) * SLOT_WAIT_COST_MS,
+    remoteMs: isLocal ? 0 : REMOTE_COST_MS,
+    failuresMs: candidate.failureRate * FAILURE_COST_MS,
+    slownessMs: excessLatencyMs * SLOWNESS_WEIGHT,
+  };
+}
+
+/** Predicted cost of sending a prompt to a replica. */
+export function predictCostMs(
+  candidate: ReplicaCandidate,
+  placement: PromptPlacement,
+  context: CostContext,
+): number {
+  return sumTerms(predictCostTerms(candidate, placement, context));
+}
+
+function sumTerms(terms: CostTerms): number {
+  return Object.values(terms).reduce((sum: number, term) => sum + term, 0);
 }
 
 /** Lower median, so that the slower one of two candidates is recognised. */
@@ -152,13 +184,18 @@
   ];
 }
 
-/** Chooses the candidate with the lowest predicted cost; ties are broken at random. */
-export function chooseReplica<C extends ReplicaCandidate>(
+/** A candidate with its predicted cost. */
+export interface CostedReplica<C extends ReplicaCandidate> {
+  readonly candidate: C;
+  readonly costMs: number;
+  readonly terms: CostTerms;
+}
+
+/** Predicts the cost of each candidate of one choice. */
+export function costReplicas<C extends ReplicaCandidate>(
   candidates: readonly C[],
   placement: PromptPlacement,
-  random: () => number,
-): C | undefined {
-  if (candidates.length === 0) return undefined;
+): readonly CostedReplica<C>[] {
   const affinityReplicaId = placement.affinityKey === undefined
     ? undefined
     : hash.rankByRendezvous(
@@ -169,14 +206,26 @@
     affinityReplicaId,
     medianLatencyMs: findMedianLatencyMs(candidates),
   };
+  return candidates.map((candidate) => {
+    const terms = predictCostTerms(candidate, placement, context);
+    return { candidate, costMs: sumTerms(terms), terms };
+  });
+}
+
+/** Chooses the candidate with the lowest predicted cost; ties are broken at random. */
+export function chooseReplica<C extends ReplicaCandidate>(
+  candidates: readonly C[],
+  placement: PromptPlacement,
+  random: () => number,
+): C | undefined {
   let best: C | undefined;
   let lowestCostMs = Infinity;
-  for (const candidate of candidates) {
+  for (const { candidate, costMs } of costReplicas(candidates, placement)) {
     // Up to 1 ms of noise spreads requests over replicas of equal cost.
-    const costMs = predictCostMs(candidate, placement, context) + random();
-    if (costMs < lowestCostMs) {
+    const noisyCostMs = costMs + random();
+    if (noisyCostMs < lowestCostMs) {
       best = candidate;
-      lowestCostMs = costMs;
+      lowestCostMs = noisyCostMs;
     }
   }
   return best;
--- a/packages/jackdawctl/src/main.ts
+++ b/packages/jackdawctl/src/main.ts
@@ -2,6 +2,7 @@
 /** Command line of `jackdawctl`: its commands and their options. */
 import * as commander from "commander";
 import * as actions from "./actions.ts";
+import * as explaining from "./explain.ts";
 import * as flags from "./flags.ts";
 import * as keyFiles from "./key_files.ts";
 import * as output from "./output.ts";
@@ -117,6 +118,24 @@
     .option("--request <id>", "show only the events of this request").action(
       actions.showTimeline,
     );
+  flags.addJsonOption(program.command("explain")).description(
+    "show where a request would go now, and why, without sending it",
+  )
+    .requiredOption("--entry <host:port>", "metrics address of an entry")
+    .requiredOption("--host <name>", "host name of the request")
+    .requiredOption("--path <path>", "path of the request")
+    .option("--account <name>", "client account; no key is needed")
+    .option("--session <id>", "session of the request")
+    .option("--model <name>", "model; chosen by the entry if absent")
+    .option("--prompt-tokens <count>", "tokens of the prompt")
+    .option("--output-tokens <count>", "expected tokens of the answer")
+    .option(
+      "--parts <id:tokens,...>",
+      "parts of the prompt, the first one first",
+    )
+    .option("--body-bytes <count>", "bytes of the body")
+    .option("--deadline-ms <ms>", "time that the caller waits")
+    .action(explaining.explain);
   flags.addJsonOption(flags.addStoreOptions(program.command("usage")))
     .description(
       "show the stored usage by account and item",
--- a/packages/router/src/attempt_recorder.ts
+++ b/packages/router/src/attempt_recorder.ts
@@ -1,5 +1,7 @@
-/** Records the ends of attempts: in the log, the replica's health and the evidence on its version. */
+/** Records attempts and their ends: in the log, the replica's health and the evidence on its version. */
+import type * as decisions from "@jackdawbank/decisions";
 import type * as kernel from "@jackdawbank/kernel";
+import type * as control from "./control_task.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 import type * as replicas from "./replica_table.ts";
@@ -14,6 +16,7 @@
   readonly settings: Pick<ports.RouterSettings, "dataCentre">;
   readonly table: replicas.ReplicaTable;
   readonly rollouts: rollouts.RolloutTask;
+  readonly control: Pick<control.ControlTask, "routeIndex" | "viewAgeMs">;
   readonly log: logs.DecisionLog;
   readonly telemetry: telemetry.Telemetry;
 }
@@ -26,6 +29,44 @@
     this.#options = options;
   }
 
+  /** Logs a request that is sent now, with what decided its replica. */
+  logSent(
+    { requestId, route, account, fields }: requests.AdmittedRequest,
+    sent: {
+      readonly pick: replicas.PickedReplica;
+      readonly model: string | undefined;
+      readonly earlierSends: number;
+      readonly rolloutTarget: string | undefined;
+      readonly peerLoad: decisions.ReplicaLoadState;
+      readonly leftMs: number;
+    },
+  ): void {
+    const { log, control } = this.#options;
+    const { state, candidates, cachedTokens } = sent.pick;
+    log.addRoutine("attempt.sent", {
+      requestId,
+      route: route.name,
+      account: account?.name,
+      replica: state.entry.id,
+      dataCentre: state.entry.dataCentre,
+      version: state.entry.version,
+      model: sent.model,
+      earlierSends: sent.earlierSends,
+      promptTokens: fields.promptTokens,
+      candidates,
+      cachedTokens,
+      inFlight: state.inFlight,
+      pendingMs: Math.round(state.pendingMs),
+      peerPendingMs: Math.round(sent.peerLoad.pendingMs),
+      peerRunning: sent.peerLoad.running,
+      session: fields.session,
+      rolloutTarget: sent.rolloutTarget,
+      tableRevision: control.routeIndex?.table.revision,
+      viewAgeMs: Math.round(control.viewAgeMs),
+      leftMs: Math.round(sent.leftMs),
+    });
+  }
+
   logAttempt(
     request: requests.AdmittedRequest,
     sent: sends.SentAttempt,
--- /dev/null
+++ b/packages/router/src/candidate.ts
@@ -0,0 +1,97 @@
+/** Replicas and requests as the choice of a replica sees them. */
+import * as decisions from "@jackdawbank/decisions";
+import type * as groups from "./replica_group.ts";
+import type * as tableOptions from "./replica_table_options.ts";
+import * as prefixes from "./prefix_memory.ts";
+import * as queries from "./query_choice.ts";
+
+type CandidateOptions = Pick<
+  tableOptions.ReplicaTableOptions,
+  "readPeerLoad" | "dataCentre" | "prefixReuseWindowMs"
+>;
+
+/** A replica that may be chosen, with its state. */
+export interface Candidate extends decisions.ReplicaCandidate {
+  readonly state: groups.ReplicaState;
+}
+
+/** What a choice weighs. */
+export interface WeighedReplicas {
+  /** Replicas of the service that are neither draining nor evacuated. */
+  readonly active: number;
+  /** Those among them that may get this request. */
+  readonly usable: number;
+  /** The candidates that one draw would ask about, with their costs. */
+  readonly costed: readonly decisions.CostedReplica<Candidate>[];
+}
+
+/** The prompt for which a replica is chosen. */
+export function buildPlacement(
+  request: groups.PlacementRequest,
+): decisions.PromptPlacement {
+  const sharedPrefix = prefixes.findSharedPrefix(request.parts);
+  return {
+    promptTokens: request.promptTokens,
+    prefillMsPerToken: request.prefillMsPerToken,
+    affinityKey: sharedPrefix.key === undefined
+      ? undefined
+      : prefixes.buildCacheKey(request.model, sharedPrefix.key),
+    sharedTokens: sharedPrefix.tokens,
+  };
+}
+
+/** What this process and its peers know of some replicas, for one request. */
+export function buildCandidates(
+  states: readonly groups.ReplicaState[],
+  request: groups.PlacementRequest,
+  options: CandidateOptions,
+): readonly Candidate[] {
+  return states.map((state) => buildCandidate(state, request, options));
+}
+
+/** Draws the candidates whose loads are asked for. */
+export function drawQueried(
+  candidates: readonly Candidate[],
+  request: groups.PlacementRequest,
+  { random, rates }: Pick<
+    tableOptions.ReplicaTableOptions,
+    "random" | "rates"
+  >,
+): readonly Candidate[] {
+  const placement = buildPlacement(request);
+  return queries.limitRatedCandidates(candidates, {
+    choose: (from) => decisions.chooseQueryCandidates(from, placement, random),
+    hasRate: ({ state }) => rates.readRate(state.key) !== undefined,
+  });
+}
+
+function buildCandidate(
+  state: groups.ReplicaState,
+  request: groups.PlacementRequest,
+  options: CandidateOptions,
+): Candidate {
+  const peerLoad = options.readPeerLoad(state.key);
+  const evidence = decisions.addEvidence(
+    state.evidence.read(request.nowMs),
+    peerLoad.evidence,
+  );
+  const { dataCentre, slots } = state.entry;
+  return {
+    state,
+    id: state.entry.id,
+    isLocal: dataCentre === options.dataCentre,
+    inFlight: state.inFlight + peerLoad.running,
+    pendingMs: state.pendingMs + peerLoad.pendingMs,
+    slots,
+    cachedTokens: state.prefixes.countTokens(
+      request,
+      options.prefixReuseWindowMs,
+    ),
+    failureRate: Math.max(
+      state.health.failureRate,
+      decisions.estimateFailureRate(evidence),
+    ),
+    meanLatencyMs: decisions.estimateMeanLatencyMs(evidence) ??
+      state.health.meanLatencyMs,
+  };
+}
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -12,6 +12,7 @@
 import * as demandTrackers from "./demand_tracker.ts";
 import type * as parts from "./dispatcher_dependencies.ts";
 import * as priorities from "./engine_priority.ts";
+import * as latencies from "./latency_trackers.ts";
 import * as places from "./places.ts";
 import type * as groups from "./replica_group.ts";
 import type * as requests from "./request.ts";
@@ -33,10 +34,7 @@
   readonly recorder: recorders.AttemptRecorder;
   readonly #retryBudgets: retries.RetryBudgets;
   readonly #roomGate: rooms.RoomGate;
-  readonly #latencyTrackerByService = new Map<
-    string,
-    decisions.EngineLatencyTracker
-  >();
+  readonly #latencyTrackers = new latencies.LatencyTrackers();
 
   constructor(dependencies: parts.DispatcherDependencies) {
     this.dependencies = dependencies;
@@ -155,26 +153,13 @@
     const heldTokens = fields.promptTokens + fields.expectedOutputTokens;
     table.recordSent(state, { prefillMs, heldTokens });
     this.#recordSession(request, state.entry.version);
-    this.dependencies.log.addRoutine("attempt.sent", {
-      requestId: request.requestId,
-      route: request.route.name,
-      account: request.account?.name,
-      replica: state.entry.id,
-      version: state.entry.version,
+    this.recorder.logSent(request, {
+      pick,
       model: options.model,
       earlierSends: options.earlierSends,
-      promptTokens: fields.promptTokens,
-      candidates: pick.candidates,
-      cachedTokens: pick.cachedTokens,
-      inFlight: state.inFlight,
-      pendingMs: Math.round(state.pendingMs),
-      peerPendingMs: Math.round(peerLoad.pendingMs),
-      peerRunning: peerLoad.running,
-      session: fields.session,
       rolloutTarget: versionPreference.target,
-      tableRevision: this.dependencies.control.routeIndex?.table.revision,
-      viewAgeMs: Math.round(this.dependencies.control.viewAgeMs),
-      leftMs: Math.round(remainingMs),
+      peerLoad,
+      leftMs: remainingMs,
     });
     const attempt = new attempts.Attempt(state.pool, connection, {
       method: request.method,
@@ -194,6 +179,34 @@
     });
   }
 
+  /** What a send of the request would be decided by now; changes nothing. */
+  preview(
+    request: requests.AdmittedRequest,
+    model: string | undefined,
+  ): sends.SendPreview {
+    const { table } = this.dependencies;
+    const placement = this.#buildPlacement(request, {
+      model,
+      excluded: new Set(),
+    });
+    const weighed = table.weigh({ ...placement, mayAskForRate: true });
+    return {
+      placement,
+      weighed,
+      refusal: this.#findRefusal(request, false) ??
+        (weighed.usable > 0 ? undefined : admissions.makeNoReplicaRefusal(
+          request.service,
+          table.findRetryAfterMs(placement),
+        )),
+      room: this.#roomGate.preview(request, {
+        prefillMs: placement.prefillMsPerToken * placement.promptTokens,
+        keys: new Set(
+          weighed.costed.map(({ candidate }) => candidate.state.key),
+        ),
+      }),
+    };
+  }
+
   /** Whether a retry stays within a share of the service's retry budget, and before a stop. */
   canRetry(service: string, share = 1): boolean {
     if (this.dependencies.shutdown.hasEnded(this.nowMs)) return false;
@@ -201,11 +214,7 @@
   }
 
   getLatencyTracker(service: string): decisions.EngineLatencyTracker {
-    const existing = this.#latencyTrackerByService.get(service);
-    if (existing !== undefined) return existing;
-    const latencyTracker = new decisions.EngineLatencyTracker();
-    this.#latencyTrackerByService.set(service, latencyTracker);
-    return latencyTracker;
+    return this.#latencyTrackers.get(service);
   }
 
   /** Shortage of engine capacity for a service; see `combinePressure`. */
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -5,4 +5,5 @@
 export * from "./decision_log.ts";
 export * from "./ports.ts";
 export * from "./router.ts";
+export * from "./router_options.ts";
 export * from "./telemetry.ts";
--- a/packages/router/src/places.ts
+++ b/packages/router/src/places.ts
@@ -62,6 +62,10 @@
     return this.#orders.list().length;
   }
 
+  listEvacuated(): readonly string[] {
+    return this.#orders.list();
+  }
+
   isEvacuated(dataCentre: string): boolean {
     return this.#orders.has(dataCentre);
   }
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -6,10 +6,10 @@
 import * as decisions from "@jackdawbank/decisions";
 import * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
+import * as candidateViews from "./candidate.ts";
 import * as groups from "./replica_group.ts";
 import type * as tableOptions from "./replica_table_options.ts";
 import * as prefixes from "./prefix_memory.ts";
-import * as queries from "./query_choice.ts";
 
 /** Time in which a replica is avoided after an attempt that it did not run. */
 const AVOID_BUSY_MS = 150;
@@ -32,10 +32,6 @@
   readonly candidates: number;
 }
 
-interface Candidate extends decisions.ReplicaCandidate {
-  readonly state: groups.ReplicaState;
-}
-
 /** The replicas of all services. */
 export class ReplicaTable {
   readonly #options: tableOptions.ReplicaTableOptions;
@@ -158,7 +154,22 @@
     const granted = group.filter(({ key }) => key === request.grantedKey);
     const queried = group.filter(({ key }) => request.queriedKeys?.has(key));
     const preferred = granted.length > 0 ? granted : queried;
-    return this.#choose(preferred.length > 0 ? preferred : group, request);
+    const states = preferred.length > 0 ? preferred : group;
+    const candidates = candidateViews.buildCandidates(
+      states,
+      request,
+      this.#options,
+    );
+    const chosen = decisions.chooseReplica(
+      candidates,
+      candidateViews.buildPlacement(request),
+      this.#options.random,
+    );
+    return chosen && {
+      state: chosen.state,
+      cachedTokens: chosen.cachedTokens,
+      candidates: candidates.length,
+    };
   }
 
   /** Whether any replica of a service names a rate. */
@@ -186,19 +197,34 @@
   listQueryKeys(request: groups.PlacementRequest): readonly number[] {
     const group = this.#findGroup(request) ?? [];
     if (group.length < 2) return [];
-    const candidates = group.map((state) =>
-      this.#buildCandidate(state, request)
+    const candidates = candidateViews.buildCandidates(
+      group,
+      request,
+      this.#options,
+    );
+    return candidateViews.drawQueried(candidates, request, this.#options)
+      .map(({ state }) => state.key);
+  }
+
+  /** The candidates and costs of a choice, by the loads known now; changes nothing. */
+  weigh(request: groups.PlacementRequest): candidateViews.WeighedReplicas {
+    const group = this.#findGroup(request) ?? [];
+    const candidates = candidateViews.buildCandidates(
+      group,
+      request,
+      this.#options,
     );
-    return queries.limitRatedCandidates(candidates, {
-      choose: (from) =>
-        decisions.chooseQueryCandidates(
-          from,
-          this.#buildPlacement(request),
-          this.#options.random,
-        ),
-      hasRate: ({ state }) =>
-        this.#options.rates.readRate(state.key) !== undefined,
-    }).map(({ state }) => state.key);
+    const queried = candidates.length < 2
+      ? candidates
+      : candidateViews.drawQueried(candidates, request, this.#options);
+    return {
+      active: this.listActive(request.service).length,
+      usable: group.length,
+      costed: decisions.costReplicas(
+        queried,
+        candidateViews.buildPlacement(request),
+      ),
+    };
   }
 
   recordSent(
@@ -341,64 +367,4 @@
     decisions.trimOldest(this.#demandsByIncarnation, MAX_INCARNATIONS);
     return demands;
   }
-
-  #choose(
-    states: readonly groups.ReplicaState[],
-    request: groups.PlacementRequest,
-  ): PickedReplica | undefined {
-    const candidates = states.map((state) =>
-      this.#buildCandidate(state, request)
-    );
-    const chosen = decisions.chooseReplica(
-      candidates,
-      this.#buildPlacement(request),
-      this.#options.random,
-    );
-    return chosen && {
-      state: chosen.state,
-      cachedTokens: chosen.cachedTokens,
-      candidates: candidates.length,
-    };
-  }
-
-  #buildPlacement(request: groups.PlacementRequest): decisions.PromptPlacement {
-    const sharedPrefix = prefixes.findSharedPrefix(request.parts);
-    return {
-      promptTokens: request.promptTokens,
-      prefillMsPerToken: request.prefillMsPerToken,
-      affinityKey: sharedPrefix.key === undefined
-        ? undefined
-        : prefixes.buildCacheKey(request.model, sharedPrefix.key),
-      sharedTokens: sharedPrefix.tokens,
-    };
-  }
-
-  #buildCandidate(
-    state: groups.ReplicaState,
-    request: groups.PlacementRequest,
-  ): Candidate {
-    const peerLoad = this.#options.readPeerLoad(state.key);
-    const evidence = decisions.addEvidence(
-      state.evidence.read(request.nowMs),
-      peerLoad.evidence,
-    );
-    return {
-      state,
-      id: state.entry.id,
-      isLocal: state.entry.dataCentre === this.#options.dataCentre,
-      inFlight: state.inFlight + peerLoad.running,
-      pendingMs: state.pendingMs + peerLoad.pendingMs,
-      slots: state.entry.slots,
-      cachedTokens: state.prefixes.countTokens(
-        request,
-        this.#options.prefixReuseWindowMs,
-      ),
-      failureRate: Math.max(
-        state.health.failureRate,
-        decisions.estimateFailureRate(evidence),
-      ),
-      meanLatencyMs: decisions.estimateMeanLatencyMs(evidence) ??
-        state.health.meanLatencyMs,
-    };
-  }
 }
--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -76,6 +76,16 @@
   readonly refusal?: admissions.Refusal;
 }
 
+/** A decision on a prompt that is not sent. */
+export interface RoomPreview {
+  readonly backlogMs: number;
+  /** The account's use of the engines over its share. */
+  readonly shareRatio: number;
+  readonly turn: decisions.RoomTurn;
+  /** Whether no replica can begin it before its deadline, so that it is refused. */
+  readonly isHopeless: boolean;
+}
+
 /** Inputs of the last decision on a held prompt. */
 interface Hold {
   readonly startedAtMs: number;
@@ -118,6 +128,30 @@
     return await this.#hold(request, entry, { keys, policy, shares });
   }
 
+  /** What `enter` would decide by the loads known now; absent if nothing competes for room. */
+  preview(
+    request: requests.AdmittedRequest,
+    entry: Pick<RoomEntry, "prefillMs"> & {
+      readonly keys: ReadonlySet<number>;
+    },
+  ): RoomPreview | undefined {
+    const policy = request.fields.promptTokens > 0
+      ? this.#findPolicy(request.service)
+      : undefined;
+    if (policy === undefined) return undefined;
+    const nowMs = this.#options.clock.monotonicMs();
+    const shares = this.#sharesByService.get(request.service) ??
+      new decisions.AccountShares();
+    const backlogMs = this.#readBacklogMs(entry.keys);
+    const input = this.#buildInput(request, entry, shares, nowMs);
+    return {
+      backlogMs,
+      shareRatio: input.shareRatio,
+      turn: decisions.decideTurn(input, backlogMs, policy),
+      isHopeless: this.#findHopelessMs(request, backlogMs, nowMs) !== undefined,
+    };
+  }
+
   /** Asks more candidates while those that are known have a long backlog. */
   async #queryLoads(
     service: string,
@@ -195,7 +229,7 @@
 
   #buildInput(
     request: requests.AdmittedRequest,
-    { prefillMs }: RoomEntry,
+    { prefillMs }: Pick<RoomEntry, "prefillMs">,
     shares: decisions.AccountShares,
     nowMs: number,
   ): decisions.RoomRequest {
@@ -217,13 +251,10 @@
     backlogMs: number,
     nowMs: number,
   ): admissions.Refusal | undefined {
+    const shortestMs = this.#findHopelessMs(request, backlogMs, nowMs);
+    if (shortestMs === undefined) return undefined;
     const remainingMs = request.deadlineAtMs - nowMs;
-    if (backlogMs < remainingMs + MIN_REFUSAL_MARGIN_MS) return undefined;
-    const { table, log, telemetry, random } = this.#options;
-    const shortestMs = this.#readBacklogMs(
-      table.listActive(request.service).map(({ key }) => key),
-    );
-    if (shortestMs < remainingMs + MIN_REFUSAL_MARGIN_MS) return undefined;
+    const { log, telemetry, random } = this.#options;
     const retryAfterMs = (0.5 + 0.5 * random()) *
       Math.min(shortestMs, MAX_RETRY_AFTER_SHARE * Math.max(0, remainingMs));
     telemetry.countEvent(`room.refused.rank-${input.rank}`);
@@ -236,6 +267,21 @@
     return admissions.makeNoRoomRefusal(request.service, retryAfterMs);
   }
 
+  /** The shortest backlog of all replicas if it reaches beyond the deadline. */
+  #findHopelessMs(
+    request: requests.AdmittedRequest,
+    backlogMs: number,
+    nowMs: number,
+  ): number | undefined {
+    const limitMs = request.deadlineAtMs - nowMs + MIN_REFUSAL_MARGIN_MS;
+    if (backlogMs < limitMs) return undefined;
+    const { table } = this.#options;
+    const shortestMs = this.#readBacklogMs(
+      table.listActive(request.service).map(({ key }) => key),
+    );
+    return shortestMs < limitMs ? undefined : shortestMs;
+  }
+
   #recordEnd(
     request: requests.AdmittedRequest,
     hold: Hold | undefined,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,17 +4,18 @@
 import type * as peers from "@jackdawbank/peers";
 import * as admissions from "./admission.ts";
 import * as controls from "./control_task.ts";
-import * as logs from "./decision_log.ts";
 import * as dispatchers from "./dispatcher.ts";
+import * as explainEndpoints from "./explain_endpoint.ts";
+import * as explanations from "./explanation.ts";
 import * as fleets from "./fleet.ts";
 import * as callerServers from "./caller_server.ts";
 import * as places from "./places.ts";
 import * as colds from "./cold_replicas.ts";
-import type * as ports from "./ports.ts";
 import * as quarantines from "./prompt_quarantine.ts";
 import * as relays from "./relayed_control.ts";
 import * as replicas from "./replica_table.ts";
 import * as rollouts from "./rollout_task.ts";
+import type * as routerOptions from "./router_options.ts";
 import * as sessions from "./sessions.ts";
 import * as shutdowns from "./shutdown.ts";
 import * as telemetry from "./telemetry.ts";
@@ -31,28 +32,9 @@
 const HTTP_UNAVAILABLE = 503;
 const HTTP_NOT_FOUND = 404;
 
-/** Dependencies that the hosting program provides. */
-export interface RouterOptions {
-  readonly settings: ports.RouterSettings;
-  readonly controlPlane: ports.ControlPlane;
-  readonly codec: ports.MessageCodec;
-  readonly clock: kernel.Clock;
-  readonly log: logs.DecisionLog;
-  readonly random: () => number;
-  /** Where metrics are served; absent if they are disabled. */
-  readonly metrics?: { readonly port: number; readonly path: string };
-}
-
-/** Ports that a router listens on. */
-export interface RouterPorts {
-  readonly callers: number;
-  readonly readiness: number;
-  readonly metrics: number | undefined;
-}
-
 /** One router process. */
 export class Router {
-  readonly #options: RouterOptions;
+  readonly #options: routerOptions.RouterOptions;
   readonly #telemetry = new telemetry.Telemetry();
   readonly #table: replicas.ReplicaTable;
   readonly #places: places.Places;
@@ -72,7 +54,7 @@
   #stop: Promise<void> | undefined;
   #wasReady: boolean | undefined;
 
-  constructor(options: RouterOptions) {
+  constructor(options: routerOptions.RouterOptions) {
     this.#options = options;
     const { settings, codec, clock, log, random } = options;
     const controlPlane = new relays.RelayedControlPlane({
@@ -203,24 +185,25 @@
           reason: kernel.describeThrown(thrown),
         }),
     );
+    const dispatcher = new dispatchers.Dispatcher({
+      clock,
+      codec,
+      settings,
+      control: this.#control,
+      admission: new admissions.Admission(this.#control, settings),
+      table: this.#table,
+      places: this.#places,
+      rollouts: this.#rollouts,
+      quarantine: this.#quarantine,
+      fleet: this.#fleet,
+      sessions: this.#sessions,
+      shutdown: this.#shutdown,
+      log,
+      telemetry: this.#telemetry,
+      random,
+    });
     this.#callerServer = new callerServers.CallerServer({
-      dispatcher: new dispatchers.Dispatcher({
-        clock,
-        codec,
-        settings,
-        control: this.#control,
-        admission: new admissions.Admission(this.#control, settings),
-        table: this.#table,
-        places: this.#places,
-        rollouts: this.#rollouts,
-        quarantine: this.#quarantine,
-        fleet: this.#fleet,
-        sessions: this.#sessions,
-        shutdown: this.#shutdown,
-        log,
-        telemetry: this.#telemetry,
-        random,
-      }),
+      dispatcher,
       watchdog: this.#watchdog,
       control: this.#control,
       codec,
@@ -237,6 +220,9 @@
         this.#telemetry,
         options.metrics.path,
         () => this.#updateGauges(),
+        new explainEndpoints.ExplainEndpoint(
+          new explanations.Explainer(dispatcher, this.#control),
+        ),
       );
   }
 
@@ -251,7 +237,7 @@
   }
 
   /** Starts listening; returns the bound ports, as settings may specify port 0. */
-  async start(): Promise<RouterPorts> {
+  async start(): Promise<routerOptions.RouterPorts> {
     const { settings, metrics } = this.#options;
     this.#control.start();
     const peerPort = await this.#fleet.start();
@@ -385,7 +371,7 @@
 /** Starts a router and registers its tear-down with a kernel. */
 export async function registerRouter(
   host: kernel.Kernel,
-  options: RouterOptions,
+  options: routerOptions.RouterOptions,
 ): Promise<Router> {
   const router = new Router(options);
   await router.start();
--- a/packages/router/src/send.ts
+++ b/packages/router/src/send.ts
@@ -3,6 +3,8 @@
 import type * as admissions from "./admission.ts";
 import type * as attempts from "./attempt.ts";
 import type * as groups from "./replica_group.ts";
+import type * as candidates from "./candidate.ts";
+import type * as rooms from "./room_gate.ts";
 
 /** Options of one attempt. */
 export interface SendOptions {
@@ -48,3 +50,13 @@
   /** This process itself was short of CPU time, so its measurements may be too high. */
   readonly isLagging: boolean;
 }
+
+/** What decides a request that is not sent. */
+export interface SendPreview {
+  readonly placement: groups.PlacementRequest;
+  readonly weighed: candidates.WeighedReplicas;
+  /** Why it would be refused, whatever the replicas are. */
+  readonly refusal: admissions.Refusal | undefined;
+  /** Whether it would be held; absent if nothing competes for room. */
+  readonly room: rooms.RoomPreview | undefined;
+}
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -11,6 +11,7 @@
 import type * as attempts from "./attempt.ts";
 import type * as admissions from "./admission.ts";
 import type * as dispatchers from "./dispatcher.ts";
+import * as firstModels from "./first_model.ts";
 import type * as sends from "./send.ts";
 import type * as requests from "./request.ts";
 import * as streamAttempts from "./stream_attempt.ts";
@@ -55,12 +56,7 @@
     this.#request = request;
     this.#writer = writer;
     this.#lastEventId = request.fields.lastEventId;
-    const { candidateModels, isResumable } = request.route;
-    this.#model = request.fields.model ??
-      // A stream that cannot be resumed gets one attempt, so it starts on the largest model.
-      (isResumable
-        ? decisions.chooseStartModel(candidateModels)
-        : candidateModels.at(-1));
+    this.#model = firstModels.chooseFirstModel(request);
   }
 
   async run(): Promise<requests.RequestOutcome> {
--- a/packages/router/src/telemetry.ts
+++ b/packages/router/src/telemetry.ts
@@ -105,12 +105,27 @@
   }
 }
 
+/** Answers requests to one further path of the metrics server. */
+export interface MetricsEndpoint {
+  readonly path: string;
+  handle(request: http.IncomingMessage, response: http.ServerResponse): void;
+}
+
 /** Serves the metrics over HTTP; `refresh` updates the gauges before each scrape. */
 export class MetricsServer {
   readonly #server: http.Server;
 
-  constructor(telemetry: Telemetry, path: string, refresh: () => void) {
+  constructor(
+    telemetry: Telemetry,
+    path: string,
+    refresh: () => void,
+    endpoint: MetricsEndpoint,
+  ) {
     this.#server = http.createServer((request, response) => {
+      if (request.url === endpoint.path && endpoint.path !== path) {
+        endpoint.handle(request, response);
+        return;
+      }
       if (request.url !== path) {
         response.writeHead(HTTP_NOT_FOUND).end();
         return;
