--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -78,39 +78,77 @@
 const QUERY_SAMPLE = 4;
 const LONG_QUERY_SAMPLE = 12;
 
-/** Predicted cost of sending a prompt to a replica. */
-export function predictCostMs(
+/** The parts of a predicted cost, in milliseconds. */
+export interface CostTerms {
+  /** Prefill of the tokens that are not cached there. */
+  readonly prefillMs: number;
+  /** Prompts that wait for prefill there. */
+  readonly pendingMs: number;
+  /** Delay of the running streams by this prompt. */
+  readonly streamsMs: number;
+  readonly runningMs: number;
+  readonly slotWaitMs: number;
+  /** Prompts that are read in again because memory is short. */
+  readonly preemptionMs: number;
+  /** What all of this and the answer take longer than at a usual replica. */
+  readonly speedMs: number;
+  readonly remoteMs: number;
+  readonly failuresMs: number;
+}
+
+/** Parts of the predicted cost of sending a prompt to a replica. */
+function predictCostTerms(
   candidate: ReplicaCandidate,
   placement: PromptPlacement,
   affinityReplicaId: string | undefined,
-): number {
+): CostTerms {
   // Other processes prefer the same replica for this key, so the shared prefix is likely cached.
   const cachedTokens = affinityReplicaId === candidate.id
     ? Math.max(candidate.cachedTokens, placement.sharedTokens)
     : candidate.cachedTokens;
   const uncachedTokens = Math.max(0, placement.promptTokens - cachedTokens);
   const prefillMs = uncachedTokens * placement.prefillMsPerToken;
-  // What the replica computes takes as much longer as it is slower than a usual one.
-  const computedMs = uncachedTokens *
-      Math.max(placement.prefillMsPerToken, MIN_PREFILL_COST_MS_PER_TOKEN) +
-    candidate.pendingMs +
-    candidate.inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
-    streamDelay.predictInterruptionCostMs({
-      pendingMs: candidate.pendingMs,
-      prefillMs,
-      running: candidate.inFlight,
-      maxGapMs: placement.maxGapMs,
-      remainingTargetMs: placement.remainingTargetMs,
-    }) +
-    candidate.inFlight * RUNNING_REQUEST_COST_MS *
-      (8 / Math.max(8, candidate.slots)) +
-    Math.max(0, candidate.inFlight + 1 - candidate.slots) * SLOT_WAIT_COST_MS +
-    memories.computePreemptions(candidate.memoryShare) *
-      placement.promptTokens * placement.prefillMsPerToken;
-  return (placement.answerMs + computedMs) * candidate.speedFactor -
-    placement.answerMs +
-    (candidate.isLocal ? 0 : REMOTE_COST_MS) +
-    candidate.failureRate * FAILURE_COST_MS;
+  const { inFlight, slots, isLocal, pendingMs } = candidate;
+  const computed = {
+    prefillMs: uncachedTokens *
+      Math.max(placement.prefillMsPerToken, MIN_PREFILL_COST_MS_PER_TOKEN),
+    pendingMs,
+    streamsMs: inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
+      streamDelay.predictInterruptionCostMs({
+        pendingMs,
+        prefillMs,
+        running: inFlight,
+        maxGapMs: placement.maxGapMs,
+        remainingTargetMs: placement.remainingTargetMs,
+      }),
+    runningMs: inFlight * RUNNING_REQUEST_COST_MS * (8 / Math.max(8, slots)),
+    slotWaitMs: Math.max(0, inFlight + 1 - slots) * SLOT_WAIT_COST_MS,
+    preemptionMs: memories.computePreemptions(candidate.memoryShare) *
+      placement.promptTokens * placement.prefillMsPerToken,
+  };
+  return {
+    ...computed,
+    speedMs: (placement.answerMs + sumTerms(computed)) *
+      (candidate.speedFactor - 1),
+    remoteMs: isLocal ? 0 : REMOTE_COST_MS,
+    failuresMs: candidate.failureRate * FAILURE_COST_MS,
+  };
+}
+
+/** Predicted cost of sending a prompt to a replica. */
+export function predictCostMs(
+  candidate: ReplicaCandidate,
+  placement: PromptPlacement,
+  affinityReplicaId: string | undefined,
+): number {
+  return sumTerms(predictCostTerms(candidate, placement, affinityReplicaId));
+}
+
+function sumTerms(terms: object): number {
+  return Object.values(terms).reduce(
+    (sum: number, term: number) => sum + term,
+    0,
+  );
 }
 
 function drawSample<T>(
@@ -174,6 +212,25 @@
   ];
 }
 
+/** A candidate with its predicted cost. */
+export interface CostedReplica<C extends ReplicaCandidate> {
+  readonly candidate: C;
+  readonly costMs: number;
+  readonly terms: CostTerms;
+}
+
+/** Predicts the cost of each candidate of one choice. */
+export function costReplicas<C extends ReplicaCandidate>(
+  candidates: readonly C[],
+  placement: PromptPlacement,
+): readonly CostedReplica<C>[] {
+  const [home] = findHomes(candidates, placement, 1);
+  return candidates.map((candidate) => {
+    const terms = predictCostTerms(candidate, placement, home?.id);
+    return { candidate, costMs: sumTerms(terms), terms };
+  });
+}
+
 /**
  * Draws what is added to the cost of a candidate. For a prompt, up to 1 ms spreads
  * requests over replicas of equal cost. For another request, the noise has Gumbel's
@@ -196,19 +253,17 @@
   placement: PromptPlacement,
   random: () => number,
 ): C | undefined {
-  if (candidates.length === 0) return undefined;
-  const [home] = findHomes(candidates, placement, 1);
+  const costed = costReplicas(candidates, placement);
+  const fitting = costed.filter(({ candidate }) =>
+    memories.fitsMemory(candidate.memoryShare)
+  );
   let best: C | undefined;
   let lowestCostMs = Infinity;
-  const fitting = candidates.filter(({ memoryShare }) =>
-    memories.fitsMemory(memoryShare)
-  );
-  for (const candidate of fitting.length > 0 ? fitting : candidates) {
-    const costMs = predictCostMs(candidate, placement, home?.id) +
-      drawNoiseMs(placement, random);
-    if (costMs < lowestCostMs) {
+  for (const { candidate, costMs } of fitting.length > 0 ? fitting : costed) {
+    const noisyCostMs = costMs + drawNoiseMs(placement, random);
+    if (noisyCostMs < lowestCostMs) {
       best = candidate;
-      lowestCostMs = costMs;
+      lowestCostMs = noisyCostMs;
     }
   }
   return best;
--- a/packages/router/src/attempt_recorder.ts
+++ b/packages/router/src/attempt_recorder.ts
@@ -1,11 +1,15 @@
-/** Records the ends of attempts: in the log, the replica's health and the evidence on its version. */
+/** Records attempts and their ends: in the log, the replica's health and the evidence on its version. */
+import type * as decisions from "@jackdawbank/decisions";
 import type * as kernel from "@jackdawbank/kernel";
+import type * as control from "./control_task.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
+import type * as groups from "./replica_group.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import type * as rollouts from "./rollout_task.ts";
 import type * as sends from "./send.ts";
+import type * as speeds from "./speed_recorder.ts";
 import type * as telemetry from "./telemetry.ts";
 
 /** Dependencies of the recorder. */
@@ -14,6 +18,7 @@
   readonly settings: Pick<ports.RouterSettings, "dataCentre">;
   readonly table: replicas.ReplicaTable;
   readonly rollouts: rollouts.RolloutTask;
+  readonly control: Pick<control.ControlTask, "routeIndex" | "viewAgeMs">;
   readonly log: logs.DecisionLog;
   readonly telemetry: telemetry.Telemetry;
 }
@@ -26,6 +31,53 @@
     this.#options = options;
   }
 
+  /** Logs a request that is sent now, with what decided its replica. */
+  logSent(
+    { requestId, route, account, fields }: requests.AdmittedRequest,
+    sent: {
+      readonly pick: groups.PickedReplica;
+      readonly model: string | undefined;
+      readonly earlierSends: number;
+      readonly rolloutTarget: string | undefined;
+      readonly peerLoad: decisions.ReplicaLoadState;
+      readonly prefillMs: number;
+      readonly prediction: speeds.SpeedPrediction;
+      readonly heldTokens: number;
+      readonly memoryShare: number;
+      readonly leftMs: number;
+    },
+  ): void {
+    const { log, control } = this.#options;
+    const { state, candidates, cachedTokens } = sent.pick;
+    log.addRoutine("attempt.sent", {
+      requestId,
+      route: route.name,
+      account: account?.name,
+      replica: state.entry.id,
+      dataCentre: state.entry.dataCentre,
+      version: state.entry.version,
+      model: sent.model,
+      earlierSends: sent.earlierSends,
+      promptTokens: fields.promptTokens,
+      candidates,
+      cachedTokens,
+      inFlight: state.inFlight,
+      prefillMs: Math.round(sent.prefillMs),
+      pendingMs: Math.round(state.pendingMs),
+      peerPendingMs: Math.round(sent.peerLoad.pendingMs),
+      peerRunning: sent.peerLoad.running,
+      predictedMs: Math.round(sent.prediction.predictedMs),
+      speedFactor: Number(sent.prediction.speedFactor.toFixed(2)),
+      heldTokens: Math.round(sent.heldTokens),
+      memoryShare: Number(sent.memoryShare.toFixed(2)),
+      session: fields.session,
+      rolloutTarget: sent.rolloutTarget,
+      tableRevision: control.routeIndex?.table.revision,
+      viewAgeMs: Math.round(control.viewAgeMs),
+      leftMs: Math.round(sent.leftMs),
+    });
+  }
+
   logAttempt(
     request: requests.AdmittedRequest,
     sent: sends.SentAttempt,
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -187,31 +187,17 @@
     if (decisions.interruptsStreams(prefillMs, placement.maxGapMs)) {
       this.dependencies.telemetry.countEvent("streams.interrupted");
     }
-    this.dependencies.log.addRoutine("attempt.sent", {
-      requestId: request.requestId,
-      route: request.route.name,
-      account: request.account?.name,
-      replica: state.entry.id,
-      version: state.entry.version,
+    this.recorder.logSent(request, {
+      pick,
       model: options.model,
       earlierSends: options.earlierSends,
-      promptTokens: fields.promptTokens,
-      candidates: pick.candidates,
-      cachedTokens: pick.cachedTokens,
-      inFlight: state.inFlight,
-      prefillMs: Math.round(prefillMs),
-      pendingMs: Math.round(state.pendingMs),
-      peerPendingMs: Math.round(peerLoad.pendingMs),
-      peerRunning: peerLoad.running,
-      predictedMs: Math.round(prediction.predictedMs),
-      speedFactor: Number(prediction.speedFactor.toFixed(2)),
-      heldTokens: Math.round(heldTokens),
-      memoryShare: Number(memoryShare.toFixed(2)),
-      session: fields.session,
+      prefillMs,
+      prediction,
+      heldTokens,
+      memoryShare,
       rolloutTarget: versionPreference.target,
-      tableRevision: this.dependencies.control.routeIndex?.table.revision,
-      viewAgeMs: Math.round(this.dependencies.control.viewAgeMs),
-      leftMs: Math.round(remainingMs),
+      peerLoad,
+      leftMs: remainingMs,
     });
     const attempt = new attempts.Attempt(state.pool, connection, {
       method: request.method,
@@ -232,6 +218,35 @@
     });
   }
 
+  /** What a send of the request would be decided by now; changes nothing. */
+  preview(
+    request: requests.AdmittedRequest,
+    model: string | undefined,
+  ): sends.SendPreview {
+    const { table } = this.dependencies;
+    const placement = this.#buildPlacement(request, {
+      model,
+      excluded: new Set(),
+    });
+    const weighed = table.weigh({ ...placement, mayAskForRate: true });
+    return {
+      placement,
+      weighed,
+      refusal: this.#findRefusal(request, false) ??
+        (weighed.usable > 0 ? undefined : admissions.makeNoReplicaRefusal(
+          request.service,
+          table.findRetryAfterMs(placement),
+        )),
+      room: this.#roomGate.preview(request, {
+        prefillMs: placement.prefillMsPerToken * placement.promptTokens,
+        neededTokens: placement.neededTokens,
+        keys: new Set(
+          weighed.costed.map(({ candidate }) => candidate.state.key),
+        ),
+      }),
+    };
+  }
+
   /** Whether a retry stays within a share of the service's retry budget, and before a stop. */
   canRetry(service: string, share = 1): boolean {
     if (this.dependencies.shutdown.hasEnded(this.nowMs)) return false;
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -9,4 +9,5 @@
 export * from "./replica_table.ts";
 export * from "./request_guard.ts";
 export * from "./router.ts";
+export * from "./router_options.ts";
 export * from "./telemetry.ts";
--- a/packages/router/src/replica_chooser.ts
+++ b/packages/router/src/replica_chooser.ts
@@ -4,40 +4,33 @@
  * the number of replicas, except where few of them are usable.
  */
 import * as decisions from "@jackdawbank/decisions";
+import * as candidates from "./candidate.ts";
 import * as contenders from "./contenders.ts";
-import * as prefixes from "./prefix_memory.ts";
-import * as queries from "./query_choice.ts";
-import type * as memories from "./engine_memories.ts";
 import * as groups from "./replica_group.ts";
 import * as members from "./replica_members.ts";
-import type * as speeds from "./replica_speeds.ts";
 import type * as tableOptions from "./replica_table_options.ts";
 
 /** With fewer usable replicas in a sample, all are looked at. */
 const MIN_CONTENDERS = 4;
 
 /** Dependencies and settings. */
-export interface ReplicaChooserOptions extends
-  Pick<
-    tableOptions.ReplicaTableOptions,
-    | "dataCentre"
-    | "prefixReuseWindowMs"
-    | "random"
-    | "rates"
-    | "bodies"
-    | "readPeerLoad"
-    | "onFullScan"
-  > {
+export interface ReplicaChooserOptions
+  extends
+    candidates.CandidateOptions,
+    Pick<
+      tableOptions.ReplicaTableOptions,
+      | "dataCentre"
+      | "prefixReuseWindowMs"
+      | "random"
+      | "rates"
+      | "bodies"
+      | "readPeerLoad"
+      | "onFullScan"
+    > {
   readonly members: members.ReplicaMembers;
-  readonly speeds: speeds.ReplicaSpeeds;
-  readonly memories: memories.EngineMemories;
   readonly find: (replicaKey: number) => groups.ReplicaState | undefined;
 }
 
-interface Candidate extends decisions.ReplicaCandidate {
-  readonly state: groups.ReplicaState;
-}
-
 /** Choices of one process. */
 export class ReplicaChooser {
   readonly #options: ReplicaChooserOptions;
@@ -77,19 +70,32 @@
   listQueryKeys(request: groups.PlacementRequest): readonly number[] {
     const group = this.#findGroup(request) ?? [];
     if (group.length < 2) return [];
-    const candidates = this.#limit(group, request).map((state) =>
-      this.#buildCandidate(state, request)
-    );
-    return queries.limitRatedCandidates(candidates, {
-      choose: (from) =>
-        decisions.chooseQueryCandidates(
-          from,
-          this.#buildPlacement(request),
-          this.#options.random,
-        ),
-      hasRate: ({ state }) =>
-        this.#options.rates.readRate(state.key) !== undefined,
-    }).map(({ state }) => state.key);
+    return this.#drawQueried(group, request).map(({ state }) => state.key);
+  }
+
+  /** The candidates and costs of a choice, by the loads known now; changes nothing. */
+  weigh(request: groups.PlacementRequest): candidates.WeighedReplicas {
+    const group = this.#findGroup(request) ?? [];
+    return {
+      active: this.#options.members.findActive(request.service).states.length,
+      usable: group.length,
+      costed: decisions.costReplicas(
+        this.#drawQueried(group, request),
+        candidates.buildPlacement(request),
+      ),
+    };
+  }
+
+  #drawQueried(
+    group: readonly groups.ReplicaState[],
+    request: groups.PlacementRequest,
+  ): readonly candidates.Candidate[] {
+    const options = this.#options;
+    const limited = this.#limit(group, request);
+    const among = candidates.buildCandidates(limited, request, options);
+    return among.length < 2
+      ? among
+      : candidates.drawQueried(among, request, options);
   }
 
   /** Looks at a sample of many replicas, if enough of it is usable. */
@@ -122,7 +128,7 @@
     list: members.MemberList,
     request: groups.PlacementRequest,
   ): readonly groups.ReplicaState[] {
-    const { affinityKey } = this.#buildPlacement(request);
+    const { affinityKey } = candidates.buildPlacement(request);
     return contenders.drawContenders(list, affinityKey, this.#options.random);
   }
 
@@ -130,62 +136,17 @@
     states: readonly groups.ReplicaState[],
     request: groups.PlacementRequest,
   ): groups.PickedReplica | undefined {
-    const candidates = states.map((state) =>
-      this.#buildCandidate(state, request)
-    );
+    const options = this.#options;
+    const among = candidates.buildCandidates(states, request, options);
     const chosen = decisions.chooseReplica(
-      candidates,
-      this.#buildPlacement(request),
-      this.#options.random,
+      among,
+      candidates.buildPlacement(request),
+      options.random,
     );
     return chosen && {
       state: chosen.state,
       cachedTokens: chosen.cachedTokens,
-      candidates: candidates.length,
-    };
-  }
-
-  #buildPlacement(request: groups.PlacementRequest): decisions.PromptPlacement {
-    const sharedPrefix = prefixes.findSharedPrefix(request.parts);
-    return {
-      promptTokens: request.promptTokens,
-      prefillMsPerToken: request.prefillMsPerToken,
-      maxGapMs: request.maxGapMs,
-      remainingTargetMs: request.remainingTargetMs,
-      answerMs: request.answerMs,
-      affinityKey: sharedPrefix.key === undefined
-        ? undefined
-        : prefixes.buildCacheKey(request.model, sharedPrefix.key),
-      sharedTokens: sharedPrefix.tokens,
-    };
-  }
-
-  #buildCandidate(
-    state: groups.ReplicaState,
-    request: groups.PlacementRequest,
-  ): Candidate {
-    const peerLoad = this.#options.readPeerLoad(state.key);
-    const evidence = decisions.addEvidence(
-      state.evidence.read(request.nowMs),
-      peerLoad.evidence,
-    );
-    return {
-      state,
-      id: state.entry.id,
-      isLocal: state.entry.dataCentre === this.#options.dataCentre,
-      inFlight: state.inFlight + peerLoad.running,
-      pendingMs: state.pendingMs + peerLoad.pendingMs,
-      slots: state.entry.slots,
-      cachedTokens: state.prefixes.countTokens(
-        request,
-        this.#options.prefixReuseWindowMs,
-      ),
-      memoryShare: this.#options.memories.readShare(
-        state,
-        request.neededTokens,
-        peerLoad,
-      ),
-      ...this.#options.speeds.compare(state, evidence, request.nowMs),
+      candidates: among.length,
     };
   }
 }
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -6,6 +6,7 @@
 import * as decisions from "@jackdawbank/decisions";
 import * as connections from "./connections.ts";
 import type * as ports from "./ports.ts";
+import type * as candidateViews from "./candidate.ts";
 import * as groups from "./replica_group.ts";
 import * as choosers from "./replica_chooser.ts";
 import * as members from "./replica_members.ts";
@@ -192,6 +193,11 @@
     return groups.findRetryAfterMs(states, request, this.#options.rates);
   }
 
+  /** The candidates and costs of a choice, by the loads known now; changes nothing. */
+  weigh(request: groups.PlacementRequest): candidateViews.WeighedReplicas {
+    return this.#chooser.weigh(request);
+  }
+
   recordSent(
     state: groups.ReplicaState,
     { prefillMs, heldTokens }: groups.SentLoad,
