Test of a second send to a replica: its fake refuses by an ordinary answer

Cause: the test relied on the choice of the replica that had answered faster. Its fake wrote the refusal beside the server's response, which never ended, so that any later request on that connection got no answer: one call ended with 504 as soon as the choice was another (speed factors weigh one answer to a short prompt less than the mean latency did).

Change: the refusal is an ordinary answer on a kept connection; its copy meets the second send to the replica that refused, as before, and only there. The test also demands that some request went there again.

--- a/packages/bench/src/platform_answer_fault_test.ts
+++ b/packages/bench/src/platform_answer_fault_test.ts
@@ -81,27 +81,34 @@
   withHarness(async (harness) => {
     const isLarge = (request: fakes.ReceivedRequest) =>
       !harnesses.isSmallModel(request);
-    const refusal = {
-      type: "raw",
-      text: `${REFUSAL_LINES}${ID_LINE}\r\n`,
-      then: "keep",
-    } as const;
     let refusals = 0;
-    const answer = (request: fakes.ReceivedRequest): fakes.ReplicaBehaviour => {
-      if (isLarge(request)) {
-        return request.connectionUses > 1
-          ? refusal
-          : { type: "stream", events: 6, confidence: 95 };
-      }
-      refusals += 1;
-      // The second one is slow, so that the first is not avoided as busy any more.
-      return refusals % 2 === 1
-        ? refusal
-        : { type: "stream", events: 6, confidence: 10, delayMs: 200 };
-    };
+    let refuser = "";
+    let returns = 0;
+    const answer =
+      (id: string) =>
+      (request: fakes.ReceivedRequest): fakes.ReplicaBehaviour => {
+        if (isLarge(request)) {
+          if (id === refuser) returns += 1;
+          // The copy of the refusal would be on the connection that carried it.
+          return id === refuser && request.connectionUses > 1
+            ? {
+              type: "raw",
+              text: `${REFUSAL_LINES}${ID_LINE}\r\n`,
+              then: "keep",
+            }
+            : { type: "stream", events: 6, confidence: 95 };
+        }
+        refusals += 1;
+        if (refusals % 2 === 1) {
+          refuser = id;
+          return { type: "not-run", status: 503 };
+        }
+        // The second one is slow, so that the first is not avoided as busy any more.
+        return { type: "stream", events: 6, confidence: 10, delayMs: 200 };
+      };
     const replicas = [
-      await harness.addReplica("i-1", "llm", answer),
-      await harness.addReplica("i-2", "llm", answer),
+      await harness.addReplica("i-1", "llm", answer("i-1")),
+      await harness.addReplica("i-2", "llm", answer("i-2")),
     ];
     await harness.start();
     for (let at = 0; at < REPEATED_CALLS; at += 1) {
@@ -110,6 +117,7 @@
     }
     const large = replicas.flatMap(({ received }) => received).filter(isLarge);
     t.is(large.length, REPEATED_CALLS, "the large model was asked again");
+    t.true(returns > 0, "no request went to its refuser again");
   }));
 
 // Guards against ORDER and MIXED: an error, or another answer that continues nothing, in the
