--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -9,24 +9,22 @@
 import * as attempts from "./attempt.ts";
 import * as recorders from "./attempt_recorder.ts";
 import * as bodyRooms from "./body_rooms.ts";
-import * as colds from "./cold_replicas.ts";
 import * as demandTrackers from "./demand_tracker.ts";
 import type * as parts from "./dispatcher_dependencies.ts";
 import * as priorities from "./engine_priority.ts";
+import * as placements from "./placements.ts";
 import * as places from "./places.ts";
 import type * as groups from "./replica_group.ts";
+import * as questions from "./replica_questions.ts";
 import type * as requests from "./request.ts";
 import * as retries from "./retry_budgets.ts";
 import * as rooms from "./room_gate.ts";
 import type * as sends from "./send.ts";
 import * as speedRecorders from "./speed_recorder.ts";
 
-/** Interval at which the evidence about a plain service's replica is asked for. */
-const EVIDENCE_QUERY_INTERVAL_MS = 1_000;
-/** Replicas with a rate that are asked for one request, one after the other. */
-const MAX_RATE_QUESTIONS = 2;
 /** Interval at which the load of a replica is asked for while a stream waits there for long. */
 const STALL_QUERY_INTERVAL_MS = 200;
+
 /** Sends the requests of one process. */
 export class Dispatcher {
   readonly dependencies: parts.DispatcherDependencies;
@@ -36,12 +34,19 @@
   readonly #retryBudgets: retries.RetryBudgets;
   readonly #roomGate: rooms.RoomGate;
   readonly #bodyRooms: bodyRooms.BodyRooms;
+  readonly #placements: placements.Placements;
+  readonly #questions: questions.ReplicaQuestions;
 
   constructor(dependencies: parts.DispatcherDependencies) {
     this.dependencies = dependencies;
     const { clock, settings, fleet } = dependencies;
     this.recorder = new recorders.AttemptRecorder(dependencies);
     this.demands = new demandTrackers.DemandTracker(dependencies);
+    this.#placements = new placements.Placements(dependencies, this.speeds);
+    this.#questions = new questions.ReplicaQuestions(
+      dependencies,
+      this.#placements,
+    );
     this.#roomGate = new rooms.RoomGate({
       ...dependencies,
       getRouteIndex: () => dependencies.control.routeIndex,
@@ -72,7 +77,7 @@
   ): boolean {
     if (!this.canRetry(request.service)) return false;
     if (this.#findRefusal(request, true) !== undefined) return false;
-    const versionPreference = this.#chooseVersionPreference(request);
+    const versionPreference = this.#placements.chooseVersionPreference(request);
     const { table, places } = this.dependencies;
     const { nowMs } = this;
     return table.hasAvailable(request.service, {
@@ -99,7 +104,8 @@
         request.fields.promptTokens,
       ),
       neededTokens: this.dependencies.table.memories.predictTokens(request),
-      queryLoads: (askedKeys) => this.#queryLoads(request, options, askedKeys),
+      queryLoads: (askedKeys) =>
+        this.#questions.queryLoads(request, options, askedKeys),
       isRefused: () => this.#findRefusal(request, options.hasRun) !== undefined,
     });
     if (refusal !== undefined) {
@@ -107,7 +113,7 @@
     }
     const room = decisions.isLargeBody(request.body.length)
       ? await this.#bodyRooms.reserve(request, {
-        ...this.#buildPlacement(request, options),
+        ...this.#placements.build(request, options),
         queriedKeys,
       })
       : {};
@@ -115,7 +121,10 @@
     const mayBeSent = room.refusal === undefined &&
       this.dependencies.table.hasRates(request.service);
     const grantedKey = mayBeSent
-      ? await this.#takeAtRate(request, options, { queriedKeys, reservedKey })
+      ? await this.#questions.takeAtRate(request, options, {
+        queriedKeys,
+        reservedKey,
+      })
       : undefined;
     return { queriedKeys, grantedKey, ...room };
   }
@@ -136,7 +145,7 @@
     const latencyTracker = this.speeds.getTracker(service);
     const { queriedKeys, grantedKey } = options;
     const placement = {
-      ...this.#buildPlacement(request, options),
+      ...this.#placements.build(request, options),
       queriedKeys,
       grantedKey,
       reservedKey: options.reservation?.replicaKey,
@@ -183,7 +192,7 @@
       this.dependencies.telemetry.countEvent("memory.beyond");
     }
     table.recordSent(state, { prefillMs, heldTokens });
-    this.#recordSession(request, state.entry.version);
+    this.#placements.recordSession(request, state.entry.version);
     if (decisions.interruptsStreams(prefillMs, placement.maxGapMs)) {
       this.dependencies.telemetry.countEvent("streams.interrupted");
     }
@@ -224,7 +233,7 @@
     model: string | undefined,
   ): sends.SendPreview {
     const { table } = this.dependencies;
-    const placement = this.#buildPlacement(request, {
+    const placement = this.#placements.build(request, {
       model,
       excluded: new Set(),
     });
@@ -325,120 +334,4 @@
     if (isHomeless) this.dependencies.telemetry.countEvent("homes.refused");
     return neverthrow.err(refusal);
   }
-
-  /** Asks for the load of replicas not asked yet; resolves with the keys of the known ones. */
-  async #queryLoads(
-    request: requests.AdmittedRequest,
-    options: sends.SendOptions,
-    askedKeys: ReadonlySet<number>,
-  ): Promise<ReadonlySet<number>> {
-    const { table, fleet } = this.dependencies;
-    const askedIds = [...askedKeys].flatMap((key) =>
-      table.find(key)?.entry.id ?? []
-    );
-    const keys = table.listQueryKeys({
-      ...this.#buildPlacement(request, options),
-      excluded: new Set([...options.excluded, ...askedIds]),
-      mayAskForRate: true,
-      mayReserveRoom: true,
-    });
-    if (
-      request.fields.promptTokens > 0 ||
-      decisions.isLargeBody(request.body.length)
-    ) {
-      return new Set(await fleet.queryLoads(keys));
-    }
-    // A plain request would wait longer for the answers than it gains by them: they
-    // serve the next ones, which learn from them which replicas are slow or fail.
-    for (const key of keys) {
-      fleet.keepLoadFresh(key, EVIDENCE_QUERY_INTERVAL_MS);
-    }
-    return new Set(keys);
-  }
-
-  /** Takes a request at a replica with a rate if that is the best choice and grants it. */
-  async #takeAtRate(
-    request: requests.AdmittedRequest,
-    options: sends.SendOptions,
-    known: Pick<groups.PlacementRequest, "queriedKeys" | "reservedKey">,
-  ): Promise<number | undefined> {
-    const { table, fleet } = this.dependencies;
-    const excluded = new Set(options.excluded);
-    for (let questions = 0; questions < MAX_RATE_QUESTIONS; questions += 1) {
-      const placement = this.#buildPlacement(request, { ...options, excluded });
-      const pick = table.pick({
-        ...placement,
-        ...known,
-        mayAskForRate: true,
-      });
-      if (pick === undefined) break;
-      const { key, entry } = pick.state;
-      if (fleet.readRate(key) === undefined) break;
-      const isPreferred = fleet.isCold(key) &&
-        colds.isPreferredWhileCold(
-          pick,
-          placement,
-          table.listActive(request.service),
-        );
-      if (await fleet.takeRequest(key, placement.reserved, isPreferred)) {
-        return key;
-      }
-      excluded.add(entry.id);
-    }
-    return undefined;
-  }
-
-  #buildPlacement(
-    request: requests.AdmittedRequest,
-    options: Pick<sends.SendOptions, "model" | "excluded">,
-  ): groups.PlacementRequest {
-    const { fields, service, route } = request;
-    const { nowMs } = this;
-    return {
-      ...this.dependencies.places.findLimits(request, nowMs),
-      service,
-      model: options.model,
-      promptTokens: fields.promptTokens,
-      prefillMsPerToken: this.speeds.getTracker(service).predictPrefillMs(
-        options.model,
-        1,
-      ),
-      maxGapMs: route.kind === "stream" ? route.maxGapMs : undefined,
-      remainingTargetMs: request.receivedAtMs + route.targetLatencyMs - nowMs,
-      answerMs: this.speeds.predictAnswerMs(request),
-      neededTokens: this.dependencies.table.memories.predictTokens(request),
-      parts: fields.promptParts,
-      excluded: options.excluded,
-      needsNewConnection: route.kind === "non-idempotent",
-      versionPreference: this.#chooseVersionPreference(request),
-      reserved: priorities.getPriority(request) === 0 ? 0 : 1,
-      bodyBytes: request.body.length,
-      nowMs,
-    };
-  }
-
-  /** Records a session's version and tells peers that would choose another one. */
-  #recordSession(request: requests.AdmittedRequest, version: string): void {
-    const { service, fields, versionFraction } = request;
-    const { session } = fields;
-    if (session === undefined) return;
-    const { sessions, rollouts, fleet } = this.dependencies;
-    sessions.record(service, session, version, this.nowMs);
-    if (rollouts.shouldShare(service, version, versionFraction)) {
-      fleet.shareSession({ service, session, version });
-    }
-  }
-
-  #chooseVersionPreference(
-    request: requests.AdmittedRequest,
-  ): decisions.VersionPreference {
-    const { service, fields, versionFraction } = request;
-    const version = fields.session === undefined
-      ? undefined
-      : this.dependencies.sessions.find(service, fields.session, this.nowMs);
-    return this.dependencies.rollouts.chooseVersionPreference(service, {
-      version,
-      fraction: versionFraction,
-    });
-  }
 }
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -7,9 +7,8 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
-import type * as logs from "./decision_log.ts";
+import type * as fleetOptions from "./fleet_options.ts";
 import type * as ports from "./ports.ts";
-import type * as telemetry from "./telemetry.ts";
 
 /** Share of the lease's TTL after which it is renewed; leaves time for two more attempts. */
 const RENEW_SHARE = 0.3;
@@ -20,41 +19,9 @@
 /** Spreads the announcements of processes that start at the same time. */
 const START_JITTER_MS = 300;
 
-/** State of this process that its peers are told. */
-export interface FleetSource
-  extends Omit<peers.ReportSource, "listLoads" | "listRunning"> {
-  /** Keys of the replicas at which this process has requests. */
-  listBusyKeys(): readonly number[];
-  /** What peers should know of suspected parts of prompts. */
-  listPromptTallies(): readonly peers.PartTally[];
-  /** What this process has at a replica. */
-  readOwnLoad(replicaKey: number): decisions.ReplicaLoadState;
-}
-
-/** Receives what peers tell. */
-export interface FleetListener extends peers.ReportListener {
-  onPromptTallies(message: peers.PromptMessage): void;
-}
-
-/** Dependencies of the fleet. */
-export interface FleetOptions {
-  readonly settings: ports.RouterSettings;
-  readonly clock: kernel.Clock;
-  readonly controlPlane: ports.ControlPlane;
-  readonly log: logs.DecisionLog;
-  readonly telemetry: telemetry.Telemetry;
-  readonly random: () => number;
-  readonly source: FleetSource;
-  readonly listener: FleetListener;
-  /** Called when the number of announced processes changes. */
-  readonly onSizeChange: (processes: number) => void;
-  /** What replicas bear while they are cold, and who is told. */
-  readonly cold: Pick<peers.ColdGrantsOptions, "findLimit" | "onLearnt">;
-}
-
 /** Announces this process and exchanges reports with its peers. */
 export class Fleet {
-  readonly #options: FleetOptions;
+  readonly #options: fleetOptions.FleetOptions;
   readonly #peers = new Map<string, peers.PeerEndpoint>();
   readonly #abort = new AbortController();
   #reporter: peers.PeerReporter | undefined;
@@ -69,7 +36,7 @@
   #withdrawal: Promise<void> | undefined;
   #isClosed = false;
 
-  constructor(options: FleetOptions) {
+  constructor(options: fleetOptions.FleetOptions) {
     this.#options = options;
     const { settings, clock, random } = options;
     this.owners = new peers.ReplicaOwners(settings.vmName);
--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -15,6 +15,7 @@
 import type * as speeds from "./replica_speeds.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
+import * as policies from "./room_policies.ts";
 import * as scans from "./service_scan.ts";
 import type * as telemetry from "./telemetry.ts";
 
@@ -103,14 +104,14 @@
 export class RoomGate {
   readonly #options: RoomGateOptions;
   readonly #sharesByService = new Map<string, decisions.AccountShares>();
-  #policies = new Map<string, decisions.RoomPolicy | undefined>();
-  #policiesOf: bundle.RouteIndex | undefined;
+  readonly #policies: policies.RoomPolicies;
   readonly #shortestBacklogs = new scans.ServiceScan();
   #heldCount = 0;
   #meanBacklogMs = 0;
 
   constructor(options: RoomGateOptions) {
     this.#options = options;
+    this.#policies = new policies.RoomPolicies(options.getRouteIndex);
   }
 
   /** Resolves when a request may be sent, or is not to be sent any more. */
@@ -119,7 +120,7 @@
     entry: RoomEntry,
   ): Promise<RoomOutcome> {
     const policy = request.fields.promptTokens > 0
-      ? this.#findPolicy(request.service)
+      ? this.#policies.find(request.service)
       : undefined;
     const keys = await this.#queryLoads(entry, policy);
     if (policy === undefined) return { keys };
@@ -143,7 +144,7 @@
     },
   ): RoomPreview | undefined {
     const policy = request.fields.promptTokens > 0
-      ? this.#findPolicy(request.service)
+      ? this.#policies.find(request.service)
       : undefined;
     if (policy === undefined) return undefined;
     const nowMs = this.#options.clock.monotonicMs();
@@ -370,31 +371,6 @@
     this.#sharesByService.set(service, shares);
     return shares;
   }
-
-  /** What competes for a service's engines; `undefined` if nothing does. */
-  #findPolicy(service: string): decisions.RoomPolicy | undefined {
-    const index = this.#options.getRouteIndex();
-    if (index === undefined) return undefined;
-    if (this.#policiesOf !== index) {
-      this.#policiesOf = index;
-      this.#policies = new Map();
-    }
-    if (!this.#policies.has(service)) {
-      this.#policies.set(service, buildPolicy(index, service));
-    }
-    return this.#policies.get(service);
-  }
-}
-
-function buildPolicy(
-  { table, serviceByName }: bundle.RouteIndex,
-  service: string,
-): decisions.RoomPolicy | undefined {
-  if (serviceByName.get(service)?.engine === undefined) return undefined;
-  const routes = table.routes.filter(({ targets }) =>
-    targets.some((target) => target.service === service)
-  );
-  return decisions.buildRoomPolicy(routes, table.accounts);
 }
 
 function getAccountName({ account }: requests.AdmittedRequest): string {
