Tests: a read of the bills that fails is repeated, not taken for no bills

Cause: "a suspended entry resumes after its bills were stored from backups" counted 20 bills, and 0 of them 1.2 s later, in a run of all tests at a load average of 34: a read of the store that fails gave an empty list. The check of the number stays as it is; a read that never succeeds fails the test.

--- a/packages/bench/src/control_calls.ts
+++ b/packages/bench/src/control_calls.ts
@@ -1,4 +1,5 @@
 /** HTTP calls to the control interfaces of fakes and to the processes' status pages. */
+import type * as kernel from "@jackdawbank/kernel";
 import * as undici from "undici";
 import * as processes from "./processes.ts";
 
@@ -30,6 +31,18 @@
   return answer;
 }
 
+/** Reads again while a read fails, as a failed one says nothing; throws if none succeeds. */
+export async function readUntilOk<T>(
+  read: () => Promise<kernel.Outcome<T>>,
+): Promise<T> {
+  let outcome = await read();
+  await processes.waitFor("the read succeeds", async () => {
+    if (outcome.isErr()) outcome = await read();
+    return outcome.isOk();
+  });
+  return outcome._unsafeUnwrap();
+}
+
 async function sendJson(
   method: "PUT" | "POST",
   url: string,
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -286,9 +286,9 @@
 
   async readUsage(): Promise<readonly ctl.UsageRow[]> {
     const store = new stores.EtcdStore(this.storeUrl);
-    const rows = await ctl.readUsage(store);
+    const rows = await calls.readUntilOk(() => ctl.readUsage(store));
     await store.close();
-    return rows.unwrapOr([]);
+    return rows;
   }
 
   /** Requests billed in the store. */
