--- a/packages/bench/src/own_memory_fault_test.ts
+++ b/packages/bench/src/own_memory_fault_test.ts
@@ -53,7 +53,8 @@
     await send(crowd);
     await memory.settle();
     t.true(target.process.isRunning, target.process.log.slice(-5).join("; "));
-    t.is((await caller.chat({ model: "verse-small" })).status, 200);
+    const ordinary = await caller.chat({ model: "verse-small" });
+    t.is(ordinary.status, 200, JSON.stringify(ordinary).slice(0, 300));
     t.log(`peak: ${usage.peakMb} MB, ${usage.peakDescriptors} descriptors`);
     t.true(usage.peakMb <= MEMORY_MB, `peak of ${usage.peakMb} MB`);
     t.true(
