A request whose deadline passed before it could be sent is refused as not run

Cause: a request that waited for the first view beyond its deadline entered its exchange with no time left, whose overdue check answered 500, not_run unknown, though nothing was sent.

Change: it is refused with 504 deadline-before-run. What callers saw: 500 in place of a truthful 504.

--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -48,6 +48,12 @@
   0,
 );
 
+/** Refusal of a request whose deadline has passed before it could be sent. */
+export const TOO_LATE_REFUSAL: Refusal = makeRefusal(
+  "deadline-before-run",
+  "the deadline passed before the request could be sent",
+);
+
 /** Creates the refusal of a request for which no replica is available. */
 export function makeNoReplicaRefusal(
   service: string,
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -268,13 +268,21 @@
     }
     const { route } = admitted.value;
     writer.setRoute(route);
+    const remainingMs = admitted.value.deadlineAtMs -
+      this.#options.clock.monotonicMs();
+    if (remainingMs <= 0) {
+      const { error } = admissions.TOO_LATE_REFUSAL;
+      writer.refuse(error);
+      const { kind, message } = error;
+      return { route: route.name, outcome: { outcome: kind, reason: message } };
+    }
     const Exchange = route.kind === "stream"
       ? streamExchanges.StreamExchange
       : bufferedExchanges.BufferedExchange;
     const exchange = new Exchange(dispatcher, watchdog, admitted.value, writer);
     const outcome = await deadlines.enforceDeadline(
       exchange.run(),
-      admitted.value.deadlineAtMs - this.#options.clock.monotonicMs(),
+      remainingMs,
     );
     return { route: route.name, outcome };
   }
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -54,9 +54,9 @@
   });
 }
 
-/** Where the handling of requests fails: by an exception, or by an exchange without end. */
+/** Where the handling of requests fails: by an exception, or by a wait without end. */
 interface Fault {
-  readonly in: "codec" | "admission" | "exchange";
+  readonly in: "codec" | "admission" | "exchange" | "first view";
 }
 
 /** Starts a server that cannot handle requests by a fault of this process. */
@@ -89,7 +89,10 @@
     control: {
       routeIndex: undefined,
       viewAgeMs: 0,
-      waitForView: () => Promise.resolve(),
+      waitForView: () =>
+        fault.in === "first view"
+          ? kernel.sleep(2 * ROUTE_TIMEOUT_MS)
+          : Promise.resolve(),
     } as unknown as control.ControlTask,
     codec: {
       decodeRequest: () => fault.in === "codec" ? fail() : { attemptId: "a1" },
@@ -147,6 +150,17 @@
   t.is(server.inFlight, 0);
 });
 
+// Guards against REFUSED, the other way: a request that was never sent was answered as one
+// that may have run.
+test("a request whose deadline passes while it waits for the first view is refused as not run", async (t) => {
+  const { port, findLines } = await startFailingServer(t, { in: "first view" });
+  const got = await send(port, "GET", "");
+  t.is(got.status, 504);
+  t.true(JSON.parse(got.body).error.not_run);
+  t.like(findLines("request.ended").at(0), { outcome: "deadline-before-run" });
+  t.is(findLines("request.fault").length, 0);
+});
+
 test("a request whose caller has left while it was read is recorded as such", async (t) => {
   const { port, findLines } = await startFailingServer(t, { in: "admission" });
   const request = http.request({
