--- a/packages/bench/src/platform_explain_test.ts
+++ b/packages/bench/src/platform_explain_test.ts
@@ -76,6 +76,8 @@
     const moved = JSON.parse((await ask(harness, QUESTION)).text);
     t.deepEqual(moved.view.evacuatedDataCentres.toSorted(), ["b", "c"]);
     t.is(moved.chosen, "desk-a");
+    const large = { ...QUESTION, bodyBytes: 100_000 };
+    t.is(JSON.parse((await ask(harness, large)).text).chosen, "desk-a");
     t.is((await harness.call(ROUTES.check)).status, 200);
     t.like(harness.findLogLines("attempt.sent").at(-1), {
       replica: "desk-a",
--- a/packages/decisions/src/engine_latency.ts
+++ b/packages/decisions/src/engine_latency.ts
@@ -4,6 +4,7 @@
  * in a millisecond, and how long prompts wait before. All are learnt from answers,
  * without probes.
  */
+import * as bounded from "./bounded_map.ts";
 
 /** Weight of the newest answer in the pressure. */
 const PRESSURE_WEIGHT = 0.06;
@@ -21,6 +22,9 @@
 /** Time constant of the exponential decay of pressure and waiting time while no answers come. */
 const DECAY_MS = 4_000;
 
+/** Models whose rates are kept; callers may name any. */
+const MAX_MODELS = 256;
+
 /** First byte of one attempt, whether its answer is kept or not. */
 export interface FirstByteSample {
   readonly model: string | undefined;
@@ -74,6 +78,7 @@
     const known = this.#tokensPerMs.get(model) ?? rate;
     const weight = rate > known ? QUICK_RATE_WEIGHT : SLOW_RATE_WEIGHT;
     this.#tokensPerMs.set(model, known + weight * (rate - known));
+    bounded.trimOldest(this.#tokensPerMs, MAX_MODELS);
   }
 
   /** Mean share of their target latency that answers took, decaying with time. */
--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -33,7 +33,7 @@
 export interface PromptPlacement {
   readonly promptTokens: number;
   readonly prefillMsPerToken: number;
-  /** Longest pause that callers accept in streams of the service; absent without streams. */
+  /** Longest pause that the request's route accepts in a stream; absent if it is none. */
   readonly maxGapMs?: number | undefined;
   /** Time until the prompt's target latency is over. */
   readonly remainingTargetMs?: number | undefined;
@@ -86,6 +86,8 @@
   readonly pendingMs: number;
   /** Delay of the running streams by this prompt. */
   readonly streamsMs: number;
+  /** Streams that this prompt makes late, and its own lateness. */
+  readonly interruptedMs: number;
   readonly runningMs: number;
   readonly slotWaitMs: number;
   /** Prompts that are read in again because memory is short. */
@@ -113,23 +115,24 @@
     prefillMs: uncachedTokens *
       Math.max(placement.prefillMsPerToken, MIN_PREFILL_COST_MS_PER_TOKEN),
     pendingMs,
-    streamsMs: inFlight * prefillMs * PREFILL_SHARE_PER_STREAM +
-      streamDelay.predictInterruptionCostMs({
-        pendingMs,
-        prefillMs,
-        running: inFlight,
-        maxGapMs: placement.maxGapMs,
-        remainingTargetMs: placement.remainingTargetMs,
-      }),
+    streamsMs: inFlight * prefillMs * PREFILL_SHARE_PER_STREAM,
     runningMs: inFlight * RUNNING_REQUEST_COST_MS * (8 / Math.max(8, slots)),
     slotWaitMs: Math.max(0, inFlight + 1 - slots) * SLOT_WAIT_COST_MS,
     preemptionMs: memories.computePreemptions(candidate.memoryShare) *
       placement.promptTokens * placement.prefillMsPerToken,
   };
+  const { speedFactor } = candidate;
   return {
     ...computed,
+    interruptedMs: streamDelay.predictInterruptionCostMs({
+      pendingMs: pendingMs * speedFactor,
+      prefillMs: prefillMs * speedFactor,
+      running: inFlight,
+      maxGapMs: placement.maxGapMs,
+      remainingTargetMs: placement.remainingTargetMs,
+    }),
     speedMs: (placement.answerMs + sumTerms(computed)) *
-      (candidate.speedFactor - 1),
+      (speedFactor - 1),
     remoteMs: isLocal ? 0 : REMOTE_COST_MS,
     failuresMs: candidate.failureRate * FAILURE_COST_MS,
   };
--- a/packages/decisions/src/room/stream_delay.ts
+++ b/packages/decisions/src/room/stream_delay.ts
@@ -14,7 +14,7 @@
   readonly prefillMs: number;
   /** Requests that run at the replica. */
   readonly running: number;
-  /** Longest pause between two events that the service's routes accept; absent without streams. */
+  /** Longest pause between two events that the prompt's route accepts; absent if it is no stream. */
   readonly maxGapMs: number | undefined;
   /** Time until the prompt's own target latency is over; absent if it has none. */
   readonly remainingTargetMs: number | undefined;
@@ -28,8 +28,8 @@
 const LATE_STREAM_COST_SHARE = 0.4;
 /** An engine that also serves running streams prefills at about this part of its rate. */
 const SHARED_PREFILL_RATE = 0.5;
-/** Streams that the prompt's own answer counts as. */
-const OWN_WEIGHT = 4;
+/** Weight of the time by which the prompt's own answer is late. */
+const OWN_LATENESS_WEIGHT = 4;
 
 /** Share of the running streams that are late after prefill without a break, from 0 to 1. */
 function predictLateShare(prefillMs: number, maxGapMs: number): number {
@@ -38,16 +38,17 @@
   return Math.max(0, Math.min(1, share));
 }
 
-/** Whether a prompt itself is expected to be answered late, behind those that are pending. */
-function isLateItself(
+/** Time by which a prompt itself is expected to be answered late, behind those that are pending. */
+function predictOwnLatenessMs(
   { pendingMs, prefillMs, remainingTargetMs = Infinity }: StreamInterruption,
-): boolean {
-  return (pendingMs + prefillMs) / SHARED_PREFILL_RATE > remainingTargetMs;
+): number {
+  const answeredMs = (pendingMs + prefillMs) / SHARED_PREFILL_RATE;
+  return Math.max(0, answeredMs - Math.max(0, remainingTargetMs));
 }
 
 /**
  * Cost of the streams that a prompt makes late beyond those that pending prompts do,
- * its own among them: it is not sent to wait behind others until it is late itself.
+ * and of its own lateness: it is not sent to wait behind others until it is late itself.
  */
 export function predictInterruptionCostMs(
   interruption: StreamInterruption,
@@ -58,9 +59,8 @@
   }
   const addedShare = predictLateShare(pendingMs + prefillMs, maxGapMs) -
     predictLateShare(pendingMs, maxGapMs);
-  const lateStreams = running * addedShare +
-    (isLateItself(interruption) ? OWN_WEIGHT : 0);
-  return lateStreams * LATE_STREAM_COST_SHARE * maxGapMs;
+  return running * addedShare * LATE_STREAM_COST_SHARE * maxGapMs +
+    OWN_LATENESS_WEIGHT * predictOwnLatenessMs(interruption);
 }
 
 /** Whether a prompt alone makes running streams late, so that it is worth a wider search. */
--- a/packages/decisions/src/room/stream_delay_test.ts
+++ b/packages/decisions/src/room/stream_delay_test.ts
@@ -77,16 +77,23 @@
 });
 
 test("a long prompt does not wait behind others until it is late itself, to spare streams", (t) => {
-  const placement = makePlacement(LONG_TOKENS, MAX_GAP_MS);
-  const chosen = replicaChoice.chooseReplica(
-    [
-      makeCandidate("queued", { inFlight: 1, pendingMs: 1_900 }),
-      makeCandidate("streaming", { inFlight: 5, pendingMs: 0 }),
-    ],
-    placement,
-    () => 0,
-  );
-  t.is(chosen?.id, "streaming");
+  for (const remainingTargetMs of [4_000, -500]) {
+    const placement = {
+      ...makePlacement(LONG_TOKENS, MAX_GAP_MS),
+      remainingTargetMs,
+    };
+    for (const inFlight of [5, 8, 14, 20]) {
+      const chosen = replicaChoice.chooseReplica(
+        [
+          makeCandidate("queued", { inFlight: 1, pendingMs: 1_900 }),
+          makeCandidate("streaming", { inFlight, pendingMs: 0 }),
+        ],
+        placement,
+        () => 0,
+      );
+      t.is(chosen?.id, "streaming", `${inFlight} streams`);
+    }
+  }
 });
 
 test("many short prompts: they interrupt nobody, and are sent as without the limit", (t) => {
--- a/packages/router/src/body_rooms.ts
+++ b/packages/router/src/body_rooms.ts
@@ -8,7 +8,7 @@
 import * as admissions from "./admission.ts";
 import type * as fleets from "./fleet.ts";
 import type * as logs from "./decision_log.ts";
-import type * as groups from "./replica_group.ts";
+import * as groups from "./replica_group.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import type * as sends from "./send.ts";
@@ -98,7 +98,7 @@
       if (state === undefined) {
         if (hasAskedAgain) break;
         hasAskedAgain = true;
-        await this.#askAgain(placement.service);
+        await this.#askAgain(placement);
         continue;
       }
       tries += 1;
@@ -134,9 +134,14 @@
   }
 
   /** Asks for the bodies at a service's replicas, where older answers say that all are full. */
-  async #askAgain(service: string): Promise<void> {
+  async #askAgain(
+    { service, excluded, homeDataCentres }: groups.PlacementRequest,
+  ): Promise<void> {
     const { table, fleet } = this.#options;
-    const keys = table.listActive(service).map(({ key }) => key);
+    const keys = table.listActive(service).filter((state) =>
+      !excluded.has(state.entry.id) &&
+      groups.isAtHome(state, { homeDataCentres })
+    ).map(({ key }) => key);
     await fleet.queryLoads(keys.slice(0, MAX_REPEATED_QUESTIONS));
   }
 
@@ -147,7 +152,10 @@
   ): Promise<sends.BodyReservation | undefined> {
     const { accounts, log } = this.#options;
     const release = pool.reserveBody(bodyBytes);
-    const account = await accounts.ask(key);
+    const account = await accounts.ask(key).catch((thrown: unknown) => {
+      release();
+      throw thrown;
+    });
     const ownBytes = pool.bodyBytesInFlight - bodyBytes;
     const { maxBodyBytes } = accounts;
     const fits = decisions.fitsReplica(
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -84,6 +84,7 @@
       ...places.findLimits(request, nowMs),
       excluded,
       versionPreference,
+      bodyBytes: request.body.length,
       nowMs,
     });
   }
@@ -97,7 +98,7 @@
     request: requests.AdmittedRequest,
     options: sends.SendOptions,
   ): Promise<sends.Preparation> {
-    const { keys: queriedKeys, refusal } = await this.#roomGate.enter(request, {
+    const { keys: queriedKeys, ...held } = await this.#roomGate.enter(request, {
       hasBeenSent: options.earlierSends > 0,
       prefillMs: this.speeds.getTracker(request.service).predictPrefillMs(
         options.model,
@@ -108,6 +109,7 @@
         this.#questions.queryLoads(request, options, askedKeys),
       isRefused: () => this.#findRefusal(request, options.hasRun) !== undefined,
     });
+    const refusal = held.refusal ?? this.#findRefusal(request, options.hasRun);
     if (refusal !== undefined) {
       return { queriedKeys, grantedKey: undefined, refusal };
     }
@@ -120,13 +122,18 @@
     const reservedKey = room.reservation?.replicaKey;
     const mayBeSent = room.refusal === undefined &&
       this.dependencies.table.hasRates(request.service);
-    const grantedKey = mayBeSent
-      ? await this.#questions.takeAtRate(request, options, {
-        queriedKeys,
-        reservedKey,
-      })
-      : undefined;
-    return { queriedKeys, grantedKey, ...room };
+    try {
+      const grantedKey = mayBeSent
+        ? await this.#questions.takeAtRate(request, options, {
+          queriedKeys,
+          reservedKey,
+        })
+        : undefined;
+      return { queriedKeys, grantedKey, ...room };
+    } catch (thrown) {
+      room.reservation?.release();
+      throw thrown;
+    }
   }
 
   /** Sends a request to the best replica that is not excluded. */
@@ -237,7 +244,11 @@
       model,
       excluded: new Set(),
     });
-    const weighed = table.weigh({ ...placement, mayAskForRate: true });
+    const weighed = table.weigh({
+      ...placement,
+      mayAskForRate: true,
+      mayReserveRoom: true,
+    });
     return {
       placement,
       weighed,
--- a/packages/router/src/explain_endpoint.ts
+++ b/packages/router/src/explain_endpoint.ts
@@ -1,5 +1,6 @@
 /** The question where a request would go, over HTTP on the address of the metrics. */
 import type * as http from "node:http";
+import * as kernel from "@jackdawbank/kernel";
 import * as explanations from "./explanation.ts";
 
 const HTTP_OK = 200;
@@ -7,6 +8,7 @@
 const HTTP_METHOD_NOT_ALLOWED = 405;
 const HTTP_TOO_LARGE = 413;
 const HTTP_TOO_MANY = 429;
+const HTTP_INTERNAL = 500;
 /** Questions that are read at the same time; further ones are refused. */
 const MAX_OPEN_QUESTIONS = 4;
 /** Time in which a question must have arrived. */
@@ -51,9 +53,14 @@
         (explanation) => answer(response, HTTP_OK, explanation),
         (error) => answer(response, HTTP_BAD_REQUEST, { error }),
       );
-    } catch {
-      // The operator's connection broke.
-      response.destroy();
+    } catch (thrown) {
+      if (request.destroyed && !request.complete) {
+        // The operator's connection broke.
+        response.destroy();
+        return;
+      }
+      const error = kernel.describeThrown(thrown);
+      answer(response, HTTP_INTERNAL, { error });
     } finally {
       clearTimeout(timer);
       this.#open -= 1;
--- a/packages/router/src/explanation.ts
+++ b/packages/router/src/explanation.ts
@@ -3,6 +3,7 @@
  * comes from the code that admits, holds and places requests; it asks no other
  * process, and changes nothing.
  */
+import * as decisions from "@jackdawbank/decisions";
 import * as neverthrow from "neverthrow";
 import type * as admissions from "./admission.ts";
 import type * as control from "./control_task.ts";
@@ -193,6 +194,11 @@
     const preview = this.#dispatcher.preview(request, model);
     const { placement, weighed, refusal, room } = preview;
     const { homeDataCentres, heldBackDataCentres, reserved } = placement;
+    const fitting = new Set(
+      weighed.costed.flatMap(({ candidate: { memoryShare, state } }) =>
+        decisions.fitsMemory(memoryShare) ? [state.entry.id] : []
+      ),
+    );
     const candidates = weighed.costed.map(({ candidate, costMs, terms }) => {
       const { entry, key } = candidate.state;
       const ratePerS = fleet.readRate(key);
@@ -216,6 +222,8 @@
         ),
       };
     }).toSorted((a, b) => a.costMs - b.costMs);
+    const chosen = candidates.find(({ replica }) => fitting.has(replica)) ??
+      candidates[0];
     return {
       route: request.route.name,
       account: request.account?.name,
@@ -236,7 +244,7 @@
       refusal: refusal && renderRefusal(refusal),
       candidates,
       chosen: refusal === undefined && room?.isHopeless !== true
-        ? candidates[0]?.replica
+        ? chosen?.replica
         : undefined,
     };
   }
--- a/packages/router/src/replica_group.ts
+++ b/packages/router/src/replica_group.ts
@@ -53,7 +53,7 @@
   readonly promptTokens: number;
   /** Predicted prefill time of one token. */
   readonly prefillMsPerToken: number;
-  /** Longest pause that callers accept in streams of the service; absent without streams. */
+  /** Longest pause that the request's route accepts in a stream; absent if it is none. */
   readonly maxGapMs?: number | undefined;
   /** Time until the request's target latency is over. */
   readonly remainingTargetMs?: number | undefined;
@@ -158,9 +158,12 @@
 }
 
 /** Whether a replica has memory for the request's body, or may have it. */
-function hasBodyRoom(
+export function hasBodyRoom(
   { key, pool }: ReplicaState,
-  request: PlacementRequest,
+  request: Pick<
+    PlacementRequest,
+    "bodyBytes" | "reservedKey" | "mayReserveRoom"
+  >,
   bodies: ReplicaBodies,
 ): boolean {
   const { bodyBytes, reservedKey, mayReserveRoom } = request;
--- a/packages/router/src/replica_table.ts
+++ b/packages/router/src/replica_table.ts
@@ -129,16 +129,22 @@
     service: string,
     options: Pick<
       groups.PlacementRequest,
-      "excluded" | "versionPreference" | "homeDataCentres" | "nowMs"
+      | "excluded"
+      | "versionPreference"
+      | "homeDataCentres"
+      | "bodyBytes"
+      | "nowMs"
     >,
   ): boolean {
-    const { rates } = this.#options;
+    const { rates, bodies } = this.#options;
+    const body = { bodyBytes: options.bodyBytes, mayReserveRoom: true };
     return this.listActive(service).some((state) =>
       !options.excluded.has(state.entry.id) &&
       !options.versionPreference.banned.includes(state.entry.version) &&
       groups.isAtHome(state, options) &&
       !state.pool.isFull &&
-      groups.isUnrestricted(state, rates, options.nowMs)
+      groups.isUnrestricted(state, rates, options.nowMs) &&
+      groups.hasBodyRoom(state, body, bodies)
     );
   }
 
--- a/packages/router/src/room_gate.ts
+++ b/packages/router/src/room_gate.ts
@@ -299,10 +299,12 @@
     const limitMs = request.deadlineAtMs - nowMs + MIN_REFUSAL_MARGIN_MS;
     if (backlogMs < limitMs) return undefined;
     const states = this.#options.table.listActive(request.service);
+    // A figure that serves several requests must not depend on the size of one.
+    const tokens = scans.isExact(states.length) ? neededTokens : 0;
     const shortestMs = this.#shortestBacklogs.read(
       request.service,
       { replicas: states.length, nowMs },
-      () => this.#readBacklogMs(states.map(({ key }) => key), neededTokens),
+      () => this.#readBacklogMs(states.map(({ key }) => key), tokens),
     );
     return shortestMs < limitMs ? undefined : shortestMs;
   }
--- a/packages/router/src/service_scan.ts
+++ b/packages/router/src/service_scan.ts
@@ -10,6 +10,11 @@
 const REUSE_MS = 250;
 const MAX_SERVICES = 1_024;
 
+/** Whether a figure over so many replicas is computed at each request, for this request alone. */
+export function isExact(replicas: number): boolean {
+  return replicas <= MAX_EXACT_REPLICAS;
+}
+
 /** One figure, by service. */
 export class ServiceScan {
   readonly #known = new Map<
@@ -23,7 +28,7 @@
     compute: () => number,
   ): number {
     const { replicas, nowMs } = context;
-    if (replicas <= MAX_EXACT_REPLICAS) return compute();
+    if (isExact(replicas)) return compute();
     const known = this.#known.get(service);
     if (known !== undefined && nowMs - known.atMs < REUSE_MS) {
       return known.value;
