Only the sampled replicas are assessed before loads are asked for

Cause: since replicas are compared by speed, memory and streams, each prompt assessed all known replicas (up to 64) to draw a few, and added the terms of each cost by iterating over the object.

Change: candidates are drawn by their IDs; only the drawn sample is assessed.

--- a/packages/decisions/src/replica_choice.ts
+++ b/packages/decisions/src/replica_choice.ts
@@ -9,9 +9,15 @@
 import * as streamDelay from "./room/stream_delay.ts";
 import * as memories from "./uneven/engine_memory.ts";
 
-/** A replica that may be chosen. */
-export interface ReplicaCandidate {
+/** A replica by its ID. */
+export interface NamedReplica {
   readonly id: string;
+  /** Hash of the ID; computed if it is absent. */
+  readonly key?: number;
+}
+
+/** A replica that may be chosen. */
+export interface ReplicaCandidate extends NamedReplica {
   /** Whether it is in the same data centre. */
   readonly isLocal: boolean;
   /** Requests in flight there, as far as this process knows. */
@@ -131,7 +137,7 @@
       maxGapMs: placement.maxGapMs,
       remainingTargetMs: placement.remainingTargetMs,
     }),
-    speedMs: (placement.answerMs + sumTerms(computed)) *
+    speedMs: (placement.answerMs + sumComputed(computed)) *
       (speedFactor - 1),
     remoteMs: isLocal ? 0 : REMOTE_COST_MS,
     failuresMs: candidate.failureRate * FAILURE_COST_MS,
@@ -147,11 +153,20 @@
   return sumTerms(predictCostTerms(candidate, placement, affinityReplicaId));
 }
 
-function sumTerms(terms: object): number {
-  return Object.values(terms).reduce(
-    (sum: number, term: number) => sum + term,
-    0,
-  );
+type ComputedTerms = Omit<
+  CostTerms,
+  "interruptedMs" | "speedMs" | "remoteMs" | "failuresMs"
+>;
+
+/** The terms that grow with the time that the replica takes to compute. */
+function sumComputed(terms: ComputedTerms): number {
+  return terms.prefillMs + terms.pendingMs + terms.streamsMs +
+    terms.runningMs + terms.slotWaitMs + terms.preemptionMs;
+}
+
+function sumTerms(terms: CostTerms): number {
+  return sumComputed(terms) + terms.interruptedMs + terms.speedMs +
+    terms.remoteMs + terms.failuresMs;
 }
 
 function drawSample<T>(
@@ -167,13 +182,13 @@
 }
 
 /** The first candidates in the order of the prompt's prefix. */
-function findHomes<C extends ReplicaCandidate>(
+function findHomes<C extends NamedReplica>(
   candidates: readonly C[],
   { affinityKey }: PromptPlacement,
   count: number,
 ): readonly C[] {
   if (affinityKey === undefined) return [];
-  const hashes = candidates.map(({ id }) => hash.hashText(id));
+  const hashes = candidates.map(({ id, key }) => key ?? hash.hashText(id));
   return hash.findRendezvousHomes(hashes, affinityKey, count)
     .map((index) => candidates[index] as C);
 }
@@ -184,11 +199,16 @@
  * the best of a random sample by the loads known so far. A sample, because many
  * processes would otherwise ask for, and then choose, the same replicas.
  */
-export function chooseQueryCandidates<C extends ReplicaCandidate>(
+export function chooseQueryCandidates<C extends NamedReplica>(
   candidates: readonly C[],
   placement: PromptPlacement,
-  random: () => number,
+  options: {
+    readonly random: () => number;
+    /** Reads what is known of a replica; called for the sample alone. */
+    readonly assess: (candidate: C) => ReplicaCandidate;
+  },
 ): readonly C[] {
+  const { random, assess } = options;
   if (placement.promptTokens === 0) {
     return drawSample(candidates, PLAIN_CANDIDATES, random);
   }
@@ -207,7 +227,7 @@
   );
   const ranked = sample.map((candidate) => ({
     candidate,
-    costMs: predictCostMs(candidate, placement, undefined),
+    costMs: predictCostMs(assess(candidate), placement, undefined),
   })).toSorted((a, b) => a.costMs - b.costMs);
   return [
     ...chosen,
--- a/packages/decisions/src/room/stream_delay_test.ts
+++ b/packages/decisions/src/room/stream_delay_test.ts
@@ -64,7 +64,7 @@
     const asked = replicaChoice.chooseQueryCandidates(
       candidates,
       placement,
-      choiceRandom,
+      { random: choiceRandom, assess: (each) => each },
     );
     const chosen = replicaChoice.chooseReplica(asked, placement, choiceRandom);
     interrupted += chosen?.inFlight ?? 0;
--- a/packages/decisions/src/router_rules_test.ts
+++ b/packages/decisions/src/router_rules_test.ts
@@ -276,7 +276,10 @@
   }));
   const counts = new Map<string, number>();
   for (let process = 0; process < 1_000; process += 1) {
-    const candidates = choice.chooseQueryCandidates(pool, plain, draw);
+    const candidates = choice.chooseQueryCandidates(pool, plain, {
+      random: draw,
+      assess: (each) => each,
+    });
     const id = choice.chooseReplica(candidates, plain, draw)?.id ?? "";
     counts.set(id, (counts.get(id) ?? 0) + 1);
   }
--- a/packages/decisions/src/uneven/plain_choice_test.ts
+++ b/packages/decisions/src/uneven/plain_choice_test.ts
@@ -57,7 +57,10 @@
       sharedTokens: 0,
       answerMs: isSpread ? ANSWER_MS : 0,
     };
-    const asked = choice.chooseQueryCandidates(candidates, placement, draw);
+    const asked = choice.chooseQueryCandidates(candidates, placement, {
+      random: draw,
+      assess: (each) => each,
+    });
     const id = Number(choice.chooseReplica(asked, placement, draw)?.id);
     sent += 1;
     if ((counts[id] as number) >= SLOTS) waited += 1;
--- a/packages/decisions/src/uneven/replica_speed_test.ts
+++ b/packages/decisions/src/uneven/replica_speed_test.ts
@@ -81,7 +81,10 @@
       speedFactor,
       memoryShare: 0,
     }));
-    const asked = choice.chooseQueryCandidates(candidates, placement, draw);
+    const asked = choice.chooseQueryCandidates(candidates, placement, {
+      random: draw,
+      assess: (each) => each,
+    });
     const id = Number(choice.chooseReplica(asked, placement, draw)?.id);
     const startMs = Math.max(nowMs, freeAtMs[id] as number);
     const endMs = startMs + prefillMs * load.findSlowness(id, startMs);
--- a/packages/router/src/candidate.ts
+++ b/packages/router/src/candidate.ts
@@ -59,20 +59,29 @@
   return states.map((state) => buildCandidate(state, request, options));
 }
 
-/** Draws the candidates whose loads are asked for. */
+/** Draws the replicas whose loads are asked for. */
 export function drawQueried(
-  candidates: readonly Candidate[],
+  states: readonly groups.ReplicaState[],
   request: groups.PlacementRequest,
-  { random, rates }: Pick<
-    tableOptions.ReplicaTableOptions,
-    "random" | "rates"
-  >,
-): readonly Candidate[] {
+  options:
+    & CandidateOptions
+    & Pick<tableOptions.ReplicaTableOptions, "random" | "rates">,
+): readonly groups.ReplicaState[] {
   const placement = buildPlacement(request);
-  return queries.limitRatedCandidates(candidates, {
-    choose: (from) => decisions.chooseQueryCandidates(from, placement, random),
-    hasRate: ({ state }) => rates.readRate(state.key) !== undefined,
-  });
+  const { random, rates } = options;
+  const named = states.map((state) => ({
+    id: state.entry.id,
+    key: state.key,
+    state,
+  }));
+  return queries.limitRatedCandidates(named, {
+    choose: (from) =>
+      decisions.chooseQueryCandidates(from, placement, {
+        random,
+        assess: ({ state }) => buildCandidate(state, request, options),
+      }),
+    hasRate: ({ key }) => rates.readRate(key) !== undefined,
+  }).map(({ state }) => state);
 }
 
 function buildCandidate(
@@ -89,6 +98,7 @@
   return {
     state,
     id: state.entry.id,
+    key: state.key,
     isLocal: dataCentre === options.dataCentre,
     inFlight: state.inFlight + peerLoad.running,
     pendingMs: state.pendingMs + peerLoad.pendingMs,
--- a/packages/router/src/replica_chooser.ts
+++ b/packages/router/src/replica_chooser.ts
@@ -70,17 +70,18 @@
   listQueryKeys(request: groups.PlacementRequest): readonly number[] {
     const group = this.#findGroup(request) ?? [];
     if (group.length < 2) return [];
-    return this.#drawQueried(group, request).map(({ state }) => state.key);
+    return this.#drawQueried(group, request).map(({ key }) => key);
   }
 
   /** The candidates and costs of a choice, by the loads known now; changes nothing. */
   weigh(request: groups.PlacementRequest): candidates.WeighedReplicas {
     const group = this.#findGroup(request) ?? [];
+    const drawn = this.#drawQueried(group, request);
     return {
       active: this.#options.members.findActive(request.service).states.length,
       usable: group.length,
       costed: decisions.costReplicas(
-        this.#drawQueried(group, request),
+        candidates.buildCandidates(drawn, request, this.#options),
         candidates.buildPlacement(request),
       ),
     };
@@ -89,13 +90,11 @@
   #drawQueried(
     group: readonly groups.ReplicaState[],
     request: groups.PlacementRequest,
-  ): readonly candidates.Candidate[] {
-    const options = this.#options;
+  ): readonly groups.ReplicaState[] {
     const limited = this.#limit(group, request);
-    const among = candidates.buildCandidates(limited, request, options);
-    return among.length < 2
-      ? among
-      : candidates.drawQueried(among, request, options);
+    return limited.length < 2
+      ? limited
+      : candidates.drawQueried(limited, request, this.#options);
   }
 
   /** Looks at a sample of many replicas, if enough of it is usable. */
--- a/packages/router/src/shared_load_test.ts
+++ b/packages/router/src/shared_load_test.ts
@@ -180,7 +180,7 @@
     const queried = decisions.chooseQueryCandidates(
       candidates,
       placement,
-      this.random,
+      { random: this.random, assess: (each) => each },
     ).map(({ id }) => Number(id));
     let isSent = false;
     const sendOnce = (known: readonly number[]) => {
