--- a/packages/bench/src/bundle_fault_test.ts
+++ b/packages/bench/src/bundle_fault_test.ts
@@ -253,7 +253,8 @@
   t.is((await deployment.listEngineRuns()).length, before);
   entry.resume();
   const results = await Promise.all(calls);
-  t.true(results.every(({ status }) => status === 200));
+  const statuses = results.map(({ status }) => status);
+  t.true(statuses.every((status) => status === 200), `${statuses}`);
 });
 
 test("of two concurrent rolls one succeeds, and the other is told who signed the winner", async (t) => {
