A stream that pauses late in a stop is kept at its replica

Cause: once the process accepts no more, only requests that no replica has run are held to the time that is left; "has run" was taken for "nothing better can be told to its caller". A stream that paused for longer than its route's gap was given up at its sound replica at any moment of the grace period, and resumed at another one, which had not begun when all was ended. The same check serves buffered requests without a response in time.

Change: to give up a sound replica for another one needs as much time as a first attempt does: the process still accepts, or the request's own deadline comes before the end. A replica that broke off or failed is replaced as before.

--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -70,13 +70,17 @@
     return this.dependencies.clock.monotonicMs();
   }
 
-  /** Whether the retry budget, the configuration's age and the other replicas permit a retry. */
+  /**
+   * Whether an attempt at a sound replica may be given up for one at another replica:
+   * the retry budget, the configuration's age, a stop and the other replicas permit it.
+   */
   canReroute(
     request: requests.AdmittedRequest,
     excluded: ReadonlySet<string>,
   ): boolean {
     if (!this.canRetry(request.service)) return false;
-    if (this.#findRefusal(request, true) !== undefined) return false;
+    // As for a first attempt, enough time must be left to end it.
+    if (this.#findRefusal(request, false) !== undefined) return false;
     const versionPreference = this.#placements.chooseVersionPreference(request);
     const { table, places } = this.dependencies;
     const { nowMs } = this;
