An answer of low confidence is kept where a stop leaves no time for another

Callers saw: 502 at the end of a stop in place of an answer that a small model had begun; it was dropped for a larger model, which could not answer before the process ended.

Evidence: platform_late_send_test, "an answer of low confidence is kept", failed before with 502.

Change: an escalation needs as much time as a first attempt.

--- a/packages/bench/src/platform_late_send_test.ts
+++ b/packages/bench/src/platform_late_send_test.ts
@@ -47,3 +47,23 @@
     t.regex(got.body, /piece 4/);
     t.is(sends, 1);
   }));
+
+// Guards against an answer lost to a stop: late in it, the answer of a small model was dropped, and
+// the larger one that was asked instead could not end.
+test("an answer of low confidence is kept if a larger model has no time to answer", (t) =>
+  withHarness(async (harness) => {
+    const engine = await harness.addReplica(
+      "i-1",
+      "llm",
+      (request) => ({
+        type: "stream",
+        events: 2,
+        confidence: 5,
+        delayMs: harnesses.isSmallModel(request) ? 900 : LATE_MS,
+      }),
+    );
+    const got = await callDuringStop(harness);
+    t.is(got.status, 200);
+    t.false(got.isTruncated);
+    t.is(engine.received.length, 1);
+  }));
--- a/packages/router/src/stream_escalation.ts
+++ b/packages/router/src/stream_escalation.ts
@@ -41,12 +41,16 @@
   return model;
 }
 
-/** Whether the request may be sent anywhere now; its data centres may all be evacuated. */
+/**
+ * Whether the request may be sent anywhere now: its data centres may all be evacuated,
+ * and a process that stops soon has no time for another attempt.
+ */
 function hasOpenReplica(
   { dependencies, nowMs }: dispatchers.Dispatcher,
   request: requests.AdmittedRequest,
 ): boolean {
-  const { table, places } = dependencies;
+  const { table, places, shutdown } = dependencies;
+  if (!shutdown.canSend(nowMs, request.deadlineAtMs)) return false;
   const limits = places.findLimits(request, nowMs);
   return table.listActive(request.service).some((state) =>
     groups.isAtHome(state, limits)
