A stop closes no connection while requests on it wait for their answers

Cause: from the signal on, each answer closed its connection, whatever else was on it. The runtime drops the requests behind an answer that closes. And a request that came behind such an answer (a stream's head is written long before its end) was passed on all the same.

Evidence: platform_pipeline_test, 3 of 3 failed before: "one" answered, "two" and "three" run and not answered, sent before the signal as well as after it; the order behind a stream had reached its replica.

Change: the connection knows its newest request. Only the answer to that one closes it, and from the moment that its head says so, what comes behind is neither handled nor passed on: its caller may send it again elsewhere.

--- /dev/null
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -0,0 +1,104 @@
+/** Tests what becomes of requests in a row on connections that a stop closes. */
+import type * as net from "node:net";
+import * as ava from "ava";
+import * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
+import * as harnesses from "./platform_harness.ts";
+
+const { ROUTES, withHarness } = harnesses;
+// Serial, because concurrent tests would distort the delays that they check.
+const test = ava.default.serial;
+
+const ATTEMPT_ID = "x-jackdawbank-attempt-id";
+
+function renderRequest(path: string, id: string): string {
+  return `POST ${path} HTTP/1.1\r\nhost: ${harnesses.HOST}\r\n` +
+    `authorization: Token ${harnesses.KEY}\r\n` +
+    `${ATTEMPT_ID}: ${id}\r\ncontent-length: 6\r\n\r\ncrates`;
+}
+
+/** The ids of the requests that the replica has run. */
+function listRuns(replica: fakes.FakeReplica): readonly string[] {
+  return replica.received.map(({ headers }) => String(headers[ATTEMPT_ID]));
+}
+
+/** The ids of the requests whose answers were received, by the bodies of these. */
+function listAnswered(received: string): readonly string[] {
+  return [...received.matchAll(/answer to (\w+)\./g)].map(([, id]) =>
+    String(id)
+  );
+}
+
+function addDesk(
+  harness: harnesses.PlatformHarness,
+): Promise<fakes.FakeReplica> {
+  return harness.addReplica("i-1", "desk", ({ headers }) => ({
+    type: "ok",
+    body: `answer to ${headers[ATTEMPT_ID]}.`,
+    delayMs: 200,
+  }));
+}
+
+// Guards against LOST: the answer to the first of two requests closed the connection, though the
+// second one had been passed on.
+for (const when of ["before", "after"] as const) {
+  test(`requests in a row that were sent ${when} the signal are all answered`, (t) =>
+    withHarness(async (harness) => {
+      const desk = await addDesk(harness);
+      await harness.start({ graceMs: 4_000 });
+      const socket = await harness.connect();
+      const received = harnesses.readToEnd(socket);
+      const sendAll = async () => {
+        for (const id of ["one", "two", "three"]) {
+          socket.write(renderRequest(ROUTES.order, id));
+          await kernel.sleep(10);
+        }
+      };
+      if (when === "before") await sendAll();
+      const stopped = harness.router.stop("SIGTERM");
+      if (when === "after") await sendAll();
+      t.deepEqual(listAnswered(await received), ["one", "two", "three"]);
+      t.is(listRuns(desk).length, 3);
+      await stopped;
+    }));
+}
+
+function readUntil(socket: net.Socket, pattern: RegExp): Promise<void> {
+  return new Promise((resolve) => {
+    let text = "";
+    socket.on("data", (chunk: Buffer) => {
+      text += chunk.toString();
+      if (pattern.test(text)) resolve();
+    });
+  });
+}
+
+// Guards against LOST: a request that came behind an answer that closes its connection was passed
+// on, though it could not be answered any more.
+test("a request behind an answer that closes the connection is not passed on", (t) =>
+  withHarness(async (harness) => {
+    const desk = await addDesk(harness);
+    await harness.addReplica("i-2", "llm", () => ({
+      type: "stream",
+      events: 6,
+      confidence: 100,
+      eventIntervalMs: 100,
+    }));
+    await harness.start({ graceMs: 4_000 });
+    const stopped = harness.router.stop("SIGTERM");
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    const begun = readUntil(socket, /piece 1/);
+    socket.write(
+      renderRequest(ROUTES.draft, "draft").replace(
+        "content-length",
+        "x-jackdawbank-model: *\r\nx-jackdawbank-token-usage: 600,80\r\ncontent-length",
+      ),
+    );
+    await begun;
+    socket.write(renderRequest(ROUTES.order, "behind"));
+    const text = await received;
+    t.regex(text, /piece 6[\s\S]*\r\n0\r\n\r\n$/);
+    t.deepEqual(listRuns(desk), []);
+    await stopped;
+  }));
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -26,8 +26,14 @@
 interface ConnectionState {
   /** Called for each request without a complete response if the connection closes before. */
   readonly onClosed: Set<() => void>;
+  /** The same callback of the newest one. */
+  newest: (() => void) | undefined;
   /** Whether the body of the newest one is still being read. */
   isReading: boolean;
+  /** No further request can be answered. */
+  isLast: boolean;
+  /** Requests since then, which are ignored. */
+  ignoredRequests: number;
 }
 
 /** Open connections of callers. */
@@ -58,7 +64,13 @@
       this.#remove(longestIdle);
       longestIdle.destroy();
     }
-    const state: ConnectionState = { onClosed: new Set(), isReading: false };
+    const state: ConnectionState = {
+      onClosed: new Set(),
+      newest: undefined,
+      isReading: false,
+      isLast: false,
+      ignoredRequests: 0,
+    };
     this.#states.set(socket, state);
     this.#idle.add(socket);
     onOpened();
@@ -70,19 +82,25 @@
   }
 
   /**
-   * Records a request; returns false if the connection had too many and was closed.
-   * `onClosed` is called if it closes before the end of the response: the runtime
-   * reports that for the response that is being written only.
+   * Records a request; returns false if it must not be handled: the connection ends
+   * before it could be answered, or had too many and was closed. `onClosed` is called
+   * if it closes before the end of the response: the runtime reports that for the
+   * response that is being written only.
    */
   startRequest(socket: net.Socket, onClosed: () => void): boolean {
     const state = this.#states.get(socket);
     if (state === undefined) return !socket.destroyed;
     const { maxRequests = MAX_PIPELINED_REQUESTS } = this.#options;
-    if (state.onClosed.size >= maxRequests) {
+    if (state.onClosed.size + state.ignoredRequests >= maxRequests) {
       this.#refusePipelined(socket);
       return false;
     }
+    if (state.isLast) {
+      state.ignoredRequests += 1;
+      return false;
+    }
     state.onClosed.add(onClosed);
+    state.newest = onClosed;
     state.isReading = true;
     this.#idle.delete(socket);
     return true;
@@ -108,6 +126,17 @@
     if (state.onClosed.size === 0 && !socket.destroyed) this.#idle.add(socket);
   }
 
+  /**
+   * Called when the head of a response is written that may close its connection:
+   * returns whether it is to do so. It is not if further requests wait behind it.
+   */
+  beginLastResponse(socket: net.Socket, onClosed: () => void): boolean {
+    const state = this.#states.get(socket);
+    if (state === undefined || state.newest !== onClosed) return false;
+    state.isLast = true;
+    return true;
+  }
+
   /** Whether a request that was read has no complete response yet. */
   isAnswering(socket: net.Socket): boolean {
     const state = this.#states.get(socket);
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -7,6 +7,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as admissions from "./admission.ts";
 import * as bodies from "./body_reader.ts";
+import * as disconnects from "./caller_disconnect.ts";
 import * as resources from "./caller_resources.ts";
 import type * as control from "./control_task.ts";
 import type * as dispatchers from "./dispatcher.ts";
@@ -38,8 +39,6 @@
 };
 /** Interval at which the server checks connections for header and request time-outs. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
-/** Turns of the event loop after which a disconnect received with the request is visible. */
-const DISCONNECT_CHECK_TURNS = 2;
 /** A path and query; the parser lets further characters through. */
 const TARGET_PATTERN = /^\/[\u0021-\u00ff]*$/;
 const HTTP_BAD_REQUEST = 400;
@@ -57,22 +56,6 @@
   readonly log: logs.DecisionLog;
 }
 
-/**
- * Whether the caller disconnected while its request waited to be read. After a
- * stall of this process, the request is read one turn of the event loop before
- * the end of its connection.
- */
-async function hasCallerDisconnected(signal: AbortSignal): Promise<boolean> {
-  for (
-    let turn = 0;
-    turn < DISCONNECT_CHECK_TURNS && !signal.aborted;
-    turn += 1
-  ) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-  return signal.aborted;
-}
-
 /** Accepts and answers callers' requests. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
@@ -168,7 +151,10 @@
       connections.endRequest(socket, end);
       if (!response.writableFinished) callerAbort.abort();
     };
-    if (!connections.startRequest(socket, end)) return;
+    if (!connections.startRequest(socket, end)) {
+      request.resume();
+      return;
+    }
     this.#inFlight += 1;
     const hold = budget.open(
       socket.remoteAddress ?? "",
@@ -186,7 +172,8 @@
     const writer = new writers.ResponseWriter(response, {
       codec: this.#options.codec,
       hold,
-      shouldClose: () => this.#isDraining,
+      shouldClose: () =>
+        this.#isDraining && connections.beginLastResponse(socket, end),
       onCut: (reason) =>
         this.#options.log.addNotable("caller.cut", { requestId, reason }),
     });
@@ -211,7 +198,7 @@
         receivedAtMs,
         signal: callerAbort.signal,
       });
-      if (await hasCallerDisconnected(incoming.signal)) {
+      if (await disconnects.hasCallerDisconnected(incoming.signal)) {
         this.#recordOutcome(
           requestId,
           route,
