A later request that is refused or malformed does not take the answers before it

Callers saw: of two requests written in a row on one connection, the first was passed on and run, and the connection was closed with no answer to either, because the second one was too large, incomplete for too long, or no request at all (LOST, at any time, not around a stop alone).

A refusal without reading ended the connection in the next turn of the event loop, a malformed one destroyed it.

Evidence: platform_pipeline_test, "an answer is written before its connection is closed …" and "… though malformed bytes follow …", both failed before: nothing was received.

Change: such a connection takes no further request, and is ended once the requests that have arrived are answered. Connections with too many requests in a row, and those that come while memory is short, are still closed at once, as before.

--- a/packages/bench/src/platform_pipeline_test.ts
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -102,3 +102,39 @@
     t.deepEqual(listRuns(desk), []);
     await stopped;
   }));
+
+// Guards against LOST: a request with a body that is too large ended its connection at once, though
+// the request before it had been passed on and had no answer yet.
+test("an answer is written before its connection is closed because of a later request", (t) =>
+  withHarness(async (harness) => {
+    await addDesk(harness);
+    await harness.start();
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    socket.write(renderRequest(ROUTES.order, "one"));
+    socket.write(
+      renderRequest(ROUTES.order, "two").replace(
+        "content-length: 6",
+        "content-length: 99999999",
+      ),
+    );
+    const text = await received;
+    t.deepEqual(listAnswered(text), ["one"]);
+    t.regex(text, /HTTP\/1\.1 413 /);
+  }));
+
+// Guards against LOST: bytes that are no request, behind one that had been passed on, closed the
+// connection before its answer.
+test("an answer is written though malformed bytes follow its request", (t) =>
+  withHarness(async (harness) => {
+    await addDesk(harness);
+    await harness.start();
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    socket.write(renderRequest(ROUTES.order, "one"));
+    socket.write("no request\r\n\r\n");
+    await kernel.sleep(50);
+    socket.write("no request\r\n\r\n");
+    t.deepEqual(listAnswered(await received), ["one"]);
+    t.is(harness.findLogLines("request.malformed").length, 1);
+  }));
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -30,10 +30,14 @@
   newest: (() => void) | undefined;
   /** Whether the body of the newest one is still being read. */
   isReading: boolean;
+  /** Whether all of the newest one has arrived, though it may not be read yet. */
+  hasArrived: () => boolean;
   /** No further request can be answered. */
   isLast: boolean;
   /** Requests since then, which are ignored. */
   ignoredRequests: number;
+  /** The connection is ended after the answers to the requests before. */
+  endsWhenAnswered: boolean;
 }
 
 /** Open connections of callers. */
@@ -68,8 +72,10 @@
       onClosed: new Set(),
       newest: undefined,
       isReading: false,
+      hasArrived: () => true,
       isLast: false,
       ignoredRequests: 0,
+      endsWhenAnswered: false,
     };
     this.#states.set(socket, state);
     this.#idle.add(socket);
@@ -87,7 +93,11 @@
    * if it closes before the end of the response: the runtime reports that for the
    * response that is being written only.
    */
-  startRequest(socket: net.Socket, onClosed: () => void): boolean {
+  startRequest(
+    socket: net.Socket,
+    onClosed: () => void,
+    hasArrived: () => boolean = () => false,
+  ): boolean {
     const state = this.#states.get(socket);
     if (state === undefined) return !socket.destroyed;
     const { maxRequests = MAX_PIPELINED_REQUESTS } = this.#options;
@@ -102,6 +112,7 @@
     state.onClosed.add(onClosed);
     state.newest = onClosed;
     state.isReading = true;
+    state.hasArrived = hasArrived;
     this.#idle.delete(socket);
     return true;
   }
@@ -123,7 +134,9 @@
   endRequest(socket: net.Socket, onClosed: () => void): void {
     const state = this.#states.get(socket);
     if (state === undefined || !state.onClosed.delete(onClosed)) return;
-    if (state.onClosed.size === 0 && !socket.destroyed) this.#idle.add(socket);
+    if (socket.destroyed) return;
+    if (state.endsWhenAnswered) this.#endIfAnswered(socket);
+    else if (state.onClosed.size === 0) this.#idle.add(socket);
   }
 
   /**
@@ -137,11 +150,12 @@
     return true;
   }
 
-  /** Whether a request that was read has no complete response yet. */
+  /** Whether a request that has arrived has no complete response yet. */
   isAnswering(socket: net.Socket): boolean {
     const state = this.#states.get(socket);
     if (state === undefined) return false;
-    return state.onClosed.size > (state.isReading ? 1 : 0);
+    const isArriving = state.isReading && !state.hasArrived();
+    return state.onClosed.size > (isArriving ? 1 : 0);
   }
 
   /** Ends a connection after what was written; its caller may not keep it open. */
@@ -151,11 +165,36 @@
     socket.once("close", () => clearTimeout(timer));
   }
 
+  /** Ends a connection whose newest request was refused without reading it, after all answers. */
+  endAfterRefusal(socket: net.Socket): void {
+    const unanswered = this.#states.get(socket)?.onClosed.size ?? 0;
+    if (unanswered > 1) this.endWhenAnswered(socket);
+    else this.endSoon(socket);
+  }
+
+  /** Whether the connection ends as soon as its requests are answered. */
+  isEnding(socket: net.Socket): boolean {
+    return this.#states.get(socket)?.endsWhenAnswered === true;
+  }
+
+  /** Ends a connection once the requests that were read are answered; it takes no others. */
+  endWhenAnswered(socket: net.Socket): void {
+    const state = this.#states.get(socket);
+    if (state === undefined) return this.endSoon(socket);
+    state.isLast = true;
+    state.endsWhenAnswered = true;
+    this.#endIfAnswered(socket);
+  }
+
   /** Ends all idle connections. */
   closeIdle(): void {
     for (const socket of this.#idle) socket.end();
   }
 
+  #endIfAnswered(socket: net.Socket): void {
+    if (!this.isAnswering(socket)) this.endSoon(socket);
+  }
+
   #refusePipelined(socket: net.Socket): void {
     this.#options.onRefused("pipelined");
     socket.destroy();
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -151,7 +151,7 @@
       connections.endRequest(socket, end);
       if (!response.writableFinished) callerAbort.abort();
     };
-    if (!connections.startRequest(socket, end)) {
+    if (!connections.startRequest(socket, end, () => request.complete)) {
       request.resume();
       return;
     }
@@ -315,7 +315,7 @@
     const reason = kernel.describeThrown(thrown);
     if (thrown instanceof bodies.RequestReadError) {
       // The rest of the request is not read, so the connection cannot be reused.
-      setImmediate(() => this.#resources.connections.endSoon(socket));
+      setImmediate(() => this.#resources.connections.endAfterRefusal(socket));
       writer.refuse(
         kernel.makeError(thrown.kind, reason),
         kernel.findErrorResponse(thrown.kind).retry === "later"
@@ -367,19 +367,26 @@
       : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
       ? HTTP_REQUEST_TIMEOUT
       : HTTP_BAD_REQUEST;
+    const { connections } = this.#resources;
+    // What follows a malformed request is malformed, too.
+    if (connections.isEnding(socket)) return;
     this.#options.log.addNotable("request.malformed", {
       code: error.code,
       reason: error.message,
     });
-    // An answer that is being written must not be followed by another one.
-    if (!socket.writable || this.#resources.connections.isAnswering(socket)) {
+    if (!socket.writable) {
       socket.destroy();
       return;
     }
+    // An answer that is being written must not be followed by another one.
+    if (connections.isAnswering(socket)) {
+      connections.endWhenAnswered(socket);
+      return;
+    }
     const text = http.STATUS_CODES[status] ?? "Bad Request";
     socket.write(
       `HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
     );
-    this.#resources.connections.endSoon(socket);
+    connections.endSoon(socket);
   }
 }
