A stop counts from when its signal may have come, not from when it is told

Cause: the schedule of a stop began with the handler of the signal. The runtime calls that in the next turn of its event loop; the platform counts from the signal.

Change: a timer records the turns of the event loop. A signal that is told of now is no older than the newest turn that is over, by the clock that shows the longer time, as a suspension may stop one of them. If that turn is overdue, the stop counts from it; at the least, there is time to answer what runs. `process.stopping` has `signalAgeMs`.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -20,6 +20,7 @@
 import * as sessions from "./sessions.ts";
 import * as sides from "./side_listener.ts";
 import * as shutdowns from "./shutdown.ts";
+import * as signalAges from "./signal_age.ts";
 import * as telemetry from "./telemetry.ts";
 import * as watchdogs from "./watchdog.ts";
 
@@ -47,6 +48,7 @@
   readonly #quarantine: quarantines.PromptQuarantine;
   readonly #sessions: sessions.SessionTable;
   readonly #shutdown: shutdowns.ShutdownSchedule;
+  readonly #signalAge: signalAges.SignalAge;
   readonly #watchdog: watchdogs.Watchdog;
   readonly #callerServer: callerServers.CallerServer;
   readonly #readiness: http.Server;
@@ -68,6 +70,7 @@
     });
     this.#controlPlane = controlPlane;
     this.#shutdown = new shutdowns.ShutdownSchedule(settings.graceMs);
+    this.#signalAge = new signalAges.SignalAge(clock);
     this.#sessions = new sessions.SessionTable(
       settings.sessionGapMs * SESSION_TTL_GAPS,
     );
@@ -277,12 +280,14 @@
   async #runStop(reason: string): Promise<void> {
     this.#isStopping = true;
     const { clock, log } = this.#options;
+    const signalAgeMs = this.#signalAge.measureMs();
     log.addNotable("process.stopping", {
       reason,
+      signalAgeMs: Math.round(signalAgeMs),
       inFlight: this.#callerServer.inFlight,
     });
     const startedAtMs = clock.monotonicMs();
-    this.#shutdown.start(startedAtMs);
+    this.#shutdown.start(startedAtMs, signalAgeMs);
     const { acceptUntilMs, closeAtMs, exitAtMs } = this.#shutdown;
     this.#callerServer.startDraining();
     void this.#fleet.withdrawAnnouncement();
@@ -310,6 +315,7 @@
     this.#quarantine.close();
     this.#watchdog.close();
     this.#cold.close();
+    this.#signalAge.close();
     this.#table.close();
     await this.#fleet.close();
     await this.#control.close();
--- a/packages/router/src/shutdown.ts
+++ b/packages/router/src/shutdown.ts
@@ -29,8 +29,11 @@
     this.#graceMs = graceMs;
   }
 
-  start(nowMs: number): void {
-    this.#startedAtMs = nowMs;
+  /** Begins a stop whose signal may have waited for some time; the grace period counts from it. */
+  start(nowMs: number, signalAgeMs = 0): void {
+    // A process that still lives has at least the time to end what runs.
+    const maxAgeMs = this.#graceMs - this.#endMarginMs;
+    this.#startedAtMs = nowMs - Math.min(signalAgeMs, maxAgeMs);
   }
 
   /** Whether the stop has begun. */
--- a/packages/router/src/shutdown_test.ts
+++ b/packages/router/src/shutdown_test.ts
@@ -48,3 +48,14 @@
   await shutdowns.waitFor(() => true, startedAtMs + 60_000, clock);
   t.true(clock.monotonicMs() - startedAtMs < 30_000);
 });
+
+// Guards against LOST: a process that is told late of its signal has less time.
+test("a stop counts from the moment at which its signal may have come", (t) => {
+  const shutdown = new shutdowns.ShutdownSchedule(8_000);
+  shutdown.start(NOW_MS, 1_000);
+  t.is(shutdown.acceptUntilMs, NOW_MS + 1_700);
+  t.is(shutdown.endAtMs, NOW_MS + 6_500);
+  shutdown.start(NOW_MS, 60_000);
+  t.true(shutdown.hasEnded(NOW_MS));
+  t.true(shutdown.closeAtMs > NOW_MS);
+});
