After a delay, a process reads what has arrived before it judges attempts

Cause: the checks of running attempts are called by a timer, and timers run before sockets are read. In a process that was short of processor time, the first check after a delay saw silence for as long as the delay, while the events lay unread in its socket: the stream was given up as stalled, or ended as the grace period was over.

Change: checks run after the sockets have been read in the same turn of the event loop. What is silent then was silent on the wire.

--- a/packages/router/src/watchdog.ts
+++ b/packages/router/src/watchdog.ts
@@ -40,7 +40,11 @@
     const checkNow = () => check(this.#clock.monotonicMs());
     this.#checks.add(check);
     signal.addEventListener("abort", checkNow, { once: true });
-    this.#timer ??= setInterval(() => this.#checkAll(), CHECK_INTERVAL_MS);
+    // A process that lagged first reads what has arrived: timers run before sockets are read.
+    this.#timer ??= setInterval(
+      () => setImmediate(() => this.#checkAll()),
+      CHECK_INTERVAL_MS,
+    );
     return () => {
       this.#checks.delete(check);
       signal.removeEventListener("abort", checkNow);
@@ -72,6 +76,7 @@
   }
 
   #checkAll(): void {
+    if (this.#checks.size === 0) return;
     const nowMs = this.#clock.monotonicMs();
     const lagMs = this.#measureLagMs(nowMs);
     if (lagMs > 0) this.#lastLagAtMs = nowMs;
--- a/packages/router/src/watchdog_test.ts
+++ b/packages/router/src/watchdog_test.ts
@@ -1,4 +1,5 @@
 /** Detection of event loop lag by the watchdog. */
+import * as net from "node:net";
 import * as ava from "ava";
 import * as kernel from "@jackdawbank/kernel";
 import * as watchdogs from "./watchdog.ts";
@@ -73,3 +74,39 @@
     t.is(faults.at(0), fault);
   },
 );
+
+// Guards against LOST: after a delay of this process, a stream was given up as stalled though its
+// events had arrived and were not read yet.
+ava.default(
+  "what has arrived during a delay is read before a check",
+  async (t) => {
+    const server = net.createServer();
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as net.AddressInfo;
+    const accepted = new Promise<net.Socket>((resolve) =>
+      server.once("connection", resolve)
+    );
+    const receiver = net.connect(port, "127.0.0.1");
+    const sender = await accepted;
+    const watchdog = new watchdogs.Watchdog(new kernel.SystemClock(), () => {});
+    t.teardown(() => {
+      watchdog.close();
+      receiver.destroy();
+      sender.destroy();
+      server.close();
+    });
+    const order: string[] = [];
+    receiver.on("data", () => order.push("data"));
+    watchdog.watch(() => order.push("check"), new AbortController().signal);
+    await kernel.sleep(100);
+    order.length = 0;
+    sender.write("event");
+    const endAtMs = performance.now() + 100;
+    while (performance.now() < endAtMs);
+    await kernel.sleep(100);
+    t.is(order[0], "data");
+    t.true(order.includes("check"));
+  },
+);
