A stop reads what has arrived before it closes idle connections

In a process that lagged, the timer that ends the accepting ran before the sockets were read; connections with a request unread were ended as idle, and connections that waited to be accepted were reset.

Change: before it closes anything, the stop lets pass the turns of the event loop in which a connection is accepted and its request read. Whether that request may still be sent is decided by the clock, as for all others.

--- a/packages/bench/src/platform_pipeline_test.ts
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -1,4 +1,4 @@
-/** Tests what becomes of requests in a row on connections that a stop closes. */
+/** Tests what becomes of requests on kept connections that are closed, around a stop above all. */
 import type * as net from "node:net";
 import * as ava from "ava";
 import * as fakes from "@jackdawbank/fakes";
@@ -138,3 +138,23 @@
     t.deepEqual(listAnswered(await received), ["one"]);
     t.is(harness.findLogLines("request.malformed").length, 1);
   }));
+
+// Guards against LOST: a request had arrived, but the process lagged, and closed the connection as
+// idle before it read the request.
+test("a request that arrives before the process accepts no more is answered though it is read late", (t) =>
+  withHarness(async (harness) => {
+    await addDesk(harness);
+    await harness.start({ graceMs: 4_000 });
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    const stopped = harness.router.stop("SIGTERM");
+    await kernel.sleep(1_900);
+    socket.write(renderRequest(ROUTES.order, "late"));
+    // After this, timers run before sockets are read.
+    setImmediate(() => {
+      const endAtMs = performance.now() + 400;
+      while (performance.now() < endAtMs);
+    });
+    t.deepEqual(listAnswered(await received), ["late"]);
+    await stopped;
+  }));
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -292,6 +292,7 @@
     this.#callerServer.startDraining();
     void this.#fleet.withdrawAnnouncement();
     await kernel.sleep(acceptUntilMs - startedAtMs);
+    await shutdowns.readPending();
     this.#callerServer.stopAccepting();
     const hasDrained = () => this.#callerServer.inFlight === 0;
     await shutdowns.waitFor(hasDrained, closeAtMs, clock);
--- a/packages/router/src/shutdown.ts
+++ b/packages/router/src/shutdown.ts
@@ -19,6 +19,8 @@
 const CLOSE_SHARE = 0.75;
 
 const POLL_MS = 50;
+/** Turns of the event loop in which a connection is accepted, and its request read. */
+const READ_TURNS = 3;
 
 /** Schedule of the stop of one process; before `start`, nothing is limited. */
 export class ShutdownSchedule {
@@ -104,3 +106,10 @@
   await Promise.race([work, kernel.sleep(leftMs, timeout.signal)]);
   timeout.abort();
 }
+
+/** Resolves when what has arrived so far has been read. */
+export async function readPending(): Promise<void> {
+  for (let turn = 0; turn < READ_TURNS; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
