Our own listeners, too, answer what runs before they end a connection

The fault of "A later request that is refused or malformed does not take the answers before it" in the guard of the callers' and the operators' listener of the product's own roles: a body that is too large ended its connection in the next turn of the event loop, though the request before it ran.

request_guard_test failed before: nothing was received.

--- a/packages/router/src/request_guard.ts
+++ b/packages/router/src/request_guard.ts
@@ -100,7 +100,7 @@
         return neverthrow.err(undefined);
       }
       // The rest of the request is not read, so the connection cannot be reused.
-      setImmediate(() => connections.endSoon(socket));
+      setImmediate(() => connections.endAfterRefusal(socket));
       return neverthrow.err(kernel.makeError(thrown.kind, thrown.message));
     }
   }
