The platform's client tells positions of a restored store apart

Seen: after a return of the store from an older copy, an entry's write on condition of revision 28 replaced a record that it had never read, and a watch from a revision that the store's counter had passed again missed the changes below it without a 410. Lease numbers are granted again as well: a renewal or an end of a lost lease could hit another process's.

Cause: revisions were compared across the return; they order changes within one era only.

The client decodes `Store-Era` of each answer and joins it with the revision to a position that is ordered across eras. An answer of an earlier era is a failure; a watch, a conditional write or a lease of one is answered as lost history, "changed" and "expired". A store that sends no era has positions equal to its revisions, so the formats on the wire stay as they are.

--- /dev/null
+++ b/packages/bench/src/platform_era_test.ts
@@ -0,0 +1,101 @@
+/** Tests the store's client and a router on a store that is restored from an older copy. */
+import * as ava from "ava";
+import * as fakes from "@jackdawbank/fakes";
+import * as platform from "@jackdawbank/platform";
+import type * as router from "@jackdawbank/router";
+
+const test = ava.default.serial;
+const RECORD_KEY = "jackdawbank/rollout/desk";
+const WAIT_MS = 20;
+
+const RECORD: router.RolloutRecord = {
+  service: "desk",
+  revision: 0,
+  orderRevision: 5,
+  targetVersion: "v2",
+  state: "in-progress",
+  startedAtMs: 0,
+  durationMs: 20_000,
+  reason: "ordered",
+  bannedVersions: [],
+};
+
+async function openStore(t: ava.ExecutionContext) {
+  const fake = new fakes.FakePlatformStore();
+  fake.era = 1;
+  const port = await fake.listen();
+  const store = new platform.PlatformStore({ host: "127.0.0.1", port });
+  t.teardown(async () => {
+    await store.close();
+    await fake.close();
+  });
+  return { fake, store };
+}
+
+/** The store's answer; the first call after its return may meet a closed connection. */
+async function watchUntilAnswered(
+  store: platform.PlatformStore,
+  afterRevision: number,
+) {
+  const watch = () =>
+    store.waitForChanges(
+      afterRevision,
+      WAIT_MS,
+      new AbortController().signal,
+    );
+  const first = await watch();
+  return first.isErr() && first.error.kind === "store-unavailable"
+    ? await watch()
+    : first;
+}
+
+// Guards against a restored store that gives out a revision again: a write on condition of that
+// revision replaced a record that its writer had never read.
+test("a write on condition of an earlier era's revision changes nothing", async (t) => {
+  const { fake, store } = await openStore(t);
+  fake.copy();
+  const written = (await store.writeRollout(RECORD))._unsafeUnwrap();
+  const revision = written.type === "written" ? written.revision : 0;
+  fake.restore();
+  fake.put(RECORD_KEY, { ...RECORD, state: "rolled-back" });
+  t.is((await store.readAll())._unsafeUnwrap().items.length, 1);
+  const late = await store.writeRollout({
+    ...RECORD,
+    revision,
+    state: "completed",
+  });
+  t.deepEqual(late._unsafeUnwrap(), { type: "changed" });
+  t.like(fake.read(RECORD_KEY) as object, { state: "rolled-back" });
+});
+
+// Guards against CONFIG: the restored store's counter had passed the process's revision when it
+// watched again, so that it got no 410 and missed all changes below that revision.
+test("a watch from a revision that the restored store has passed reports that the history is lost", async (t) => {
+  const { fake, store } = await openStore(t);
+  fake.copy();
+  fake.put("op/config", {});
+  const { revision } = (await store.readAll())._unsafeUnwrap();
+  fake.restore();
+  for (let change = 0; change < 5; change += 1) fake.put("op/other", change);
+  const watched = await watchUntilAnswered(store, revision);
+  t.is(watched._unsafeUnwrapErr().kind, "history-lost");
+  const { revision: next } = (await store.readAll())._unsafeUnwrap();
+  t.true(next > revision);
+  t.true((await watchUntilAnswered(store, next)).isOk());
+});
+
+// Guards against processes that renew or end another process's lease: the restored store grants
+// the numbers of lost leases again.
+test("a lease of an earlier era is neither renewed nor ended", async (t) => {
+  const { fake, store } = await openStore(t);
+  const announce = (name: string) =>
+    store.announcePeer({ name, host: "10.0.0.1", port: 1 });
+  fake.copy();
+  const old = (await announce("edge-1"))._unsafeUnwrap();
+  fake.restore();
+  await announce("edge-2");
+  t.deepEqual(fake.list("jackdawbank/peers/"), ["jackdawbank/peers/edge-2"]);
+  t.false((await store.renewPeer(old.id))._unsafeUnwrap());
+  await store.withdrawPeer(old.id);
+  t.deepEqual(fake.list("jackdawbank/peers/"), ["jackdawbank/peers/edge-2"]);
+});
--- a/packages/fakes/src/platform_store.ts
+++ b/packages/fakes/src/platform_store.ts
@@ -30,6 +30,14 @@
   readonly item: Item | undefined;
 }
 
+/** State to which the store goes back. */
+interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly leases: ReadonlySet<number>;
+  readonly changes: readonly Change[];
+  readonly revision: number;
+}
+
 const PAGE_SIZE = 50;
 const WATCH_POLL_INTERVAL_MS = 5;
 const CONFIGURATION_KEY = "op/config";
@@ -65,6 +73,9 @@
   #changes: Change[] = [];
   #oldestRevision = 0;
   #revision = 10;
+  /** Named in all answers; the header is left out if it is absent. */
+  era: number | undefined;
+  #copy: StoreCopy | undefined;
   /** What stale reads answer, with its revision; the current items if absent. */
   #stale: {
     readonly items: ReadonlyMap<string, Item>;
@@ -163,6 +174,34 @@
     this.#revision += 1;
   }
 
+  /** Keeps a copy of the state for `restore`. */
+  copy(): void {
+    this.#copy = {
+      items: new Map(this.#items),
+      leases: new Set(this.#leases),
+      changes: [...this.#changes],
+      revision: this.#revision,
+    };
+  }
+
+  /** Goes back to the copy, begins a new era and cuts all connections. */
+  restore(): void {
+    const copy = this.#copy;
+    if (copy === undefined) throw new Error("there is no copy");
+    this.#items.clear();
+    for (const [key, item] of copy.items) this.#items.set(key, item);
+    this.#leases.clear();
+    for (const lease of copy.leases) this.#leases.add(lease);
+    this.#changes = [...copy.changes];
+    this.#revision = copy.revision;
+    this.era = (this.era ?? 0) + 1;
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  get revision(): number {
+    return this.#revision;
+  }
+
   async close(): Promise<void> {
     this.mode = "busy";
     for (const socket of this.#sockets) socket.destroy();
@@ -184,6 +223,9 @@
       await new Promise((resolve) => setTimeout(resolve, this.delayMs));
     }
     if (this.mode === "silent") return;
+    if (this.era !== undefined) {
+      response.setHeader("store-era", String(this.era));
+    }
     if (this.mode === "busy") {
       response.writeHead(503).end();
       return;
@@ -246,7 +288,10 @@
       return;
     }
     for (;;) {
-      if (afterRevision < this.#oldestRevision) {
+      if (response.destroyed) return;
+      if (
+        afterRevision < this.#oldestRevision || afterRevision > this.#revision
+      ) {
         response.writeHead(410).end();
         return;
       }
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./answer_bound.ts";
 export * from "./clock.ts";
 export * from "./errors.ts";
+export * from "./history_position.ts";
 export * from "./kernel.ts";
 export * from "./log.ts";
 export * from "./metrics.ts";
