A version that has answered nothing is rolled back, not completed

Cause: completion asked only for the time and the absence of a verdict; a version without replicas cannot get one. Now the version must have replicas that take requests and at least one answer, own or of a peer. A process that has followed the roll-out and seen no request of the service at all may complete it, as before, if replicas are there. A version that cannot be completed is rolled back at 0.93 of the duration, in time for its status.

The test "a version that is not proven is rolled back before its end, not completed" was red before. The other tests of the plan name the new field as true; what they check is unchanged.

--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -1,7 +1,8 @@
 /**
  * Plan of a roll-out that an operator ordered. In a trial during the first half, a
  * small share of new sessions uses the new version. Then all requests move to it,
- * and the roll-out is completed once requests on the old version had time to end.
+ * and the roll-out is completed once requests on the old version had time to end and
+ * the new one has answered.
  * A verdict against the version rolls it back at any time. All processes derive
  * the same step from the stored record. A record is only replaced if its revision
  * is unchanged, so that a late writer cannot undo a verdict.
@@ -47,6 +48,8 @@
 const SHIFT_END = 0.58;
 /** Part of the duration at which the roll-out is completed. */
 const COMPLETION = 0.81;
+/** Part of the duration at which a version that cannot be completed is rolled back. */
+const LATEST_END = 0.93;
 /** Share of the allowed exposure that the trial uses. */
 const TRIAL_EXPOSURE_SHARE = 0.25;
 
@@ -104,6 +107,8 @@
   evidence: {
     /** Why the version should be rolled back, if it should. */
     readonly verdict: string | undefined;
+    /** Whether the version has shown that it can take over. */
+    readonly isProven: boolean;
     /** Monotonic time since the order, as far as this process knows. */
     readonly elapsedMs: number;
     readonly wallMs: number;
@@ -123,17 +128,24 @@
     return undefined;
   }
   if (evidence.verdict !== undefined) {
-    return {
-      ...current,
-      state: "rolled-back",
-      reason: evidence.verdict,
-      bannedVersions: [...current.bannedVersions, current.targetVersion],
-    };
+    return rollBack(current, evidence.verdict);
   }
-  if (evidence.elapsedMs >= COMPLETION * current.durationMs) {
+  const progress = evidence.elapsedMs / current.durationMs;
+  if (progress >= COMPLETION && evidence.isProven) {
     return { ...current, state: "completed", reason: "no verdict against it" };
   }
-  return undefined;
+  return progress >= LATEST_END
+    ? rollBack(current, "it has no replicas or has answered nothing")
+    : undefined;
+}
+
+function rollBack(record: RolloutRecord, reason: string): RolloutRecord {
+  return {
+    ...record,
+    state: "rolled-back",
+    reason,
+    bannedVersions: [...record.bannedVersions, record.targetVersion],
+  };
 }
 
 /** Version that a session runs on; `undefined` for a new or unknown session. */
--- a/packages/decisions/src/rollout_plan_test.ts
+++ b/packages/decisions/src/rollout_plan_test.ts
@@ -63,6 +63,7 @@
   t.is(plan.estimateElapsedMs(STARTED, startedAtMs + durationMs), durationMs);
   const next = plan.advanceRollout(ORDER, STARTED, {
     verdict: undefined,
+    isProven: true,
     elapsedMs: 4_000,
     wallMs: startedAtMs + 2_400_000,
   });
@@ -92,6 +93,7 @@
   t.deepEqual(choosePreference({ isStoppedLocally: true }).banned, ["v2"]);
   const record = plan.advanceRollout(ORDER, STARTED, {
     verdict: "bad",
+    isProven: true,
     elapsedMs: 15_000,
     wallMs: 15_000,
   });
@@ -99,6 +101,21 @@
   t.deepEqual(choosePreference({ record }).banned, ["v2"]);
 });
 
+// Guards against a version that is completed although its replicas had left and nothing had
+// answered: at that moment the old replicas are stopped.
+test("a version that is not proven is rolled back before its end, not completed", (t) => {
+  const advance = (progress: number, isProven: boolean) =>
+    plan.advanceRollout(ORDER, STARTED, {
+      verdict: undefined,
+      isProven,
+      elapsedMs: progress * ORDER.durationMs,
+      wallMs: 0,
+    })?.state;
+  t.is(advance(0.82, true), "completed");
+  t.is(advance(0.9, false), undefined);
+  t.is(advance(0.95, false), "rolled-back");
+});
+
 test("a new order of a banned version lifts its ban but not those of other versions", (t) => {
   const previous = {
     ...STARTED,
@@ -141,6 +158,7 @@
         if (action === "plan") {
           pending[process] = plan.advanceRollout(ORDER, views[process], {
             verdict: verdicts[process],
+            isProven: true,
             elapsedMs: wallMs,
             wallMs,
           });
@@ -155,6 +173,7 @@
       const view = store.record;
       const next = plan.advanceRollout(ORDER, view, {
         verdict: undefined,
+        isProven: true,
         elapsedMs: wallMs + ORDER.durationMs,
         wallMs: wallMs + ORDER.durationMs,
       });
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -16,6 +16,8 @@
 /** Share of a roll-out's duration that this delay may take. */
 const STEP_JITTER_SHARE = 0.03;
 const RETRY_MS = 400;
+/** Part of a roll-out for which a process must have followed it to judge that there are no requests. */
+const MIN_FOLLOWED_SHARE = 0.5;
 
 /** Outcome of an attempt as evidence for the version that ran it. */
 export interface ServiceVersionOutcome extends decisions.VersionOutcome {
@@ -40,6 +42,8 @@
   /** Age of the order at that time; unknown until its record is read. */
   elapsedBeforeMs: number | undefined;
   readonly evaluator: decisions.VersionTrial;
+  /** Requests of the service that ended at this process, on any version. */
+  localOutcomes: number;
 }
 
 /** Dependencies of the task. */
@@ -156,7 +160,9 @@
     if (order === undefined || this.#isOver(order)) return false;
     const { targetVersion } = order;
     const isTarget = version === targetVersion;
-    const { evaluator } = this.#getTrial(order);
+    const trial = this.#getTrial(order);
+    const { evaluator } = trial;
+    trial.localOutcomes += 1;
     if (evidence.isMinimum && !evaluator.isSlowStream(evidence)) return false;
     const previous = evaluator.verdict;
     const isSlow = evaluator.recordStream(evidence, {
@@ -183,7 +189,9 @@
     if (order === undefined || this.#isOver(order)) return;
     const { service, targetVersion } = order;
     const isTarget = outcome.version === targetVersion;
-    const { evaluator } = this.#getTrial(order);
+    const trial = this.#getTrial(order);
+    const { evaluator } = trial;
+    trial.localOutcomes += 1;
     const previous = evaluator.verdict;
     evaluator.recordOutcome(outcome, {
       isTarget,
@@ -268,12 +276,26 @@
       observedAtMs: this.#options.clock.monotonicMs(),
       elapsedBeforeMs: this.#hasSeenView ? 0 : undefined,
       evaluator: new decisions.VersionTrial(),
+      localOutcomes: 0,
     };
     this.#trials.set(order.service, trial);
     this.#options.onOrder(order.service);
     return trial;
   }
 
+  /**
+   * Whether the target version has replicas and has answered. A service without any
+   * requests while this process followed the shift proves nothing, and needs nothing.
+   */
+  #isProven(order: ports.RolloutOrder, trial: Trial): boolean {
+    const { clock, countReplicas } = this.#options;
+    if (countReplicas(order.service, order.targetVersion) === 0) return false;
+    if (trial.evaluator.evidence.samples > 0) return true;
+    const followedMs = clock.monotonicMs() - trial.observedAtMs;
+    return trial.localOutcomes === 0 &&
+      followedMs >= MIN_FOLLOWED_SHARE * order.durationMs;
+  }
+
   #advanceOrder(order: ports.RolloutOrder): void {
     const { service } = order;
     if (this.#servicesBeingWritten.has(service)) return;
@@ -283,6 +305,7 @@
     const record = control.records.get(service);
     const next = decisions.advanceRollout(order, record, {
       verdict,
+      isProven: this.#isProven(order, trial),
       elapsedMs: this.#measureElapsedMs(trial, record),
       wallMs: clock.wallMs(),
     });
