Replicas and views survive a store that comes back from an older copy

Seen: after a return, replicas that had registered since the copy were removed at once (0 of 10 calls answered in the test; the store was away for less than 600 ms, which did not count as an outage), a draining or gone replica came back as ready, and reports of peers that had not noticed the return confirmed views of the new history.

Cause: a full read after a return was taken for news, though it is older than what the process knows. A view of another era confirms nothing. Relays end their polls when they start anew, so that a return is noticed at once; their path has a new number, as the meaning of revisions has changed. `control.restored` says what was known and what is missing. Full reads after a loss of history are spread like those at a start.

Both tests were red before: "a restored store neither brings replicas back that had left nor takes away new ones", "a peer at another era of the control plane does not confirm the view". Entries of replicas have a module of their own (`replica_entries.ts`).

--- a/packages/bench/src/platform_era_test.ts
+++ b/packages/bench/src/platform_era_test.ts
@@ -1,10 +1,15 @@
 /** Tests the store's client and a router on a store that is restored from an older copy. */
 import * as ava from "ava";
 import * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
 import * as platform from "@jackdawbank/platform";
 import type * as router from "@jackdawbank/router";
+import * as harnesses from "./platform_harness.ts";
 
+const { ROUTES, withHarness } = harnesses;
 const test = ava.default.serial;
+/** By then a process has read all items after it has lost the history. */
+const FULL_READ_MS = 500;
 const RECORD_KEY = "jackdawbank/rollout/desk";
 const WAIT_MS = 20;
 
@@ -99,3 +104,44 @@
   await store.withdrawPeer(old.id);
   t.deepEqual(fake.list("jackdawbank/peers/"), ["jackdawbank/peers/edge-2"]);
 });
+
+async function countCalls(
+  harness: harnesses.PlatformHarness,
+  id: string,
+  calls: number,
+): Promise<number> {
+  const replica = harness.replicas.get(id);
+  const before = replica?.received.length ?? 0;
+  for (let call = 0; call < calls; call += 1) {
+    await harness.call(ROUTES.check);
+  }
+  return (replica?.received.length ?? 0) - before;
+}
+
+// Guards against DRAIN and requests without a replica: the copy held replicas that had left, as
+// ready ones, and lacked one that had registered since.
+test("a restored store neither brings replicas back that had left nor takes away new ones", (t) =>
+  withHarness(async (harness) => {
+    const { store } = harness;
+    store.era = 1;
+    const leaving = await harness.addReplica(
+      "i-1",
+      "desk",
+      () => ({ type: "ok" }),
+    );
+    await harness.addReplica("i-2", "desk", () => ({ type: "ok" }));
+    await harness.start();
+    store.copy();
+    await harness.addReplica("i-3", "desk", () => ({ type: "ok" }));
+    store.put("servers/i-1", leaving.buildEntry("desk", { state: "draining" }));
+    store.remove("servers/i-2");
+    await harness.waitFor(() =>
+      harness.findLogLinesOfAny(["replica.gone", "replica.known"]).length === 5
+    );
+    store.restore();
+    await harness.waitFor(() =>
+      harness.findLogLines("control.history-lost").length === 1
+    );
+    await kernel.sleep(FULL_READ_MS);
+    t.is(await countCalls(harness, "i-3", 10), 10);
+  }));
--- a/packages/kernel/src/history_position.ts
+++ b/packages/kernel/src/history_position.ts
@@ -29,3 +29,9 @@
 export function isSameEra(first: number, second: number): boolean {
   return readEra(first) === readEra(second);
 }
+
+/** Returns a position for a log: the revision, after its era and a colon if the store names one. */
+export function describePosition(position: number): number | string {
+  const era = readEra(position);
+  return era === 0 ? position : `${era}:${readRevision(position)}`;
+}
--- a/packages/router/src/control_relay.ts
+++ b/packages/router/src/control_relay.ts
@@ -16,8 +16,8 @@
 const MAX_CONNECTIONS = 256;
 /** Longer than the longest poll. */
 const IDLE_TIMEOUT_MS = MAX_WAIT_MS + 10_000;
-/** Changes with the layout of the answers, so that other builds are not asked. */
-const PATH = "/changes/1";
+/** Changes with the meaning of revisions and the layout, so that other builds are not asked. */
+const PATH = "/changes/2";
 const HTTP_OK = 200;
 const HTTP_FORBIDDEN = 403;
 const HTTP_NOT_FOUND = 404;
@@ -86,11 +86,12 @@
     return telemetry.listen(this.#server, address);
   }
 
-  /** Starts anew from a full read, after which earlier changes are not known. */
+  /** Starts anew from a full read, after which earlier changes are not known; ends the polls. */
   reset(revision: number): void {
     this.#kept.length = 0;
     this.#keptItems = 0;
     this.#revision = revision;
+    for (const answer of [...this.#waiting]) answer();
   }
 
   /** Keeps changes and answers the polls that wait for them. */
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -11,7 +11,7 @@
 import * as neverthrow from "neverthrow";
 import type * as listeners from "./control_listener.ts";
 import type * as ports from "./ports.ts";
-import * as removals from "./removal_delay.ts";
+import * as entries from "./replica_entries.ts";
 import * as ages from "./view_age.ts";
 import * as supervisors from "./watch_supervisor.ts";
 
@@ -21,7 +21,7 @@
 const PROBE_WAIT_MS = 50;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 500;
-/** Spreads the first reads of processes that start at the same time. */
+/** Spreads the full reads of processes that start or lose the history at the same time. */
 const START_JITTER_MS = 100;
 /** Failures that last this long are an outage, in which entries may have expired. */
 const MIN_OUTAGE_MS = 600;
@@ -32,10 +32,9 @@
 export class ControlTask {
   readonly #options: listeners.ControlTaskOptions;
   readonly #abort = new AbortController();
-  readonly #replicas = new Map<string, ports.ReplicaEntry>();
+  readonly #replicas: entries.ReplicaEntries;
   readonly #orders = new Map<string, ports.RolloutOrder>();
   readonly #records = new Map<string, ports.RolloutRecord>();
-  readonly #removals: removals.RemovalDelay;
   #routeIndex: bundle.RouteIndex | undefined;
   readonly #viewAge: ages.ViewAge;
   #failingSinceMs: number | undefined;
@@ -46,6 +45,10 @@
     this.#resolveFirstRead = resolve;
   });
   #revision: number | undefined;
+  /** Revision of the view when the history was lost. */
+  #lostRevision: number | undefined;
+  /** Whether the items of the first read since a restoration are being applied. */
+  #isRestored = false;
   readonly #supervisor: supervisors.WatchSupervisor;
   /** The next watch waits only briefly, to confirm the view. */
   #needsConfirmation = false;
@@ -54,7 +57,7 @@
   constructor(options: listeners.ControlTaskOptions) {
     this.#options = options;
     this.#viewAge = new ages.ViewAge(options.clock);
-    this.#removals = new removals.RemovalDelay(options.clock);
+    this.#replicas = new entries.ReplicaEntries(options);
     this.#supervisor = new supervisors.WatchSupervisor({
       ...options,
       readViewAgeMs: () => this.viewAgeMs,
@@ -107,13 +110,15 @@
   /**
    * Applies a peer's report of its view. If the peer's revision is not newer than
    * the local one, nothing newer existed when the peer confirmed its view, so
-   * the local view is confirmed for that time as well.
+   * the local view is confirmed for that time as well. A view of an earlier era of the
+   * control plane confirms nothing.
    */
   applyPeerView(view: peers.ControlPlaneView): void {
     if (this.#revision === undefined || !this.#hasView) return;
     if (view.revision > this.#revision) {
       return this.#supervisor.recordNews(view.revision);
     }
+    if (!kernel.isSameEra(view.revision, this.#revision)) return;
     this.#viewAge.confirmFromPeer(view.confirmedAgeMs);
   }
 
@@ -139,7 +144,7 @@
 
   async close(): Promise<void> {
     this.#abort.abort();
-    this.#removals.close();
+    this.#replicas.close();
     await this.#options.controlPlane.close();
     await this.#loop;
   }
@@ -162,9 +167,11 @@
       }
       if (result.error.kind === "history-lost") {
         this.#options.log.addNotable("control.history-lost", {
-          revision: this.#revision,
+          revision: kernel.describePosition(this.#revision ?? 0),
         });
+        this.#lostRevision = this.#revision;
         this.#revision = undefined;
+        await kernel.sleep(random() * START_JITTER_MS, signal);
         continue;
       }
       this.#recordFailure(result.error);
@@ -184,16 +191,22 @@
     const snapshot = await this.#options.controlPlane.readAll();
     return snapshot.map(({ items, revision }) => {
       this.#recordSuccess();
+      const previous = this.#lostRevision;
+      this.#isRestored = previous !== undefined &&
+        !kernel.isSameEra(previous, revision);
+      if (this.#isRestored) this.#replicas.recordRecovery();
       const found = new Set(
         items.flatMap((item) =>
           item.type === "replica" ? [item.replica.id] : []
         ),
       );
       for (const item of items) this.#tryApplyItem(item);
-      for (const id of this.#replicas.keys()) {
-        if (!found.has(id)) this.#removeReplica(id, "missing from a full read");
+      this.#replicas.removeMissing(found);
+      if (this.#isRestored) {
+        this.#applyRestoration(previous ?? 0, revision);
       }
       this.#options.listener.onFullRead(items);
+      this.#isRestored = false;
       this.#hasView = true;
       this.#resolveFirstRead();
       this.#revision = revision;
@@ -203,6 +216,19 @@
     });
   }
 
+  /** Logs what the control plane has lost. */
+  #applyRestoration(
+    previous: number,
+    revision: number,
+  ): void {
+    this.#options.telemetry.countEvent("control.restored");
+    this.#options.log.addNotable("control.restored", {
+      lostRevision: kernel.describePosition(previous),
+      revision: kernel.describePosition(revision),
+      missingReplicas: this.#replicas.doubtfulCount,
+    });
+  }
+
   async #watch(afterRevision: number): Promise<ReadResult> {
     const sentAt = decisions.readClocks(this.#options.clock);
     const isConfirmation = this.#needsConfirmation ||
@@ -279,15 +305,15 @@
       case "route-table":
         return this.#applyRouteTable(item.table);
       case "replica":
-        return this.#applyReplica(item.replica);
+        return this.#replicas.apply(item.replica, this.#isRestored);
       case "replica-gone":
-        return this.#removeReplica(item.id, "its entry was removed");
+        return this.#replicas.remove(item.id, "its entry was removed");
       case "unreadable-replica":
         log.addNotable("replica.unreadable", {
           replica: item.id,
           reason: item.reason,
         });
-        return this.#removeReplica(item.id, "its entry is unreadable");
+        return this.#replicas.remove(item.id, "its entry is unreadable");
       case "peer":
         return this.#options.listener.onPeer(item.peer);
       case "peer-gone":
@@ -337,40 +363,6 @@
     });
   }
 
-  #applyReplica(replica: ports.ReplicaEntry): void {
-    const existing = this.#replicas.get(replica.id);
-    this.#removals.cancel(replica.id);
-    this.#replicas.set(replica.id, replica);
-    if (existing === undefined || existing.isDraining !== replica.isDraining) {
-      this.#options.log.addNotable("replica.known", {
-        replica: replica.id,
-        service: replica.service,
-        version: replica.version,
-        dataCentre: replica.dataCentre,
-        isDraining: replica.isDraining,
-      });
-    }
-    this.#options.listener.onReplica(replica);
-  }
-
-  #removeReplica(id: string, reason: string): void {
-    if (!this.#replicas.has(id) || this.#removals.isPending(id)) return;
-    const { clock, log } = this.#options;
-    const knownAtMs = clock.monotonicMs();
-    this.#removals.schedule(id, () => {
-      this.#replicas.delete(id);
-      log.addNotable("replica.gone", {
-        replica: id,
-        reason,
-        heldBackMs: Math.round(clock.monotonicMs() - knownAtMs),
-      });
-      this.#options.listener.onReplicaRemoved(id);
-    });
-    if (!this.#removals.isPending(id)) return;
-    log.addNotable("replica.doubtful", { replica: id, reason });
-    this.#options.listener.onReplicaDoubtful(id);
-  }
-
   #recordFailure(error: kernel.AppError): void {
     this.#options.telemetry.countEvent("control.failed");
     if (this.#failingSinceMs !== undefined) return;
@@ -389,7 +381,7 @@
     const nowMs = this.#options.clock.monotonicMs();
     const lostMs = nowMs - this.#failingSinceMs;
     this.#failingSinceMs = undefined;
-    if (lostMs >= MIN_OUTAGE_MS) this.#removals.recordRecovery();
+    if (lostMs >= MIN_OUTAGE_MS) this.#replicas.recordRecovery();
     this.#options.log.addNotable("control.regained", {
       lostMs: Math.round(lostMs),
     });
--- a/packages/router/src/control_task_test.ts
+++ b/packages/router/src/control_task_test.ts
@@ -12,10 +12,23 @@
 /** Control plane that answers the first read; watches hang until interrupted. */
 class HangingControlPlane implements Partial<ports.ControlPlane> {
   watches = 0;
+  revision = 20;
   #end: (() => void) | undefined;
+  #loseHistory: (() => void) | undefined;
 
   readAll(): Promise<kernel.Outcome<ports.ControlUpdate>> {
-    return Promise.resolve(neverthrow.ok({ items: [], revision: 20 }));
+    const { revision } = this;
+    return Promise.resolve(neverthrow.ok({ items: [], revision }));
+  }
+
+  /** Ends the watch as one whose history is lost; resolves when the next one has begun. */
+  async loseHistory(): Promise<void> {
+    const before = this.watches;
+    this.#loseHistory?.();
+    const endAtMs = Date.now() + 3_000;
+    while (this.watches === before && Date.now() < endAtMs) {
+      await kernel.sleep(5);
+    }
   }
 
   waitForChanges(
@@ -27,6 +40,8 @@
     return new Promise((resolve) => {
       const end = () => resolve(kernel.fail("store-unavailable", "ended"));
       this.#end = end;
+      this.#loseHistory = () =>
+        resolve(kernel.fail("history-lost", "restored"));
       signal.addEventListener("abort", end, { once: true });
     });
   }
@@ -92,6 +107,18 @@
   t.is(task.viewAgeMs, before);
 });
 
+// Guards against CONFIG: peers that had not noticed the control plane's restoration confirmed views.
+test("a peer at another era of the control plane does not confirm the view", async (t) => {
+  const { clock, plane, task } = await start(t);
+  plane.revision = kernel.makePosition(1, 3);
+  await plane.loseHistory();
+  clock.advance(2_000);
+  task.applyPeerView({ revision: 2, confirmedAgeMs: 10 });
+  t.true(task.viewAgeMs >= 2_000);
+  task.applyPeerView({ revision: plane.revision, confirmedAgeMs: 10 });
+  t.true(task.viewAgeMs < 1_000);
+});
+
 test("a peer at a newer revision does not confirm the view, and a dead watch is interrupted", async (t) => {
   const { clock, plane, task } = await start(t);
   for (let passedMs = 0; passedMs < 1_400; passedMs += 200) {
--- a/packages/router/src/relayed_control.ts
+++ b/packages/router/src/relayed_control.ts
@@ -86,7 +86,7 @@
     this.#relay.reset(revision);
     log.addNotable("control.read", {
       items: items.length,
-      revision,
+      revision: kernel.describePosition(revision),
       tookMs: Math.round(clock.monotonicMs() - startedAtMs),
     });
     return read;
--- a/packages/router/src/removal_delay.ts
+++ b/packages/router/src/removal_delay.ts
@@ -22,6 +22,10 @@
     this.#recoveredAtMs = this.#clock.monotonicMs();
   }
 
+  get pendingCount(): number {
+    return this.#pending.size;
+  }
+
   /** Whether a delayed removal of this ID is pending. */
   isPending(id: string): boolean {
     return this.#pending.has(id);
--- a/packages/router/src/watch_supervisor.ts
+++ b/packages/router/src/watch_supervisor.ts
@@ -4,7 +4,7 @@
  * the age of the view, show that it must be sent again.
  */
 import * as decisions from "@jackdawbank/decisions";
-import type * as kernel from "@jackdawbank/kernel";
+import * as kernel from "@jackdawbank/kernel";
 import type * as logs from "./decision_log.ts";
 
 const CHECK_INTERVAL_MS = 50;
@@ -54,7 +54,7 @@
     if (revision >= news.revision) {
       const { clock, log } = this.#options;
       log.addNotable("control.caught-up", {
-        revision,
+        revision: kernel.describePosition(revision),
         behindMs: Math.round(clock.monotonicMs() - news.atMs),
       });
     }
