A verdict on a version outlives the store's copy

Cause: what a process knows of a roll-out was filed under the revision of its order, and records were replaced by whatever revision was higher. After the return, revisions are given out again: two processes that held the roll-back at 38 ignored the new record at 37, and nobody wrote the roll-back again.

Orders and records now have a module of their own (`rollout_states.ts`). An order that comes again in another era with the same content is the same order; its trial, evidence and elapsed time go on. Records are merged: a state that was reached is not undone by the copy or a late writer, bans are kept, and what the store lacks is written again by whoever holds it, spread over 20 ms for each process, on condition of what the store has. Totals that peers report are counted on when their order comes again.

--- a/packages/bench/src/platform_era_test.ts
+++ b/packages/bench/src/platform_era_test.ts
@@ -8,6 +8,7 @@
 
 const { ROUTES, withHarness } = harnesses;
 const test = ava.default.serial;
+const STATUS_KEY = "status/rollout/desk";
 /** By then a process has read all items after it has lost the history. */
 const FULL_READ_MS = 500;
 const RECORD_KEY = "jackdawbank/rollout/desk";
@@ -118,6 +119,49 @@
   return (replica?.received.length ?? 0) - before;
 }
 
+for (const copied of ["nothing of it", "its order", "its first record"]) {
+  // Guards against EXPOSURE: after the store's return all processes began the trial of a version
+  // anew that had been rolled back, and completed it without one answer of it.
+  test(`a roll-back is written again and stays in force if the copy holds ${copied}`, (t) =>
+    withHarness(async (harness) => {
+      const { store } = harness;
+      const copyAt = (point: string) => point === copied && store.copy();
+      const order = { service: "desk", target: "v2", durationS: 20 };
+      const options = { version: "v2" };
+      await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+      await harness.addReplica("i-2", "desk", () => ({ type: "ok" }), options);
+      store.era = 1;
+      store.putConfiguration(harnesses.buildConfiguration());
+      copyAt("nothing of it");
+      await harness.start();
+      const orderRevision = store.put("op/rollout/desk", order);
+      copyAt("its order");
+      await harness.waitFor(() => store.read(RECORD_KEY) !== undefined);
+      copyAt("its first record");
+      store.put(RECORD_KEY, {
+        ...RECORD,
+        orderRevision: kernel.makePosition(1, orderRevision),
+        state: "rolled-back",
+        bannedVersions: ["v2"],
+      });
+      await harness.waitFor(() =>
+        harness.findLogLines("rollout.known").length === 2
+      );
+      store.restore();
+      const isWrittenAgain = () => {
+        const record = store.read(RECORD_KEY) as { state?: string } | undefined;
+        return record?.state === "rolled-back";
+      };
+      await harness.waitFor(isWrittenAgain);
+      store.put("op/other", 1);
+      if (copied === "nothing of it") store.put("op/rollout/desk", order);
+      await kernel.sleep(1_000);
+      t.true(isWrittenAgain());
+      t.like(store.read(STATUS_KEY) as object, { state: "rolled_back" });
+      t.is(await countCalls(harness, "i-2", 20), 0);
+    }));
+}
+
 // Guards against DRAIN and requests without a replica: the copy held replicas that had left, as
 // ready ones, and lacked one that had registered since.
 test("a restored store neither brings replicas back that had left nor takes away new ones", (t) =>
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -40,6 +40,7 @@
 export * from "./room/stream_delay.ts";
 export * from "./room/turn.ts";
 export * from "./sliding_retry_budget.ts";
+export * from "./rollout_merge.ts";
 export * from "./rollout_plan.ts";
 export * from "./stream_silence.ts";
 export * from "./uneven/mod.ts";
--- a/packages/peers/src/peer_reporter.ts
+++ b/packages/peers/src/peer_reporter.ts
@@ -3,7 +3,7 @@
  * large fleet each report goes to the next peers in rotation.
  */
 import * as decisions from "@jackdawbank/decisions";
-import type * as kernel from "@jackdawbank/kernel";
+import * as kernel from "@jackdawbank/kernel";
 import type * as channels from "./datagram_channel.ts";
 import * as tables from "./peer_table.ts";
 import * as reports from "./report.ts";
@@ -223,9 +223,13 @@
     outcomes: readonly reports.VersionOutcomes[],
   ): void {
     for (const total of outcomes) {
-      const key =
-        `${name}/${total.service}/${total.orderRevision}/${total.route}`;
-      const previous = this.#latestOutcomes.get(key);
+      const key = `${name}/${total.service}/${total.route}`;
+      const latest = this.#latestOutcomes.get(key);
+      // In another era of the control plane, the order has only come again.
+      const isSameOrder = latest !== undefined &&
+        (latest.orderRevision === total.orderRevision ||
+          !kernel.isSameEra(latest.orderRevision, total.orderRevision));
+      const previous = isSameOrder ? latest : undefined;
       this.#latestOutcomes.delete(key);
       this.#latestOutcomes.set(key, total);
       const added = subtractOutcomes(total, previous);
--- a/packages/peers/src/peer_reporter_test.ts
+++ b/packages/peers/src/peer_reporter_test.ts
@@ -196,6 +196,32 @@
   ]);
 });
 
+// Guards against a good version that is stopped after the control plane was restored: its order came
+// again under another position, and all that peers had reported of it was counted twice.
+test("outcomes of an order that comes again in another era are counted once", (t) => {
+  const setting = startReporter(t);
+  const receive = (number: number, orderRevision: number, answers: number) =>
+    setting.channel.onDatagram?.(
+      reports.encodeReport({
+        name: "edge-2",
+        startedAtMs: 5,
+        number,
+        view: undefined,
+        loads: [],
+        running: undefined,
+        sessions: [],
+        versionOutcomes: [
+          { service: "llm", orderRevision, route: "r", answers, failures: [] },
+        ],
+      }),
+      "10.0.0.2",
+    );
+  receive(1, kernel.makePosition(1, 3), 10);
+  receive(2, kernel.makePosition(2, 3), 12);
+  receive(3, kernel.makePosition(2, 7), 1);
+  t.deepEqual(setting.peerOutcomes.map(({ answers }) => answers), [10, 2, 1]);
+});
+
 test("a view that may have been buffered while this process was paused is ignored", (t) => {
   const setting = startReporter(t);
   advance(setting, 100);
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -12,6 +12,7 @@
 import type * as listeners from "./control_listener.ts";
 import type * as ports from "./ports.ts";
 import * as entries from "./replica_entries.ts";
+import * as rollouts from "./rollout_states.ts";
 import * as ages from "./view_age.ts";
 import * as supervisors from "./watch_supervisor.ts";
 
@@ -33,8 +34,7 @@
   readonly #options: listeners.ControlTaskOptions;
   readonly #abort = new AbortController();
   readonly #replicas: entries.ReplicaEntries;
-  readonly #orders = new Map<string, ports.RolloutOrder>();
-  readonly #records = new Map<string, ports.RolloutRecord>();
+  readonly #rollouts: rollouts.RolloutStates;
   #routeIndex: bundle.RouteIndex | undefined;
   readonly #viewAge: ages.ViewAge;
   #failingSinceMs: number | undefined;
@@ -56,6 +56,7 @@
 
   constructor(options: listeners.ControlTaskOptions) {
     this.#options = options;
+    this.#rollouts = new rollouts.RolloutStates(options.log);
     this.#viewAge = new ages.ViewAge(options.clock);
     this.#replicas = new entries.ReplicaEntries(options);
     this.#supervisor = new supervisors.WatchSupervisor({
@@ -74,11 +75,16 @@
   }
 
   get orders(): ReadonlyMap<string, ports.RolloutOrder> {
-    return this.#orders;
+    return this.#rollouts.orders;
   }
 
   get records(): ReadonlyMap<string, ports.RolloutRecord> {
-    return this.#records;
+    return this.#rollouts.records;
+  }
+
+  /** Records that the control plane lost, to be written again. */
+  get unwrittenRecords(): readonly ports.RolloutRecord[] {
+    return this.#rollouts.unwrittenRecords;
   }
 
   /** Time since the view was last confirmed as current. */
@@ -124,22 +130,7 @@
 
   /** Applies a roll-out record, read from the control plane or just written. */
   applyRecord(record: ports.RolloutRecord): void {
-    const existing = this.#records.get(record.service);
-    if (existing !== undefined && existing.revision >= record.revision) return;
-    this.#records.set(record.service, record);
-    if (
-      existing?.state !== record.state ||
-      existing.orderRevision !== record.orderRevision
-    ) {
-      const { service, state, targetVersion, revision, reason } = record;
-      this.#options.log.addNotable("rollout.known", {
-        service,
-        state,
-        targetVersion,
-        recordRevision: revision,
-        reason,
-      });
-    }
+    this.#rollouts.applyRecord(record);
   }
 
   async close(): Promise<void> {
@@ -203,7 +194,7 @@
       for (const item of items) this.#tryApplyItem(item);
       this.#replicas.removeMissing(found);
       if (this.#isRestored) {
-        this.#applyRestoration(previous ?? 0, revision);
+        this.#applyRestoration(items, previous ?? 0, revision);
       }
       this.#options.listener.onFullRead(items);
       this.#isRestored = false;
@@ -216,16 +207,25 @@
     });
   }
 
-  /** Logs what the control plane has lost. */
+  /** Keeps what the control plane has lost; replicas that are missing have been marked. */
   #applyRestoration(
+    items: readonly ports.ControlItem[],
     previous: number,
     revision: number,
   ): void {
+    this.#rollouts.keepMissing(
+      new Set(
+        items.flatMap((item) =>
+          item.type === "rollout-record" ? [item.record.service] : []
+        ),
+      ),
+    );
     this.#options.telemetry.countEvent("control.restored");
     this.#options.log.addNotable("control.restored", {
       lostRevision: kernel.describePosition(previous),
       revision: kernel.describePosition(revision),
       missingReplicas: this.#replicas.doubtfulCount,
+      unwrittenRecords: this.unwrittenRecords.length,
     });
   }
 
@@ -319,7 +319,7 @@
       case "peer-gone":
         return this.#options.listener.onPeerRemoved(item.name);
       case "rollout-order":
-        return this.#applyOrder(item.order);
+        return this.#rollouts.applyOrder(item.order, this.#isRestored);
       case "rollout-record":
         return this.applyRecord(item.record);
       case "quarantined-part":
@@ -351,18 +351,6 @@
     this.#options.listener.onRouteTable(this.#routeIndex);
   }
 
-  #applyOrder(order: ports.RolloutOrder): void {
-    const existing = this.#orders.get(order.service);
-    if (existing !== undefined && existing.revision >= order.revision) return;
-    this.#orders.set(order.service, order);
-    this.#options.log.addNotable("rollout.ordered", {
-      service: order.service,
-      targetVersion: order.targetVersion,
-      durationMs: order.durationMs,
-      orderRevision: order.revision,
-    });
-  }
-
   #recordFailure(error: kernel.AppError): void {
     this.#options.telemetry.countEvent("control.failed");
     if (this.#failingSinceMs !== undefined) return;
--- a/packages/router/src/rollout_pace_test.ts
+++ b/packages/router/src/rollout_pace_test.ts
@@ -56,12 +56,14 @@
       control: {
         orders: new Map([[SERVICE, order]]),
         records: new Map([[SERVICE, RECORD]]),
+        unwrittenRecords: [],
         hasView: true,
       } as unknown as control.ControlTask,
       log: { addNotable: () => {} } as unknown as logs.DecisionLog,
       random: () => 0.5,
       exposureShare: 0.15,
       countReplicas: () => REPLICAS,
+      countProcesses: () => 1,
       onOrder: () => {},
     });
   }
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -4,7 +4,7 @@
  * new version by its responses to this process and to its peers.
  */
 import * as decisions from "@jackdawbank/decisions";
-import type * as kernel from "@jackdawbank/kernel";
+import * as kernel from "@jackdawbank/kernel";
 import type * as peers from "@jackdawbank/peers";
 import type * as control from "./control_task.ts";
 import type * as logs from "./decision_log.ts";
@@ -16,8 +16,11 @@
 /** Share of a roll-out's duration that this delay may take. */
 const STEP_JITTER_SHARE = 0.03;
 const RETRY_MS = 400;
+/** Spreads the writes of a lost record, so that most processes see that of another one first. */
+const REWRITE_SPREAD_PER_PROCESS_MS = 20;
 /** Part of a roll-out for which a process must have followed it to judge that there are no requests. */
 const MIN_FOLLOWED_SHARE = 0.5;
+const MAX_REWRITE_SPREAD_MS = 2_000;
 
 /** Outcome of an attempt as evidence for the version that ran it. */
 export interface ServiceVersionOutcome extends decisions.VersionOutcome {
@@ -34,9 +37,9 @@
 }
 
 /** Evaluation of an order's target version by this process. */
-interface Trial {
-  readonly orderRevision: number;
-  readonly targetVersion: string;
+interface Trial extends decisions.RolloutIdentity {
+  /** Follows an order that comes again under another revision. */
+  orderRevision: number;
   /** Monotonic time at which this process first saw the order. */
   readonly observedAtMs: number;
   /** Age of the order at that time; unknown until its record is read. */
@@ -56,6 +59,8 @@
   readonly exposureShare: number;
   /** Number of a service's replicas that run a version. */
   readonly countReplicas: (service: string, version: string) => number;
+  /** Number of the installation's processes. */
+  readonly countProcesses: () => number;
   /** Called once for each order. */
   readonly onOrder: (service: string) => void;
 }
@@ -65,6 +70,7 @@
   readonly #options: RolloutTaskOptions;
   readonly #trials = new Map<string, Trial>();
   readonly #dueAtMsByService = new Map<string, number>();
+  readonly #rewriteAtMsByService = new Map<string, number>();
   readonly #servicesBeingWritten = new Set<string>();
   readonly #timer: NodeJS.Timeout;
   /** Whether the first full read has been checked; orders seen later are new. */
@@ -137,7 +143,11 @@
   recordPeerOutcomes(counts: peers.VersionOutcomes): void {
     const { control, countReplicas } = this.#options;
     const order = control.orders.get(counts.service);
-    if (order?.revision !== counts.orderRevision || this.#isOver(order)) return;
+    if (order === undefined || this.#isOver(order)) return;
+    // In another era of the control plane, the peer knows the same order by another revision.
+    const isOther = order.revision !== counts.orderRevision &&
+      kernel.isSameEra(order.revision, counts.orderRevision);
+    if (isOther) return;
     const { evaluator, targetVersion } = this.#getTrial(order);
     const previous = evaluator.verdict;
     evaluator.recordPeerOutcomes(
@@ -208,6 +218,7 @@
   check(): void {
     const { control } = this.#options;
     for (const order of control.orders.values()) this.#advanceOrder(order);
+    this.#rewriteRecords(control.unwrittenRecords);
     this.#hasSeenView ||= control.hasView;
   }
 
@@ -267,12 +278,15 @@
 
   #getTrial(order: ports.RolloutOrder): Trial {
     const existing = this.#trials.get(order.service);
-    if (existing !== undefined && existing.orderRevision === order.revision) {
+    const identity = decisions.identifyOrder(order);
+    if (
+      existing !== undefined && decisions.isSameRollout(existing, identity)
+    ) {
+      existing.orderRevision = order.revision;
       return existing;
     }
     const trial: Trial = {
-      orderRevision: order.revision,
-      targetVersion: order.targetVersion,
+      ...identity,
       observedAtMs: this.#options.clock.monotonicMs(),
       elapsedBeforeMs: this.#hasSeenView ? 0 : undefined,
       evaluator: new decisions.VersionTrial(),
@@ -324,6 +338,29 @@
     if (isDue) void this.#write(next);
   }
 
+  /** Writes the records again that the control plane has lost. */
+  #rewriteRecords(unwritten: readonly ports.RolloutRecord[]): void {
+    const { clock, random, countProcesses } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const services = new Set(unwritten.map(({ service }) => service));
+    for (const service of this.#rewriteAtMsByService.keys()) {
+      if (!services.has(service)) this.#rewriteAtMsByService.delete(service);
+    }
+    for (const record of unwritten) {
+      const { service } = record;
+      const spreadMs = Math.min(
+        MAX_REWRITE_SPREAD_MS,
+        countProcesses() * REWRITE_SPREAD_PER_PROCESS_MS,
+      );
+      const dueAtMs = this.#rewriteAtMsByService.get(service) ??
+        nowMs + random() * spreadMs;
+      this.#rewriteAtMsByService.set(service, dueAtMs);
+      if (nowMs < dueAtMs || this.#servicesBeingWritten.has(service)) continue;
+      this.#rewriteAtMsByService.set(service, nowMs + RETRY_MS);
+      void this.#write(record);
+    }
+  }
+
   async #write(record: ports.RolloutRecord): Promise<void> {
     const { service } = record;
     this.#servicesBeingWritten.add(service);
@@ -336,7 +373,7 @@
       state,
       targetVersion,
       reason,
-      expectedRevision: record.revision,
+      expectedRevision: kernel.describePosition(record.revision),
       outcome,
       error: written.isErr() ? written.error.message : undefined,
     });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -183,6 +183,7 @@
       exposureShare: settings.exposureShare,
       countReplicas: (service, version) =>
         this.#table.countReplicas(service, version),
+      countProcesses: () => this.#fleet.size,
       onOrder: (service) => this.#shareSessions(service),
     });
     this.#watchdog = new watchdogs.Watchdog(
