Announcements, quarantined parts and evacuations outlive the store's copy

Seen in a test on the fake store: after a return from an older copy, a process stayed unannounced for up to the renewal time of its lease (180 s), a quarantined part of prompts was not stored any more, and an evacuation ended until the operator ordered it again.

Cause: each was taken as stored once its write had been answered, and a full read as the whole truth. Now a process announces itself anew (at once if its entry is missing, spread by the number of processes, else within 30 s, as its lease may be void), parts are stored again for the time that is left, and an evacuation that is missing from the copy ends only if it is not ordered again within 3 s.

"announcements, quarantined parts and evacuations outlive a restored store" was red before. The quarantine's test names the new dependency `random`.

--- a/packages/bench/src/platform_era_test.ts
+++ b/packages/bench/src/platform_era_test.ts
@@ -11,6 +11,8 @@
 const STATUS_KEY = "status/rollout/desk";
 /** By then a process has read all items after it has lost the history. */
 const FULL_READ_MS = 500;
+/** Longer than lost entries are kept without being written again. */
+const KEPT_MS = 3_500;
 const RECORD_KEY = "jackdawbank/rollout/desk";
 const WAIT_MS = 20;
 
@@ -189,3 +191,28 @@
     await kernel.sleep(FULL_READ_MS);
     t.is(await countCalls(harness, "i-3", 10), 10);
   }));
+
+// Guards against processes that are unknown to their peers, prompts that crash replicas again, and
+// EVAC: the copy lacked announcements, verdicts and orders that had been in force.
+test("announcements, quarantined parts and evacuations outlive a restored store", (t) =>
+  withHarness(async (harness) => {
+    const { store } = harness;
+    store.era = 1;
+    const kept = ["jackdawbank/peers/edge-1", "jackdawbank/quarantine/part-1"];
+    const hasKept = () => kept.every((key) => store.list(key).length === 1);
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    store.putConfiguration(harnesses.buildConfiguration());
+    store.copy();
+    await harness.start();
+    for (const key of [kept[1] as string, "op/evacuate/b"]) store.put(key, {});
+    await harness.waitFor(() =>
+      hasKept() && harness.findLogLines("evacuation.begun").length === 1
+    );
+    store.restore();
+    t.false(hasKept());
+    await harness.waitFor(hasKept);
+    store.put("op/evacuate/b", {});
+    await kernel.sleep(KEPT_MS);
+    t.is(harness.findLogLines("evacuation.kept").length, 1);
+    t.is(harness.findLogLines("evacuation.ended").length, 0);
+  }));
--- a/packages/router/src/control_listener.ts
+++ b/packages/router/src/control_listener.ts
@@ -18,8 +18,11 @@
   onQuarantinedPartRemoved(partId: string): void;
   onEvacuation(dataCentre: string): void;
   onEvacuationRemoved(dataCentre: string): void;
-  /** Called with all items of a full read, after each was applied. */
-  onFullRead(items: readonly ports.ControlItem[]): void;
+  /**
+   * Called with all items of a full read, after each was applied; `isRestored` if the
+   * control plane was restored from an older copy since the read before.
+   */
+  onFullRead(items: readonly ports.ControlItem[], isRestored: boolean): void;
 }
 
 /** Dependencies of the task. */
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -196,7 +196,7 @@
       if (this.#isRestored) {
         this.#applyRestoration(items, previous ?? 0, revision);
       }
-      this.#options.listener.onFullRead(items);
+      this.#options.listener.onFullRead(items, this.#isRestored);
       this.#isRestored = false;
       this.#hasView = true;
       this.#resolveFirstRead();
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -18,6 +18,10 @@
 const MAX_WITHDRAWAL_WAIT_MS = 200;
 /** Spreads the announcements of processes that start at the same time. */
 const START_JITTER_MS = 300;
+/** The same for announcements that a restored control plane has lost, by processes. */
+const REANNOUNCE_SPREAD_PER_PROCESS_MS = 10;
+/** The same for announcements that it has kept, under leases that may be void. */
+const RELEASE_SPREAD_MS = 30_000;
 
 /** Announces this process and exchanges reports with its peers. */
 export class Fleet {
@@ -32,6 +36,8 @@
   #rateChannel: peers.PeerChannel | undefined;
   #lease: ports.PeerLease | undefined;
   #sleepAbort: AbortController | undefined;
+  /** Delay of the announcement after the current sleep. */
+  #announceDelayMs = 0;
   #announceLoop: Promise<void> | undefined;
   #withdrawal: Promise<void> | undefined;
   #isClosed = false;
@@ -289,6 +295,22 @@
     this.#reporter?.shareSession(item);
   }
 
+  /**
+   * Announces this process anew after the control plane was restored: soon if its
+   * announcement is missing, later if it is there, but under an earlier lease.
+   */
+  announceAgain(items: readonly ports.ControlItem[]): void {
+    const { settings, random } = this.#options;
+    const isListed = items.some((item) =>
+      item.type === "peer" && item.peer.name === settings.vmName
+    );
+    this.#announceDelayMs = random() *
+      (isListed
+        ? RELEASE_SPREAD_MS
+        : this.size * REANNOUNCE_SPREAD_PER_PROCESS_MS);
+    this.#sleepAbort?.abort();
+  }
+
   /** Withdraws the announcement; reports are still exchanged. */
   withdrawAnnouncement(): Promise<void> {
     this.#withdrawal ??= this.#withdraw();
@@ -333,6 +355,9 @@
       if (lease.isOk()) {
         retryMs = FIRST_RETRY_MS;
         await this.#sleep(lease.value.ttlMs * RENEW_SHARE);
+        const delayMs = this.#announceDelayMs;
+        this.#announceDelayMs = 0;
+        if (delayMs > 0) await this.#sleep(delayMs);
         continue;
       }
       log.addNotable("peers.not-announced", { reason: lease.error.message });
--- a/packages/router/src/places.ts
+++ b/packages/router/src/places.ts
@@ -17,6 +17,9 @@
 /** Routes and accounts of one configuration whose unknown home regions are logged. */
 const MAX_HOME_LINES = 20;
 
+/** Time in which an evacuation is ordered again that a restored control plane has lost. */
+const REORDER_PERIOD_MS = 3_000;
+
 /** Refusal of a request that its home regions permit in no data centre. */
 export const NO_HOME_REFUSAL: admissions.Refusal = {
   error: kernel.makeError(
@@ -49,6 +52,8 @@
 export class Places {
   readonly #options: PlacesOptions;
   readonly #orders = new decisions.EvacuationOrders();
+  /** Evacuations that end unless they are ordered again. */
+  readonly #pendingEnds = new Map<string, NodeJS.Timeout>();
   #routeIndex: bundle.RouteIndex | undefined;
   /** Whether any route or account of the newest configuration has homes. */
   #hasHomes = false;
@@ -78,6 +83,7 @@
       log.addNotable("evacuation.ignored", { reason });
       return;
     }
+    this.#cancelEnd(dataCentre);
     if (this.#orders.has(dataCentre)) return;
     if (!this.#orders.begin(dataCentre, clock.monotonicMs())) {
       const reason = "too many data centres are evacuated";
@@ -92,6 +98,7 @@
   }
 
   endEvacuation(dataCentre: string): void {
+    this.#cancelEnd(dataCentre);
     const { clock, log } = this.#options;
     const heldMs = this.#orders.end(dataCentre, clock.monotonicMs());
     if (heldMs === undefined) return;
@@ -101,18 +108,51 @@
     });
   }
 
-  /** Ends the evacuations that are missing from a full read of the control plane. */
-  applyFullRead(items: readonly ports.ControlItem[]): void {
+  /**
+   * Ends the evacuations that are missing from a full read of the control plane; with a
+   * delay if it was restored from an older copy, which may lack the order.
+   */
+  applyFullRead(
+    items: readonly ports.ControlItem[],
+    isRestored = false,
+  ): void {
     const ordered = new Set(
       items.flatMap((item) =>
         item.type === "evacuation" ? [item.dataCentre] : []
       ),
     );
     for (const dataCentre of this.#orders.list()) {
-      if (!ordered.has(dataCentre)) this.endEvacuation(dataCentre);
+      if (ordered.has(dataCentre)) continue;
+      if (isRestored) this.#endUnlessOrdered(dataCentre);
+      else if (!this.#pendingEnds.has(dataCentre)) {
+        this.endEvacuation(dataCentre);
+      }
     }
   }
 
+  close(): void {
+    for (const timer of this.#pendingEnds.values()) clearTimeout(timer);
+    this.#pendingEnds.clear();
+  }
+
+  #endUnlessOrdered(dataCentre: string): void {
+    this.#cancelEnd(dataCentre);
+    this.#options.log.addNotable("evacuation.kept", {
+      dataCentre,
+      reason: "the restored control plane has no order",
+    });
+    const timer = setTimeout(
+      () => this.endEvacuation(dataCentre),
+      REORDER_PERIOD_MS,
+    );
+    this.#pendingEnds.set(dataCentre, timer);
+  }
+
+  #cancelEnd(dataCentre: string): void {
+    clearTimeout(this.#pendingEnds.get(dataCentre));
+    this.#pendingEnds.delete(dataCentre);
+  }
+
   /** Takes the homes of a new configuration and logs those that nothing can satisfy. */
   setRoutes(index: bundle.RouteIndex): void {
     this.#routeIndex = index;
--- a/packages/router/src/prompt_quarantine.ts
+++ b/packages/router/src/prompt_quarantine.ts
@@ -18,6 +18,8 @@
 const RETRY_AFTER_MS = 60_000;
 /** Time for which peers are told what is known of a suspected part. */
 const SUSPICION_MS = 15_000;
+/** Shortest time for which a verdict is stored again. */
+const MIN_STORED_MS = 5_000;
 /** Interval between attempts to store a verdict. */
 const WRITE_INTERVAL_MS = 1_000;
 /** A process that has seen none of the crashes leaves the writing to the others for this time. */
@@ -28,7 +30,7 @@
 
 interface QuarantinedPart {
   readonly sinceMs: number;
-  readonly writeAtMs: number;
+  writeAtMs: number;
   isStored: boolean;
 }
 
@@ -38,6 +40,7 @@
   readonly controlPlane: Pick<ports.ControlPlane, "writeQuarantine">;
   readonly log: logs.DecisionLog;
   readonly telemetry: telemetry.Telemetry;
+  readonly random: () => number;
   /** Called when peers should be told of suspected parts. */
   readonly onSuspicion: () => void;
 }
@@ -159,6 +162,22 @@
     this.#options.log.addNotable("prompt.released", { part: partId });
   }
 
+  /** Writes the verdicts again that are missing after the control plane was restored. */
+  keepMissing(items: readonly ports.ControlItem[]): void {
+    const stored = new Set(
+      items.flatMap((item) =>
+        item.type === "quarantined-part" ? [item.partId] : []
+      ),
+    );
+    const { clock, random } = this.#options;
+    for (const [partId, part] of this.#parts) {
+      if (stored.has(partId) || !part.isStored) continue;
+      part.isStored = false;
+      part.writeAtMs = clock.monotonicMs() + random() * OTHERS_WRITE_MS;
+    }
+    this.#scheduleWrite(0);
+  }
+
   close(): void {
     this.#isClosed = true;
     clearTimeout(this.#writeTimer);
@@ -215,7 +234,11 @@
     const waiting = [...this.#parts].filter(([, part]) => !part.isStored);
     for (const [partId, part] of waiting) {
       if (part.isStored || part.writeAtMs > nowMs) continue;
-      const written = await controlPlane.writeQuarantine(partId, QUARANTINE_MS);
+      const leftMs = Math.max(
+        MIN_STORED_MS,
+        QUARANTINE_MS - (nowMs - part.sinceMs),
+      );
+      const written = await controlPlane.writeQuarantine(partId, leftMs);
       if (written.isOk()) part.isStored = true;
       log.addNotable("prompt.verdict-written", {
         part: partId,
--- a/packages/router/src/prompt_quarantine_test.ts
+++ b/packages/router/src/prompt_quarantine_test.ts
@@ -34,6 +34,7 @@
         return Promise.resolve(neverthrow.ok(undefined));
       },
     },
+    random: () => 0.5,
     onSuspicion: () => state.suspicions += 1,
   });
   t.teardown(() => {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -108,6 +108,7 @@
       controlPlane,
       log,
       telemetry: this.#telemetry,
+      random,
       onSuspicion: () => this.#fleet.recordSuspicion(),
     });
     this.#fleet = new fleets.Fleet({
@@ -171,7 +172,12 @@
         onEvacuation: (dataCentre) => this.#places.beginEvacuation(dataCentre),
         onEvacuationRemoved: (dataCentre) =>
           this.#places.endEvacuation(dataCentre),
-        onFullRead: (items) => this.#places.applyFullRead(items),
+        onFullRead: (items, isRestored) => {
+          this.#places.applyFullRead(items, isRestored);
+          if (!isRestored) return;
+          this.#quarantine.keepMissing(items);
+          this.#fleet.announceAgain(items);
+        },
       },
     });
     this.#rollouts = new rollouts.RolloutTask({
@@ -309,6 +315,7 @@
     this.#metrics?.close();
     this.#rollouts.close();
     this.#quarantine.close();
+    this.#places.close();
     this.#watchdog.close();
     this.#cold.close();
     this.#table.close();
