--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -111,6 +111,7 @@
       controlPlane,
       log,
       telemetry: this.#telemetry,
+      random,
       onSuspicion: () => this.#fleet.recordSuspicion(),
     });
     this.#fleet = new fleets.Fleet({
@@ -174,7 +175,12 @@
         onEvacuation: (dataCentre) => this.#places.beginEvacuation(dataCentre),
         onEvacuationRemoved: (dataCentre) =>
           this.#places.endEvacuation(dataCentre),
-        onFullRead: (items) => this.#places.applyFullRead(items),
+        onFullRead: (items, isRestored) => {
+          this.#places.applyFullRead(items, isRestored);
+          if (!isRestored) return;
+          this.#quarantine.keepMissing(items);
+          this.#fleet.announceAgain(items);
+        },
       },
     });
     this.#rollouts = new rollouts.RolloutTask({
@@ -186,6 +192,7 @@
       exposureShare: settings.exposureShare,
       countReplicas: (service, version) =>
         this.#table.countReplicas(service, version),
+      countProcesses: () => this.#fleet.size,
       onOrder: (service) => this.#shareSessions(service),
     });
     this.#watchdog = new watchdogs.Watchdog(
@@ -315,6 +322,7 @@
     this.#metrics?.close();
     this.#rollouts.close();
     this.#quarantine.close();
+    this.#places.close();
     this.#watchdog.close();
     this.#cold.close();
     this.#signalAge.close();
