An interim response never comes within an answer

Callers saw: answers with "HTTP/1.1 100 Continue" as the first bytes of their body, and without as many of their last ones (MIXED, at any time).

Cause: the runtime writes the interim response to a request when it is read. If earlier answers of the connection are not written yet, it is queued; the head of the final answer, once known, is then put before all that is queued.

Change: the interim response is written when the answers before are, and not at all if the final one is known by then; callers must not wait for it without end.

--- a/packages/bench/src/platform_pipeline_test.ts
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -31,11 +31,12 @@
 
 function addDesk(
   harness: harnesses.PlatformHarness,
+  delayMsById: Readonly<Record<string, number>> = {},
 ): Promise<fakes.FakeReplica> {
   return harness.addReplica("i-1", "desk", ({ headers }) => ({
     type: "ok",
     body: `answer to ${headers[ATTEMPT_ID]}.`,
-    delayMs: 200,
+    delayMs: delayMsById[String(headers[ATTEMPT_ID])] ?? 200,
   }));
 }
 
@@ -158,3 +159,46 @@
     t.deepEqual(listAnswered(await received), ["late"]);
     await stopped;
   }));
+
+// Guards against MIXED: the runtime wrote the interim response to a request behind another one after
+// the head of its final response, where its caller took it for a part of the body.
+test("an interim response comes before the head of the final one, and after the answers before", (t) =>
+  withHarness(async (harness) => {
+    await addDesk(harness, { two: 50 });
+    await harness.start();
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    socket.write(renderRequest(ROUTES.order, "one"));
+    socket.write(
+      renderRequest(ROUTES.order, "two")
+        .replace("content-length", "expect: 100-continue\r\ncontent-length"),
+    );
+    await kernel.sleep(600);
+    socket.end();
+    const answer = (id: string) =>
+      `HTTP/1\\.1 200 OK\r\n(?:[^\r]+\r\n)+\r\nanswer to ${id}\\.`;
+    const interim = "(?:HTTP/1\\.1 100 Continue\r\n\r\n)?";
+    t.regex(
+      await received,
+      new RegExp(`^${answer("one")}${interim}${answer("two")}$`),
+    );
+  }));
+
+// Guards against a caller that is never told to send its body.
+test("a request that expects an interim response gets it before its body", (t) =>
+  withHarness(async (harness) => {
+    await addDesk(harness);
+    await harness.start();
+    const socket = await harness.connect();
+    const begun = readUntil(socket, /^HTTP\/1\.1 100 Continue\r\n\r\n$/);
+    const received = readUntil(socket, /answer to one\./);
+    const [head, body] = renderRequest(ROUTES.order, "one")
+      .replace("content-length", "expect: 100-continue\r\ncontent-length")
+      .split("\r\n\r\n") as [string, string];
+    socket.write(`${head}\r\n\r\n`);
+    await begun;
+    socket.write(body);
+    await received;
+    socket.destroy();
+    t.pass();
+  }));
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -26,6 +26,8 @@
 interface ConnectionState {
   /** Called for each request without a complete response if the connection closes before. */
   readonly onClosed: Set<() => void>;
+  /** What waits for the turns of their responses. */
+  readonly onTurn: Map<() => void, (() => void)[]>;
   /** The same callback of the newest one. */
   newest: (() => void) | undefined;
   /** Whether the body of the newest one is still being read. */
@@ -40,6 +42,12 @@
   endsWhenAnswered: boolean;
 }
 
+function runTurn(state: ConnectionState, onClosed: () => void): void {
+  const waiting = state.onTurn.get(onClosed) ?? [];
+  state.onTurn.delete(onClosed);
+  for (const callback of waiting) callback();
+}
+
 /** Open connections of callers. */
 export class CallerConnections {
   readonly #options: CallerConnectionsOptions;
@@ -70,6 +78,7 @@
     }
     const state: ConnectionState = {
       onClosed: new Set(),
+      onTurn: new Map(),
       newest: undefined,
       isReading: false,
       hasArrived: () => true,
@@ -134,11 +143,28 @@
   endRequest(socket: net.Socket, onClosed: () => void): void {
     const state = this.#states.get(socket);
     if (state === undefined || !state.onClosed.delete(onClosed)) return;
+    state.onTurn.delete(onClosed);
     if (socket.destroyed) return;
+    const [next] = state.onClosed;
+    if (next !== undefined) runTurn(state, next);
     if (state.endsWhenAnswered) this.#endIfAnswered(socket);
     else if (state.onClosed.size === 0) this.#idle.add(socket);
   }
 
+  /** Calls back once the responses before that of a request are written, or now if they are. */
+  waitForTurn(
+    socket: net.Socket,
+    onClosed: () => void,
+    callback: () => void,
+  ): void {
+    const state = this.#states.get(socket);
+    if (state === undefined || !state.onClosed.has(onClosed)) return;
+    const waiting = state.onTurn.get(onClosed) ?? [];
+    state.onTurn.set(onClosed, [...waiting, callback]);
+    const [current] = state.onClosed;
+    if (current === onClosed) runTurn(state, onClosed);
+  }
+
   /**
    * Called when the head of a response is written that may close its connection:
    * returns whether it is to do so. It is not if further requests wait behind it.
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -13,6 +13,7 @@
 import type * as dispatchers from "./dispatcher.ts";
 import type * as logs from "./decision_log.ts";
 import * as deadlines from "./exchange_deadline.ts";
+import * as incomingRequests from "./incoming_request.ts";
 import * as headerMaps from "./header_map.ts";
 import * as bufferedExchanges from "./buffered_exchange.ts";
 import type * as ports from "./ports.ts";
@@ -39,8 +40,6 @@
 };
 /** Interval at which the server checks connections for header and request time-outs. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
-/** A path and query; the parser lets further characters through. */
-const TARGET_PATTERN = /^\/[\u0021-\u00ff]*$/;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_REQUEST_TIMEOUT = 408;
 const HTTP_HEADERS_TOO_LARGE = 431;
@@ -70,11 +69,17 @@
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#resources = new resources.CallerResources(options);
-    this.#server = http.createServer({
-      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-      keepAlive: true,
-      noDelay: true,
-    }, (request, response) => void this.#handleRequest(request, response));
+    this.#server = http.createServer(
+      {
+        connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+        keepAlive: true,
+        noDelay: true,
+      },
+      (request, response) => void this.#handleRequest(request, response, false),
+    );
+    this.#server.on("checkContinue", (request, response) => {
+      void this.#handleRequest(request, response, true);
+    });
     this.#server.on("clientError", (error, socket) => {
       this.#rejectMalformedRequest(error, socket as net.Socket);
     });
@@ -137,6 +142,7 @@
   async #handleRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    expectsContinue: boolean,
   ): Promise<void> {
     const receivedAtMs = this.#options.clock.monotonicMs();
     const { socket } = request;
@@ -156,6 +162,12 @@
       return;
     }
     this.#inFlight += 1;
+    if (expectsContinue) {
+      // The runtime would write it after the head of a response that waits for its turn.
+      connections.waitForTurn(socket, end, () => {
+        if (!response.headersSent) response.writeContinue();
+      });
+    }
     const hold = budget.open(
       socket.remoteAddress ?? "",
       bodies.measureHead(request),
@@ -191,7 +203,7 @@
         deadlineMs: fields.deadlineMs,
         smallChunkBodies: this.#resources.smallChunkBodies,
       }).finally(() => this.#resources.connections.endBody(socket));
-      const incoming = this.#buildIncomingRequest(request, {
+      const incoming = incomingRequests.buildIncomingRequest(request, {
         requestId,
         fields,
         body,
@@ -274,35 +286,6 @@
     return { route: route.name, outcome };
   }
 
-  #buildIncomingRequest(
-    request: http.IncomingMessage,
-    rest: Pick<
-      requests.IncomingRequest,
-      "requestId" | "fields" | "body" | "receivedAtMs" | "signal"
-    >,
-  ): requests.IncomingRequest {
-    const target = request.url ?? "";
-    if (!TARGET_PATTERN.test(target)) {
-      throw new bodies.RequestReadError(
-        "bad-request",
-        "the request target must be a path without spaces",
-      );
-    }
-    if ((request.headersDistinct["host"]?.length ?? 0) > 1) {
-      throw new bodies.RequestReadError(
-        "bad-request",
-        "the request has two hosts",
-      );
-    }
-    const host = request.headers.host ?? "";
-    return {
-      ...rest,
-      method: request.method ?? "GET",
-      target,
-      hostName: host.replace(/:\d+$/, "").toLowerCase(),
-    };
-  }
-
   #handleFailure(
     thrown: unknown,
     { requestId, writer, socket, signal }: {
