An answer that waits for its turn is not taken for one that nobody reads

Callers saw: a running stream was cut, and the answer behind it lost, on connections on which several requests were written in a row (LOST, at any time).

Cause: the time for which a caller may take no part of an answer counted from the moment at which the answer was there, even if a longer answer before it on its connection was still being written. After 2 s or more, the connection was closed.

Change: the time begins with the turn of the answer.

--- a/packages/bench/src/platform_pipeline_test.ts
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -17,6 +17,13 @@
     `${ATTEMPT_ID}: ${id}\r\ncontent-length: 6\r\n\r\ncrates`;
 }
 
+function renderDraft(id: string): string {
+  return renderRequest(ROUTES.draft, id).replace(
+    "content-length",
+    "x-jackdawbank-model: *\r\nx-jackdawbank-token-usage: 600,80\r\ncontent-length",
+  );
+}
+
 /** The ids of the requests that the replica has run. */
 function listRuns(replica: fakes.FakeReplica): readonly string[] {
   return replica.received.map(({ headers }) => String(headers[ATTEMPT_ID]));
@@ -90,12 +97,7 @@
     const socket = await harness.connect();
     const received = harnesses.readToEnd(socket);
     const begun = readUntil(socket, /piece 1/);
-    socket.write(
-      renderRequest(ROUTES.draft, "draft").replace(
-        "content-length",
-        "x-jackdawbank-model: *\r\nx-jackdawbank-token-usage: 600,80\r\ncontent-length",
-      ),
-    );
+    socket.write(renderDraft("draft"));
     await begun;
     socket.write(renderRequest(ROUTES.order, "behind"));
     const text = await received;
@@ -202,3 +204,34 @@
     socket.destroy();
     t.pass();
   }));
+
+// Guards against LOST: an answer that waited behind a longer one was taken for one that its caller
+// does not read, and its connection was closed.
+test("an answer that waits behind a long stream does not close the connection", (t) =>
+  withHarness(async (harness) => {
+    await addDesk(harness);
+    await harness.addReplica("i-2", "llm", () => ({
+      type: "stream",
+      events: 14,
+      confidence: 100,
+      eventIntervalMs: 240,
+    }));
+    const { routes, ...rest } = harnesses.buildConfiguration() as {
+      readonly routes: readonly Readonly<Record<string, unknown>>[];
+    };
+    // Callers of routes with short gaps bear pauses of 2 s.
+    harness.store.putConfiguration({
+      ...rest,
+      routes: routes.map((route) => ({ ...route, gapTargetMs: 250 })),
+    });
+    await harness.start();
+    const socket = await harness.connect();
+    const answered = readUntil(socket, /answer to behind\./);
+    const received = harnesses.readToEnd(socket);
+    socket.write(renderDraft("draft") + renderRequest(ROUTES.order, "behind"));
+    await Promise.race([answered, received]);
+    socket.destroy();
+    const text = await received;
+    t.regex(text, /piece 14[\s\S]*answer to behind\.$/);
+    t.is(harness.findLogLines("caller.cut").length, 0);
+  }));
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -186,6 +186,7 @@
       hold,
       shouldClose: () =>
         this.#isDraining && connections.beginLastResponse(socket, end),
+      waitForTurn: (callback) => connections.waitForTurn(socket, end, callback),
       onCut: (reason) =>
         this.#options.log.addNotable("caller.cut", { requestId, reason }),
     });
--- a/packages/router/src/response_writer.ts
+++ b/packages/router/src/response_writer.ts
@@ -56,6 +56,7 @@
   readonly #codec: ports.MessageCodec;
   readonly #hold: budgets.RequestHold;
   readonly #shouldClose: () => boolean;
+  readonly #waitForTurn: (callback: () => void) => void;
   readonly #onCut: (reason: budgets.YieldReason) => void;
   #maxPauseMs = DEFAULT_MAX_PAUSE_MS;
 
@@ -63,6 +64,8 @@
     readonly codec: ports.MessageCodec;
     readonly hold: budgets.RequestHold;
     readonly shouldClose: () => boolean;
+    /** Calls back once the responses before this one are written, or now if they are. */
+    readonly waitForTurn: (callback: () => void) => void;
     /** Called when the caller is disconnected because it does not read. */
     readonly onCut: (reason: budgets.YieldReason) => void;
   }) {
@@ -70,6 +73,7 @@
     this.#codec = options.codec;
     this.#hold = options.hold;
     this.#shouldClose = options.shouldClose;
+    this.#waitForTurn = options.waitForTurn;
     this.#onCut = options.onCut;
   }
 
@@ -186,12 +190,15 @@
     writeMore();
   }
 
-  /** From now on, the response is given up if the caller does not read it. */
+  /** From now on, the response is given up if the caller does not read it in its turn. */
   #waitForCaller(maxDurationMs: number): void {
-    this.#hold.begin("answering", {
-      maxPauseMs: this.#maxPauseMs,
-      maxDurationMs,
-      onYield: (reason) => this.#cut(reason),
+    const onYield = (reason: budgets.YieldReason) => this.#cut(reason);
+    this.#hold.begin("answering", { onYield });
+    this.#waitForTurn(() => {
+      // It may have been taken in the meantime, and go on.
+      if (this.#hold.stage !== "answering") return;
+      const maxPauseMs = this.#maxPauseMs;
+      this.#hold.begin("answering", { maxPauseMs, maxDurationMs, onYield });
     });
   }
 
