--- a/packages/bench/src/platform_stop_test.ts
+++ b/packages/bench/src/platform_stop_test.ts
@@ -288,3 +288,24 @@
     t.deepEqual(cut.filter((id) => reached.has(id)), []);
     t.true(reached.size > 100, `${reached.size} orders`);
   }));
+
+test("the log tells what the requests that a stop cut were waiting for", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start({ graceMs: 900 });
+    const socket = await harness.connect();
+    socket.write(
+      `POST ${ROUTES.order} HTTP/1.1\r\nhost: ${harnesses.HOST}\r\n` +
+        "content-length: 6\r\n\r\ncra",
+    );
+    const closed = harnesses.readToEnd(socket);
+    await kernel.sleep(50);
+    await harness.router.stop("SIGTERM");
+    await closed;
+    t.like(harness.findLogLines("process.stopped").at(0), {
+      brokenOff: 1,
+      receiving: 1,
+      running: 0,
+      answering: 0,
+    });
+  }));
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import * as net from "node:net";
+import type * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as admissions from "./admission.ts";
 import * as bodies from "./body_reader.ts";
@@ -16,6 +17,7 @@
 import * as incomingRequests from "./incoming_request.ts";
 import * as headerMaps from "./header_map.ts";
 import * as bufferedExchanges from "./buffered_exchange.ts";
+import type * as budgets from "./memory_budget.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
 import * as writers from "./response_writer.ts";
@@ -62,7 +64,8 @@
   readonly #resources: resources.CallerResources;
   #isDraining = false;
   #isRefusing = false;
-  #inFlight = 0;
+  /** What is held for the requests without a complete response. */
+  readonly #holds = new Set<budgets.RequestHold>();
   /** Requests so far; used to generate IDs for requests without one. */
   #count = 0;
 
@@ -94,7 +97,14 @@
   }
 
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#holds.size;
+  }
+
+  /** Requests without a complete response, by what they wait for. */
+  countByStage(): Readonly<Record<decisions.HoldStage, number>> {
+    const count = { receiving: 0, running: 0, answering: 0 };
+    for (const { stage } of this.#holds) count[stage] += 1;
+    return count;
   }
 
   async listen(address: ports.Address): Promise<number> {
@@ -152,7 +162,7 @@
     const end = () => {
       if (hasEnded) return;
       hasEnded = true;
-      this.#inFlight -= 1;
+      this.#holds.delete(hold);
       hold.close();
       connections.endRequest(socket, end);
       if (!response.writableFinished) callerAbort.abort();
@@ -161,7 +171,6 @@
       request.resume();
       return;
     }
-    this.#inFlight += 1;
     if (expectsContinue) {
       // The runtime would write it after the head of a response that waits for its turn.
       connections.waitForTurn(socket, end, () => {
@@ -172,6 +181,7 @@
       socket.remoteAddress ?? "",
       bodies.measureHead(request),
     );
+    this.#holds.add(hold);
     response.once("close", end);
     const isOverBudget = budget.isExceeded;
     // Its refusal would be held until those before it are answered.
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -300,6 +300,7 @@
       tookMs: Math.round(clock.monotonicMs() - startedAtMs),
       // Requests without a complete response; closing aborts them.
       brokenOff: this.#callerServer.inFlight,
+      ...this.#callerServer.countByStage(),
     });
     // The closing below may take longer than is left, for example if the store is silent.
     log.flush();
