Our own listeners close no connection whose answer is still being written

Callers saw: a long answer of an entry was cut at the end of its drain, if its caller read slowly (LOST).

Change: the listener keeps its own account of responses that are not written; a connection is closed with the last of them. A caller that never reads is cut by the guard's time limit, as before the close.

--- a/packages/admin/src/server.ts
+++ b/packages/admin/src/server.ts
@@ -8,6 +8,7 @@
 import type * as net from "node:net";
 import * as neverthrow from "neverthrow";
 import * as commands from "./commands.ts";
+import * as drains from "./connection_drain.ts";
 
 export const MAX_BUNDLE_REQUEST_BYTES = bundle.MAX_BUNDLE_BYTES + 65_536;
 
@@ -178,6 +179,7 @@
 ): Promise<kernel.Outcome<HttpListener>> {
   return new Promise((resolve) => {
     const server = createServer(app, options);
+    const drain = new drains.ConnectionDrain(server);
     server.once("error", (error) => {
       resolve(
         kernel.fail("settings-invalid", `cannot listen: ${error.message}`),
@@ -188,14 +190,7 @@
       const port = typeof bound === "object" && bound !== null
         ? bound.port
         : address.port;
-      resolve(neverthrow.ok({ port, close: () => closeServer(server) }));
+      resolve(neverthrow.ok({ port, close: () => drain.close() }));
     });
   });
 }
-
-function closeServer(server: http.Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
-}
