Nothing is sent after a stop has ended the running requests

A request that had run, and waited for the loads of replicas at that moment, was sent once more and ended 25 ms later: a run in vain. Whether it may be sent is now decided by the schedule of the stop for requests that have run, too. By reading; the schedule's test did not compile before, as there was no such decision.

--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -331,7 +331,7 @@
     if (request.signal.aborted) return admissions.CALLER_GONE_REFUSAL;
     const { admission, places, quarantine, shutdown, table } =
       this.dependencies;
-    if (!hasRun && !shutdown.canSend(this.nowMs, request.deadlineAtMs)) {
+    if (!shutdown.canSend(this.nowMs, request.deadlineAtMs, hasRun)) {
       return admissions.LEAVING_REFUSAL;
     }
     return admission.checkConfigurationAge(request) ??
--- a/packages/router/src/shutdown.ts
+++ b/packages/router/src/shutdown.ts
@@ -70,10 +70,11 @@
   }
 
   /**
-   * Whether a request that no replica has run may be sent. Late in the grace period,
-   * that is only one that ends by its own deadline before this process does.
+   * Whether a request may be sent. Late in the grace period, one that no replica has run
+   * is only sent if it ends by its own deadline before this process does.
    */
-  canSend(nowMs: number, deadlineAtMs: number): boolean {
+  canSend(nowMs: number, deadlineAtMs: number, hasRun = false): boolean {
+    if (hasRun) return !this.hasEnded(nowMs);
     return nowMs < this.acceptUntilMs || deadlineAtMs <= this.endAtMs;
   }
 
--- a/packages/router/src/shutdown_test.ts
+++ b/packages/router/src/shutdown_test.ts
@@ -59,3 +59,12 @@
   t.true(shutdown.hasEnded(NOW_MS));
   t.true(shutdown.closeAtMs > NOW_MS);
 });
+
+// Guards against runs in vain: a request that had run, and waited for loads, was sent once more
+// after all attempts had been ended.
+test("nothing is sent after the running requests were ended", (t) => {
+  const shutdown = new shutdowns.ShutdownSchedule(8_000);
+  shutdown.start(NOW_MS);
+  t.true(shutdown.canSend(shutdown.endAtMs - 1, Infinity, true));
+  t.false(shutdown.canSend(shutdown.endAtMs, Infinity, true));
+});
