--- /dev/null
+++ b/packages/bench/src/soak/checks.ts
@@ -0,0 +1,273 @@
+/**
+ * Judges the facts of a play by the platform's rules. What a rule leaves out because
+ * of a disturbance is reported as excused, with the reason.
+ */
+import * as contents from "./content.ts";
+import * as groups from "./group.ts";
+import type * as facts from "./facts.ts";
+
+export interface Finding {
+  /** Rule, or a shorter name of our own. */
+  readonly rule: string;
+  readonly what: string;
+  readonly requestId: string | undefined;
+  /** Process at which it was seen. */
+  readonly serial: number | undefined;
+  /** Why the rule does not count it; absent for a violation. */
+  readonly excuse: string | undefined;
+}
+
+export interface CheckBounds {
+  /** Time after its last byte in which a request may cross the end of its connection. */
+  readonly lossSlackMs: number;
+  /** The same for requests of which nothing shows that the process read them. */
+  readonly unreadSlackMs: number;
+}
+
+const STABLE_WINDOW_MS = 3_000;
+/** The rule covers a stop until this time after the grace period. */
+const AFTER_GRACE_MS = 1_000;
+/** Requests that are sent later than this after SIGTERM may not last to the last sixth. */
+const LAST_SEND_MS = 3_000;
+const LAST_SHARE = 5 / 6;
+/** A request that is cut so shortly before its time limit counts as timed out. */
+const LIMIT_TOLERANCE_MS = 100;
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const HTTP_SUCCESS = 2;
+
+export function checkFacts(
+  play: facts.SoakFacts,
+  bounds: CheckBounds,
+): readonly Finding[] {
+  const runsById = groups.groupBy(play.runs, ({ requestId }) => requestId);
+  const requestsById = new Map(
+    play.requests.map((request) => [request.requestId, request]),
+  );
+  const findRuns = (id: string) => runsById.get(id) ?? [];
+  return [
+    ...play.requests.flatMap((request) => [
+      ...checkLoss(play, request, findRuns(request.requestId), bounds),
+      ...checkAnswer(request, findRuns(request.requestId)),
+    ]),
+    ...[...runsById].flatMap(([id, runs]) =>
+      checkRuns(id, runs, requestsById.get(id))
+    ),
+    ...play.processes.flatMap((one) => checkProcess(play, one)),
+    ...play.strayConnections.map((what) =>
+      makeFinding("MIXED", `bytes that belong to no request on ${what}`)
+    ),
+    ...checkIdentity(play),
+  ];
+}
+
+function makeFinding(
+  rule: string,
+  what: string,
+  rest: Partial<Finding> = {},
+): Finding {
+  return {
+    rule,
+    what,
+    requestId: undefined,
+    serial: undefined,
+    excuse: undefined,
+    ...rest,
+  };
+}
+
+/** Each request has one outcome: one fact, under an id of its own. */
+function checkIdentity(play: facts.SoakFacts): readonly Finding[] {
+  const counts = groups.groupBy(play.requests, ({ requestId }) => requestId);
+  return [...counts].filter(([, all]) => all.length > 1).map(([requestId]) =>
+    makeFinding("OUTCOME", "has more than one outcome", { requestId })
+  );
+}
+
+/** A request that the process has read must be answered, above all around a planned stop. */
+function checkLoss(
+  play: facts.SoakFacts,
+  request: facts.RequestFact,
+  runs: readonly facts.RunFact[],
+  bounds: CheckBounds,
+): readonly Finding[] {
+  const { sentAtMs, endedAtMs, answer, requestId, serial } = request;
+  if (answer?.isComplete === true) return [];
+  // A request that was not sent whole was not read whole.
+  if (sentAtMs === undefined) return [];
+  const lost = play.processes.find((one) => one.serial === serial);
+  const stopAtMs = lost?.signals.find(({ signal }) => signal === "SIGTERM")
+    ?.atMs;
+  const isAroundStop = stopAtMs !== undefined && endedAtMs >= stopAtMs &&
+    endedAtMs <= stopAtMs + play.graceMs + AFTER_GRACE_MS;
+  const isUnanswered = request.closeReason?.startsWith("the caller") === true;
+  const since = isAroundStop
+    ? `, ${Math.round(endedAtMs - stopAtMs)} ms after SIGTERM`
+    : "";
+  const what = `${request.content.kind} ${
+    runs.length > 0 ? "that was passed on" : "that was not passed on"
+  }: ${isUnanswered ? "no answer in time" : "connection ended"} ${
+    Math.round(endedAtMs - sentAtMs)
+  } ms after its last byte${since}${
+    request.requestsBefore > 0 ? `, behind ${request.requestsBefore}` : ""
+  }`;
+  return [makeFinding(isUnanswered ? "UNANSWERED" : "LOST", what, {
+    requestId,
+    serial,
+    excuse: findExcuse(play, request, runs, {
+      ...bounds,
+      lost,
+      stopAtMs: isAroundStop ? stopAtMs : undefined,
+    }),
+  })];
+}
+
+function findExcuse(
+  play: facts.SoakFacts,
+  request: facts.RequestFact,
+  runs: readonly facts.RunFact[],
+  context: CheckBounds & {
+    readonly lost: facts.ProcessFact | undefined;
+    readonly stopAtMs: number | undefined;
+  },
+): string | undefined {
+  const { startedAtMs, endedAtMs, content, requestId, serial } = request;
+  const sentAtMs = request.sentAtMs as number;
+  const { lost, stopAtMs } = context;
+  const afterSendMs = endedAtMs - sentAtMs;
+  if (runs.length === 0) {
+    if (stopAtMs === undefined) return "crossed the end of its connection";
+    if (afterSendMs <= context.lossSlackMs) {
+      return "crossed the end of its connection";
+    }
+    const wasRead = lost?.log.some((line) => line.includes(requestId)) === true;
+    if (!wasRead && afterSendMs <= context.unreadSlackMs) {
+      return "not shown to have been read";
+    }
+  }
+  const last = runs.toSorted((a, b) => a.startedAtMs - b.startedAtMs).at(-1);
+  if (last?.end === "broken-off") return "its replica broke off";
+  const limitMs = Math.min(
+    request.deadlineMs,
+    contents.ROUTES[content.kind].timeoutMs * play.timeoutFactors[0],
+  );
+  const isUnanswered = request.closeReason?.startsWith("the caller") === true;
+  if (
+    !isUnanswered && endedAtMs >= startedAtMs + limitMs - LIMIT_TOLERANCE_MS
+  ) return "its time limit was reached";
+  const lastSixthAtMs = stopAtMs === undefined
+    ? Infinity
+    : stopAtMs + play.graceMs * LAST_SHARE;
+  const ranLate = runs.some((run) =>
+    run.startedAtMs < endedAtMs && (run.endedAtMs ?? Infinity) >= lastSixthAtMs
+  );
+  if (ranLate && startedAtMs <= (stopAtMs ?? 0) + LAST_SEND_MS) {
+    return "its replica worked in the last sixth of the grace period";
+  }
+  const killedAtMs = lost?.signals.find(({ signal, atMs }) =>
+    signal === "SIGKILL" &&
+    (stopAtMs === undefined || atMs < stopAtMs + play.graceMs)
+  )?.atMs;
+  if (killedAtMs !== undefined && killedAtMs <= endedAtMs) {
+    return "its process was killed";
+  }
+  const isKeyed = !contents.ROUTES[content.kind].isPublic;
+  const disturbance = play.disturbances.find((one) =>
+    one.untilMs + STABLE_WINDOW_MS >= startedAtMs && one.fromMs <= endedAtMs &&
+    // Trouble of the store alone excuses only what needs a key.
+    (one.serial === undefined ? isKeyed : one.serial === serial)
+  );
+  return disturbance?.reason;
+}
+
+/** What a caller takes for an answer is its replica's, and a refusal is true. */
+function checkAnswer(
+  request: facts.RequestFact,
+  runs: readonly facts.RunFact[],
+): readonly Finding[] {
+  const { answer, content, requestId, serial } = request;
+  if (answer === undefined) return [];
+  const find = (rule: string, what: string) => [
+    makeFinding(rule, `${content.kind}: ${what}`, { requestId, serial }),
+  ];
+  if (
+    request.attemptId !== undefined && request.attemptId !== requestId
+  ) return find("MIXED", `has the answer of ${request.attemptId}`);
+  const hasRun = runs.some((run) => run.hasRun);
+  if (
+    NOT_RUN_STATUSES.has(answer.status) && hasRun &&
+    !contents.mayRepeat(content.kind)
+  ) return find("REFUSED", `answered ${answer.status} and has run`);
+  if (Math.floor(answer.status / 100) !== HTTP_SUCCESS) return [];
+  if (request.signature === undefined) return find("MIXED", "has no signature");
+  if (runs.length === 0) return find("MIXED", "answered without a run");
+  const models = [...new Set(runs.map(({ model }) => model))];
+  const bodies = models.map((model) =>
+    contents.renderBody(content, contents.renderLabel(requestId, model))
+  );
+  if (answer.isComplete) {
+    if (bodies.includes(answer.body)) return [];
+    const rule = contents.isStream(content.kind) ? "ORDER" : "MIXED";
+    return find(rule, describeDifference(answer.body, bodies));
+  }
+  if (bodies.some((body) => body.startsWith(answer.body))) return [];
+  // A replica that broke off may have left a body of its own.
+  if (runs.some(({ end }) => end === "broken-off")) return [];
+  return find("MIXED", `cut: ${describeDifference(answer.body, bodies)}`);
+}
+
+function describeDifference(body: string, bodies: readonly string[]): string {
+  const expected = bodies.at(-1) ?? "";
+  let same = 0;
+  while (same < body.length && body[same] === expected[same]) same += 1;
+  return `body of ${body.length} bytes, ${expected.length} expected, differs at ${same}`;
+}
+
+/** A request that may not be repeated runs at most once, and nothing runs that nobody sent. */
+function checkRuns(
+  requestId: string,
+  runs: readonly facts.RunFact[],
+  request: facts.RequestFact | undefined,
+): readonly Finding[] {
+  if (request === undefined) {
+    return [makeFinding("UNASKED", "ran though nobody sent it", { requestId })];
+  }
+  const count = runs.filter(({ hasRun }) => hasRun).length;
+  const { content, serial } = request;
+  if (count <= 1 || contents.mayRepeat(content.kind)) return [];
+  const what = `${content.kind} ran ${count} times`;
+  // A further model may be asked for a prompt whose answer the caller has none of.
+  const isEscalated = contents.isStream(content.kind) &&
+    new Set(runs.map(({ model }) => model)).size === count;
+  return isEscalated ? [] : [makeFinding("TWICE", what, { requestId, serial })];
+}
+
+/** A process ends when it is told to, in time, and reports no fault of its own. */
+function checkProcess(
+  play: facts.SoakFacts,
+  one: facts.ProcessFact,
+): readonly Finding[] {
+  const { serial, exit, signals, log } = one;
+  const stopAtMs = signals.find(({ signal }) => signal === "SIGTERM")?.atMs;
+  const findings = log.filter((line) =>
+    /"event":"(process|request|watchdog)\.fault"/.test(line)
+  ).map((line) => makeFinding("FAULT", line, { serial }));
+  if (exit === undefined) return findings;
+  const isKilled = signals.some(({ signal }) => signal === "SIGKILL");
+  if (stopAtMs === undefined && !isKilled) {
+    const what = `ended by itself: code ${exit.code}, signal ${exit.signal}`;
+    return [...findings, makeFinding("ENDED", what, { serial })];
+  }
+  if (stopAtMs === undefined) return findings;
+  const tookMs = Math.round(exit.atMs - stopAtMs);
+  if (!isKilled && exit.code !== 0) {
+    const what = `ended with code ${exit.code}, signal ${exit.signal}`;
+    return [...findings, makeFinding("ENDED", what, { serial })];
+  }
+  const wasKilledLate = exit.signal === "SIGKILL" && tookMs >= play.graceMs;
+  if (!wasKilledLate) return findings;
+  const excuse = play.disturbances.find((disturbance) =>
+    disturbance.serial === serial && disturbance.untilMs >= stopAtMs
+  )?.reason;
+  const what = `was still there ${tookMs} ms after SIGTERM`;
+  return [...findings, makeFinding("OUTLIVED", what, { serial, excuse })];
+}
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -8,4 +8,6 @@
 export * from "./platform_store.ts";
 export * from "./replica.ts";
 export * from "./platform_caller.ts";
+export * from "./platform_connection.ts";
+export type * from "./answer_parser.ts";
 export * as samples from "./platform_sample.ts";
--- a/packages/fakes/src/platform_sample.ts
+++ b/packages/fakes/src/platform_sample.ts
@@ -94,6 +94,55 @@
   };
 }
 
+/** A route of the operator, in our own words. */
+export interface SampleRoute {
+  readonly name: string;
+  readonly pathPrefix: string;
+  readonly kind: "non_idempotent" | "idempotent" | "streaming";
+  readonly isResumable: boolean;
+  readonly isPublic: boolean;
+  readonly timeoutMs: number;
+}
+
+/** Builds a configuration with these routes; streams go to the engines, all else to the desk. */
+export function buildRoutedConfiguration(
+  version: number,
+  routes: readonly SampleRoute[],
+): Readonly<Record<string, unknown>> {
+  return buildConfiguration({
+    version,
+    routes: routes.map((route) => {
+      const shared = {
+        name: route.name,
+        hostname: HOST,
+        pathPrefix: route.pathPrefix,
+        type: route.kind,
+        timeoutMs: route.timeoutMs,
+        priority: 0,
+        public: route.isPublic,
+      };
+      if (route.kind !== "streaming") {
+        return {
+          ...shared,
+          service: "desk",
+          targetLatencyMs: 300,
+          maxAttempts: route.kind === "idempotent" ? 2 : 1,
+        };
+      }
+      return {
+        ...shared,
+        service: "llm",
+        targetLatencyMs: 500,
+        maxAttempts: 3,
+        sizes: ["small", "large"],
+        sessionAffinity: true,
+        streamResume: route.isResumable,
+        gapTargetMs: 400,
+      };
+    }),
+  });
+}
+
 /** Builds the configuration after the account's keys were revoked. */
 export function buildRevokedConfiguration(
   version: number,
@@ -126,22 +175,45 @@
   return { JACKDAWBANK_NODE_FILE: settingsPath };
 }
 
+const MS_PER_S = 1_000;
+
+/** The machine of a settings file. */
+export interface SampleMachine {
+  readonly name: string;
+  readonly ip: string;
+  readonly dataCentre: string;
+  readonly graceMs: number;
+  /** Without these, the entry works without its peers. */
+  readonly internalPorts?: readonly [number, number];
+}
+
+const SAMPLE_MACHINE: SampleMachine = {
+  name: "edge-1",
+  ip: "127.0.0.1",
+  dataCentre: "a",
+  graceMs: 4_000,
+};
+
 /** Renders a settings file in the platform's format. */
 export function renderSettings(ports: {
   readonly callers: number;
   readonly readiness: number;
   readonly store: number;
-}): string {
+}, machine: SampleMachine = SAMPLE_MACHINE): string {
+  const { name, ip, dataCentre, graceMs, internalPorts } = machine;
+  const internal = internalPorts === undefined
+    ? ""
+    : `internalPorts = [${internalPorts.join(",")}]\n`;
   return `
-nodeName = "edge-1"
-ip = "127.0.0.1"
-zone = "a"
-[listen]
-frontend = "127.0.0.1:${ports.callers}"
-readiness = "127.0.0.1:${ports.readiness}"
+nodeName = "${name}"
+ip = "${ip}"
+zone = "${dataCentre}"
+${internal}[listen]
+frontend = "${ip}:${ports.callers}"
+readiness = "${ip}:${ports.readiness}"
 [bounds]
 drainMs = 2000
-graceS = 4
+graceS = ${graceMs / MS_PER_S}
 revokeMs = 5000
 strictRevocation = true
 retryBudgetRatio = 0.9
--- a/packages/fakes/src/platform_store.ts
+++ b/packages/fakes/src/platform_store.ts
@@ -126,6 +126,11 @@
     return this.put(`${REPLICA_PREFIX}${id}`, entry);
   }
 
+  /** Removes the item of a replica that has left. */
+  removeReplica(id: string): void {
+    this.remove(`${REPLICA_PREFIX}${id}`);
+  }
+
   /** Lists the keys with a prefix. */
   list(prefix: string): readonly string[] {
     return [...this.#items.keys()].filter((key) => key.startsWith(prefix));
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -50,6 +50,8 @@
     readonly events: number;
     /** Pads the data of each event to at least this many bytes. */
     readonly eventBytes?: number;
+    /** Added to the data of each event. */
+    readonly label?: string;
     readonly confidence?: number;
     readonly eventIntervalMs?: number;
     /** Time before the head. */
@@ -77,11 +79,39 @@
   readonly atMs: number;
   /** Whether the connection closed before the response was complete. */
   wasCancelled: boolean;
+  /** Whether this replica closed it, rather than the router. */
+  wasBrokenOff: boolean;
+  /** Monotonic time of the end of the response; absent while it runs. */
+  endedAtMs: number | undefined;
+}
+
+/** Renders an event of a stream. */
+export function renderEvent(
+  event: number,
+  { label, eventBytes = 0 }: {
+    readonly label?: string;
+    readonly eventBytes?: number;
+  },
+): string {
+  const suffix = label === undefined ? "" : ` ${label}`;
+  return `id: ${event}\ndata: piece ${event}${suffix}${
+    "x".repeat(eventBytes)
+  }\n\n`;
 }
 
 const ATTEMPT_ID = "x-jackdawbank-attempt-id";
 const RESET_DELAY_MS = 5;
 
+/** Returns the id of the request's attempt; empty if it has none. */
+export function readAttemptId({ headers }: ReceivedRequest): string {
+  return String(headers[ATTEMPT_ID] ?? "");
+}
+
+/** Returns the model that a request names. */
+export function readModel({ headers }: ReceivedRequest): string | undefined {
+  return headers["x-jackdawbank-model"]?.toString();
+}
+
 export class FakeReplica {
   readonly id: string;
   readonly received: ReceivedRequest[] = [];
@@ -141,6 +171,9 @@
   }
 
   async close(): Promise<void> {
+    for (const request of this.received) {
+      if (request.endedAtMs === undefined) request.wasBrokenOff = true;
+    }
     for (const socket of this.#sockets) socket.destroy();
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
@@ -150,7 +183,12 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+    try {
+      for await (const chunk of request) chunks.push(chunk as Buffer);
+    } catch {
+      // The connection closed within the request, which did not run.
+      return;
+    }
     const received: ReceivedRequest = {
       method: request.method ?? "",
       path: request.url ?? "",
@@ -159,9 +197,12 @@
       connectionUses: this.#countUse(request.socket),
       atMs: performance.now(),
       wasCancelled: false,
+      wasBrokenOff: false,
+      endedAtMs: undefined,
     };
     response.on("close", () => {
       received.wasCancelled = !response.writableFinished;
+      received.endedAtMs = performance.now();
     });
     this.received.push(received);
     await this.#answer(
@@ -182,7 +223,7 @@
     response: http.ServerResponse,
     behaviour: ReplicaBehaviour,
   ): Promise<void> {
-    const attemptId = String(received.headers[ATTEMPT_ID] ?? "");
+    const attemptId = readAttemptId(received);
     const signedHeaders = {
       ...this.extraHeaders,
       [ATTEMPT_ID]: attemptId,
@@ -215,6 +256,7 @@
         response.writeHead(421, { "x-jackdawbank-instance-id": "other" }).end();
         return;
       case "reset":
+        received.wasBrokenOff = true;
         response.socket?.resetAndDestroy();
         return;
       case "hang":
@@ -223,9 +265,11 @@
         response.writeHead(200, { ...signedHeaders, "content-length": 100 });
         response.write("only part");
         await sleep(5);
+        if (!response.destroyed) received.wasBrokenOff = true;
         response.socket?.destroy();
         return;
       case "unframed-truncated":
+        received.wasBrokenOff = true;
         response.useChunkedEncodingByDefault = false;
         response.shouldKeepAlive = false;
         response.writeHead(200, signedHeaders);
@@ -301,11 +345,11 @@
     });
     const firstEvent = Number(received.headers["last-event-id"] ?? 0) + 1;
     for (let event = firstEvent; event <= behaviour.events; event += 1) {
-      const padding = "x".repeat(behaviour.eventBytes ?? 0);
-      const text = `id: ${event}\ndata: piece ${event}${padding}\n\n`;
+      const text = renderEvent(event, behaviour);
       if (behaviour.disconnectAfterEvents === event - 1) {
         response.write(text.slice(0, 8));
         await sleep(5);
+        if (!response.destroyed) received.wasBrokenOff = true;
         response.socket?.destroy();
         return;
       }
