Tests of the soak's judge; time without a processor counts as a disturbance

A process that waits for a processor for a quarter of 200 ms (schedstat) counts as slowed down, so that plays on a busy machine report what such a process loses as excused. Signals are sent only to processes that have set their handlers: the default action ended some that had just begun.

--- a/packages/bench/src/soak/entry_machine.ts
+++ b/packages/bench/src/soak/entry_machine.ts
@@ -14,10 +14,15 @@
 const READINESS_PATH = "/-/readyz";
 const READINESS_TIMEOUT_MS = 900;
 const HEAP_LIMIT_MB = 96;
+const STARTED_EVENT = '"event":"process.started"';
 const RESTART_DELAY_MS = 300;
 /** Time of which a throttled process runs for a part. */
 const QUOTA_PERIOD_MS = 100;
 const QUOTA_RUN_MS = 20;
+const STARVATION_CHECK_MS = 200;
+/** A process that waits for a processor for this share of the time counts as slowed down. */
+const STARVATION_SHARE = 0.25;
+const NS_PER_MS = 1_000_000;
 
 export interface EntryMachineOptions {
   readonly index: number;
@@ -33,6 +38,16 @@
   readonly nextSerial: () => number;
 }
 
+/** Time for which a process has waited for a processor so far. */
+function readRunDelayMs(pid: number): number {
+  try {
+    const text = fs.readFileSync(`/proc/${pid}/schedstat`, "utf8");
+    return Number(text.split(" ")[1]) / NS_PER_MS;
+  } catch {
+    return 0;
+  }
+}
+
 class Life {
   readonly serial: number;
   readonly startedAtMs = performance.now();
@@ -102,15 +117,39 @@
     const { nextSerial, program, settingsPath } = this.#options;
     const life = new Life(nextSerial(), program, settingsPath);
     this.#lives.push(life);
+    this.#watchStarvation(life);
     life.child.once("exit", (code, signal) => {
       life.exit = { atMs: performance.now(), code, signal };
       this.#schedule(RESTART_DELAY_MS, () => this.start());
     });
   }
 
+  /** Records a span in which the machine had no processor left for the process. */
+  #watchStarvation(life: Life): void {
+    let lastMs = performance.now();
+    let lastDelayMs = 0;
+    const check = () => {
+      if (life.exit !== undefined) return;
+      const nowMs = performance.now();
+      const delayMs = readRunDelayMs(life.child.pid ?? 0);
+      if (delayMs - lastDelayMs >= STARVATION_SHARE * STARVATION_CHECK_MS) {
+        this.#disturbances.push({
+          fromMs: lastMs,
+          untilMs: nowMs,
+          serial: life.serial,
+          reason: "the machine was busy",
+        });
+      }
+      lastMs = nowMs;
+      lastDelayMs = delayMs;
+      this.#schedule(STARVATION_CHECK_MS, check);
+    };
+    check();
+  }
+
   /** Sends SIGTERM; the process is killed at the end of its grace period. */
   terminate(): void {
-    const life = this.#running;
+    const life = this.#started;
     if (life === undefined) return;
     const isFirst = !life.signals.some(({ signal }) => signal === "SIGTERM");
     this.#signal(life, "SIGTERM");
@@ -127,7 +166,7 @@
   }
 
   reload(): void {
-    const life = this.#running;
+    const life = this.#started;
     this.#writeSettings();
     if (life !== undefined) this.#signal(life, "SIGHUP");
   }
@@ -203,6 +242,13 @@
     return life?.exit === undefined ? life : undefined;
   }
 
+  /** The process, if it is far enough to handle signals. */
+  get #started(): Life | undefined {
+    const life = this.#running;
+    const isStarted = life?.log.some((line) => line.includes(STARTED_EVENT));
+    return isStarted === true ? life : undefined;
+  }
+
   #signal(life: Life, signal: facts.SignalFact["signal"]): void {
     life.signals.push({ signal, atMs: performance.now() });
     life.child.kill(signal);
