Soak: a run given up for one that cannot end in time is no excuse for a loss

The excuse that a replica worked in the last sixth of the grace period held for a second run that was begun there, though the first one would have ended in time. The test of the judge has both cases.

--- a/packages/bench/src/run_tests.ts
+++ b/packages/bench/src/run_tests.ts
@@ -15,11 +15,12 @@
   "packages/*/dist/**/*_test.js",
   "platform/dist/**/*_test.js",
 ];
-/** Tests that measure a process, each in a run of its own. */
+/** Tests that measure or play with processes, each in a run of its own. */
 const ISOLATED_TESTS = [
   "packages/bench/dist/memory_fault_test.js",
   "packages/bench/dist/own_memory_fault_test.js",
   "packages/bench/dist/stress_test.js",
+  "packages/bench/dist/soak/soak_test.js",
 ];
 
 /** Reads the names of tests in KNOWN-RED.txt, one `test: <name>` line each. */
--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -160,7 +160,13 @@
   const ranLate = runs.some((run) =>
     run.startedAtMs < endedAtMs && (run.endedAtMs ?? Infinity) >= lastSixthAtMs
   );
-  if (ranLate && startedAtMs <= (stopAtMs ?? 0) + LAST_SEND_MS) {
+  // A run that would have ended in time must not be given up for one that can't.
+  const wasGivenUp = runs.some((run) =>
+    run !== last && run.model === last?.model && run.end === "cancelled" &&
+    (run.endedAtMs ?? Infinity) >= (stopAtMs ?? Infinity) &&
+    run.dueAtMs < lastSixthAtMs
+  );
+  if (ranLate && !wasGivenUp && startedAtMs <= (stopAtMs ?? 0) + LAST_SEND_MS) {
     return "its replica worked in the last sixth of the grace period";
   }
   const killedAtMs = lost?.signals.find(({ signal, atMs }) =>
--- a/packages/bench/src/soak/checks_test.ts
+++ b/packages/bench/src/soak/checks_test.ts
@@ -44,6 +44,7 @@
   hasRun: true,
   startedAtMs: STOP_AT_MS + 150,
   endedAtMs: STOP_AT_MS + 1_000,
+  dueAtMs: STOP_AT_MS + 1_500,
   end: "cancelled",
 };
 
@@ -152,6 +153,20 @@
   );
 });
 
+test("a run that is given up for one that cannot end in time is no excuse", (t) => {
+  const late = { endedAtMs: STOP_AT_MS + 3_700 };
+  const resumed = {
+    startedAtMs: STOP_AT_MS + 3_500,
+    endedAtMs: STOP_AT_MS + 3_700,
+  };
+  const excused = [
+    "LOST: its replica worked in the last sixth of the grace period",
+  ];
+  t.deepEqual(judge(late, [{}, resumed]), ["LOST", "TWICE"]);
+  const stalled = { dueAtMs: Infinity };
+  t.deepEqual(judge(late, [stalled, resumed]), [...excused, "TWICE"]);
+});
+
 test("a pause of the process excuses a loss near it, one of another process does not", (t) => {
   const pause = {
     fromMs: STOP_AT_MS - 2_500,
--- a/packages/bench/src/soak/facts.ts
+++ b/packages/bench/src/soak/facts.ts
@@ -53,6 +53,8 @@
   readonly startedAtMs: number;
   /** Absent if it still ran at the end of the play. */
   readonly endedAtMs: number | undefined;
+  /** When the answer is or would be whole; infinite if the replica falls silent for good. */
+  readonly dueAtMs: number;
   readonly end: "whole" | "cancelled" | "broken-off";
 }
 
--- a/packages/bench/src/soak/stand_ins.ts
+++ b/packages/bench/src/soak/stand_ins.ts
@@ -123,7 +123,8 @@
   readRuns(): readonly facts.RunFact[] {
     return this.#places.flat().flatMap(({ standIn, behaviours }) =>
       standIn.received.map((request, index) => {
-        const behaviour = (behaviours[index] as fakes.ReplicaBehaviour).type;
+        const chosen = behaviours[index] as fakes.ReplicaBehaviour;
+        const behaviour = chosen.type;
         return {
           requestId: fakes.readAttemptId(request),
           replica: standIn.id,
@@ -132,6 +133,7 @@
           hasRun: behaviour !== "not-run" && behaviour !== "misdirected",
           startedAtMs: request.atMs,
           endedAtMs: request.endedAtMs,
+          dueAtMs: request.atMs + computeDurationMs(chosen),
           end: request.wasBrokenOff
             ? "broken-off" as const
             : request.wasCancelled
@@ -251,3 +253,21 @@
 function readModel(request: fakes.ReceivedRequest): string {
   return fakes.readModel(request) ?? "none";
 }
+
+/** Time in which a replica answers, infinite if it never does. */
+function computeDurationMs(behaviour: fakes.ReplicaBehaviour): number {
+  switch (behaviour.type) {
+    case "hang":
+      return Infinity;
+    case "ok":
+      return behaviour.delayMs ?? 0;
+    case "stream":
+      return behaviour.stallAfterEvents === undefined
+        ? (behaviour.delayMs ?? 0) +
+          behaviour.events * (behaviour.eventIntervalMs ?? 0) +
+          (behaviour.pauseAfter?.durationMs ?? 0)
+        : Infinity;
+    default:
+      return 0;
+  }
+}
