Soak: callers send nothing more once they are told that the connection closes

They took a head with Connection: close into account at the end of its answer only, so that requests behind a stream that had begun counted as lost. A request behind one whose loss is excused is excused too, since answers come in order; one whose caller closed the connection because of another is not unanswered.

--- a/packages/bench/src/soak/client.ts
+++ b/packages/bench/src/soak/client.ts
@@ -21,7 +21,7 @@
 const DEADLINE_MS = { plain: 6_000, stream: 12_000 } as const;
 const ID_LENGTH = 16;
 
-export const GIVE_UP_REASON = "the caller waits no longer";
+const GIVE_UP_REASON = "the caller waits no longer";
 
 /** What callers share. */
 export interface ClientScene {
@@ -87,8 +87,12 @@
     // A body that is being sent delays those of the requests behind it.
     const behindMs = requestsBefore *
       (this.#plan.maxBodyMs + request.deadlineMs);
+    let hasGivenUp = false;
     const timer = setTimeout(
-      () => open.connection.close(GIVE_UP_REASON),
+      () => {
+        hasGivenUp = true;
+        open.connection.close(GIVE_UP_REASON);
+      },
       behindMs + this.#plan.maxBodyMs + request.deadlineMs + PATIENCE_MS,
     );
     const sending = open.connection.send(request);
@@ -98,6 +102,8 @@
     this.#pending.delete(sending);
     this.#scene.onRequest({
       ...exchange,
+      hasGivenUp,
+      wasClosedByCaller: exchange.closeReason === GIVE_UP_REASON,
       requestId: request.attemptId,
       client: this.#plan.index,
       serial: open.serial,
--- a/packages/bench/src/soak/facts.ts
+++ b/packages/bench/src/soak/facts.ts
@@ -41,6 +41,10 @@
   readonly requestsBefore: number;
   readonly content: contents.Content;
   readonly deadlineMs: number;
+  /** Whether its caller closed the connection, for this request or another one. */
+  readonly wasClosedByCaller: boolean;
+  /** Whether its caller did so because this request had no answer. */
+  readonly hasGivenUp: boolean;
 }
 
 /** A request as a replica received it. */
--- a/packages/fakes/src/answer_parser.ts
+++ b/packages/fakes/src/answer_parser.ts
@@ -15,7 +15,7 @@
 export interface AnswerListener {
   /** Called for `100 Continue`. */
   readonly onContinue: () => void;
-  readonly onHead: () => void;
+  readonly onHead: (headers: ReadonlyMap<string, string>) => void;
   readonly onAnswer: (answer: ParsedAnswer) => void;
 }
 
@@ -106,7 +106,7 @@
       }),
     );
     this.#parts = [];
-    this.#listener.onHead();
+    this.#listener.onHead(this.#headers);
     const length = this.#headers.get("content-length");
     if (this.#headers.get("transfer-encoding") === "chunked") {
       this.#state = "chunk-size";
