--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -298,7 +298,12 @@
   const stopAtMs = signals.find(({ signal }) => signal === "SIGTERM")?.atMs;
   const findings = log.filter((line) =>
     /"event":"(process|request|watchdog)\.fault"/.test(line)
-  ).map((line) => makeFinding("FAULT", line, { serial }));
+  ).map((line) =>
+    makeFinding("FAULT", line, {
+      serial,
+      requestId: /"requestId":"([^"]+)"/.exec(line)?.[1],
+    })
+  );
   if (exit === undefined) return findings;
   const isKilled = signals.some(({ signal }) => signal === "SIGKILL");
   if (stopAtMs === undefined && !isKilled) {
