--- a/packages/bench/src/soak/checks_test.ts
+++ b/packages/bench/src/soak/checks_test.ts
@@ -133,6 +133,10 @@
     judge({}, [{ end: "broken-off" }]),
     ["LOST: its replica broke off"],
   );
+  t.deepEqual(
+    judge({}, [{ behaviour: "failure", end: "whole" }]),
+    ["LOST: its replica failed"],
+  );
 });
 
 test("a request is excused by a replica that works in the last sixth only if it was sent early", (t) => {
