--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -188,7 +188,9 @@
   const last = runs.toSorted((a, b) => a.startedAtMs - b.startedAtMs).at(-1);
   if (last?.end === "broken-off") return "its replica broke off";
   // A stream that has begun cannot go on with a failure.
-  if (last?.behaviour === "failure") return "its replica failed";
+  if (last?.behaviour === "failure" && request.answer !== undefined) {
+    return "its replica failed";
+  }
   const limitMs = Math.min(
     request.deadlineMs,
     contents.ROUTES[content.kind].timeoutMs * play.timeoutFactors[0],
--- a/packages/bench/src/soak/checks_test.ts
+++ b/packages/bench/src/soak/checks_test.ts
@@ -133,8 +133,10 @@
     judge({}, [{ end: "broken-off" }]),
     ["LOST: its replica broke off"],
   );
+  const failed = { behaviour: "failure", end: "whole" } as const;
+  t.deepEqual(judge({}, [failed]), ["LOST"]);
   t.deepEqual(
-    judge({}, [{ behaviour: "failure", end: "whole" }]),
+    judge(answer(200, BODY.slice(0, 30), false), [failed]),
     ["LOST: its replica failed"],
   );
 });
