--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -30,6 +30,9 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const HTTP_SUCCESS = 2;
 const SHOWN_BYTES = 40;
+/** Faults of the process itself, also where an assertion of a library ended an attempt. */
+const FAULT_PATTERN =
+  /"event":"(process|request|watchdog)\.fault"|evaluated to a falsy value/;
 
 export function checkFacts(play: facts.SoakFacts): readonly Finding[] {
   const runsById = groups.groupBy(play.runs, ({ requestId }) => requestId);
@@ -302,9 +305,7 @@
 ): readonly Finding[] {
   const { serial, exit, signals, log } = one;
   const stopAtMs = signals.find(({ signal }) => signal === "SIGTERM")?.atMs;
-  const findings = log.filter((line) =>
-    /"event":"(process|request|watchdog)\.fault"/.test(line)
-  ).map((line) =>
+  const findings = log.filter((line) => FAULT_PATTERN.test(line)).map((line) =>
     makeFinding("FAULT", line, {
       serial,
       requestId: /"requestId":"([^"]+)"/.exec(line)?.[1],
--- a/packages/bench/src/soak/checks_test.ts
+++ b/packages/bench/src/soak/checks_test.ts
@@ -262,6 +262,8 @@
     ["OUTLIVED"],
   );
   t.deepEqual(judgeProcess({ log: ['{"event":"request.fault"}'] }), ["FAULT"]);
+  const assertion = '{"reason":"The expression evaluated to a falsy value"}';
+  t.deepEqual(judgeProcess({ log: [assertion] }), ["FAULT"]);
 });
 
 test("each request has one outcome, and nothing runs that nobody sent", (t) => {
--- a/packages/bench/src/soak/report.ts
+++ b/packages/bench/src/soak/report.ts
@@ -111,7 +111,9 @@
   const { answer, requestsBefore } = request;
   const end = answer === undefined
     ? "no answer"
-    : `${answer.status}, ${answer.body.length} bytes, complete: ${answer.isComplete}`;
+    : `${answer.status} (${
+      [...answer.headers.keys()].join(" ")
+    }), ${answer.body.length} bytes, complete: ${answer.isComplete}`;
   return `     ${request.requestId} behind ${requestsBefore} ${
     JSON.stringify(request.content)
   } sent ${after(request.startedAtMs)}..${after(request.sentAtMs)}, ended ${
