--- a/packages/bench/src/memory_harness.ts
+++ b/packages/bench/src/memory_harness.ts
@@ -11,6 +11,7 @@
 import type * as ava from "ava";
 import * as fakes from "@jackdawbank/fakes";
 import * as kernel from "@jackdawbank/kernel";
+import * as crowds from "./crowd.ts";
 import * as processes from "./processes.ts";
 
 const { ROUTES, buildConfiguration } = fakes.samples;
@@ -27,8 +28,6 @@
 const SLOTS = 64;
 /** Long enough that an answer does not depend on the machine's speed. */
 const ROUTE_TIMEOUT_MS = 10_000;
-/** Ends a crowd that is neither served nor cut off. */
-const CROWD_TIMEOUT_MS = 40_000;
 export const METRICS_PATH = "/metrics";
 const SAMPLE_INTERVAL_MS = 20;
 /** A crowd that causes no further request for this time has done its part. */
@@ -110,73 +109,14 @@
   return Buffer.from(chunk.repeat(count));
 }
 
-/** Connections that send what they are told to, and stay open until the crowd is closed. */
-export class Crowd {
-  readonly #port: number;
-  readonly #sockets: net.Socket[] = [];
-
-  constructor(port: number) {
-    this.#port = port;
-  }
-
-  /**
-   * Opens connections that send the parts one after the other. Resolves when each
-   * has sent all of them or was cut off; none is closed by the crowd itself.
-   */
-  async send(
-    count: number,
-    parts: readonly (string | Buffer)[],
-    options: { readonly readsAnswers: boolean } = { readsAnswers: true },
-  ): Promise<void> {
-    let timer: NodeJS.Timeout | undefined;
-    const timeout = new Promise((resolve) => {
-      timer = setTimeout(resolve, CROWD_TIMEOUT_MS);
-    });
-    const members = Array.from(
-      { length: count },
-      () => this.#sendOne(parts, options.readsAnswers),
-    );
-    await Promise.race([Promise.all(members), timeout]);
-    clearTimeout(timer);
-  }
-
-  get openConnections(): number {
-    return this.#sockets.filter((socket) => !socket.destroyed).length;
-  }
-
-  close(): void {
-    for (const socket of this.#sockets) socket.destroy();
-  }
-
-  async #sendOne(
-    parts: readonly (string | Buffer)[],
-    readsAnswers: boolean,
-  ): Promise<void> {
-    const socket = net.connect(this.#port, "127.0.0.1");
-    this.#sockets.push(socket);
-    socket.on("error", () => socket.destroy());
-    const closed = new Promise<false>((resolve) =>
-      socket.once("close", () => resolve(false))
-    );
-    if (readsAnswers) socket.resume();
-    else socket.pause();
-    const sendAll = async () => {
-      for (const part of parts) {
-        await new Promise((resolve) => socket.write(part, resolve));
-      }
-    };
-    await Promise.race([sendAll(), closed]);
-  }
-}
-
 /** One entry process with its store and replicas; `close` stops all of them. */
 export class SmallMachine {
   readonly entry: processes.TestProcess;
   readonly usage: ProcessUsage;
-  readonly crowd: Crowd;
+  readonly crowd: crowds.Crowd;
   /** Crowds at the other listeners of the entry. */
-  readonly metricsCrowd: Crowd;
-  readonly readinessCrowd: Crowd;
+  readonly metricsCrowd: crowds.Crowd;
+  readonly readinessCrowd: crowds.Crowd;
   readonly desk: fakes.FakeReplica;
   readonly engine: fakes.FakeReplica;
   readonly #store: fakes.FakePlatformStore;
@@ -197,9 +137,9 @@
   }) {
     this.entry = parts.entry;
     this.usage = new ProcessUsage(parts.entry.pid);
-    this.crowd = new Crowd(parts.callersPort);
-    this.metricsCrowd = new Crowd(parts.metricsPort);
-    this.readinessCrowd = new Crowd(parts.readinessPort);
+    this.crowd = new crowds.Crowd(parts.callersPort);
+    this.metricsCrowd = new crowds.Crowd(parts.metricsPort);
+    this.readinessCrowd = new crowds.Crowd(parts.readinessPort);
     this.desk = parts.desk;
     this.engine = parts.engine;
     this.#store = parts.store;
@@ -294,11 +234,11 @@
   }
 
   /** Sends one small request; resolves with its status, or why there is none. */
-  async callOrdinary(): Promise<number | string> {
+  async callOrdinary(
+    headers: Readonly<Record<string, string>> = fakes.PATIENT_HEADERS,
+  ): Promise<number | string> {
     try {
-      const response = await this.#caller.call(ROUTES.check, {
-        headers: fakes.PATIENT_HEADERS,
-      });
+      const response = await this.#caller.call(ROUTES.check, { headers });
       return response.status === 200
         ? 200
         : `${response.status} ${response.body}`;
--- a/packages/bench/src/own_memory_fault_test.ts
+++ b/packages/bench/src/own_memory_fault_test.ts
@@ -7,6 +7,7 @@
 import * as ava from "ava";
 import * as deployments from "./deployment.ts";
 import * as fixtures from "./fixture.ts";
+import * as crowds from "./crowd.ts";
 import * as memory from "./memory_harness.ts";
 import type * as processes from "./processes.ts";
 
@@ -38,7 +39,7 @@
       readonly process: processes.TestProcess;
       readonly portName: string;
     };
-    readonly send: (crowd: memory.Crowd) => Promise<void>;
+    readonly send: (crowd: crowds.Crowd) => Promise<void>;
   },
 ): Promise<void> {
   const { fileDescriptors = 700, choose, send } = options;
@@ -48,7 +49,7 @@
   const caller = fixtures.createCaller(t, deployment);
   const target = choose(deployment);
   const usage = new memory.ProcessUsage(target.process.pid);
-  const crowd = new memory.Crowd(target.process.port(target.portName));
+  const crowd = new crowds.Crowd(target.process.port(target.portName));
   try {
     await send(crowd);
     await memory.settle();
--- a/packages/fakes/src/endless_bytes.ts
+++ b/packages/fakes/src/endless_bytes.ts
@@ -10,11 +10,21 @@
   | "body"
   | "chunk-extension"
   | "failure-body"
-  | "event";
+  | "event"
+  | "blank-lines"
+  | "chunk-size"
+  | "chunks-of-a-byte"
+  | "trailers"
+  | "comments"
+  | "comment-chunks"
+  | "small-events"
+  | "small-event-chunks";
 
 /** Large enough to exceed any bound within a second. */
 const BLOCK_BYTES = 65_536;
 
+const UNITS_PER_CHUNK = 1_000;
+
 interface EndlessText {
   /** Sent once. */
   readonly start: string;
@@ -32,13 +42,22 @@
   return `HTTP/1.1 ${status} Status\r\n${lines.join("")}`;
 }
 
+function renderChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
 function buildText(
   part: EndlessPart,
   signedHeaders: Readonly<Record<string, string>>,
 ): EndlessText {
-  const head = renderHead(200, signedHeaders);
+  const head = renderHead(200, {
+    ...signedHeaders,
+    "content-type": "text/event-stream",
+  });
   const chunked = "transfer-encoding: chunked\r\n\r\n";
-  const chunk = `1000\r\n${"x".repeat(0x1000)}\r\n`;
+  const chunk = renderChunk("x".repeat(0x1000));
+  const comment = ": k\n\n";
+  const event = "data: x\n\n";
   switch (part) {
     case "garbage":
       return { start: "", unit: "\u0000?" };
@@ -58,6 +77,28 @@
         start: `${renderHead(500, signedHeaders)}${chunked}`,
         unit: chunk,
       };
+    case "blank-lines":
+      return { start: "", unit: "\r\n" };
+    case "chunk-size":
+      return { start: `${head}${chunked}`, unit: "0" };
+    case "chunks-of-a-byte":
+      return { start: `${head}${chunked}`, unit: renderChunk("x") };
+    case "trailers":
+      return { start: `${head}${chunked}0\r\n`, unit: "x-more: 1\r\n" };
+    case "comments":
+      return {
+        start: `${head}${chunked}`,
+        unit: renderChunk(comment.repeat(UNITS_PER_CHUNK)),
+      };
+    case "comment-chunks":
+      return { start: `${head}${chunked}`, unit: renderChunk(comment) };
+    case "small-events":
+      return {
+        start: `${head}${chunked}`,
+        unit: renderChunk(event.repeat(UNITS_PER_CHUNK)),
+      };
+    case "small-event-chunks":
+      return { start: `${head}${chunked}`, unit: renderChunk(event) };
   }
 }
 
