--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -6,5 +6,6 @@
 export * from "./log.ts";
 export * from "./metrics.ts";
 export * from "./observable_value.ts";
+export * from "./received_bytes.ts";
 export * from "./reset_error.ts";
 export * from "./timeline.ts";
--- /dev/null
+++ b/packages/router/src/answer_fault.ts
@@ -0,0 +1,18 @@
+/** Why an answer is given up that costs too much, or is no answer. */
+
+export type AnswerFault =
+  | "informational"
+  | "long-event"
+  | "long-body"
+  | "invalid-id";
+
+const REASONS: Readonly<Record<AnswerFault, string>> = {
+  "informational": "too many informational responses",
+  "long-event": "an event is too long",
+  "long-body": "the response is too long",
+  "invalid-id": "the ID of an event is invalid",
+};
+
+export function describeFault(fault: AnswerFault): string {
+  return REASONS[fault];
+}
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -1,5 +1,7 @@
 /** One attempt to send a request to a replica, with exclusive use of a connection. */
 import type * as undici from "undici";
+import * as faults from "./answer_fault.ts";
+import type * as meters from "./answer_meter.ts";
 import type * as connections from "./connections.ts";
 import * as headerMaps from "./header_map.ts";
 import type * as ports from "./ports.ts";
@@ -81,6 +83,8 @@
   #isOver = false;
   #isHeldBack = false;
   #informationalResponses = 0;
+  #fault: faults.AnswerFault | undefined;
+  #answerBytes: meters.AnswerBytes | undefined;
 
   constructor(
     pool: connections.ConnectionPool,
@@ -109,6 +113,23 @@
     return this.#isHeldBack;
   }
 
+  /** Why its answer was given up; absent if it was not. */
+  get fault(): faults.AnswerFault | undefined {
+    return this.#fault;
+  }
+
+  /** Bytes of its answer so far. */
+  get answerBytes(): meters.AnswerBytes {
+    return this.#answerBytes ?? this.#connection.meter.read();
+  }
+
+  /** Aborts the attempt because of what the replica sends. */
+  giveUp(fault: faults.AnswerFault): void {
+    if (this.#isOver) return;
+    this.#fault = fault;
+    this.cancel(faults.describeFault(fault));
+  }
+
   /** Aborts the attempt; closing the connection makes the replica stop. */
   cancel(reason: string): void {
     this.#finish(
@@ -140,6 +161,7 @@
       client.dispatch(options, {
         onRequestStart: (controller) => {
           this.#controller = controller;
+          this.#connection.meter.begin();
           clearTimeout(this.#connectTimer);
           const obstacle = request.findObstacle?.();
           this.#isHeldBack = obstacle !== undefined;
@@ -163,7 +185,9 @@
           });
         },
         onResponseData: (_controller, chunk) => {
-          if (!this.#isOver) this.#listener.onData(chunk);
+          if (this.#isOver) return;
+          this.#connection.meter.addBody(chunk.length);
+          this.#listener.onData(chunk);
         },
         onResponseEnd: () => this.#finish({ type: "whole" }),
         onResponseError: (_controller, error) =>
@@ -188,7 +212,7 @@
   #countInformationalResponse(): void {
     this.#informationalResponses += 1;
     if (this.#informationalResponses <= MAX_INFORMATIONAL_RESPONSES) return;
-    this.cancel("too many informational responses");
+    this.giveUp("informational");
   }
 
   #finish(end: AttemptEnd): void {
@@ -199,6 +223,7 @@
       return;
     }
     this.#isOver = true;
+    this.#answerBytes = this.#connection.meter.read();
     clearTimeout(this.#connectTimer);
     // undici must finish with the connection before the next request may use it.
     if (end.type === "whole") {
--- a/packages/router/src/attempt_recorder.ts
+++ b/packages/router/src/attempt_recorder.ts
@@ -95,6 +95,8 @@
   ): void {
     const { log, telemetry, settings } = this.#options;
     telemetry.countAttempt(request.service, result.outcome);
+    const { fault, answerBytes } = sent.attempt;
+    if (fault !== undefined) telemetry.countFault(request.service, fault);
     const isRemote = sent.state.entry.dataCentre !== settings.dataCentre;
     if (isRemote) telemetry.countEvent("attempt.remote");
     const fields = {
@@ -109,6 +111,8 @@
       const promptParts = request.fields.promptParts.map(({ id }) => id);
       log.addNotable("attempt.ended", {
         ...fields,
+        ...answerBytes,
+        ...(fault === undefined ? {} : { fault }),
         ...(promptParts.length === 0 ? {} : { promptParts }),
       });
     }
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -144,7 +144,7 @@
           recordActivity();
           collector.push(chunk);
           if (collector.byteCount > MAX_RESPONSE_BYTES) {
-            sent?.attempt.cancel("the response is too long");
+            sent?.attempt.giveUp("long-body");
           } else if (!this.#writer.reserve(collector.heldBytes)) {
             sent?.attempt.cancel("too many bytes are held for callers");
           }
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -5,6 +5,7 @@
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as undici from "undici";
+import * as meters from "./answer_meter.ts";
 import type * as ports from "./ports.ts";
 
 /** Safety margin before the idle time-out that a replica announces. */
@@ -25,6 +26,7 @@
   isUsed: boolean;
   /** Bytes of the body of the request that it carries. */
   bodyBytes: number;
+  readonly meter: meters.AnswerMeter;
 }
 
 /** Connections from this process to one replica. */
@@ -97,9 +99,10 @@
       if (oldestIdle === undefined) return undefined;
       this.discard(oldestIdle);
     }
+    const meter = new meters.AnswerMeter();
     const client = new undici.Client(this.#origin, {
       pipelining: 1,
-      connect,
+      connect: kernel.countReceived(connect, (bytes) => meter.receive(bytes)),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -114,6 +117,7 @@
       isReusable: !needsNewConnection,
       isUsed: false,
       bodyBytes: 0,
+      meter,
     };
     client.on("disconnect", () => this.#remove(client));
     return connection;
--- a/packages/router/src/event_splitter.ts
+++ b/packages/router/src/event_splitter.ts
@@ -3,6 +3,7 @@
  * never receive a partial event, and tracks the ID from which to resume.
  */
 import * as eventsource from "eventsource-parser";
+import type * as faults from "./answer_fault.ts";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -59,10 +60,10 @@
   }
 
   /** Why the bytes are no stream of events; absent if they may be one. */
-  get fault(): string | undefined {
-    if (this.#hasInvalidId) return "the ID of an event is invalid";
+  get fault(): faults.AnswerFault | undefined {
+    if (this.#hasInvalidId) return "invalid-id";
     return this.#partialEvent.length > MAX_EVENT_BYTES
-      ? "an event is too long"
+      ? "long-event"
       : undefined;
   }
 
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -203,7 +203,7 @@
     sent.state.lastByteAtMs = this.#dispatcher.nowMs;
     if (current.verdict !== "success") {
       const isKept = streamAttempts.addFailureBody(current, chunk);
-      if (!isKept) sent.attempt.cancel("the failure response is too long");
+      if (!isKept) sent.attempt.giveUp("long-body");
       return;
     }
     const completeEvents = current.splitter.push(chunk);
@@ -211,7 +211,7 @@
       this.#forwardEvents(current, sent, head, completeEvents);
     }
     const { fault } = current.splitter;
-    if (fault !== undefined) sent.attempt.cancel(fault);
+    if (fault !== undefined) sent.attempt.giveUp(fault);
   }
 
   #forwardEvents(
--- a/packages/router/src/telemetry.ts
+++ b/packages/router/src/telemetry.ts
@@ -1,6 +1,7 @@
 /** Prometheus counters, gauges and latency histograms of a router. */
 import type * as http from "node:http";
 import * as prom from "prom-client";
+import type * as faults from "./answer_fault.ts";
 import type * as ports from "./ports.ts";
 import * as sides from "./side_listener.ts";
 
@@ -38,6 +39,12 @@
     labelNames: ["service", "outcome"],
     registers: [this.#registry],
   });
+  readonly #faults = new prom.Counter({
+    name: "jackdaw_answers_given_up_total",
+    help: "Answers given up because of what the replica sent, by service",
+    labelNames: ["service", "fault"],
+    registers: [this.#registry],
+  });
   readonly #firstByte = new prom.Histogram({
     name: "jackdaw_first_byte_seconds",
     help: "Time from a request's arrival to the first byte of its response",
@@ -81,6 +88,10 @@
     this.#attempts.inc({ service, outcome });
   }
 
+  countFault(service: string, fault: faults.AnswerFault): void {
+    this.#faults.inc({ service, fault });
+  }
+
   countEvent(event: string): void {
     this.#events.inc({ event });
   }
