--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -11,6 +11,9 @@
 /** Informational responses (1xx) accepted before the response itself. */
 const MAX_INFORMATIONAL_RESPONSES = 8;
 
+/** Smaller chunks of a body that arrive together are passed on together. */
+const JOINED_BYTES = 16_384;
+
 const MIN_FINAL_STATUS = 200;
 
 /** Request sent to a replica. */
@@ -85,6 +88,8 @@
   #informationalResponses = 0;
   #fault: faults.AnswerFault | undefined;
   #answerBytes: meters.AnswerBytes | undefined;
+  #pendingChunks: Buffer[] = [];
+  #pendingBytes = 0;
 
   constructor(
     pool: connections.ConnectionPool,
@@ -185,9 +190,7 @@
           });
         },
         onResponseData: (_controller, chunk) => {
-          if (this.#isOver) return;
-          this.#connection.meter.addBody(chunk.length);
-          this.#listener.onData(chunk);
+          if (!this.#isOver) this.#addData(chunk);
         },
         onResponseEnd: () => this.#finish({ type: "whole" }),
         onResponseError: (_controller, error) =>
@@ -215,6 +218,27 @@
     this.giveUp("informational");
   }
 
+  #addData(chunk: Buffer): void {
+    this.#connection.meter.addBody(chunk.length);
+    this.#pendingChunks.push(chunk);
+    this.#pendingBytes += chunk.length;
+    if (this.#pendingBytes >= JOINED_BYTES) this.#passOnData();
+    else if (this.#pendingChunks.length === 1) {
+      // Runs once all that was read with the chunk is parsed.
+      queueMicrotask(() => this.#passOnData());
+    }
+  }
+
+  #passOnData(): void {
+    const [first, ...rest] = this.#pendingChunks;
+    if (first === undefined || this.#isOver) return;
+    this.#pendingChunks = [];
+    this.#pendingBytes = 0;
+    this.#listener.onData(
+      rest.length === 0 ? first : Buffer.concat([first, ...rest]),
+    );
+  }
+
   #finish(end: AttemptEnd): void {
     if (this.#isOver) return;
     if (!this.#isConstructed) {
@@ -222,6 +246,12 @@
       queueMicrotask(() => this.#finish(end));
       return;
     }
+    const isGivenUp = end.type === "lost" && end.isGivenUp;
+    if (!isGivenUp) {
+      this.#passOnData();
+      // The listener may have cancelled the attempt.
+      if (this.#isOver) return;
+    }
     this.#isOver = true;
     this.#answerBytes = this.#connection.meter.read();
     clearTimeout(this.#connectTimer);
--- a/packages/router/src/event_splitter.ts
+++ b/packages/router/src/event_splitter.ts
@@ -4,6 +4,7 @@
  */
 import * as eventsource from "eventsource-parser";
 import type * as faults from "./answer_fault.ts";
+import * as bodies from "./body_reader.ts";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -20,16 +21,19 @@
 // deno-lint-ignore no-control-regex
 const INVALID_ID_PATTERN = /[\u0000-\u001f\u007f\ufffd]/;
 
-/** Splits the response stream of one attempt. */
+/** Splits the response stream of one attempt. The cost is linear in the bytes, however they arrive. */
 export class EventSplitter {
   readonly #checksIds: boolean;
-  #partialEvent: Buffer = Buffer.alloc(0);
+  #partialEvent = new bodies.ByteCollector();
+  /** The last two bytes; a blank line may arrive in parts. */
+  #lastBytes: readonly [number, number] = [LINE_FEED, LINE_FEED];
   #count = 0;
   #lastEventId: string | undefined;
   #hasInvalidId = false;
   readonly #parser = eventsource.createParser({
     onEvent: ({ id }) => {
-      const isValid = id === undefined || !INVALID_ID_PATTERN.test(id);
+      if (this.#hasInvalidId) return;
+      const isValid = isValidId(id);
       this.#hasInvalidId = this.#checksIds && !isValid;
       if (this.#hasInvalidId) return;
       this.#count += 1;
@@ -56,13 +60,13 @@
 
   /** Whether bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
-    return this.#partialEvent.length > 0;
+    return this.#hasInvalidId || this.#partialEvent.byteCount > 0;
   }
 
   /** Why the bytes are no stream of events; absent if they may be one. */
   get fault(): faults.AnswerFault | undefined {
     if (this.#hasInvalidId) return "invalid-id";
-    return this.#partialEvent.length > MAX_EVENT_BYTES
+    return this.#partialEvent.byteCount > MAX_EVENT_BYTES
       ? "long-event"
       : undefined;
   }
@@ -70,21 +74,72 @@
   /** Adds bytes and returns the events that are now complete. */
   push(chunk: Buffer): CompleteEvents | undefined {
     if (this.#hasInvalidId) return undefined;
-    const data = this.#partialEvent.length === 0
-      ? chunk
-      : Buffer.concat([this.#partialEvent, chunk]);
-    const before = this.#count;
-    let end = 0;
-    for (;;) {
-      const eventEnd = findEventEnd(data, end);
-      if (eventEnd === undefined) break;
-      this.#parser.feed(data.toString("utf8", end, eventEnd));
-      if (this.#hasInvalidId) break;
-      end = eventEnd;
+    const end = this.#findLastEventEnd(chunk);
+    if (end === 0) {
+      this.#partialEvent.push(chunk);
+      return undefined;
     }
-    this.#partialEvent = data.subarray(end);
-    if (end === 0) return undefined;
-    return { bytes: data.subarray(0, end), count: this.#count - before };
+    const events = chunk.subarray(0, end);
+    const bytes = this.#partialEvent.byteCount === 0
+      ? events
+      : Buffer.concat([...this.#partialEvent.takeParts(), events]);
+    this.#partialEvent = new bodies.ByteCollector();
+    this.#partialEvent.push(chunk.subarray(end));
+    return this.#parse(bytes);
+  }
+
+  #parse(bytes: Buffer): CompleteEvents | undefined {
+    const before = this.#count;
+    this.#parser.feed(bytes.toString("utf8"));
+    const count = this.#count - before;
+    if (!this.#hasInvalidId) return { bytes, count };
+    const end = findInvalidEvent(bytes);
+    return end === 0 ? undefined : { bytes: bytes.subarray(0, end), count };
+  }
+
+  /** Position after the last blank line that ends in `chunk`; 0 if there is none. */
+  #findLastEventEnd(chunk: Buffer): number {
+    const [beforeLast, last] = this.#lastBytes;
+    const [first, second] = chunk;
+    this.#lastBytes = [chunk.at(-2) ?? last, chunk.at(-1) ?? last];
+    const end = Math.max(
+      findEndOfLast(chunk, "\n\n"),
+      findEndOfLast(chunk, "\n\r\n"),
+    );
+    if (end > 0) return end;
+    const isInBlankLine = beforeLast === LINE_FEED && last === CARRIAGE_RETURN;
+    if (first === LINE_FEED && (last === LINE_FEED || isInBlankLine)) return 1;
+    const startsWithBlankLine = last === LINE_FEED &&
+      first === CARRIAGE_RETURN && second === LINE_FEED;
+    return startsWithBlankLine ? 2 : 0;
+  }
+}
+
+function isValidId(id: string | undefined): boolean {
+  return id === undefined || !INVALID_ID_PATTERN.test(id);
+}
+
+/** Position after the last `pattern`; 0 if there is none. */
+function findEndOfLast(data: Buffer, pattern: string): number {
+  const index = data.lastIndexOf(pattern, undefined, "latin1");
+  return index < 0 ? 0 : index + pattern.length;
+}
+
+/** Position of the first event with an invalid ID, among complete events of which one has it. */
+function findInvalidEvent(data: Buffer): number {
+  let isInvalid = false;
+  const parser = eventsource.createParser({
+    onEvent: ({ id }) => isInvalid = !isValidId(id),
+  });
+  // The bytes need not be the first of the stream, of which a byte order mark is dropped.
+  parser.feed("\n");
+  let start = 0;
+  for (;;) {
+    const end = findEventEnd(data, start);
+    if (end === undefined) return start;
+    parser.feed(data.toString("utf8", start, end));
+    if (isInvalid) return start;
+    start = end;
   }
 }
 
--- a/packages/router/src/event_splitter_test.ts
+++ b/packages/router/src/event_splitter_test.ts
@@ -37,3 +37,24 @@
   );
   t.pass();
 });
+
+// Guards against a process that stands still: each byte of an event copied all bytes before it.
+test("an event that arrives byte by byte is split at a cost linear in its bytes", (t) => {
+  const splitter = new splitting.EventSplitter({ checksIds: true });
+  for (const byte of Buffer.from(`data: ${"x".repeat(600_000)}\n\n`)) {
+    splitter.push(Buffer.of(byte));
+  }
+  t.is(splitter.count, 1);
+  t.is(splitter.fault, undefined);
+});
+
+test("events before one with an invalid ID in the same chunk are forwarded, later ones are not", (t) => {
+  const splitter = new splitting.EventSplitter({ checksIds: true });
+  const valid = "id: 1\ndata: a\n\n";
+  const chunk = `${valid}id: 2\u0001\ndata: b\n\nid: 3\ndata: c\n\n`;
+  const complete = splitter.push(Buffer.from(chunk));
+  t.is(complete?.bytes.toString(), valid);
+  t.is(complete?.count, 1);
+  t.is(splitter.lastEventId, "1");
+  t.is(splitter.fault, "invalid-id");
+});
