--- a/packages/bench/src/platform_answer_cost_test.ts
+++ b/packages/bench/src/platform_answer_cost_test.ts
@@ -25,7 +25,9 @@
 
 const PARTS: readonly fakes.EndlessPart[] = [
   "chunks-of-a-byte",
+  "comments",
   "comment-chunks",
+  "small-events",
   "small-event-chunks",
 ];
 
--- a/packages/bench/src/platform_endless_test.ts
+++ b/packages/bench/src/platform_endless_test.ts
@@ -38,6 +38,8 @@
   "event",
   "chunk-extension",
   "failure-body",
+  "comments",
+  "comment-chunks",
 ] as const;
 
 for (const part of STREAM_PARTS) {
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -1,6 +1,7 @@
 /** The kernel: the base of every process and plug-in. */
 export * from "./answer_bound.ts";
 export * from "./clock.ts";
+export * from "./content_allowance.ts";
 export * from "./errors.ts";
 export * from "./kernel.ts";
 export * from "./log.ts";
--- a/packages/router/src/answer_fault.ts
+++ b/packages/router/src/answer_fault.ts
@@ -2,12 +2,14 @@
 
 export type AnswerFault =
   | "informational"
+  | "no-content"
   | "long-event"
   | "long-body"
   | "invalid-id";
 
 const REASONS: Readonly<Record<AnswerFault, string>> = {
   "informational": "too many informational responses",
+  "no-content": "too many bytes of the stream carry no event",
   "long-event": "an event is too long",
   "long-body": "the response is too long",
   "invalid-id": "the ID of an event is invalid",
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -5,12 +5,15 @@
 import type * as connections from "./connections.ts";
 import * as headerMaps from "./header_map.ts";
 import type * as ports from "./ports.ts";
+import * as paces from "./read_pace.ts";
 
 /** Time-out for the connection; when it expires, no part of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 500;
 /** Informational responses (1xx) accepted before the response itself. */
 const MAX_INFORMATIONAL_RESPONSES = 8;
 
+/** A chunk below this size is a small piece of a body. */
+const SMALL_CHUNK_BYTES = 64;
 /** Smaller chunks of a body that arrive together are passed on together. */
 const JOINED_BYTES = 16_384;
 
@@ -90,6 +93,9 @@
   #answerBytes: meters.AnswerBytes | undefined;
   #pendingChunks: Buffer[] = [];
   #pendingBytes = 0;
+  readonly #pace = new paces.ReadPace(performance.now());
+  #paceTimer: NodeJS.Timeout | undefined;
+  #isPaused = false;
 
   constructor(
     pool: connections.ConnectionPool,
@@ -145,11 +151,31 @@
   }
 
   pause(): void {
+    this.#isPaused = true;
     if (!this.#isOver) this.#controller?.pause();
   }
 
   resume(): void {
-    if (!this.#isOver) this.#controller?.resume();
+    this.#isPaused = false;
+    this.#resumeReading();
+  }
+
+  /** Counts small pieces of the answer; with too many of them it is read more slowly. */
+  countPieces(pieces: number): void {
+    if (this.#isOver) return;
+    const pauseMs = this.#pace.record(pieces, performance.now());
+    if (pauseMs === 0) return;
+    this.#controller?.pause();
+    clearTimeout(this.#paceTimer);
+    this.#paceTimer = setTimeout(() => {
+      this.#paceTimer = undefined;
+      this.#resumeReading();
+    }, pauseMs);
+  }
+
+  #resumeReading(): void {
+    if (this.#isOver || this.#isPaused || this.#paceTimer !== undefined) return;
+    this.#controller?.resume();
   }
 
   #dispatch(request: AttemptRequest): void {
@@ -220,6 +246,7 @@
 
   #addData(chunk: Buffer): void {
     this.#connection.meter.addBody(chunk.length);
+    if (chunk.length < SMALL_CHUNK_BYTES) this.countPieces(1);
     this.#pendingChunks.push(chunk);
     this.#pendingBytes += chunk.length;
     if (this.#pendingBytes >= JOINED_BYTES) this.#passOnData();
@@ -255,6 +282,7 @@
     this.#isOver = true;
     this.#answerBytes = this.#connection.meter.read();
     clearTimeout(this.#connectTimer);
+    clearTimeout(this.#paceTimer);
     // undici must finish with the connection before the next request may use it.
     if (end.type === "whole") {
       setImmediate(() => this.#pool.release(this.#connection));
--- a/packages/router/src/event_splitter.ts
+++ b/packages/router/src/event_splitter.ts
@@ -2,6 +2,7 @@
  * Splits a stream of server-sent events at event boundaries, so that callers
  * never receive a partial event, and tracks the ID from which to resume.
  */
+import * as kernel from "@jackdawbank/kernel";
 import * as eventsource from "eventsource-parser";
 import type * as faults from "./answer_fault.ts";
 import * as bodies from "./body_reader.ts";
@@ -24,19 +25,23 @@
 /** Splits the response stream of one attempt. The cost is linear in the bytes, however they arrive. */
 export class EventSplitter {
   readonly #checksIds: boolean;
+  readonly #allowance = new kernel.ContentAllowance();
   #partialEvent = new bodies.ByteCollector();
   /** The last two bytes; a blank line may arrive in parts. */
   #lastBytes: readonly [number, number] = [LINE_FEED, LINE_FEED];
   #count = 0;
+  #contentBytes = 0;
   #lastEventId: string | undefined;
   #hasInvalidId = false;
   readonly #parser = eventsource.createParser({
-    onEvent: ({ id }) => {
+    onEvent: (event) => {
       if (this.#hasInvalidId) return;
+      const { id } = event;
       const isValid = isValidId(id);
       this.#hasInvalidId = this.#checksIds && !isValid;
       if (this.#hasInvalidId) return;
       this.#count += 1;
+      this.#contentBytes += kernel.measureContent(event);
       if (id === undefined || !isValid) return;
       // The value of a header has one character for each byte.
       this.#lastEventId = Buffer.from(id, "utf8").toString("latin1");
@@ -66,13 +71,12 @@
   /** Why the bytes are no stream of events; absent if they may be one. */
   get fault(): faults.AnswerFault | undefined {
     if (this.#hasInvalidId) return "invalid-id";
-    return this.#partialEvent.byteCount > MAX_EVENT_BYTES
-      ? "long-event"
-      : undefined;
+    if (this.#partialEvent.byteCount > MAX_EVENT_BYTES) return "long-event";
+    return this.#allowance.isExceeded ? "no-content" : undefined;
   }
 
   /** Adds bytes and returns the events that are now complete. */
-  push(chunk: Buffer): CompleteEvents | undefined {
+  push(chunk: Buffer, nowMs: number): CompleteEvents | undefined {
     if (this.#hasInvalidId) return undefined;
     const end = this.#findLastEventEnd(chunk);
     if (end === 0) {
@@ -85,12 +89,14 @@
       : Buffer.concat([...this.#partialEvent.takeParts(), events]);
     this.#partialEvent = new bodies.ByteCollector();
     this.#partialEvent.push(chunk.subarray(end));
-    return this.#parse(bytes);
+    return this.#parse(bytes, nowMs);
   }
 
-  #parse(bytes: Buffer): CompleteEvents | undefined {
+  #parse(bytes: Buffer, nowMs: number): CompleteEvents | undefined {
     const before = this.#count;
+    this.#contentBytes = 0;
     this.#parser.feed(bytes.toString("utf8"));
+    this.#allowance.record(bytes.length, this.#contentBytes, nowMs);
     const count = this.#count - before;
     if (!this.#hasInvalidId) return { bytes, count };
     const end = findInvalidEvent(bytes);
--- a/packages/router/src/event_splitter_test.ts
+++ b/packages/router/src/event_splitter_test.ts
@@ -24,7 +24,10 @@
         const forwarded: Buffer[] = [];
         for (let offset = 0, step = 0; offset < bytes.length; step += 1) {
           const size = chunkSizes[step % chunkSizes.length] as number;
-          const complete = splitter.push(bytes.subarray(offset, offset + size));
+          const complete = splitter.push(
+            bytes.subarray(offset, offset + size),
+            0,
+          );
           if (complete !== undefined) forwarded.push(complete.bytes);
           offset += size;
         }
@@ -42,7 +45,7 @@
 test("an event that arrives byte by byte is split at a cost linear in its bytes", (t) => {
   const splitter = new splitting.EventSplitter({ checksIds: true });
   for (const byte of Buffer.from(`data: ${"x".repeat(600_000)}\n\n`)) {
-    splitter.push(Buffer.of(byte));
+    splitter.push(Buffer.of(byte), 0);
   }
   t.is(splitter.count, 1);
   t.is(splitter.fault, undefined);
@@ -52,7 +55,7 @@
   const splitter = new splitting.EventSplitter({ checksIds: true });
   const valid = "id: 1\ndata: a\n\n";
   const chunk = `${valid}id: 2\u0001\ndata: b\n\nid: 3\ndata: c\n\n`;
-  const complete = splitter.push(Buffer.from(chunk));
+  const complete = splitter.push(Buffer.from(chunk), 0);
   t.is(complete?.bytes.toString(), valid);
   t.is(complete?.count, 1);
   t.is(splitter.lastEventId, "1");
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -206,7 +206,8 @@
       if (!isKept) sent.attempt.giveUp("long-body");
       return;
     }
-    const completeEvents = current.splitter.push(chunk);
+    const { nowMs } = this.#dispatcher;
+    const completeEvents = current.splitter.push(chunk, nowMs);
     if (completeEvents !== undefined) {
       this.#forwardEvents(current, sent, head, completeEvents);
     }
@@ -222,6 +223,7 @@
   ): void {
     const { nowMs, dependencies } = this.#dispatcher;
     if (completeEvents.count > 0) {
+      sent.attempt.countPieces(completeEvents.count);
       streamAttempts.recordEvents(current, nowMs);
       dependencies.table.memories.recordOutput(this.#request, sent, current);
       const { totalLagMs } = this.#watchdog;
