--- a/packages/bench/src/platform_answer_cost_test.ts
+++ b/packages/bench/src/platform_answer_cost_test.ts
@@ -24,7 +24,10 @@
 );
 
 const PARTS: readonly fakes.EndlessPart[] = [
+  "blank-lines",
+  "chunk-size",
   "chunks-of-a-byte",
+  "trailers",
   "comments",
   "comment-chunks",
   "small-events",
--- a/packages/bench/src/platform_endless_test.ts
+++ b/packages/bench/src/platform_endless_test.ts
@@ -38,6 +38,10 @@
   "event",
   "chunk-extension",
   "failure-body",
+  "blank-lines",
+  "chunk-size",
+  "chunks-of-a-byte",
+  "trailers",
   "comments",
   "comment-chunks",
 ] as const;
--- a/packages/kernel/src/received_bytes.ts
+++ b/packages/kernel/src/received_bytes.ts
@@ -1,10 +1,29 @@
 /** Counts what arrives on a connection, whatever it frames, before it is parsed. */
+import type * as net from "node:net";
 import type * as resets from "./reset_error.ts";
 
-/** Reports the size of each read of the connections that are opened, in bytes. */
+/** Most that the parser is given at once; it stops at an error only after that. */
+const MAX_READ_BYTES = 8_192;
+
+function limitReads(socket: net.Socket): void {
+  const read = socket.read.bind(socket);
+  socket.read = (size?: number): unknown => {
+    if (socket.destroyed) return null;
+    const { readableLength } = socket;
+    return size !== undefined || readableLength <= MAX_READ_BYTES
+      ? read(size)
+      : read(MAX_READ_BYTES);
+  };
+}
+
+/**
+ * Reports the size of each read of the connections that are opened, and how much of
+ * earlier reads the parser has not taken yet, in bytes. A read is dropped if
+ * `onReceived` returns false, which then closes the connection.
+ */
 export function countReceived<O>(
   connect: resets.Connector<O>,
-  onReceived: (bytes: number) => void,
+  onReceived: (bytes: number, queuedBytes: number) => boolean,
 ): resets.Connector<O> {
   return (options, callback) =>
     connect(options, (...result) => {
@@ -13,9 +32,10 @@
         const push = socket.push.bind(socket);
         socket.push = (chunk: unknown, encoding?: BufferEncoding): boolean => {
           const bytes = Buffer.isBuffer(chunk) ? chunk.length : 0;
-          onReceived(bytes);
-          return push(chunk, encoding);
+          return onReceived(bytes, socket.readableLength) &&
+            push(chunk, encoding);
         };
+        limitReads(socket);
       }
       callback(...result);
     });
--- a/packages/router/src/answer_fault.ts
+++ b/packages/router/src/answer_fault.ts
@@ -1,6 +1,7 @@
 /** Why an answer is given up that costs too much, or is no answer. */
 
 export type AnswerFault =
+  | "framing"
   | "informational"
   | "no-content"
   | "long-event"
@@ -8,6 +9,7 @@
   | "invalid-id";
 
 const REASONS: Readonly<Record<AnswerFault, string>> = {
+  "framing": "too many bytes beside the body of the response",
   "informational": "too many informational responses",
   "no-content": "too many bytes of the stream carry no event",
   "long-event": "an event is too long",
--- a/packages/router/src/answer_meter.ts
+++ b/packages/router/src/answer_meter.ts
@@ -3,6 +3,11 @@
  * answer's body. The rest frames the body: heads, chunk sizes, trailers.
  */
 
+/** Framing of an answer of any size, informational heads included. */
+const FREE_BYTES = 65_536;
+/** Framing for each byte of the body; only very small chunks have more. */
+const MAX_FRAMING_SHARE = 1;
+
 /** Bytes of one answer. */
 export interface AnswerBytes {
   readonly receivedBytes: number;
@@ -14,11 +19,13 @@
 export class AnswerMeter {
   #receivedBytes = 0;
   #bodyBytes = 0;
+  #onExcess: () => void = () => {};
 
-  /** Begins a new answer. */
-  begin(): void {
+  /** Begins a new answer; `onExcess` is called when its framing exceeds the bound. */
+  begin(onExcess: () => void): void {
     this.#receivedBytes = 0;
     this.#bodyBytes = 0;
+    this.#onExcess = onExcess;
   }
 
   read(): AnswerBytes {
@@ -28,8 +35,17 @@
     };
   }
 
-  receive(bytes: number): void {
+  /**
+   * Records a read, before which `queuedBytes` were not parsed yet; returns false if
+   * its bytes must be dropped.
+   */
+  receive(bytes: number, queuedBytes: number): boolean {
+    const framingBytes = this.#receivedBytes - queuedBytes - this.#bodyBytes;
     this.#receivedBytes += bytes;
+    const isWithinBound =
+      framingBytes <= FREE_BYTES + MAX_FRAMING_SHARE * this.#bodyBytes;
+    if (!isWithinBound) this.#onExcess();
+    return isWithinBound;
   }
 
   addBody(bytes: number): void {
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -192,7 +192,7 @@
       client.dispatch(options, {
         onRequestStart: (controller) => {
           this.#controller = controller;
-          this.#connection.meter.begin();
+          this.#connection.meter.begin(() => this.giveUp("framing"));
           clearTimeout(this.#connectTimer);
           const obstacle = request.findObstacle?.();
           this.#isHeldBack = obstacle !== undefined;
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -102,7 +102,10 @@
     const meter = new meters.AnswerMeter();
     const client = new undici.Client(this.#origin, {
       pipelining: 1,
-      connect: kernel.countReceived(connect, (bytes) => meter.receive(bytes)),
+      connect: kernel.countReceived(
+        connect,
+        (bytes, queuedBytes) => meter.receive(bytes, queuedBytes),
+      ),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
