--- a/packages/router/src/relayed_control.ts
+++ b/packages/router/src/relayed_control.ts
@@ -20,6 +20,8 @@
 const SILENCE_TIMEOUT_MS = 800;
 /** Time for which a relay is not asked after it has failed. */
 const AVOID_MS = 3_000;
+/** Longer than the longest answer of a relay, with its head. */
+const MAX_ANSWER_BYTES = 262_144;
 const MAX_KNOWN_RELAYS = 1_024;
 
 /** A process that watches the control plane. */
@@ -43,7 +45,10 @@
   readonly #options: RelayedControlPlaneOptions;
   readonly #relay: relays.ControlRelay;
   readonly #agent = new undici.Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: kernel.boundAnswers(
+      undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
+      MAX_ANSWER_BYTES,
+    ),
     connections: 1,
     headersTimeout: POLL_WAIT_MS + SILENCE_TIMEOUT_MS,
     bodyTimeout: SILENCE_TIMEOUT_MS,
--- a/packages/router/src/relayed_control_test.ts
+++ b/packages/router/src/relayed_control_test.ts
@@ -126,6 +126,31 @@
   t.false(follower.process.isRelayed);
 });
 
+// Guards against a process that keeps what a faulty relay sends until its memory is full.
+test("a relay that sends an answer without end is left for the control plane", async (t) => {
+  const endless = http.createServer((_request, response) => {
+    const timer = setInterval(() => response.write("x".repeat(65_536)), 10);
+    response.once("close", () => clearInterval(timer));
+  });
+  await new Promise<void>((resolve) =>
+    endless.listen(0, HOST, () => resolve())
+  );
+  t.teardown(() => {
+    endless.close();
+    endless.closeAllConnections();
+  });
+  const { port } = endless.address() as net.AddressInfo;
+  const follower = await startMember(
+    t,
+    () => [{ name: "endless", host: HOST, port }],
+  );
+  const followed = wait(follower);
+  while (follower.plane.waits === 0) await kernel.sleep(5);
+  follower.plane.change(13);
+  t.is((await followed)._unsafeUnwrap().revision, 13);
+  t.false(follower.process.isRelayed);
+});
+
 test("a silent relay is left when its poll is interrupted, and the next one is asked", async (t) => {
   const silent = http.createServer(() => {});
   await new Promise<void>((resolve) => silent.listen(0, HOST, () => resolve()));
