--- a/packages/bench/src/platform_endless_test.ts
+++ b/packages/bench/src/platform_endless_test.ts
@@ -38,6 +38,12 @@
   "event",
   "chunk-extension",
   "failure-body",
+  "blank-lines",
+  "chunk-size",
+  "chunks-of-a-byte",
+  "trailers",
+  "comments",
+  "comment-chunks",
 ] as const;
 
 for (const part of STREAM_PARTS) {
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -1,14 +1,22 @@
 /** One attempt to send a request to a replica, with exclusive use of a connection. */
 import type * as undici from "undici";
+import * as faults from "./answer_fault.ts";
+import type * as meters from "./answer_meter.ts";
 import type * as connections from "./connections.ts";
 import * as headerMaps from "./header_map.ts";
 import type * as ports from "./ports.ts";
+import * as paces from "./read_pace.ts";
 
 /** Time-out for the connection; when it expires, no part of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 500;
 /** Informational responses (1xx) accepted before the response itself. */
 const MAX_INFORMATIONAL_RESPONSES = 8;
 
+/** A chunk below this size is a small piece of a body. */
+const SMALL_CHUNK_BYTES = 64;
+/** Smaller chunks of a body that arrive together are passed on together. */
+const JOINED_BYTES = 16_384;
+
 const MIN_FINAL_STATUS = 200;
 
 /** Request sent to a replica. */
@@ -81,6 +89,13 @@
   #isOver = false;
   #isHeldBack = false;
   #informationalResponses = 0;
+  #fault: faults.AnswerFault | undefined;
+  #answerBytes: meters.AnswerBytes | undefined;
+  #pendingChunks: Buffer[] = [];
+  #pendingBytes = 0;
+  readonly #pace = new paces.ReadPace(performance.now());
+  #paceTimer: NodeJS.Timeout | undefined;
+  #isPaused = false;
 
   constructor(
     pool: connections.ConnectionPool,
@@ -109,6 +124,23 @@
     return this.#isHeldBack;
   }
 
+  /** Why its answer was given up; absent if it was not. */
+  get fault(): faults.AnswerFault | undefined {
+    return this.#fault;
+  }
+
+  /** Bytes of its answer so far. */
+  get answerBytes(): meters.AnswerBytes {
+    return this.#answerBytes ?? this.#connection.meter.read();
+  }
+
+  /** Aborts the attempt because of what the replica sends. */
+  giveUp(fault: faults.AnswerFault): void {
+    if (this.#isOver) return;
+    this.#fault = fault;
+    this.cancel(faults.describeFault(fault));
+  }
+
   /** Aborts the attempt; closing the connection makes the replica stop. */
   cancel(reason: string): void {
     this.#finish(
@@ -119,11 +151,31 @@
   }
 
   pause(): void {
+    this.#isPaused = true;
     if (!this.#isOver) this.#controller?.pause();
   }
 
   resume(): void {
-    if (!this.#isOver) this.#controller?.resume();
+    this.#isPaused = false;
+    this.#resumeReading();
+  }
+
+  /** Counts small pieces of the answer; with too many of them it is read more slowly. */
+  countPieces(pieces: number): void {
+    if (this.#isOver) return;
+    const pauseMs = this.#pace.record(pieces, performance.now());
+    if (pauseMs === 0) return;
+    this.#controller?.pause();
+    clearTimeout(this.#paceTimer);
+    this.#paceTimer = setTimeout(() => {
+      this.#paceTimer = undefined;
+      this.#resumeReading();
+    }, pauseMs);
+  }
+
+  #resumeReading(): void {
+    if (this.#isOver || this.#isPaused || this.#paceTimer !== undefined) return;
+    this.#controller?.resume();
   }
 
   #dispatch(request: AttemptRequest): void {
@@ -140,6 +192,7 @@
       client.dispatch(options, {
         onRequestStart: (controller) => {
           this.#controller = controller;
+          this.#connection.meter.begin(() => this.giveUp("framing"));
           clearTimeout(this.#connectTimer);
           const obstacle = request.findObstacle?.();
           this.#isHeldBack = obstacle !== undefined;
@@ -163,7 +216,7 @@
           });
         },
         onResponseData: (_controller, chunk) => {
-          if (!this.#isOver) this.#listener.onData(chunk);
+          if (!this.#isOver) this.#addData(chunk);
         },
         onResponseEnd: () => this.#finish({ type: "whole" }),
         onResponseError: (_controller, error) =>
@@ -188,7 +241,29 @@
   #countInformationalResponse(): void {
     this.#informationalResponses += 1;
     if (this.#informationalResponses <= MAX_INFORMATIONAL_RESPONSES) return;
-    this.cancel("too many informational responses");
+    this.giveUp("informational");
+  }
+
+  #addData(chunk: Buffer): void {
+    this.#connection.meter.addBody(chunk.length);
+    if (chunk.length < SMALL_CHUNK_BYTES) this.countPieces(1);
+    this.#pendingChunks.push(chunk);
+    this.#pendingBytes += chunk.length;
+    if (this.#pendingBytes >= JOINED_BYTES) this.#passOnData();
+    else if (this.#pendingChunks.length === 1) {
+      // Runs once all that was read with the chunk is parsed.
+      queueMicrotask(() => this.#passOnData());
+    }
+  }
+
+  #passOnData(): void {
+    const [first, ...rest] = this.#pendingChunks;
+    if (first === undefined || this.#isOver) return;
+    this.#pendingChunks = [];
+    this.#pendingBytes = 0;
+    this.#listener.onData(
+      rest.length === 0 ? first : Buffer.concat([first, ...rest]),
+    );
   }
 
   #finish(end: AttemptEnd): void {
@@ -198,8 +273,16 @@
       queueMicrotask(() => this.#finish(end));
       return;
     }
+    const isGivenUp = end.type === "lost" && end.isGivenUp;
+    if (!isGivenUp) {
+      this.#passOnData();
+      // The listener may have cancelled the attempt.
+      if (this.#isOver) return;
+    }
     this.#isOver = true;
+    this.#answerBytes = this.#connection.meter.read();
     clearTimeout(this.#connectTimer);
+    clearTimeout(this.#paceTimer);
     // undici must finish with the connection before the next request may use it.
     if (end.type === "whole") {
       setImmediate(() => this.#pool.release(this.#connection));
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -203,15 +203,16 @@
     sent.state.lastByteAtMs = this.#dispatcher.nowMs;
     if (current.verdict !== "success") {
       const isKept = streamAttempts.addFailureBody(current, chunk);
-      if (!isKept) sent.attempt.cancel("the failure response is too long");
+      if (!isKept) sent.attempt.giveUp("long-body");
       return;
     }
-    const completeEvents = current.splitter.push(chunk);
+    const { nowMs } = this.#dispatcher;
+    const completeEvents = current.splitter.push(chunk, nowMs);
     if (completeEvents !== undefined) {
       this.#forwardEvents(current, sent, head, completeEvents);
     }
     const { fault } = current.splitter;
-    if (fault !== undefined) sent.attempt.cancel(fault);
+    if (fault !== undefined) sent.attempt.giveUp(fault);
   }
 
   #forwardEvents(
@@ -222,6 +223,7 @@
   ): void {
     const { nowMs, dependencies } = this.#dispatcher;
     if (completeEvents.count > 0) {
+      sent.attempt.countPieces(completeEvents.count);
       streamAttempts.recordEvents(current, nowMs);
       dependencies.table.memories.recordOutput(this.#request, sent, current);
       const { totalLagMs } = this.#watchdog;
