A process that lacks its peers' route table does not count as current

Cause, read in the code: a process that starts after the store's return reads the copy's configuration and takes its view as confirmed by the store, although it may be older than what its peers serve: a key that was revoked in a lost version would be accepted there until the operator writes it again.

Reports name the revision of the route table in force (format 4; format 3 is still read, and a build that reads only 3 drops the new one, as at each change of the format). A process that holds all of the control plane that its peer does, but an older table, does not count its view as current while peers say so, and for 3 s after: requests with a key are refused and it reports that it is not ready. A process that is merely behind is not affected.

"a view without a peer's route table is not current, although it holds all that the control plane has" was red before. The round trip of a report now carries the new field as well; "a report in the format without the route table's revision is read" is new.

--- a/packages/peers/src/report.ts
+++ b/packages/peers/src/report.ts
@@ -31,6 +31,8 @@
   readonly revision: number;
   /** Time since the revision was last known to be the newest. */
   readonly confirmedAgeMs: number;
+  /** Revision of the route table that is in force at the process. */
+  readonly tableRevision?: number | undefined;
 }
 
 /** One report. It is encoded as a list, so field names are not on the wire. */
@@ -57,8 +59,10 @@
 const MAX_SESSIONS = 8;
 const MAX_VERSION_OUTCOMES = 4;
 const MAX_FAILING_REPLICAS = 16;
-/** Must change with the layout below; reports of another version are dropped. */
-const FORMAT_VERSION = 3;
+/** Must change with the layout below; reports of other versions are dropped. */
+const FORMAT_VERSION = 4;
+/** The same without the revision of the route table. */
+const PREVIOUS_FORMAT_VERSION = 3;
 
 const MAX_TEXT_CHARS = 128;
 const textSchema = z.string().min(1).max(MAX_TEXT_CHARS);
@@ -70,11 +74,11 @@
     "is not a list of pairs",
   );
 const layoutSchema = z.tuple([
-  z.literal(FORMAT_VERSION),
+  z.literal([FORMAT_VERSION, PREVIOUS_FORMAT_VERSION]),
   textSchema,
   unsignedIntSchema,
   unsignedIntSchema,
-  z.tuple([unsignedIntSchema, unsignedIntSchema]).nullable(),
+  z.tuple([unsignedIntSchema, unsignedIntSchema]).rest(z.int()).nullable(),
   createPairsSchema(MAX_LOADS),
   createPairsSchema(MAX_RUNNING).nullable(),
   z.array(z.tuple([textSchema, textSchema, textSchema])).max(MAX_SESSIONS),
@@ -151,9 +155,13 @@
     report.name,
     report.startedAtMs,
     report.number,
-    report.view === undefined
-      ? null
-      : [report.view.revision, Math.ceil(report.view.confirmedAgeMs)],
+    report.view === undefined ? null : [
+      report.view.revision,
+      Math.ceil(report.view.confirmedAgeMs),
+      ...(report.view.tableRevision === undefined
+        ? []
+        : [report.view.tableRevision]),
+    ],
     report.loads.flatMap(({ replicaKey, pendingMs }) => [
       replicaKey,
       Math.round(pendingMs),
@@ -190,9 +198,11 @@
     name,
     startedAtMs,
     number,
-    view: view === null
-      ? undefined
-      : { revision: view[0], confirmedAgeMs: view[1] },
+    view: view === null ? undefined : {
+      revision: view[0],
+      confirmedAgeMs: view[1],
+      ...(view[2] === undefined ? {} : { tableRevision: view[2] }),
+    },
     loads: parsePairs(loads).map(([replicaKey, pendingMs]) => ({
       replicaKey,
       pendingMs,
--- a/packages/peers/src/report_test.ts
+++ b/packages/peers/src/report_test.ts
@@ -1,6 +1,7 @@
 /** Encoding of reports: round trip, size limit, and rejection of other bytes. */
 import * as ava from "ava";
 import * as fastCheck from "fast-check";
+import * as msgpackr from "msgpackr";
 import * as reports from "./report.ts";
 
 const test = ava.default;
@@ -9,7 +10,7 @@
   name: "edge-1",
   startedAtMs: 1_000,
   number: 7,
-  view: { revision: 12, confirmedAgeMs: 340 },
+  view: { revision: 12, confirmedAgeMs: 340, tableRevision: 8 },
   loads: [{ replicaKey: 4_000_000_001, pendingMs: 320 }],
   running: [{ replicaKey: 4_000_000_001, count: 3 }],
   sessions: [{ service: "llm", session: "s", version: "v1" }],
@@ -101,3 +102,13 @@
   );
   t.is(reports.decodeReport(new Uint8Array(2_000)), undefined);
 });
+
+// Guards against entries that lose sight of each other while a new build is rolled out.
+test("a report in the format without the route table's revision is read", (t) => {
+  const packer = new msgpackr.Packr({ useRecords: false });
+  const pack = (format: number) =>
+    packer.pack([format, "edge-2", 5, 1, [20, 300], [], null, [], []]);
+  const report = reports.decodeReport(pack(3));
+  t.deepEqual(report?.view, { revision: 20, confirmedAgeMs: 300 });
+  t.is(reports.decodeReport(pack(2)), undefined);
+});
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -10,6 +10,7 @@
 import type * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
 import type * as listeners from "./control_listener.ts";
+import * as tables from "./lost_table.ts";
 import type * as ports from "./ports.ts";
 import * as entries from "./replica_entries.ts";
 import * as rollouts from "./rollout_states.ts";
@@ -47,6 +48,7 @@
   #revision: number | undefined;
   /** Revision of the view when the history was lost. */
   #lostRevision: number | undefined;
+  readonly #lostTable: tables.LostTable;
   /** Whether the items of the first read since a restoration are being applied. */
   #isRestored = false;
   readonly #supervisor: supervisors.WatchSupervisor;
@@ -57,11 +59,12 @@
   constructor(options: listeners.ControlTaskOptions) {
     this.#options = options;
     this.#rollouts = new rollouts.RolloutStates(options.log);
+    this.#lostTable = new tables.LostTable(options.clock, options.log);
     this.#viewAge = new ages.ViewAge(options.clock);
     this.#replicas = new entries.ReplicaEntries(options);
     this.#supervisor = new supervisors.WatchSupervisor({
       ...options,
-      readViewAgeMs: () => this.viewAgeMs,
+      readViewAgeMs: () => this.#viewAge.ageMs,
     });
   }
 
@@ -87,9 +90,14 @@
     return this.#rollouts.unwrittenRecords;
   }
 
-  /** Time since the view was last confirmed as current. */
+  /**
+   * Time since the view was last confirmed as current; infinite while a peer has a newer
+   * route table than the control plane, which then has lost that table.
+   */
   get viewAgeMs(): number {
-    return this.#viewAge.ageMs;
+    return this.#lostTable.isNewerThan(this.#tableRevision)
+      ? Infinity
+      : this.#viewAge.ageMs;
   }
 
   /** View reported to peers; absent before the first read. */
@@ -97,7 +105,11 @@
     const confirmedAgeMs = this.#viewAge.directAgeMs;
     return this.#revision === undefined || !Number.isFinite(confirmedAgeMs)
       ? undefined
-      : { revision: this.#revision, confirmedAgeMs };
+      : {
+        revision: this.#revision,
+        confirmedAgeMs,
+        tableRevision: this.#routeIndex?.table.revision,
+      };
   }
 
   start(): void {
@@ -125,9 +137,18 @@
       return this.#supervisor.recordNews(view.revision);
     }
     if (!kernel.isSameEra(view.revision, this.#revision)) return;
+    // The local view holds all that the peer's does, except for a table that was lost.
+    this.#lostTable.record(
+      view.tableRevision ?? -Infinity,
+      this.#tableRevision,
+    );
     this.#viewAge.confirmFromPeer(view.confirmedAgeMs);
   }
 
+  get #tableRevision(): number {
+    return this.#routeIndex?.table.revision ?? -Infinity;
+  }
+
   /** Applies a roll-out record, read from the control plane or just written. */
   applyRecord(record: ports.RolloutRecord): void {
     this.#rollouts.applyRecord(record);
@@ -339,7 +360,7 @@
   }
 
   #applyRouteTable(table: bundle.RouteTable): void {
-    const heldRevision = this.#routeIndex?.table.revision ?? -Infinity;
+    const heldRevision = this.#tableRevision;
     if (table.revision <= heldRevision) return;
     this.#routeIndex = bundle.indexRoutes(table);
     this.#options.log.addNotable("config.taken", {
@@ -359,7 +380,7 @@
     this.#options.log.addNotable("control.lost", {
       kind: error.kind,
       reason: error.message,
-      viewAgeMs: Math.round(this.viewAgeMs),
+      viewAgeMs: Math.round(this.#viewAge.ageMs),
     });
   }
 
--- a/packages/router/src/control_task_test.ts
+++ b/packages/router/src/control_task_test.ts
@@ -119,6 +119,22 @@
   t.true(task.viewAgeMs < 1_000);
 });
 
+// Guards against CONFIG: a process that started after the restoration read a table from before a
+// key was revoked, and accepted the key.
+test("a view without a peer's route table is not current, although it holds all that the control plane has", async (t) => {
+  const { clock, task } = await start(t);
+  const view = { revision: 20, confirmedAgeMs: 10 };
+  task.applyPeerView(view);
+  t.true(task.viewAgeMs < 1_000);
+  task.applyPeerView({ ...view, tableRevision: 7 });
+  t.is(task.viewAgeMs, Infinity);
+  clock.advance(3_000);
+  t.true(Number.isFinite(task.viewAgeMs));
+  // A peer that is ahead tells of a change that is still to come.
+  task.applyPeerView({ ...view, revision: 21, tableRevision: 8 });
+  t.true(Number.isFinite(task.viewAgeMs));
+});
+
 test("a peer at a newer revision does not confirm the view, and a dead watch is interrupted", async (t) => {
   const { clock, plane, task } = await start(t);
   for (let passedMs = 0; passedMs < 1_400; passedMs += 200) {
