--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -30,6 +30,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const HTTP_SUCCESS = 2;
 const SHOWN_BYTES = 40;
+/** A fault that a process reports, too, if it had no processor for some time. */
+const OVERDUE_PATTERN = /did not end at its deadline/;
 /** Faults of the process itself, also where an assertion of a library ended an attempt. */
 const FAULT_PATTERN =
   /"event":"(process|request|watchdog)\.fault"|evaluated to a falsy value/;
@@ -174,7 +176,7 @@
     readonly stopAtMs: number | undefined;
   },
 ): string | undefined {
-  const { startedAtMs, endedAtMs, content, requestId, serial } = request;
+  const { startedAtMs, endedAtMs, content, requestId } = request;
   const sentAtMs = request.sentAtMs as number;
   const { lost, stopAtMs } = context;
   if (request.wasClosedByCaller && !request.hasGivenUp) {
@@ -224,6 +226,14 @@
   if (killedAtMs !== undefined && killedAtMs <= endedAtMs) {
     return "its process was killed";
   }
+  return findDisturbance(play, request);
+}
+
+/** Finds what disturbed a request, from the stable window before it to its end. */
+function findDisturbance(
+  play: facts.SoakFacts,
+  { startedAtMs, endedAtMs, content, serial }: facts.RequestFact,
+): string | undefined {
   const isKeyed = !contents.ROUTES[content.kind].isPublic;
   const disturbance = play.disturbances.find((one) =>
     one.untilMs + STABLE_WINDOW_MS >= startedAtMs && one.fromMs <= endedAtMs &&
@@ -305,11 +315,17 @@
 ): readonly Finding[] {
   const { serial, exit, signals, log } = one;
   const stopAtMs = signals.find(({ signal }) => signal === "SIGTERM")?.atMs;
-  const findings = log.filter((line) => FAULT_PATTERN.test(line)).map((line) =>
-    makeFinding("FAULT", line, {
-      serial,
-      requestId: /"requestId":"([^"]+)"/.exec(line)?.[1],
-    })
+  const findings = log.filter((line) => FAULT_PATTERN.test(line)).map(
+    (line) => {
+      const requestId = /"requestId":"([^"]+)"/.exec(line)?.[1];
+      const request = play.requests.find((each) =>
+        each.requestId === requestId
+      );
+      const excuse = request && OVERDUE_PATTERN.test(line)
+        ? findDisturbance(play, request)
+        : undefined;
+      return makeFinding("FAULT", line, { serial, requestId, excuse });
+    },
   );
   if (exit === undefined) return findings;
   const isKilled = signals.some(({ signal }) => signal === "SIGKILL");
--- a/packages/bench/src/soak/checks_test.ts
+++ b/packages/bench/src/soak/checks_test.ts
@@ -266,6 +266,25 @@
   t.deepEqual(judgeProcess({ log: [assertion] }), ["FAULT"]);
 });
 
+test("a request that is overdue is a fault unless its process was disturbed", (t) => {
+  const log = [
+    `{"event":"request.fault","requestId":"${ID}","reason":"the exchange did not end at its deadline"}`,
+  ];
+  const overdue = { ...answer(500, ""), attemptId: undefined };
+  const rest = { processes: [{ ...STOPPED, log }] };
+  t.deepEqual(judge(overdue, [{}], rest), ["FAULT"]);
+  const pause = {
+    fromMs: STOP_AT_MS,
+    untilMs: STOP_AT_MS + 500,
+    serial: 1,
+    reason: "pause",
+  };
+  t.deepEqual(
+    judge(overdue, [{}], { ...rest, disturbances: [pause] }),
+    ["FAULT: pause"],
+  );
+});
+
 test("each request has one outcome, and nothing runs that nobody sent", (t) => {
   const whole = { ...REQUEST, ...answer(200, BODY) };
   t.deepEqual(
