--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -26,8 +26,26 @@
 interface ConnectionState {
   /** Called for each request without a complete response if the connection closes before. */
   readonly onClosed: Set<() => void>;
+  /** What waits for the turns of their responses. */
+  readonly onTurn: Map<() => void, (() => void)[]>;
+  /** The same callback of the newest one. */
+  newest: (() => void) | undefined;
   /** Whether the body of the newest one is still being read. */
   isReading: boolean;
+  /** Whether all of the newest one has arrived, though it may not be read yet. */
+  hasArrived: () => boolean;
+  /** No further request can be answered. */
+  isLast: boolean;
+  /** Requests since then, which are ignored. */
+  ignoredRequests: number;
+  /** The connection is ended after the answers to the requests before. */
+  endsWhenAnswered: boolean;
+}
+
+function runTurn(state: ConnectionState, onClosed: () => void): void {
+  const waiting = state.onTurn.get(onClosed) ?? [];
+  state.onTurn.delete(onClosed);
+  for (const callback of waiting) callback();
 }
 
 /** Open connections of callers. */
@@ -58,7 +76,16 @@
       this.#remove(longestIdle);
       longestIdle.destroy();
     }
-    const state: ConnectionState = { onClosed: new Set(), isReading: false };
+    const state: ConnectionState = {
+      onClosed: new Set(),
+      onTurn: new Map(),
+      newest: undefined,
+      isReading: false,
+      hasArrived: () => true,
+      isLast: false,
+      ignoredRequests: 0,
+      endsWhenAnswered: false,
+    };
     this.#states.set(socket, state);
     this.#idle.add(socket);
     onOpened();
@@ -70,20 +97,31 @@
   }
 
   /**
-   * Records a request; returns false if the connection had too many and was closed.
-   * `onClosed` is called if it closes before the end of the response: the runtime
-   * reports that for the response that is being written only.
+   * Records a request; returns false if it must not be handled: the connection ends
+   * before it could be answered, or had too many and was closed. `onClosed` is called
+   * if it closes before the end of the response: the runtime reports that for the
+   * response that is being written only.
    */
-  startRequest(socket: net.Socket, onClosed: () => void): boolean {
+  startRequest(
+    socket: net.Socket,
+    onClosed: () => void,
+    hasArrived: () => boolean = () => false,
+  ): boolean {
     const state = this.#states.get(socket);
     if (state === undefined) return !socket.destroyed;
     const { maxRequests = MAX_PIPELINED_REQUESTS } = this.#options;
-    if (state.onClosed.size >= maxRequests) {
+    if (state.onClosed.size + state.ignoredRequests >= maxRequests) {
       this.#refusePipelined(socket);
       return false;
     }
+    if (state.isLast) {
+      state.ignoredRequests += 1;
+      return false;
+    }
     state.onClosed.add(onClosed);
+    state.newest = onClosed;
     state.isReading = true;
+    state.hasArrived = hasArrived;
     this.#idle.delete(socket);
     return true;
   }
@@ -105,14 +143,45 @@
   endRequest(socket: net.Socket, onClosed: () => void): void {
     const state = this.#states.get(socket);
     if (state === undefined || !state.onClosed.delete(onClosed)) return;
-    if (state.onClosed.size === 0 && !socket.destroyed) this.#idle.add(socket);
+    state.onTurn.delete(onClosed);
+    if (socket.destroyed) return;
+    const [next] = state.onClosed;
+    if (next !== undefined) runTurn(state, next);
+    if (state.endsWhenAnswered) this.#endIfAnswered(socket);
+    else if (state.onClosed.size === 0) this.#idle.add(socket);
+  }
+
+  /** Calls back once the responses before that of a request are written, or now if they are. */
+  waitForTurn(
+    socket: net.Socket,
+    onClosed: () => void,
+    callback: () => void,
+  ): void {
+    const state = this.#states.get(socket);
+    if (state === undefined || !state.onClosed.has(onClosed)) return;
+    const waiting = state.onTurn.get(onClosed) ?? [];
+    state.onTurn.set(onClosed, [...waiting, callback]);
+    const [current] = state.onClosed;
+    if (current === onClosed) runTurn(state, onClosed);
+  }
+
+  /**
+   * Called when the head of a response is written that may close its connection:
+   * returns whether it is to do so. It is not if further requests wait behind it.
+   */
+  beginLastResponse(socket: net.Socket, onClosed: () => void): boolean {
+    const state = this.#states.get(socket);
+    if (state === undefined || state.newest !== onClosed) return false;
+    state.isLast = true;
+    return true;
   }
 
-  /** Whether a request that was read has no complete response yet. */
+  /** Whether a request that has arrived has no complete response yet. */
   isAnswering(socket: net.Socket): boolean {
     const state = this.#states.get(socket);
     if (state === undefined) return false;
-    return state.onClosed.size > (state.isReading ? 1 : 0);
+    const isArriving = state.isReading && !state.hasArrived();
+    return state.onClosed.size > (isArriving ? 1 : 0);
   }
 
   /** Ends a connection after what was written; its caller may not keep it open. */
@@ -122,11 +191,36 @@
     socket.once("close", () => clearTimeout(timer));
   }
 
+  /** Ends a connection whose newest request was refused without reading it, after all answers. */
+  endAfterRefusal(socket: net.Socket): void {
+    const unanswered = this.#states.get(socket)?.onClosed.size ?? 0;
+    if (unanswered > 1) this.endWhenAnswered(socket);
+    else this.endSoon(socket);
+  }
+
+  /** Whether the connection ends as soon as its requests are answered. */
+  isEnding(socket: net.Socket): boolean {
+    return this.#states.get(socket)?.endsWhenAnswered === true;
+  }
+
+  /** Ends a connection once the requests that were read are answered; it takes no others. */
+  endWhenAnswered(socket: net.Socket): void {
+    const state = this.#states.get(socket);
+    if (state === undefined) return this.endSoon(socket);
+    state.isLast = true;
+    state.endsWhenAnswered = true;
+    this.#endIfAnswered(socket);
+  }
+
   /** Ends all idle connections. */
   closeIdle(): void {
     for (const socket of this.#idle) socket.end();
   }
 
+  #endIfAnswered(socket: net.Socket): void {
+    if (!this.isAnswering(socket)) this.endSoon(socket);
+  }
+
   #refusePipelined(socket: net.Socket): void {
     this.#options.onRefused("pipelined");
     socket.destroy();
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -4,16 +4,20 @@
  */
 import * as http from "node:http";
 import * as net from "node:net";
+import type * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import * as admissions from "./admission.ts";
 import * as bodies from "./body_reader.ts";
+import * as disconnects from "./caller_disconnect.ts";
 import * as resources from "./caller_resources.ts";
 import type * as control from "./control_task.ts";
 import type * as dispatchers from "./dispatcher.ts";
 import type * as logs from "./decision_log.ts";
 import * as deadlines from "./exchange_deadline.ts";
+import * as incomingRequests from "./incoming_request.ts";
 import * as headerMaps from "./header_map.ts";
 import * as bufferedExchanges from "./buffered_exchange.ts";
+import type * as budgets from "./memory_budget.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
 import * as writers from "./response_writer.ts";
@@ -38,10 +42,6 @@
 };
 /** Interval at which the server checks connections for header and request time-outs. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
-/** Turns of the event loop after which a disconnect received with the request is visible. */
-const DISCONNECT_CHECK_TURNS = 2;
-/** A path and query; the parser lets further characters through. */
-const TARGET_PATTERN = /^\/[\u0021-\u00ff]*$/;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_REQUEST_TIMEOUT = 408;
 const HTTP_HEADERS_TOO_LARGE = 431;
@@ -57,22 +57,6 @@
   readonly log: logs.DecisionLog;
 }
 
-/**
- * Whether the caller disconnected while its request waited to be read. After a
- * stall of this process, the request is read one turn of the event loop before
- * the end of its connection.
- */
-async function hasCallerDisconnected(signal: AbortSignal): Promise<boolean> {
-  for (
-    let turn = 0;
-    turn < DISCONNECT_CHECK_TURNS && !signal.aborted;
-    turn += 1
-  ) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-  return signal.aborted;
-}
-
 /** Accepts and answers callers' requests. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
@@ -80,18 +64,25 @@
   readonly #resources: resources.CallerResources;
   #isDraining = false;
   #isRefusing = false;
-  #inFlight = 0;
+  /** What is held for the requests without a complete response. */
+  readonly #holds = new Set<budgets.RequestHold>();
   /** Requests so far; used to generate IDs for requests without one. */
   #count = 0;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#resources = new resources.CallerResources(options);
-    this.#server = http.createServer({
-      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-      keepAlive: true,
-      noDelay: true,
-    }, (request, response) => void this.#handleRequest(request, response));
+    this.#server = http.createServer(
+      {
+        connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+        keepAlive: true,
+        noDelay: true,
+      },
+      (request, response) => void this.#handleRequest(request, response, false),
+    );
+    this.#server.on("checkContinue", (request, response) => {
+      void this.#handleRequest(request, response, true);
+    });
     this.#server.on("clientError", (error, socket) => {
       this.#rejectMalformedRequest(error, socket as net.Socket);
     });
@@ -106,7 +97,14 @@
   }
 
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#holds.size;
+  }
+
+  /** Requests without a complete response, by what they wait for. */
+  countByStage(): Readonly<Record<decisions.HoldStage, number>> {
+    const count = { receiving: 0, running: 0, answering: 0 };
+    for (const { stage } of this.#holds) count[stage] += 1;
+    return count;
   }
 
   async listen(address: ports.Address): Promise<number> {
@@ -154,6 +152,7 @@
   async #handleRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    expectsContinue: boolean,
   ): Promise<void> {
     const receivedAtMs = this.#options.clock.monotonicMs();
     const { socket } = request;
@@ -163,17 +162,26 @@
     const end = () => {
       if (hasEnded) return;
       hasEnded = true;
-      this.#inFlight -= 1;
+      this.#holds.delete(hold);
       hold.close();
       connections.endRequest(socket, end);
       if (!response.writableFinished) callerAbort.abort();
     };
-    if (!connections.startRequest(socket, end)) return;
-    this.#inFlight += 1;
+    if (!connections.startRequest(socket, end, () => request.complete)) {
+      request.resume();
+      return;
+    }
+    if (expectsContinue) {
+      // The runtime would write it after the head of a response that waits for its turn.
+      connections.waitForTurn(socket, end, () => {
+        if (!response.headersSent) response.writeContinue();
+      });
+    }
     const hold = budget.open(
       socket.remoteAddress ?? "",
       bodies.measureHead(request),
     );
+    this.#holds.add(hold);
     response.once("close", end);
     const isOverBudget = budget.isExceeded;
     // Its refusal would be held until those before it are answered.
@@ -186,7 +194,9 @@
     const writer = new writers.ResponseWriter(response, {
       codec: this.#options.codec,
       hold,
-      shouldClose: () => this.#isDraining,
+      shouldClose: () =>
+        this.#isDraining && connections.beginLastResponse(socket, end),
+      waitForTurn: (callback) => connections.waitForTurn(socket, end, callback),
       onCut: (reason) =>
         this.#options.log.addNotable("caller.cut", { requestId, reason }),
     });
@@ -204,14 +214,14 @@
         deadlineMs: fields.deadlineMs,
         smallChunkBodies: this.#resources.smallChunkBodies,
       }).finally(() => this.#resources.connections.endBody(socket));
-      const incoming = this.#buildIncomingRequest(request, {
+      const incoming = incomingRequests.buildIncomingRequest(request, {
         requestId,
         fields,
         body,
         receivedAtMs,
         signal: callerAbort.signal,
       });
-      if (await hasCallerDisconnected(incoming.signal)) {
+      if (await disconnects.hasCallerDisconnected(incoming.signal)) {
         this.#recordOutcome(
           requestId,
           route,
@@ -287,35 +297,6 @@
     return { route: route.name, outcome };
   }
 
-  #buildIncomingRequest(
-    request: http.IncomingMessage,
-    rest: Pick<
-      requests.IncomingRequest,
-      "requestId" | "fields" | "body" | "receivedAtMs" | "signal"
-    >,
-  ): requests.IncomingRequest {
-    const target = request.url ?? "";
-    if (!TARGET_PATTERN.test(target)) {
-      throw new bodies.RequestReadError(
-        "bad-request",
-        "the request target must be a path without spaces",
-      );
-    }
-    if ((request.headersDistinct["host"]?.length ?? 0) > 1) {
-      throw new bodies.RequestReadError(
-        "bad-request",
-        "the request has two hosts",
-      );
-    }
-    const host = request.headers.host ?? "";
-    return {
-      ...rest,
-      method: request.method ?? "GET",
-      target,
-      hostName: host.replace(/:\d+$/, "").toLowerCase(),
-    };
-  }
-
   #handleFailure(
     thrown: unknown,
     { requestId, writer, socket, signal }: {
@@ -328,7 +309,7 @@
     const reason = kernel.describeThrown(thrown);
     if (thrown instanceof bodies.RequestReadError) {
       // The rest of the request is not read, so the connection cannot be reused.
-      setImmediate(() => this.#resources.connections.endSoon(socket));
+      setImmediate(() => this.#resources.connections.endAfterRefusal(socket));
       writer.refuse(
         kernel.makeError(thrown.kind, reason),
         kernel.findErrorResponse(thrown.kind).retry === "later"
@@ -380,19 +361,26 @@
       : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
       ? HTTP_REQUEST_TIMEOUT
       : HTTP_BAD_REQUEST;
+    const { connections } = this.#resources;
+    // What follows a malformed request is malformed, too.
+    if (connections.isEnding(socket)) return;
     this.#options.log.addNotable("request.malformed", {
       code: error.code,
       reason: error.message,
     });
-    // An answer that is being written must not be followed by another one.
-    if (!socket.writable || this.#resources.connections.isAnswering(socket)) {
+    if (!socket.writable) {
       socket.destroy();
       return;
     }
+    // An answer that is being written must not be followed by another one.
+    if (connections.isAnswering(socket)) {
+      connections.endWhenAnswered(socket);
+      return;
+    }
     const text = http.STATUS_CODES[status] ?? "Bad Request";
     socket.write(
       `HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
     );
-    this.#resources.connections.endSoon(socket);
+    connections.endSoon(socket);
   }
 }
--- a/packages/router/src/shutdown.ts
+++ b/packages/router/src/shutdown.ts
@@ -19,6 +19,8 @@
 const CLOSE_SHARE = 0.75;
 
 const POLL_MS = 50;
+/** Turns of the event loop in which a connection is accepted, and its request read. */
+const READ_TURNS = 3;
 
 /** Schedule of the stop of one process; before `start`, nothing is limited. */
 export class ShutdownSchedule {
@@ -29,8 +31,11 @@
     this.#graceMs = graceMs;
   }
 
-  start(nowMs: number): void {
-    this.#startedAtMs = nowMs;
+  /** Begins a stop whose signal may have waited for some time; the grace period counts from it. */
+  start(nowMs: number, signalAgeMs = 0): void {
+    // A process that still lives has at least the time to end what runs.
+    const maxAgeMs = this.#graceMs - this.#endMarginMs;
+    this.#startedAtMs = nowMs - Math.min(signalAgeMs, maxAgeMs);
   }
 
   /** Whether the stop has begun. */
@@ -65,10 +70,11 @@
   }
 
   /**
-   * Whether a request that no replica has run may be sent. Late in the grace period,
-   * that is only one that ends by its own deadline before this process does.
+   * Whether a request may be sent. Late in the grace period, one that no replica has run
+   * is only sent if it ends by its own deadline before this process does.
    */
-  canSend(nowMs: number, deadlineAtMs: number): boolean {
+  canSend(nowMs: number, deadlineAtMs: number, hasRun = false): boolean {
+    if (hasRun) return !this.hasEnded(nowMs);
     return nowMs < this.acceptUntilMs || deadlineAtMs <= this.endAtMs;
   }
 
@@ -101,3 +107,10 @@
   await Promise.race([work, kernel.sleep(leftMs, timeout.signal)]);
   timeout.abort();
 }
+
+/** Resolves when what has arrived so far has been read. */
+export async function readPending(): Promise<void> {
+  for (let turn = 0; turn < READ_TURNS; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
