An overdue exchange is judged after what has arrived was read

Cause: the timer that ends an exchange after its deadline runs before the sockets are read. After a delay of the process it fired first, while the answer lay in the socket. The same class as the watchdog's checks.

Fix: what has arrived is read before the exchange is given up.

--- a/packages/router/src/exchange_deadline.ts
+++ b/packages/router/src/exchange_deadline.ts
@@ -2,6 +2,7 @@
  * Deadline of an exchange, held outside of it: an exchange that has lost its own
  * end, by whatever fault, does not keep its caller waiting.
  */
+import * as shutdowns from "./shutdown.ts";
 
 /** Time after the deadline in which an exchange ends by itself. */
 const OVERDUE_MS = 300;
@@ -23,7 +24,11 @@
   let timer: NodeJS.Timeout | undefined;
   const overdue = new Promise<never>((_, reject) => {
     const delayMs = Math.min(MAX_TIMER_MS, remainingMs + OVERDUE_MS);
-    timer = setTimeout(() => reject(new ExchangeOverdueError()), delayMs);
+    timer = setTimeout(async () => {
+      // After a delay of this process, the answer may wait to be read.
+      await shutdowns.readPending();
+      reject(new ExchangeOverdueError());
+    }, delayMs);
   });
   return Promise.race([exchange, overdue]).finally(() => clearTimeout(timer));
 }
