A left-out interim response closes no connection with requests behind it

Callers saw: a request behind one that expects an interim response was passed on and got no answer (LOST, at any time).

The runtime then closes the connection after the final one, as it cannot know whether the body comes, and drops what is behind it.

Change: once the body has been read, the expectation is met; the connection is kept. A request that is refused before still ends it.

--- a/packages/bench/src/platform_pipeline_test.ts
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -235,3 +235,23 @@
     t.regex(text, /piece 14[\s\S]*answer to behind\.$/);
     t.is(harness.findLogLines("caller.cut").length, 0);
   }));
+
+// Guards against LOST: the runtime closes the connection after a final response that no interim one
+// came before, though further requests had been passed on.
+test("a request behind one whose interim response was left out is answered", (t) =>
+  withHarness(async (harness) => {
+    await addDesk(harness, { two: 50 });
+    await harness.start();
+    const socket = await harness.connect();
+    const answered = readUntil(socket, /answer to three\./);
+    const received = harnesses.readToEnd(socket);
+    socket.write(renderRequest(ROUTES.order, "one"));
+    socket.write(
+      renderRequest(ROUTES.order, "two")
+        .replace("content-length", "expect: 100-continue\r\ncontent-length"),
+    );
+    socket.write(renderRequest(ROUTES.order, "three"));
+    await Promise.race([answered, received]);
+    socket.destroy();
+    t.deepEqual(listAnswered(await received), ["one", "two", "three"]);
+  }));
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -213,7 +213,10 @@
         ...this.#limits,
         deadlineMs: fields.deadlineMs,
         smallChunkBodies: this.#resources.smallChunkBodies,
-      }).finally(() => this.#resources.connections.endBody(socket));
+      }).finally(() => connections.endBody(socket));
+      // Undeclared; the runtime would close the connection after a response without an
+      // interim one, as it cannot know whether the body comes. It has come.
+      Object.assign(response, { _expect_continue: false });
       const incoming = incomingRequests.buildIncomingRequest(request, {
         requestId,
         fields,
