--- a/packages/upstream/src/http_backends.ts
+++ b/packages/upstream/src/http_backends.ts
@@ -9,6 +9,8 @@
 
 const STATE_TIMEOUT_MS = 1_000;
 const MAX_BUFFERED_RESPONSE_BYTES = 32 * 1_048_576;
+/** Longest line of a stream, in characters; each event's data is one line. */
+const MAX_LINE_CHARS = 1_048_576;
 const MIN_SUCCESS_STATUS = 200;
 const MAX_SUCCESS_STATUS = 299;
 type HandlerEvents = undici.Dispatcher.DispatchHandler;
@@ -283,6 +285,7 @@
   ): Promise<kernel.Outcome<mesh.Usage>> {
     const events: string[] = [];
     const parser = eventsourceParser.createParser({
+      maxBufferSize: MAX_LINE_CHARS,
       onEvent: (event) => events.push(event.data),
     });
     const decoder = new TextDecoder();
--- a/packages/upstream/src/http_backends_test.ts
+++ b/packages/upstream/src/http_backends_test.ts
@@ -37,6 +37,7 @@
 function runModelCall(
   backend: httpBackends.ModelBackend,
   refusal: kernel.ErrorKind | undefined,
+  isStreamed = false,
 ) {
   return backend.run({
     requestId: "r1",
@@ -44,7 +45,7 @@
       type: "model",
       model: "verse",
       version: "v1",
-      isStreamed: false,
+      isStreamed,
       wantsUsage: false,
     },
     body: Buffer.from("{}"),
@@ -206,34 +207,43 @@
   }
 });
 
-test("a model's whole answer that never ends is given up", async (t) => {
-  let takenBytes = 0;
-  const server = http.createServer((request, response) => {
-    request.resume();
-    const block = Buffer.alloc(MB, " ");
-    const writeMore = () => {
-      while (!response.destroyed && takenBytes <= 2 * MAX_TAKEN_BYTES) {
-        takenBytes += block.length;
-        if (!response.write(block)) return;
-      }
-      // A client without a bound would take all memory.
-      response.destroy();
-    };
-    response.on("drain", writeMore);
-    writeMore();
-  });
-  await new Promise<void>((resolve) =>
-    server.listen(0, "127.0.0.1", () => resolve())
-  );
-  const { port } = server.address() as net.AddressInfo;
-  const backend = new httpBackends.ModelBackend(`http://127.0.0.1:${port}`);
-  t.teardown(async () => {
-    await backend.close();
-    server.closeAllConnections();
-    server.close();
+// Guards against a process that keeps an event without end until its memory is full.
+for (
+  const { what, isStreamed, start } of [
+    { what: "whole answer", isStreamed: false, start: "" },
+    { what: "event", isStreamed: true, start: "data: " },
+  ]
+) {
+  test(`a model's ${what} that never ends is given up`, async (t) => {
+    let takenBytes = 0;
+    const server = http.createServer((request, response) => {
+      request.resume();
+      const block = Buffer.alloc(MB, " ");
+      response.write(start);
+      const writeMore = () => {
+        while (!response.destroyed && takenBytes <= 2 * MAX_TAKEN_BYTES) {
+          takenBytes += block.length;
+          if (!response.write(block)) return;
+        }
+        // A client without a bound would take all memory.
+        response.destroy();
+      };
+      response.on("drain", writeMore);
+      writeMore();
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    const { port } = server.address() as net.AddressInfo;
+    const backend = new httpBackends.ModelBackend(`http://127.0.0.1:${port}`);
+    t.teardown(async () => {
+      await backend.close();
+      server.closeAllConnections();
+      server.close();
+    });
+    const result = await runModelCall(backend, undefined, isStreamed);
+    t.is(result._unsafeUnwrapErr().kind, "upstream-failed");
+    t.log(`${takenBytes} bytes`);
+    t.true(takenBytes <= MAX_TAKEN_BYTES);
   });
-  const result = await runModelCall(backend, undefined);
-  t.is(result._unsafeUnwrapErr().kind, "upstream-failed");
-  t.log(`${takenBytes} bytes`);
-  t.true(takenBytes <= MAX_TAKEN_BYTES);
-});
+}
