--- a/packages/kernel/src/received_bytes.ts
+++ b/packages/kernel/src/received_bytes.ts
@@ -2,15 +2,15 @@
 import type * as net from "node:net";
 import type * as resets from "./reset_error.ts";
 
-/** Most that the parser is given at once; it stops at an error only after that. */
+/** Most of a head that the parser is given at once; it stops at an error only after that. */
 const MAX_READ_BYTES = 8_192;
 
-function limitReads(socket: net.Socket): void {
+function limitReads(socket: net.Socket, isInHead: () => boolean): void {
   const read = socket.read.bind(socket);
   socket.read = (size?: number): unknown => {
     if (socket.destroyed) return null;
     const { readableLength } = socket;
-    return size !== undefined || readableLength <= MAX_READ_BYTES
+    return size !== undefined || readableLength <= MAX_READ_BYTES || !isInHead()
       ? read(size)
       : read(MAX_READ_BYTES);
   };
@@ -24,6 +24,7 @@
 export function countReceived<O>(
   connect: resets.Connector<O>,
   onReceived: (bytes: number, queuedBytes: number) => boolean,
+  isInHead: () => boolean,
 ): resets.Connector<O> {
   return (options, callback) =>
     connect(options, (...result) => {
@@ -35,7 +36,7 @@
           return onReceived(bytes, socket.readableLength) &&
             push(chunk, encoding);
         };
-        limitReads(socket);
+        limitReads(socket, isInHead);
       }
       callback(...result);
     });
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -105,6 +105,7 @@
       connect: kernel.countReceived(
         connect,
         (bytes, queuedBytes) => meter.receive(bytes, queuedBytes),
+        () => meter.read().bodyBytes === 0,
       ),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
