--- a/packages/kernel/src/received_bytes.ts
+++ b/packages/kernel/src/received_bytes.ts
@@ -2,15 +2,16 @@
 import type * as net from "node:net";
 import type * as resets from "./reset_error.ts";
 
-/** Most of a head that the parser is given at once; it stops at an error only after that. */
+/** Most framing that the parser is given at once; it stops at an error only after that. */
 const MAX_READ_BYTES = 8_192;
 
-function limitReads(socket: net.Socket, isInHead: () => boolean): void {
+function limitReads(socket: net.Socket, isMostlyFraming: () => boolean): void {
   const read = socket.read.bind(socket);
   socket.read = (size?: number): unknown => {
     if (socket.destroyed) return null;
     const { readableLength } = socket;
-    return size !== undefined || readableLength <= MAX_READ_BYTES || !isInHead()
+    return size !== undefined || readableLength <= MAX_READ_BYTES ||
+        !isMostlyFraming()
       ? read(size)
       : read(MAX_READ_BYTES);
   };
@@ -24,7 +25,7 @@
 export function countReceived<O>(
   connect: resets.Connector<O>,
   onReceived: (bytes: number, queuedBytes: number) => boolean,
-  isInHead: () => boolean,
+  isMostlyFraming: () => boolean,
 ): resets.Connector<O> {
   return (options, callback) =>
     connect(options, (...result) => {
@@ -36,7 +37,7 @@
           return onReceived(bytes, socket.readableLength) &&
             push(chunk, encoding);
         };
-        limitReads(socket, isInHead);
+        limitReads(socket, isMostlyFraming);
       }
       callback(...result);
     });
--- a/packages/router/src/answer_meter.ts
+++ b/packages/router/src/answer_meter.ts
@@ -48,6 +48,11 @@
     return isWithinBound;
   }
 
+  /** Whether less than half of what was received was body so far. */
+  get isMostlyFraming(): boolean {
+    return 2 * this.#bodyBytes < this.#receivedBytes;
+  }
+
   addBody(bytes: number): void {
     this.#bodyBytes += bytes;
   }
--- a/packages/router/src/connections.ts
+++ b/packages/router/src/connections.ts
@@ -105,7 +105,7 @@
       connect: kernel.countReceived(
         connect,
         (bytes, queuedBytes) => meter.receive(bytes, queuedBytes),
-        () => meter.read().bodyBytes === 0,
+        () => meter.isMostlyFraming,
       ),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
