Postmortem of the store's return; an announcement that a return overtakes is repeated

A process whose announcement was under way when its full read showed the return would have slept for the renewal time of a lease that may be void (read in the code, no test: the moment is a call long). It now announces itself anew.

--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -354,7 +354,10 @@
       const lease = await this.#renewOrAnnounce(self, controlPlane);
       if (lease.isOk()) {
         retryMs = FIRST_RETRY_MS;
-        await this.#sleep(lease.value.ttlMs * RENEW_SHARE);
+        // Unless the control plane was restored during the call.
+        if (this.#announceDelayMs === 0) {
+          await this.#sleep(lease.value.ttlMs * RENEW_SHARE);
+        }
         const delayMs = this.#announceDelayMs;
         this.#announceDelayMs = 0;
         if (delayMs > 0) await this.#sleep(delayMs);
