A write of a roll-out's record names the write that it follows

After the store had come back from an older copy, a process whose first call was a conditional write could replace a record that it had never read: the revision in its condition had been given out again, and the era is only known after an answer. Operators saw "completed" over a roll-back, at which the old replicas are stopped at once; the writer was told "changed".

No item that was there before the copy can tell the two histories apart, since it keeps its revision. Each write therefore creates a key with a random id, which the record names, and removes that of the write before; the next write is on condition of both revisions. The id exists in one history only, so the condition also fails for a call that is executed seconds later. No call is added. A record without an id, of a build before, is written on condition of its revision alone.

The test failed before: the record's state was 'completed', expected 'rolled-back'. The stand-in of the store now removes a transaction's keys under the revision of that transaction, as its writes do.

--- a/packages/bench/src/platform_era_test.ts
+++ b/packages/bench/src/platform_era_test.ts
@@ -76,6 +76,27 @@
   t.like(fake.read(RECORD_KEY) as object, { state: "rolled-back" });
 });
 
+// Guards against a completed status over a roll-back: a write that was the first call after the
+// store's return met its condition, since the revision had been given out again.
+test("the first write after the store's return does not replace a record that its writer has not read", async (t) => {
+  const { fake, store } = await openStore(t);
+  fake.copy();
+  const written = (await store.writeRollout(RECORD))._unsafeUnwrap();
+  fake.restore();
+  fake.put(RECORD_KEY, { ...RECORD, state: "rolled-back" });
+  const late = await store.writeRollout({
+    ...RECORD,
+    ...written,
+    state: "completed",
+  } as router.RolloutRecord);
+  t.deepEqual(late._unsafeUnwrap(), { type: "changed" });
+  t.like(fake.read(RECORD_KEY) as object, { state: "rolled-back" });
+  const { items } = (await store.readAll())._unsafeUnwrap();
+  const record = items.find((item) => item.type === "rollout-record")?.record;
+  const next = { ...record, state: "completed" } as router.RolloutRecord;
+  t.is((await store.writeRollout(next))._unsafeUnwrap().type, "written");
+});
+
 // Guards against CONFIG: the restored store's counter had passed the process's revision when it
 // watched again, so that it got no 410 and missed all changes below that revision.
 test("a watch from a revision that the restored store has passed reports that the history is lost", async (t) => {
--- a/packages/decisions/src/rollout_merge.ts
+++ b/packages/decisions/src/rollout_merge.ts
@@ -61,6 +61,7 @@
   return {
     ...newest,
     revision: stored.revision,
+    writeId: stored.writeId,
     bannedVersions: [...banned],
   };
 }
--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -24,6 +24,11 @@
   readonly service: string;
   /** Revision of the record; 0 while it is not stored. */
   readonly revision: number;
+  /**
+   * Id of the write that stored the record, which no other write has. A restored store gives
+   * out revisions again. Absent if a build without ids wrote it.
+   */
+  readonly writeId?: string | undefined;
   /** Revision of the order that the record belongs to. */
   readonly orderRevision: number;
   readonly targetVersion: string;
@@ -62,6 +67,7 @@
   return {
     service: order.service,
     revision: previous?.revision ?? 0,
+    writeId: previous?.writeId,
     orderRevision: order.revision,
     targetVersion: order.targetVersion,
     state: "in-progress",
--- a/packages/fakes/src/platform_store.ts
+++ b/packages/fakes/src/platform_store.ts
@@ -340,7 +340,10 @@
       this.#items.set(key, item);
       this.#changes.push({ key, revision: this.#revision, item });
     }
-    for (const key of transaction.remove ?? []) this.remove(key);
+    for (const key of transaction.remove ?? []) {
+      if (!this.#items.delete(key)) continue;
+      this.#changes.push({ key, revision: this.#revision, item: undefined });
+    }
     if (this.mode === "lost-writes") {
       response.destroy();
       return;
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -111,7 +111,11 @@
 
 /** Result of a conditional write: `changed` if the stored revision differed. */
 export type RolloutWriteResult =
-  | { readonly type: "written"; readonly revision: number }
+  | {
+    readonly type: "written";
+    readonly revision: number;
+    readonly writeId: string;
+  }
   | { readonly type: "changed" };
 
 /** Lease of a peer announcement; the entry expires unless it is renewed. */
--- a/packages/router/src/rollout_states.ts
+++ b/packages/router/src/rollout_states.ts
@@ -97,7 +97,7 @@
   keepMissing(storedServices: ReadonlySet<string>): void {
     for (const [service, record] of this.#records) {
       if (storedServices.has(service)) continue;
-      const unstored = { ...record, revision: 0 };
+      const unstored = { ...record, revision: 0, writeId: undefined };
       this.#records.set(service, unstored);
       this.#keep(unstored, "the control plane has no record");
     }
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -378,8 +378,8 @@
       error: written.isErr() ? written.error.message : undefined,
     });
     if (written.isOk() && written.value.type === "written") {
-      const { revision } = written.value;
-      this.#options.control.applyRecord({ ...record, revision });
+      const { revision, writeId } = written.value;
+      this.#options.control.applyRecord({ ...record, revision, writeId });
       return;
     }
     // The next watch shows whether the write was applied or another process wrote first.
