--- a/packages/bench/src/platform_era_test.ts
+++ b/packages/bench/src/platform_era_test.ts
@@ -129,6 +129,48 @@
   t.deepEqual(fake.list("jackdawbank/peers/"), ["jackdawbank/peers/edge-2"]);
 });
 
+const announceEdge = (store: platform.PlatformStore, name: string) =>
+  store.announcePeer({ name, host: "10.0.0.1", port: 1 });
+
+for (const action of ["renewPeer", "withdrawPeer"] as const) {
+  // Guards against processes that are unknown to their peers, and replicas that lose their entries:
+  // a stop at the moment of the store's return ended a lease of another owner, and a renewal
+  // prolonged one.
+  test(`the first call after the store's return, ${action}, leaves another owner's lease alone`, async (t) => {
+    const { fake, store } = await openStore(t);
+    const other = new platform.PlatformStore({
+      host: "127.0.0.1",
+      port: fake.port,
+    });
+    t.teardown(() => other.close());
+    fake.copy();
+    const old = (await announceEdge(store, "edge-1"))._unsafeUnwrap();
+    fake.restore();
+    await announceEdge(other, "edge-2");
+    await store[action](old.id);
+    t.deepEqual(fake.list("jackdawbank/peers/"), ["jackdawbank/peers/edge-2"]);
+    const paths = [...fake.callCounts.keys()];
+    t.deepEqual(paths.filter((path) => /kv-(keep|lease-end)/.test(path)), []);
+  });
+}
+
+// Guards against parts of prompts that stay under quarantine, or leave it early: the store returned
+// between the grant of the lease and the write, and the item hung on a lease of another owner.
+test("an item that was written under a lease of the former era is put under a new one", async (t) => {
+  const { fake, store } = await openStore(t);
+  fake.copy();
+  let foreignLease = 0;
+  fake.beforeTransaction = () => {
+    if (foreignLease > 0) return;
+    fake.restore(false);
+    foreignLease = fake.grantLease();
+  };
+  await store.writeQuarantine("part-1", 60_000);
+  t.is(fake.list("jackdawbank/quarantine/").length, 1);
+  fake.endLease(foreignLease);
+  t.is(fake.list("jackdawbank/quarantine/").length, 1);
+});
+
 async function countCalls(
   harness: harnesses.PlatformHarness,
   id: string,
--- a/packages/fakes/src/platform_store.ts
+++ b/packages/fakes/src/platform_store.ts
@@ -65,6 +65,8 @@
   delayMs = 0;
   /** Time over which the body of a watch's answer is sent, in small pieces, as over a slow link. */
   watchTransferMs = 0;
+  /** Called before each transaction. */
+  beforeTransaction = () => {};
   /** Number of calls by path, without the query. */
   readonly callCounts = new Map<string, number>();
   readonly #items = new Map<string, Item>();
@@ -147,6 +149,13 @@
     return [...this.#items.keys()].filter((key) => key.startsWith(prefix));
   }
 
+  /** Grants a lease, which is also the number of a revision. */
+  grantLease(): number {
+    this.#revision += 1;
+    this.#leases.add(this.#revision);
+    return this.#revision;
+  }
+
   /** Ends a lease and removes its items; returns whether the lease existed. */
   endLease(lease: number): boolean {
     const wasFound = this.#leases.delete(lease);
@@ -189,8 +198,8 @@
     };
   }
 
-  /** Goes back to the copy, begins a new era and cuts all connections. */
-  restore(): void {
+  /** Goes back to the copy, begins a new era and cuts all connections, if told so. */
+  restore(cutsConnections = true): void {
     const copy = this.#copy;
     if (copy === undefined) throw new Error("there is no copy");
     this.#items.clear();
@@ -200,6 +209,7 @@
     this.#changes = [...copy.changes];
     this.#revision = copy.revision;
     this.era = (this.era ?? 0) + 1;
+    if (!cutsConnections) return;
     for (const socket of this.#sockets) socket.destroy();
   }
 
@@ -240,6 +250,8 @@
       return;
     }
     switch (url.pathname) {
+      case "/-/kv-key":
+        return this.#serveItem(url, response);
       case "/-/kv-range":
         return this.#serveRange(url, response);
       case "/-/kv-watch":
@@ -257,9 +269,7 @@
   #serveLease(url: URL, body: string, response: http.ServerResponse): void {
     if (url.pathname === "/-/kv-lease") {
       const { ttlMs } = JSON.parse(body) as { readonly ttlMs: number };
-      this.#revision += 1;
-      this.#leases.add(this.#revision);
-      return send(response, 200, { lease: this.#revision, ttlMs });
+      return send(response, 200, { lease: this.grantLease(), ttlMs });
     }
     const lease = Number(url.pathname.split("/").at(-1));
     const wasFound = url.pathname.startsWith("/-/kv-lease-end/")
@@ -268,6 +278,12 @@
     send(response, wasFound ? 200 : 404, {});
   }
 
+  #serveItem(url: URL, response: http.ServerResponse): void {
+    const item = this.#items.get(url.searchParams.get("key") ?? "");
+    if (item === undefined) response.writeHead(404).end();
+    else send(response, 200, item);
+  }
+
   #serveRange(url: URL, response: http.ServerResponse): void {
     const prefix = url.searchParams.get("pathPrefix") ?? "";
     const afterKey = url.searchParams.get("after") ?? "";
@@ -324,6 +340,8 @@
     transaction: Transaction,
     response: http.ServerResponse,
   ): void {
+    this.beforeTransaction();
+    if (this.era !== undefined) response.setHeader("store-era", this.era);
     const expected = transaction.expectedRevision ?? [];
     const isCurrent = expected.every(({ key, revision }) =>
       (this.#items.get(key)?.revision ?? 0) === revision
