Another order of a restored store is held before it is believed

After the store had come back from a copy that was older than the newest order, a process that had started after that order took the one of the copy for a new one: it rolled the old version out again (status in_progress), and when the newest order came again, that was a new roll-out, too, whose ban was lifted. A bad version got requests again. Processes that knew both orders dropped an order of the copy for ever where the operator had gone back to the version before.

An order of the copy that is not the known one is now held for 3 s, with its record, and then believed unless the known order has come again. This replaces the memory of the order before the newest one, which only some processes had. Bans that were known remain in the record.

--- a/packages/router/src/rollout_states.ts
+++ b/packages/router/src/rollout_states.ts
@@ -2,18 +2,28 @@
  * Orders and records of roll-outs that this process knows. They outlive a control
  * plane that is restored from an older copy: an order that comes again is the same
  * order, and a record that was lost is listed until it has been written again.
+ * Another order in the copy may be an older one, and is not believed at once.
  */
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 
+/** Time after which another order of a copy is believed, if the known one has not come again. */
+const ORDER_HOLD_MS = 3_000;
+
+/** An order of a copy that is not the known one, with its record. */
+interface HeldOrder {
+  readonly order: ports.RolloutOrder;
+  readonly record: ports.RolloutRecord | undefined;
+  readonly timer: NodeJS.Timeout;
+}
+
 /** Newest order and record of each service. */
 export class RolloutStates {
   readonly #log: logs.DecisionLog;
   readonly #orders = new Map<string, ports.RolloutOrder>();
-  /** The order before the newest one, which an older copy may hold. */
-  readonly #supersededOrders = new Map<string, ports.RolloutOrder>();
+  readonly #held = new Map<string, HeldOrder>();
   readonly #records = new Map<string, ports.RolloutRecord>();
   /** Services whose records hold more than the control plane has. */
   readonly #unwritten = new Set<string>();
@@ -39,31 +49,16 @@
 
   /** Applies an order; `isCopied` if it may come from an older copy. */
   applyOrder(order: ports.RolloutOrder, isCopied: boolean): void {
-    const { service, revision, targetVersion, durationMs } = order;
+    const { service } = order;
     const existing = this.#orders.get(service);
-    if (existing !== undefined && existing.revision >= revision) return;
+    if (existing !== undefined && existing.revision >= order.revision) return;
+    const held = this.#release(service);
     const isSame = existing !== undefined && isSameOrder(existing, order);
-    const superseded = this.#supersededOrders.get(service);
-    if (
-      isCopied && !isSame && superseded !== undefined &&
-      isSameOrder(superseded, order)
-    ) {
-      return;
-    }
-    if (existing !== undefined && !isSame) {
-      this.#supersededOrders.set(service, existing);
+    if (isCopied && existing !== undefined && !isSame) {
+      return this.#hold(order);
     }
-    this.#orders.set(service, order);
-    this.#adoptOrder(service);
-    this.#log.addNotable(
-      isSame ? "rollout.order-returned" : "rollout.ordered",
-      {
-        service,
-        targetVersion,
-        durationMs,
-        orderRevision: kernel.describePosition(revision),
-      },
-    );
+    this.#believe(order, isSame);
+    if (held?.record !== undefined) this.applyRecord(held.record);
   }
 
   /** Applies a record, read from the control plane or just written. */
@@ -71,6 +66,12 @@
     const { service } = record;
     const existing = this.#records.get(service);
     if (existing !== undefined && existing.revision >= record.revision) return;
+    const held = this.#held.get(service);
+    if (held !== undefined && isRecordOf(held.order, record)) {
+      const isNewer = (held.record?.revision ?? -Infinity) < record.revision;
+      if (isNewer) this.#held.set(service, { ...held, record });
+      return;
+    }
     const merged = existing === undefined
       ? record
       : decisions.mergeRecords(existing, record);
@@ -103,6 +104,53 @@
     }
   }
 
+  close(): void {
+    for (const service of this.#held.keys()) this.#release(service);
+  }
+
+  #believe(order: ports.RolloutOrder, isSame: boolean): void {
+    const { service, targetVersion, durationMs, revision } = order;
+    this.#orders.set(service, order);
+    this.#adoptOrder(service);
+    this.#log.addNotable(
+      isSame ? "rollout.order-returned" : "rollout.ordered",
+      {
+        service,
+        targetVersion,
+        durationMs,
+        orderRevision: kernel.describePosition(revision),
+      },
+    );
+  }
+
+  #hold(order: ports.RolloutOrder): void {
+    const { service, targetVersion, revision } = order;
+    this.#log.addNotable("rollout.held", {
+      service,
+      targetVersion,
+      orderRevision: kernel.describePosition(revision),
+      reason: "another order was known before the control plane was restored",
+    });
+    const timer = setTimeout(() => this.#believeHeld(service), ORDER_HOLD_MS);
+    timer.unref();
+    this.#held.set(service, { order, record: undefined, timer });
+  }
+
+  #believeHeld(service: string): void {
+    const held = this.#release(service);
+    if (held === undefined) return;
+    this.#believe(held.order, false);
+    if (held.record === undefined) return;
+    this.applyRecord({ ...held.record, orderRevision: held.order.revision });
+  }
+
+  #release(service: string): HeldOrder | undefined {
+    const held = this.#held.get(service);
+    clearTimeout(held?.timer);
+    this.#held.delete(service);
+    return held;
+  }
+
   #keep(record: ports.RolloutRecord, reason: string): void {
     const { service, state, targetVersion } = record;
     this.#unwritten.add(service);
@@ -119,15 +167,20 @@
     const order = this.#orders.get(service);
     const record = this.#records.get(service);
     if (order === undefined || record === undefined) return;
-    const isSame = decisions.isSameRollout(
-      decisions.identifyOrder(order),
-      record,
-    );
-    if (!isSame || record.orderRevision >= order.revision) return;
+    if (!isRecordOf(order, record) || record.orderRevision >= order.revision) {
+      return;
+    }
     this.#records.set(service, { ...record, orderRevision: order.revision });
   }
 }
 
+function isRecordOf(
+  order: ports.RolloutOrder,
+  record: ports.RolloutRecord,
+): boolean {
+  return decisions.isSameRollout(decisions.identifyOrder(order), record);
+}
+
 function isSameOrder(
   first: ports.RolloutOrder,
   second: ports.RolloutOrder,
