Records name an order by its revision and, apart from it, by its era

While builds of before and after are mixed (an upgrade or its roll-back), a build without eras took a record for one of a newer order than any: records named the order by a position, a number far above all revisions. With a completed record it moved all requests to a newly ordered version at once, and it never advanced a roll-out.

The record's field holds the bare revision again, as such builds read and write it, and the era is a further, optional field. A record without one belongs to the era in which it is read: an order that is unchanged in the copy has the same revision.

An existing test wrote its record as a position; it writes both fields now, with the same checks.

--- a/packages/bench/src/platform_era_test.ts
+++ b/packages/bench/src/platform_era_test.ts
@@ -97,6 +97,21 @@
   t.is((await store.writeRollout(next))._unsafeUnwrap().type, "written");
 });
 
+// Guards against EXPOSURE while a build is replaced: a build without eras compares a record's order
+// with the revisions of orders, and took each record for one of a newer order.
+test("a record names its order by the revision that builds without eras read, and by its era", async (t) => {
+  const { fake, store } = await openStore(t);
+  const orderRevision = kernel.makePosition(1, 5);
+  await store.writeRollout({ ...RECORD, orderRevision });
+  t.like(fake.read(RECORD_KEY) as object, { orderRevision: 5, orderEra: 1 });
+  const findRecord = async () =>
+    (await store.readAll())._unsafeUnwrap().items
+      .find((item) => item.type === "rollout-record")?.record;
+  t.like(await findRecord(), { orderRevision });
+  fake.put(RECORD_KEY, { ...RECORD, orderRevision: 7 });
+  t.is((await findRecord())?.orderRevision, kernel.makePosition(1, 7));
+});
+
 // Guards against CONFIG: the restored store's counter had passed the process's revision when it
 // watched again, so that it got no 410 and missed all changes below that revision.
 test("a watch from a revision that the restored store has passed reports that the history is lost", async (t) => {
@@ -205,7 +220,8 @@
       copyAt("its first record");
       store.put(RECORD_KEY, {
         ...RECORD,
-        orderRevision: kernel.makePosition(1, orderRevision),
+        orderRevision,
+        orderEra: 1,
         state: "rolled-back",
         bannedVersions: ["v2"],
       });
