Peers' evidence counts for an order only if it is surely of that order

After the store had come back, a good version could be rolled back for failures of the one ordered before: a peer that was still in the former era reported them, and reports of another era were taken for the same order whatever they were about.

Reports name no version, so their revision must tell. An order that comes again now carries the revisions under which this process knew it before; a report counts if it names one of them or the present one. Evidence of a peer that is ahead, or of one that knew the order before this process started, is left out until both name the order alike.

--- a/packages/decisions/src/rollout_merge.ts
+++ b/packages/decisions/src/rollout_merge.ts
@@ -13,6 +13,9 @@
   "orderRevision" | "targetVersion" | "durationMs"
 >;
 
+/** Eras of which an order keeps its revision. */
+const MAX_FORMER_REVISIONS = 8;
+
 /** A state is never replaced by one with a lower number in the same roll-out. */
 const STATE_ORDER: Readonly<Record<plan.RolloutState, number>> = {
   "in-progress": 0,
@@ -38,6 +41,25 @@
     first.durationMs === second.durationMs;
 }
 
+/** Returns an order that has come again, with the revisions under which it was known. */
+export function recognizeOrder(
+  known: plan.RolloutOrder,
+  order: plan.RolloutOrder,
+): plan.RolloutOrder {
+  const formerRevisions = [known.revision, ...known.formerRevisions ?? []]
+    .slice(0, MAX_FORMER_REVISIONS);
+  return { ...order, formerRevisions };
+}
+
+/** Whether a revision is that of an order, now or in an earlier era. */
+export function isRevisionOf(
+  order: plan.RolloutOrder,
+  revision: number,
+): boolean {
+  if (order.revision === revision) return true;
+  return order.formerRevisions?.includes(revision) ?? false;
+}
+
 /**
  * Merges the record that this process knows with a newer one from the control plane.
  * Returns the latter itself if it holds all that is known; any other result is still to
--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -15,6 +15,8 @@
   readonly durationMs: number;
   /** Revision of the order itself; a new revision starts another roll-out. */
   readonly revision: number;
+  /** Revisions under which this process knew the same order in earlier eras of the store. */
+  readonly formerRevisions?: readonly number[] | undefined;
 }
 
 export type RolloutState = "in-progress" | "completed" | "rolled-back";
--- a/packages/router/src/rollout_states.ts
+++ b/packages/router/src/rollout_states.ts
@@ -57,7 +57,10 @@
     if (isCopied && existing !== undefined && !isSame) {
       return this.#hold(order);
     }
-    this.#believe(order, isSame);
+    this.#believe(
+      isSame ? decisions.recognizeOrder(existing, order) : order,
+      isSame,
+    );
     if (held?.record !== undefined) this.applyRecord(held.record);
   }
 
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -144,10 +144,7 @@
     const { control, countReplicas } = this.#options;
     const order = control.orders.get(counts.service);
     if (order === undefined || this.#isOver(order)) return;
-    // In another era of the control plane, the peer knows the same order by another revision.
-    const isOther = order.revision !== counts.orderRevision &&
-      kernel.isSameEra(order.revision, counts.orderRevision);
-    if (isOther) return;
+    if (!decisions.isRevisionOf(order, counts.orderRevision)) return;
     const { evaluator, targetVersion } = this.#getTrial(order);
     const previous = evaluator.verdict;
     evaluator.recordPeerOutcomes(
