A record of a former era is not adopted for a new order of the same content

After the store's return a version that had been rolled back before and was ordered anew could not be rolled out: the stored record named its order by a revision of the former era, so a process that had started since took it for the record of the new order, kept "rolled back" and wrote that over the new order's record.

Content identifies an order only for a process that knew it before the return, and only once: its record then follows to the new revision, which is written back, so that others need no guess. All other records are compared by their order's revision; one item of a copy keeps its revision, which also tells. Where a record of a former era has the content of an order and nobody has said that they belong together, the order's first record waits for 3 s.

The tests failed before: the record's order was 2:50 where 1:10 was expected, no record was listed to be written back, and the first record was written at once.

--- a/packages/decisions/src/rollout_merge.ts
+++ b/packages/decisions/src/rollout_merge.ts
@@ -1,18 +1,13 @@
 /**
  * What remains valid of orders and records of roll-outs if the control plane is
  * restored from an older copy. Revisions order them within an era only; across
- * eras, the same order is recognised by its content. A state that was reached is
+ * eras, the same order is recognised by its content, once, by a process that knew it.
+ * A state that was reached is
  * kept, so that neither the copy nor a late writer undoes a verdict.
  */
 import * as kernel from "@jackdawbank/kernel";
 import type * as plan from "./rollout_plan.ts";
 
-/** What identifies a roll-out. */
-export type RolloutIdentity = Pick<
-  plan.RolloutRecord,
-  "orderRevision" | "targetVersion" | "durationMs"
->;
-
 /** Eras of which an order keeps its revision. */
 const MAX_FORMER_REVISIONS = 8;
 
@@ -23,22 +18,19 @@
   "rolled-back": 2,
 };
 
-/** Returns the identity of the roll-out that an order starts. */
-export function identifyOrder(order: plan.RolloutOrder): RolloutIdentity {
-  const { revision, targetVersion, durationMs } = order;
-  return { orderRevision: revision, targetVersion, durationMs };
-}
-
-/** Whether two identities of one service belong to the same roll-out. */
-export function isSameRollout(
-  first: RolloutIdentity,
-  second: RolloutIdentity,
+/**
+ * Whether an order is the known one: within an era by its revision; in a later era,
+ * in which the operator writes it again under another one, by its content.
+ */
+export function isSameOrder(
+  known: plan.RolloutOrder,
+  order: plan.RolloutOrder,
 ): boolean {
-  if (kernel.isSameEra(first.orderRevision, second.orderRevision)) {
-    return first.orderRevision === second.orderRevision;
+  if (kernel.isSameEra(known.revision, order.revision)) {
+    return known.revision === order.revision;
   }
-  return first.targetVersion === second.targetVersion &&
-    first.durationMs === second.durationMs;
+  return known.targetVersion === order.targetVersion &&
+    known.durationMs === order.durationMs;
 }
 
 /** Returns an order that has come again, with the revisions under which it was known. */
@@ -60,6 +52,26 @@
   return order.formerRevisions?.includes(revision) ?? false;
 }
 
+/** Whether a record may be that of an order: for certain, or by its content if the eras differ. */
+export function mayBeRecordOf(
+  order: plan.RolloutOrder,
+  record: plan.RolloutRecord,
+): boolean {
+  return isSameOrder({ ...record, revision: record.orderRevision }, order);
+}
+
+/** Whether a record is that of an order, or of the same item of a copy. */
+export function isRecordOf(
+  order: plan.RolloutOrder,
+  record: plan.RolloutRecord,
+): boolean {
+  if (isRevisionOf(order, record.orderRevision)) return true;
+  // An item that was in the copy keeps its revision.
+  return mayBeRecordOf(order, record) &&
+    kernel.readRevision(order.revision) ===
+      kernel.readRevision(record.orderRevision);
+}
+
 /**
  * Merges the record that this process knows with a newer one from the control plane.
  * Returns the latter itself if it holds all that is known; any other result is still to
@@ -69,7 +81,7 @@
   known: plan.RolloutRecord,
   stored: plan.RolloutRecord,
 ): plan.RolloutRecord {
-  const isSame = isSameRollout(known, stored);
+  const isSame = known.orderRevision === stored.orderRevision;
   const isKnownNewer = isSame
     ? STATE_ORDER[known.state] > STATE_ORDER[stored.state]
     : known.orderRevision > stored.orderRevision;
--- a/packages/router/src/rollout_era_test.ts
+++ b/packages/router/src/rollout_era_test.ts
@@ -116,3 +116,12 @@
   known.reportFailures(at(1, 10));
   t.is(known.writes[0]?.state, "rolled-back");
 });
+
+test("a record of an earlier era that may be that of the order is not replaced at once", (t) => {
+  const record = { ...V3_RECORD, orderRevision: at(1, 10) };
+  const rollout = new Rollout(t, { record });
+  rollout.advance(2_500);
+  t.deepEqual(rollout.writes, []);
+  rollout.advance(2_000);
+  t.is(rollout.writes[0]?.orderRevision, V3_ORDER.revision);
+});
--- a/packages/router/src/rollout_states.ts
+++ b/packages/router/src/rollout_states.ts
@@ -53,7 +53,8 @@
     const existing = this.#orders.get(service);
     if (existing !== undefined && existing.revision >= order.revision) return;
     const held = this.#release(service);
-    const isSame = existing !== undefined && isSameOrder(existing, order);
+    const isSame = existing !== undefined &&
+      decisions.isSameOrder(existing, order);
     if (isCopied && existing !== undefined && !isSame) {
       return this.#hold(order);
     }
@@ -70,21 +71,21 @@
     const existing = this.#records.get(service);
     if (existing !== undefined && existing.revision >= record.revision) return;
     const held = this.#held.get(service);
-    if (held !== undefined && isRecordOf(held.order, record)) {
+    if (held !== undefined && decisions.mayBeRecordOf(held.order, record)) {
       const isNewer = (held.record?.revision ?? -Infinity) < record.revision;
       if (isNewer) this.#held.set(service, { ...held, record });
       return;
     }
+    const adopted = this.#adoptOrder(record);
     const merged = existing === undefined
-      ? record
-      : decisions.mergeRecords(existing, record);
+      ? adopted
+      : decisions.mergeRecords(existing, adopted);
     if (merged === record) this.#unwritten.delete(service);
     else this.#keep(merged, "the control plane has an older record");
     this.#records.set(service, merged);
-    this.#adoptOrder(service);
     if (
       existing?.state !== merged.state ||
-      !decisions.isSameRollout(existing, merged)
+      existing.orderRevision !== merged.orderRevision
     ) {
       const { state, targetVersion, revision, reason } = merged;
       this.#log.addNotable("rollout.known", {
@@ -114,7 +115,12 @@
   #believe(order: ports.RolloutOrder, isSame: boolean): void {
     const { service, targetVersion, durationMs, revision } = order;
     this.#orders.set(service, order);
-    this.#adoptOrder(service);
+    const record = this.#records.get(service);
+    const adopted = record && this.#adoptOrder(record);
+    if (adopted !== undefined && adopted !== record) {
+      this.#records.set(service, adopted);
+      this.#keep(adopted, "its order has another revision now");
+    }
     this.#log.addNotable(
       isSame ? "rollout.order-returned" : "rollout.ordered",
       {
@@ -165,31 +171,12 @@
     });
   }
 
-  /** Lets the record follow an order that has come again under another revision. */
-  #adoptOrder(service: string): void {
-    const order = this.#orders.get(service);
-    const record = this.#records.get(service);
-    if (order === undefined || record === undefined) return;
-    if (!isRecordOf(order, record) || record.orderRevision >= order.revision) {
-      return;
-    }
-    this.#records.set(service, { ...record, orderRevision: order.revision });
+  /** Lets a record follow its order, which has come again under another revision. */
+  #adoptOrder(record: ports.RolloutRecord): ports.RolloutRecord {
+    const order = this.#orders.get(record.service);
+    const isOutdated = order !== undefined &&
+      record.orderRevision < order.revision &&
+      decisions.isRecordOf(order, record);
+    return isOutdated ? { ...record, orderRevision: order.revision } : record;
   }
 }
-
-function isRecordOf(
-  order: ports.RolloutOrder,
-  record: ports.RolloutRecord,
-): boolean {
-  return decisions.isSameRollout(decisions.identifyOrder(order), record);
-}
-
-function isSameOrder(
-  first: ports.RolloutOrder,
-  second: ports.RolloutOrder,
-): boolean {
-  return decisions.isSameRollout(
-    decisions.identifyOrder(first),
-    decisions.identifyOrder(second),
-  );
-}
--- a/packages/router/src/rollout_states_test.ts
+++ b/packages/router/src/rollout_states_test.ts
@@ -100,3 +100,46 @@
   });
   t.is(known.unwrittenRecords.length, 1);
 });
+
+const ROLLED_BACK_V2 = makeRecord({
+  revision: at(2, 12),
+  state: "rolled-back",
+  bannedVersions: ["v2"],
+});
+
+// Guards against a good version that is not rolled out: a process that had started after the store's
+// return took the record of an earlier order for that of a new one of the same version, and wrote
+// "rolled back" over its record.
+test("a record of an earlier era is not that of a new order with the same content", (t) => {
+  const known = openStates(t);
+  known.applyOrder(makeOrder("v2", at(2, 50)), false);
+  known.applyRecord(ROLLED_BACK_V2);
+  t.is(known.records.get("desk")?.orderRevision, at(1, 10));
+  known.applyRecord(
+    makeRecord({ revision: at(2, 51), orderRevision: at(2, 50) }),
+  );
+  t.is(known.records.get("desk")?.state, "in-progress");
+  t.deepEqual(known.unwrittenRecords, []);
+});
+
+test("a process that knew the order writes the order's new revision into its record", (t) => {
+  const known = openStates(t);
+  known.applyOrder(makeOrder("v2", at(1, 10)), false);
+  known.applyRecord({ ...ROLLED_BACK_V2, revision: at(1, 12) });
+  known.applyOrder(makeOrder("v2", at(2, 40)), false);
+  known.applyRecord(ROLLED_BACK_V2);
+  const expected = { ...ROLLED_BACK_V2, orderRevision: at(2, 40) };
+  t.deepEqual(known.unwrittenRecords, [expected]);
+  known.applyRecord({ ...expected, revision: at(2, 41) });
+  t.deepEqual(known.unwrittenRecords, []);
+});
+
+test("an order that is unchanged in the copy keeps its record, also at a new process", (t) => {
+  const known = openStates(t);
+  known.applyOrder(makeOrder("v2", at(2, 10)), false);
+  known.applyRecord(ROLLED_BACK_V2);
+  t.like(known.records.get("desk"), {
+    orderRevision: at(2, 10),
+    state: "rolled-back",
+  });
+});
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -18,6 +18,8 @@
 const RETRY_MS = 400;
 /** Spreads the writes of a lost record, so that most processes see that of another one first. */
 const REWRITE_SPREAD_PER_PROCESS_MS = 20;
+/** Time after which a record of an earlier era is taken for that of another order with the same content. */
+const RECORD_HOLD_MS = 3_000;
 /** Part of a roll-out for which a process must have followed it to judge that there are no requests. */
 const MIN_FOLLOWED_SHARE = 0.5;
 const MAX_REWRITE_SPREAD_MS = 2_000;
@@ -37,7 +39,7 @@
 }
 
 /** Evaluation of an order's target version by this process. */
-interface Trial extends decisions.RolloutIdentity {
+interface Trial {
   /** Follows an order that comes again under another revision. */
   orderRevision: number;
   /** Monotonic time at which this process first saw the order. */
@@ -145,11 +147,11 @@
     const order = control.orders.get(counts.service);
     if (order === undefined || this.#isOver(order)) return;
     if (!decisions.isRevisionOf(order, counts.orderRevision)) return;
-    const { evaluator, targetVersion } = this.#getTrial(order);
+    const { evaluator } = this.#getTrial(order);
     const previous = evaluator.verdict;
     evaluator.recordPeerOutcomes(
       counts,
-      countReplicas(counts.service, targetVersion),
+      countReplicas(counts.service, order.targetVersion),
     );
     if (previous !== undefined || evaluator.verdict === undefined) return;
     this.#logEvidence(order, evaluator);
@@ -275,15 +277,15 @@
 
   #getTrial(order: ports.RolloutOrder): Trial {
     const existing = this.#trials.get(order.service);
-    const identity = decisions.identifyOrder(order);
     if (
-      existing !== undefined && decisions.isSameRollout(existing, identity)
+      existing !== undefined &&
+      decisions.isRevisionOf(order, existing.orderRevision)
     ) {
       existing.orderRevision = order.revision;
       return existing;
     }
     const trial: Trial = {
-      ...identity,
+      orderRevision: order.revision,
       observedAtMs: this.#options.clock.monotonicMs(),
       elapsedBeforeMs: this.#hasSeenView ? 0 : undefined,
       evaluator: new decisions.VersionTrial(),
@@ -328,8 +330,12 @@
     const jitterMs = verdict === undefined
       ? Math.min(MAX_STEP_JITTER_MS, STEP_JITTER_SHARE * order.durationMs)
       : 0;
+    // Processes that knew the record say so, if it is the record of this order.
+    const isDoubtful = record !== undefined &&
+      record.orderRevision < order.revision &&
+      decisions.mayBeRecordOf(order, record);
     const dueAtMs = this.#dueAtMsByService.get(service) ??
-      nowMs + random() * jitterMs;
+      nowMs + random() * jitterMs + (isDoubtful ? RECORD_HOLD_MS : 0);
     this.#dueAtMsByService.set(service, dueAtMs);
     const isDue = nowMs >= dueAtMs || next.state === "rolled-back";
     if (isDue) void this.#write(next);
