A good version on a service that has become quiet is completed

A good version was rolled back ("it has no replicas or has answered nothing") if one request of its service had run at a process between the order and the shift, on the old version, and none came afterwards: requests were counted from the order on, and any of them was taken to prove that the version had been passed over.

Only requests say so that were sent when all of them preferred the version, and did not get a whole answer of it. With none of these, and with replicas that are ready, there was nothing to answer. A version whose replicas drain, or that was passed over, is still not completed.

The tests failed before: 'rolled-back', expected 'completed', with a request before the shift only, and with one that was sent before it and ended after it.

--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -100,6 +100,11 @@
   return isPlausible ? elapsedMs : 0;
 }
 
+/** Whether all requests prefer the new version. */
+export function isShifted(elapsedMs: number, durationMs: number): boolean {
+  return elapsedMs >= SHIFT_END * durationMs;
+}
+
 /** Whether new sessions with this fraction use the new version during the trial. */
 export function isTrialSession(
   fraction: number,
@@ -224,7 +229,7 @@
 ): boolean {
   const progress = input.elapsedMs / record.durationMs;
   if (input.session === "new") return true;
-  if (progress >= SHIFT_END) return true;
+  if (isShifted(input.elapsedMs, record.durationMs)) return true;
   if (progress < TRIAL_END) {
     return progress >= TRIAL_START && input.session === undefined &&
       isTrialSession(input.fraction, input.exposureShare);
--- a/packages/router/src/rollout_era_test.ts
+++ b/packages/router/src/rollout_era_test.ts
@@ -125,3 +125,38 @@
   rollout.advance(2_000);
   t.is(rollout.writes[0]?.orderRevision, V3_ORDER.revision);
 });
+
+/** Parts of the duration just after all requests have moved, and when the roll-out is over. */
+const SHIFTED = 0.62;
+const OVER = 0.98;
+
+for (
+  const { name, replicas = 8, before = 0, running = 0, after = 0, state } of [
+    { name: "no requests", state: "completed" },
+    { name: "requests before the shift only", before: 1, state: "completed" },
+    {
+      name: "a request that was sent before the shift and ended after it",
+      running: 1,
+      state: "completed",
+    },
+    {
+      name: "requests elsewhere though it was preferred",
+      after: 1,
+      state: "rolled-back",
+    },
+    { name: "no replicas", replicas: 0, state: "rolled-back" },
+  ]
+) {
+  // Guards against a good version that is rolled back since its service became quiet, and against a
+  // stopped one that is completed though requests ran elsewhere.
+  test(`a version that has answered nothing is ${state} with ${name}`, (t) => {
+    const rollout = new Rollout(t, { replicas });
+    rollout.advance(500);
+    rollout.answer("v1", before);
+    rollout.advance(SHIFTED * DURATION_MS - 500);
+    rollout.answer("v1", after);
+    rollout.answer("v1", running, DURATION_MS / 2);
+    rollout.advance((OVER - SHIFTED) * DURATION_MS);
+    t.is<string | undefined, string>(rollout.writes[0]?.state, state);
+  });
+}
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -9,6 +9,7 @@
 import type * as control from "./control_task.ts";
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
+import * as rewrites from "./record_rewrites.ts";
 
 const CHECK_INTERVAL_MS = 200;
 /** Random delay of scheduled steps, so that usually only one process writes each. */
@@ -16,13 +17,10 @@
 /** Share of a roll-out's duration that this delay may take. */
 const STEP_JITTER_SHARE = 0.03;
 const RETRY_MS = 400;
-/** Spreads the writes of a lost record, so that most processes see that of another one first. */
-const REWRITE_SPREAD_PER_PROCESS_MS = 20;
 /** Time after which a record of an earlier era is taken for that of another order with the same content. */
 const RECORD_HOLD_MS = 3_000;
 /** Part of a roll-out for which a process must have followed it to judge that there are no requests. */
 const MIN_FOLLOWED_SHARE = 0.5;
-const MAX_REWRITE_SPREAD_MS = 2_000;
 
 /** Outcome of an attempt as evidence for the version that ran it. */
 export interface ServiceVersionOutcome extends decisions.VersionOutcome {
@@ -36,6 +34,8 @@
   readonly version: string;
   /** The stream goes on; its median gap is at least this, and may become longer. */
   readonly isMinimum: boolean;
+  /** Monotonic time. */
+  readonly sentAtMs: number;
 }
 
 /** Evaluation of an order's target version by this process. */
@@ -47,8 +47,8 @@
   /** Age of the order at that time; unknown until its record is read. */
   elapsedBeforeMs: number | undefined;
   readonly evaluator: decisions.VersionTrial;
-  /** Requests of the service that ended at this process, on any version. */
-  localOutcomes: number;
+  /** Requests of this process that preferred the target, and did not get a whole answer of it. */
+  preferredElsewhere: number;
 }
 
 /** Dependencies of the task. */
@@ -72,7 +72,7 @@
   readonly #options: RolloutTaskOptions;
   readonly #trials = new Map<string, Trial>();
   readonly #dueAtMsByService = new Map<string, number>();
-  readonly #rewriteAtMsByService = new Map<string, number>();
+  readonly #rewrites: rewrites.RecordRewrites;
   readonly #servicesBeingWritten = new Set<string>();
   readonly #timer: NodeJS.Timeout;
   /** Whether the first full read has been checked; orders seen later are new. */
@@ -80,6 +80,7 @@
 
   constructor(options: RolloutTaskOptions) {
     this.#options = options;
+    this.#rewrites = new rewrites.RecordRewrites(options);
     this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
   }
 
@@ -171,7 +172,7 @@
     const isTarget = version === targetVersion;
     const trial = this.#getTrial(order);
     const { evaluator } = trial;
-    trial.localOutcomes += 1;
+    if (!isTarget) this.#countElsewhere(order, trial, evidence.sentAtMs);
     if (evidence.isMinimum && !evaluator.isSlowStream(evidence)) return false;
     const previous = evaluator.verdict;
     const isSlow = evaluator.recordStream(evidence, {
@@ -200,13 +201,15 @@
     const isTarget = outcome.version === targetVersion;
     const trial = this.#getTrial(order);
     const { evaluator } = trial;
-    trial.localOutcomes += 1;
+    const isBad = outcome.result !== "whole";
+    if (!isTarget || isBad) {
+      this.#countElsewhere(order, trial, outcome.sentAtMs);
+    }
     const previous = evaluator.verdict;
     evaluator.recordOutcome(outcome, {
       isTarget,
       replicas: this.#options.countReplicas(service, targetVersion),
     });
-    const isBad = outcome.result !== "whole";
     if (isTarget && (isBad || previous !== evaluator.verdict)) {
       this.#logEvidence(order, evaluator, outcome);
     }
@@ -217,7 +220,11 @@
   check(): void {
     const { control } = this.#options;
     for (const order of control.orders.values()) this.#advanceOrder(order);
-    this.#rewriteRecords(control.unwrittenRecords);
+    for (const record of this.#rewrites.listDue(control.unwrittenRecords)) {
+      if (!this.#servicesBeingWritten.has(record.service)) {
+        void this.#write(record);
+      }
+    }
     this.#hasSeenView ||= control.hasView;
   }
 
@@ -289,23 +296,35 @@
       observedAtMs: this.#options.clock.monotonicMs(),
       elapsedBeforeMs: this.#hasSeenView ? 0 : undefined,
       evaluator: new decisions.VersionTrial(),
-      localOutcomes: 0,
+      preferredElsewhere: 0,
     };
     this.#trials.set(order.service, trial);
     this.#options.onOrder(order.service);
     return trial;
   }
 
+  #countElsewhere(
+    order: ports.RolloutOrder,
+    trial: Trial,
+    sentAtMs: number,
+  ): void {
+    const record = this.#options.control.records.get(order.service);
+    const elapsedMs = this.#measureElapsedMs(trial, record) -
+      (this.#options.clock.monotonicMs() - sentAtMs);
+    const isPreferred = decisions.isShifted(elapsedMs, order.durationMs);
+    if (isPreferred) trial.preferredElsewhere += 1;
+  }
+
   /**
-   * Whether the target version has replicas and has answered. A service without any
-   * requests while this process followed the shift proves nothing, and needs nothing.
+   * Whether the target version has replicas and has answered. One that no request preferred
+   * while this process followed the shift has nothing to answer.
    */
   #isProven(order: ports.RolloutOrder, trial: Trial): boolean {
     const { clock, countReplicas } = this.#options;
     if (countReplicas(order.service, order.targetVersion) === 0) return false;
     if (trial.evaluator.evidence.samples > 0) return true;
     const followedMs = clock.monotonicMs() - trial.observedAtMs;
-    return trial.localOutcomes === 0 &&
+    return trial.preferredElsewhere === 0 &&
       followedMs >= MIN_FOLLOWED_SHARE * order.durationMs;
   }
 
@@ -341,29 +360,6 @@
     if (isDue) void this.#write(next);
   }
 
-  /** Writes the records again that the control plane has lost. */
-  #rewriteRecords(unwritten: readonly ports.RolloutRecord[]): void {
-    const { clock, random, countProcesses } = this.#options;
-    const nowMs = clock.monotonicMs();
-    const services = new Set(unwritten.map(({ service }) => service));
-    for (const service of this.#rewriteAtMsByService.keys()) {
-      if (!services.has(service)) this.#rewriteAtMsByService.delete(service);
-    }
-    for (const record of unwritten) {
-      const { service } = record;
-      const spreadMs = Math.min(
-        MAX_REWRITE_SPREAD_MS,
-        countProcesses() * REWRITE_SPREAD_PER_PROCESS_MS,
-      );
-      const dueAtMs = this.#rewriteAtMsByService.get(service) ??
-        nowMs + random() * spreadMs;
-      this.#rewriteAtMsByService.set(service, dueAtMs);
-      if (nowMs < dueAtMs || this.#servicesBeingWritten.has(service)) continue;
-      this.#rewriteAtMsByService.set(service, nowMs + RETRY_MS);
-      void this.#write(record);
-    }
-  }
-
   async #write(record: ports.RolloutRecord): Promise<void> {
     const { service } = record;
     this.#servicesBeingWritten.add(service);
--- a/packages/router/src/stream_pace.ts
+++ b/packages/router/src/stream_pace.ts
@@ -124,6 +124,7 @@
       model,
       pace: { medianGapMs, load: inFlight + fleet.readLoad(key).running },
       isMinimum,
+      sentAtMs: sent.sentAtMs,
     });
   pace.offer(hasEnded, (medianGapMs) => record(medianGapMs, false));
   if (hasEnded) return;
