A replica that has registered again is held back for 2 s, not 10 s

A live replica whose entry had been lost for a moment (its lease had expired), and that had registered again before a process read the restored store, got no requests of that process for 10 s, longer than changes may take to be in force: its entry looks like one of the copy, and the registration is not seen a second time.

Only a replica that was draining before it left is held for 10 s: it does not return under the same start. For any other, the hold is the time in which replicas register again; an entry that is then still there is believed.

--- a/packages/router/src/removal_delay.ts
+++ b/packages/router/src/removal_delay.ts
@@ -5,7 +5,7 @@
 import type * as kernel from "@jackdawbank/kernel";
 
 /** Time after an outage in which replicas with expired entries register again. */
-const REREGISTRATION_PERIOD_MS = 2_000;
+export const REREGISTRATION_PERIOD_MS = 2_000;
 
 /** Delays removals after an outage. */
 export class RemovalDelay {
--- a/packages/router/src/replica_entries.ts
+++ b/packages/router/src/replica_entries.ts
@@ -10,8 +10,8 @@
 import type * as ports from "./ports.ts";
 import * as removals from "./removal_delay.ts";
 
-/** Time after which an old entry of a replica that was gone is believed, if it is still there. */
-const DEPARTED_HOLD_MS = 10_000;
+/** Time after which an old entry of a replica that was draining before it was gone is believed. */
+const DRAINED_HOLD_MS = 10_000;
 const MAX_DEPARTED = 1_024;
 
 /** Dependencies of the entries. */
@@ -53,8 +53,15 @@
   apply(replica: ports.ReplicaEntry, isCopied: boolean): void {
     const { id } = replica;
     const departed = this.#departed.get(id);
-    if (isCopied && departed?.startedAtMs === replica.startedAtMs) {
-      return this.#hold(replica);
+    if (
+      isCopied && departed !== undefined &&
+      departed.startedAtMs === replica.startedAtMs
+    ) {
+      // One that was not draining may only have lost its entry, and has registered again.
+      const holdMs = departed.isDraining
+        ? DRAINED_HOLD_MS
+        : removals.REREGISTRATION_PERIOD_MS;
+      return this.#hold(replica, holdMs);
     }
     const existing = this.#replicas.get(id);
     const isSameProcess = existing?.startedAtMs === replica.startedAtMs;
@@ -115,14 +122,14 @@
     this.#options.listener.onReplica(replica);
   }
 
-  #hold(replica: ports.ReplicaEntry): void {
+  #hold(replica: ports.ReplicaEntry, holdMs: number): void {
     const { id } = replica;
     this.#release(id);
     this.#options.log.addNotable("replica.held", {
       replica: id,
       reason: "it was gone before the control plane was restored",
     });
-    const timer = setTimeout(() => this.#put(replica), DEPARTED_HOLD_MS);
+    const timer = setTimeout(() => this.#put(replica), holdMs);
     this.#held.set(id, timer);
   }
 
