A process that stops after the store's return withdraws an announcement of the copy

Peers kept a process that was gone for up to ten minutes: the copy had its announcement, and it left it there when it stopped, since its lease was of the former era.

The test failed before: 'jackdawbank/peers/edge-1' was still there.

--- a/packages/bench/src/platform_era_test.ts
+++ b/packages/bench/src/platform_era_test.ts
@@ -169,6 +169,18 @@
   });
 }
 
+// Guards against peers that report to a process that is gone: the copy had its announcement, which it
+// left there when it stopped, since the lease was of the former era.
+test("an announcement that the copy has kept is withdrawn", async (t) => {
+  const { fake, store } = await openStore(t);
+  const { id } = (await announceEdge(store, "edge-1"))._unsafeUnwrap();
+  fake.copy();
+  fake.restore();
+  await store.readAll();
+  await store.withdrawPeer(id);
+  t.deepEqual(fake.list("jackdawbank/peers/"), []);
+});
+
 // Guards against parts of prompts that stay under quarantine, or leave it early: the store returned
 // between the grant of the lease and the write, and the item hung on a lease of another owner.
 test("an item that was written under a lease of the former era is put under a new one", async (t) => {
