A held order is not believed sooner because it was read again

A second full read within the hold (the store may discard its history) was taken for a change by the operator, and an older order of the copy was believed at once: the old version was rolled out again.

The test failed before: 'v2', expected 'v3'.

--- a/packages/router/src/rollout_states.ts
+++ b/packages/router/src/rollout_states.ts
@@ -52,6 +52,8 @@
     const { service } = order;
     const existing = this.#orders.get(service);
     if (existing !== undefined && existing.revision >= order.revision) return;
+    // Another full read says no more about a held order.
+    if (this.#held.get(service)?.order.revision === order.revision) return;
     const held = this.#release(service);
     const isSame = existing !== undefined &&
       decisions.isSameOrder(existing, order);
--- a/packages/router/src/rollout_states_test.ts
+++ b/packages/router/src/rollout_states_test.ts
@@ -88,6 +88,13 @@
   t.is(known.orders.get("desk")?.targetVersion, "v2");
 });
 
+// Guards against EXPOSURE: a second full read, as after a history that was discarded, ended the hold.
+test("an order of a copy that is read again is still held", (t) => {
+  const known = openOnOlderCopy(t);
+  known.applyOrder(makeOrder("v2", at(2, 5)), false);
+  t.is(known.orders.get("desk")?.targetVersion, "v3");
+});
+
 test("with an order of a copy its record is believed, and keeps the bans that were known", async (t) => {
   const known = openOnOlderCopy(t);
   await kernel.sleep(HELD_MS);
