A peer's totals are compared only with those of the same order

After the store's return, evidence against a newly ordered version was missed at other processes: peers report totals, and in another era the total of the order before was subtracted, whatever order it was of.

The reporter now asks whether both revisions are known to be of the same order; otherwise it passes the whole total on, which counts only under a revision of the present order.

The test failed before: 2 answers were counted, expected 12. The test of an order that comes again has the same checks; its source now knows the order's revisions, and its report is built by a function that both tests use.

--- a/packages/peers/src/peer_memory_test.ts
+++ b/packages/peers/src/peer_memory_test.ts
@@ -45,6 +45,7 @@
       listRunning: () => [],
       readView: () => undefined,
       listVersionOutcomes: () => [],
+      isSameOrder: () => false,
     },
     listener: {
       onSession: () => {},
--- a/packages/peers/src/peer_reporter.ts
+++ b/packages/peers/src/peer_reporter.ts
@@ -37,6 +37,8 @@
   readView(): reports.ControlPlaneView | undefined;
   /** Outcomes of versions under trial, counted since the process started. */
   listVersionOutcomes(): readonly reports.VersionOutcomes[];
+  /** Whether two revisions of orders are known to be of the same one, in different eras. */
+  isSameOrder(service: string, first: number, second: number): boolean;
 }
 
 /** Receives the content of peers' reports. */
@@ -225,10 +227,13 @@
     for (const total of outcomes) {
       const key = `${name}/${total.service}/${total.route}`;
       const latest = this.#latestOutcomes.get(key);
-      // In another era of the control plane, the order has only come again.
       const isSameOrder = latest !== undefined &&
         (latest.orderRevision === total.orderRevision ||
-          !kernel.isSameEra(latest.orderRevision, total.orderRevision));
+          this.#options.source.isSameOrder(
+            total.service,
+            latest.orderRevision,
+            total.orderRevision,
+          ));
       const previous = isSameOrder ? latest : undefined;
       this.#latestOutcomes.delete(key);
       this.#latestOutcomes.set(key, total);
--- a/packages/peers/src/peer_reporter_test.ts
+++ b/packages/peers/src/peer_reporter_test.ts
@@ -33,6 +33,7 @@
   /** View of the reporting process itself; mutable. */
   readonly own: { view: reports.ControlPlaneView | undefined };
   readonly localOutcomes: reports.VersionOutcomes[];
+  readonly orderRevisions: number[];
   readonly reportEvents: string[];
 }
 
@@ -48,6 +49,8 @@
     views: [] as reports.ControlPlaneView[],
     own: { view: undefined as reports.ControlPlaneView | undefined },
     localOutcomes: [] as reports.VersionOutcomes[],
+    /** Revisions of one order in different eras. */
+    orderRevisions: [] as number[],
     reportEvents: [] as string[],
   };
   const reporter = new reporters.PeerReporter({
@@ -59,6 +62,10 @@
       listRunning: () => [],
       readView: () => setting.own.view,
       listVersionOutcomes: () => setting.localOutcomes,
+      isSameOrder: (_, ...revisions) =>
+        revisions.every((revision) =>
+          setting.orderRevisions.includes(revision)
+        ),
     },
     listener: {
       onSession: ({ session, version }) =>
@@ -196,32 +203,52 @@
   ]);
 });
 
+const AT_1_3 = kernel.makePosition(1, 3);
+const AT_2_3 = kernel.makePosition(2, 3);
+
+function receiveOutcomes(
+  { channel }: Setting,
+  number: number,
+  orderRevision: number,
+  answers: number,
+): void {
+  channel.onDatagram?.(
+    reports.encodeReport({
+      name: "edge-2",
+      startedAtMs: 5,
+      number,
+      view: undefined,
+      loads: [],
+      running: undefined,
+      sessions: [],
+      versionOutcomes: [
+        { service: "llm", orderRevision, route: "r", answers, failures: [] },
+      ],
+    }),
+    "10.0.0.2",
+  );
+}
+
 // Guards against a good version that is stopped after the control plane was restored: its order came
 // again under another position, and all that peers had reported of it was counted twice.
 test("outcomes of an order that comes again in another era are counted once", (t) => {
   const setting = startReporter(t);
-  const receive = (number: number, orderRevision: number, answers: number) =>
-    setting.channel.onDatagram?.(
-      reports.encodeReport({
-        name: "edge-2",
-        startedAtMs: 5,
-        number,
-        view: undefined,
-        loads: [],
-        running: undefined,
-        sessions: [],
-        versionOutcomes: [
-          { service: "llm", orderRevision, route: "r", answers, failures: [] },
-        ],
-      }),
-      "10.0.0.2",
-    );
-  receive(1, kernel.makePosition(1, 3), 10);
-  receive(2, kernel.makePosition(2, 3), 12);
-  receive(3, kernel.makePosition(2, 7), 1);
+  setting.orderRevisions.push(AT_1_3, AT_2_3);
+  receiveOutcomes(setting, 1, AT_1_3, 10);
+  receiveOutcomes(setting, 2, AT_2_3, 12);
+  receiveOutcomes(setting, 3, kernel.makePosition(2, 7), 1);
   t.deepEqual(setting.peerOutcomes.map(({ answers }) => answers), [10, 2, 1]);
 });
 
+// Guards against EXPOSURE: of what a peer reported for another order in another era, the outcomes of
+// the order before were subtracted, so that evidence was missed.
+test("outcomes of another order in another era are all counted", (t) => {
+  const setting = startReporter(t);
+  receiveOutcomes(setting, 1, AT_1_3, 10);
+  receiveOutcomes(setting, 2, AT_2_3, 12);
+  t.deepEqual(setting.peerOutcomes.map(({ answers }) => answers), [10, 12]);
+});
+
 test("a view that may have been buffered while this process was paused is ignored", (t) => {
   const setting = startReporter(t);
   advance(setting, 100);
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -124,6 +124,7 @@
       source: {
         readView: () => source.readView(),
         listVersionOutcomes: () => source.listVersionOutcomes(),
+        isSameOrder: (...order) => source.isSameOrder(...order),
         listLoads: () =>
           loads.listOwned().map(({ replicaKey, load: { pendingMs } }) => (
             { replicaKey, pendingMs }
--- a/packages/router/src/rollout_task.ts
+++ b/packages/router/src/rollout_task.ts
@@ -142,6 +142,13 @@
     });
   }
 
+  /** Whether two revisions are known to be those of a service's newest order. */
+  isSameOrder(service: string, first: number, second: number): boolean {
+    const order = this.#options.control.orders.get(service);
+    return order !== undefined && decisions.isRevisionOf(order, first) &&
+      decisions.isRevisionOf(order, second);
+  }
+
   /** Records outcomes of a target version that a peer reported. */
   recordPeerOutcomes(counts: peers.VersionOutcomes): void {
     const { control, countReplicas } = this.#options;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -127,6 +127,7 @@
           this.#table.readOwnLoad(key, this.#options.clock.monotonicMs()),
         readView: () => this.#control.view,
         listVersionOutcomes: () => this.#rollouts.listVersionOutcomes(),
+        isSameOrder: (...order) => this.#rollouts.isSameOrder(...order),
         listPromptTallies: () => this.#quarantine.listTallies(),
       },
       listener: {
