--- a/packages/decisions/src/rollout_merge.ts
+++ b/packages/decisions/src/rollout_merge.ts
@@ -1,9 +1,9 @@
 /**
  * What remains valid of orders and records of roll-outs if the control plane is
- * restored from an older copy. Revisions order them within an era only; across
- * eras, the same order is recognised by its content, once, by a process that knew it.
- * A state that was reached is
- * kept, so that neither the copy nor a late writer undoes a verdict.
+ * restored from an older copy. Revisions order them within an era only. Across
+ * eras, a process that knew an order recognises it by its content, once; from then
+ * on, its revisions tell. A state that was reached is kept, so that neither the copy
+ * nor a late writer undoes a verdict.
  */
 import * as kernel from "@jackdawbank/kernel";
 import type * as plan from "./rollout_plan.ts";
