--- a/packages/bench/src/platform_era_test.ts
+++ b/packages/bench/src/platform_era_test.ts
@@ -76,6 +76,42 @@
   t.like(fake.read(RECORD_KEY) as object, { state: "rolled-back" });
 });
 
+// Guards against a completed status over a roll-back: a write that was the first call after the
+// store's return met its condition, since the revision had been given out again.
+test("the first write after the store's return does not replace a record that its writer has not read", async (t) => {
+  const { fake, store } = await openStore(t);
+  fake.copy();
+  const written = (await store.writeRollout(RECORD))._unsafeUnwrap();
+  fake.restore();
+  fake.put(RECORD_KEY, { ...RECORD, state: "rolled-back" });
+  const late = await store.writeRollout({
+    ...RECORD,
+    ...written,
+    state: "completed",
+  } as router.RolloutRecord);
+  t.deepEqual(late._unsafeUnwrap(), { type: "changed" });
+  t.like(fake.read(RECORD_KEY) as object, { state: "rolled-back" });
+  const { items } = (await store.readAll())._unsafeUnwrap();
+  const record = items.find((item) => item.type === "rollout-record")?.record;
+  const next = { ...record, state: "completed" } as router.RolloutRecord;
+  t.is((await store.writeRollout(next))._unsafeUnwrap().type, "written");
+});
+
+// Guards against EXPOSURE while a build is replaced: a build without eras compares a record's order
+// with the revisions of orders, and took each record for one of a newer order.
+test("a record names its order by the revision that builds without eras read, and by its era", async (t) => {
+  const { fake, store } = await openStore(t);
+  const orderRevision = kernel.makePosition(1, 5);
+  await store.writeRollout({ ...RECORD, orderRevision });
+  t.like(fake.read(RECORD_KEY) as object, { orderRevision: 5, orderEra: 1 });
+  const findRecord = async () =>
+    (await store.readAll())._unsafeUnwrap().items
+      .find((item) => item.type === "rollout-record")?.record;
+  t.like(await findRecord(), { orderRevision });
+  fake.put(RECORD_KEY, { ...RECORD, orderRevision: 7 });
+  t.is((await findRecord())?.orderRevision, kernel.makePosition(1, 7));
+});
+
 // Guards against CONFIG: the restored store's counter had passed the process's revision when it
 // watched again, so that it got no 410 and missed all changes below that revision.
 test("a watch from a revision that the restored store has passed reports that the history is lost", async (t) => {
@@ -108,6 +144,60 @@
   t.deepEqual(fake.list("jackdawbank/peers/"), ["jackdawbank/peers/edge-2"]);
 });
 
+const announceEdge = (store: platform.PlatformStore, name: string) =>
+  store.announcePeer({ name, host: "10.0.0.1", port: 1 });
+
+for (const action of ["renewPeer", "withdrawPeer"] as const) {
+  // Guards against processes that are unknown to their peers, and replicas that lose their entries:
+  // a stop at the moment of the store's return ended a lease of another owner, and a renewal
+  // prolonged one.
+  test(`the first call after the store's return, ${action}, leaves another owner's lease alone`, async (t) => {
+    const { fake, store } = await openStore(t);
+    const other = new platform.PlatformStore({
+      host: "127.0.0.1",
+      port: fake.port,
+    });
+    t.teardown(() => other.close());
+    fake.copy();
+    const old = (await announceEdge(store, "edge-1"))._unsafeUnwrap();
+    fake.restore();
+    await announceEdge(other, "edge-2");
+    await store[action](old.id);
+    t.deepEqual(fake.list("jackdawbank/peers/"), ["jackdawbank/peers/edge-2"]);
+    const paths = [...fake.callCounts.keys()];
+    t.deepEqual(paths.filter((path) => /kv-(keep|lease-end)/.test(path)), []);
+  });
+}
+
+// Guards against peers that report to a process that is gone: the copy had its announcement, which it
+// left there when it stopped, since the lease was of the former era.
+test("an announcement that the copy has kept is withdrawn", async (t) => {
+  const { fake, store } = await openStore(t);
+  const { id } = (await announceEdge(store, "edge-1"))._unsafeUnwrap();
+  fake.copy();
+  fake.restore();
+  await store.readAll();
+  await store.withdrawPeer(id);
+  t.deepEqual(fake.list("jackdawbank/peers/"), []);
+});
+
+// Guards against parts of prompts that stay under quarantine, or leave it early: the store returned
+// between the grant of the lease and the write, and the item hung on a lease of another owner.
+test("an item that was written under a lease of the former era is put under a new one", async (t) => {
+  const { fake, store } = await openStore(t);
+  fake.copy();
+  let foreignLease = 0;
+  fake.beforeTransaction = () => {
+    if (foreignLease > 0) return;
+    fake.restore(false);
+    foreignLease = fake.grantLease();
+  };
+  await store.writeQuarantine("part-1", 60_000);
+  t.is(fake.list("jackdawbank/quarantine/").length, 1);
+  fake.endLease(foreignLease);
+  t.is(fake.list("jackdawbank/quarantine/").length, 1);
+});
+
 async function countCalls(
   harness: harnesses.PlatformHarness,
   id: string,
@@ -142,7 +232,8 @@
       copyAt("its first record");
       store.put(RECORD_KEY, {
         ...RECORD,
-        orderRevision: kernel.makePosition(1, orderRevision),
+        orderRevision,
+        orderEra: 1,
         state: "rolled-back",
         bannedVersions: ["v2"],
       });
--- a/packages/decisions/src/rollout_plan.ts
+++ b/packages/decisions/src/rollout_plan.ts
@@ -15,6 +15,8 @@
   readonly durationMs: number;
   /** Revision of the order itself; a new revision starts another roll-out. */
   readonly revision: number;
+  /** Revisions under which this process knew the same order in earlier eras of the store. */
+  readonly formerRevisions?: readonly number[] | undefined;
 }
 
 export type RolloutState = "in-progress" | "completed" | "rolled-back";
@@ -24,6 +26,11 @@
   readonly service: string;
   /** Revision of the record; 0 while it is not stored. */
   readonly revision: number;
+  /**
+   * Id of the write that stored the record, which no other write has. A restored store gives
+   * out revisions again. Absent if a build without ids wrote it.
+   */
+  readonly writeId?: string | undefined;
   /** Revision of the order that the record belongs to. */
   readonly orderRevision: number;
   readonly targetVersion: string;
@@ -62,6 +69,7 @@
   return {
     service: order.service,
     revision: previous?.revision ?? 0,
+    writeId: previous?.writeId,
     orderRevision: order.revision,
     targetVersion: order.targetVersion,
     state: "in-progress",
@@ -92,6 +100,11 @@
   return isPlausible ? elapsedMs : 0;
 }
 
+/** Whether all requests prefer the new version. */
+export function isShifted(elapsedMs: number, durationMs: number): boolean {
+  return elapsedMs >= SHIFT_END * durationMs;
+}
+
 /** Whether new sessions with this fraction use the new version during the trial. */
 export function isTrialSession(
   fraction: number,
@@ -216,7 +229,7 @@
 ): boolean {
   const progress = input.elapsedMs / record.durationMs;
   if (input.session === "new") return true;
-  if (progress >= SHIFT_END) return true;
+  if (isShifted(input.elapsedMs, record.durationMs)) return true;
   if (progress < TRIAL_END) {
     return progress >= TRIAL_START && input.session === undefined &&
       isTrialSession(input.fraction, input.exposureShare);
