A request is passed on when the answers before it on its connection are written

What callers saw: of requests in a row on a connection, all were passed on at once. If an answer before them then ended the connection (one without a length, a stream that broke off, a close for a limit), those behind had run and got no answer: LOST, at any time.

Cause: a request was passed on as soon as it was read, though whether its answer can be written is known only once those before it are.

Nothing starts on a connection that was ended.

Tests changed: "an answer that waits behind a long stream does not close the connection" had the request behind a stream of 3.4 s run within its 800 ms, which is now refused as not run. It asks for the same with a time-out of 8 s, and its answer that waits, which is what the test is about, is a refusal that is written at once (413), after the other. Cost: requests in a row take one turn each.

--- a/packages/bench/src/platform_pipeline_test.ts
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -222,16 +222,25 @@
     // Callers of routes with short gaps bear pauses of 2 s.
     harness.store.putConfiguration({
       ...rest,
-      routes: routes.map((route) => ({ ...route, gapTargetMs: 250 })),
+      routes: routes.map((route) => ({
+        ...route,
+        gapTargetMs: 250,
+        timeoutMs: 8_000,
+      })),
     });
     await harness.start();
     const socket = await harness.connect();
-    const answered = readUntil(socket, /answer to behind\./);
     const received = harnesses.readToEnd(socket);
-    socket.write(renderDraft("draft") + renderRequest(ROUTES.order, "behind"));
-    await Promise.race([answered, received]);
-    socket.destroy();
+    socket.write(
+      renderDraft("draft") + renderRequest(ROUTES.order, "behind") +
+        // A refusal without reading is written at once.
+        renderRequest(ROUTES.order, "refused")
+          .replace("content-length: 6", "content-length: 99999999"),
+    );
     const text = await received;
-    t.regex(text, /piece 14[\s\S]*answer to behind\.$/);
+    t.regex(
+      text,
+      /piece 14[\s\S]*answer to behind\.HTTP\/1\.1 413 [^]*not_run[^]*\}$/,
+    );
     t.is(harness.findLogLines("caller.cut").length, 0);
   }));
--- /dev/null
+++ b/packages/bench/src/platform_turn_test.ts
@@ -0,0 +1,119 @@
+/** Tests that requests in a row on a connection are passed on in their turns. */
+import * as ava from "ava";
+import * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
+import * as harnesses from "./platform_harness.ts";
+
+const { ROUTES, withHarness } = harnesses;
+// Serial, because concurrent tests would distort the delays that they check.
+const test = ava.default.serial;
+
+const ATTEMPT_ID = "x-jackdawbank-attempt-id";
+
+function renderRequest(path: string, id: string, headers = ""): string {
+  return `POST ${path} HTTP/1.1\r\nhost: ${harnesses.HOST}\r\n` +
+    `authorization: Token ${harnesses.KEY}\r\n${headers}` +
+    `${ATTEMPT_ID}: ${id}\r\ncontent-length: 6\r\n\r\ncrates`;
+}
+
+/** The ids of the requests that the replica has run. */
+function listRuns(replica: fakes.FakeReplica): readonly string[] {
+  return replica.received.map(({ headers }) => String(headers[ATTEMPT_ID]));
+}
+
+// Guards against LOST: requests behind an answer that breaks off, or has no length, had been passed
+// on, and were lost with the connection that such an answer ends.
+for (const type of ["reset", "truncated", "unframed-truncated"] as const) {
+  test(`a request behind an answer that may end the connection is passed on in its turn: ${type}`, (t) =>
+    withHarness(async (harness) => {
+      const desk = await harness.addReplica(
+        "i-1",
+        "desk",
+        ({ headers }) =>
+          headers[ATTEMPT_ID] === "one"
+            ? { type }
+            : { type: "ok", body: `answer to ${headers[ATTEMPT_ID]}.` },
+      );
+      await harness.start();
+      const socket = await harness.connect();
+      const received = harnesses.readToEnd(socket);
+      socket.write(
+        renderRequest(ROUTES.order, "one") + renderRequest(ROUTES.order, "two"),
+      );
+      const text = await Promise.race([
+        received,
+        kernel.sleep(1_500).then(() => {
+          socket.destroy();
+          return received;
+        }),
+      ]);
+      t.is(text.includes("answer to two."), listRuns(desk).includes("two"));
+    }));
+}
+
+// Guards against LOST: see above. What is passed on depends on nothing that is not written yet.
+test("a request is passed on once the answer before it is written, and not before", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica("i-1", "desk", () => ({
+      type: "ok",
+      delayMs: 200,
+    }));
+    await harness.start();
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    socket.write(
+      ["one", "two", "three"].map((id) => renderRequest(ROUTES.order, id))
+        .join(""),
+    );
+    while (desk.received.length < 3) await kernel.sleep(5);
+    const [one, two, three] = desk.received;
+    t.true(Number(one?.endedAtMs) <= Number(two?.atMs));
+    t.true(Number(two?.endedAtMs) <= Number(three?.atMs));
+    await kernel.sleep(500);
+    socket.destroy();
+    t.is([...(await received).matchAll(/HTTP\/1\.1 200 /g)].length, 3);
+  }));
+
+// Guards against runs that nobody waits for: the time of a request counts from its arrival.
+test("a request whose deadline passes before its turn is answered, and not run", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica("i-1", "desk", () => ({
+      type: "ok",
+      delayMs: 300,
+    }));
+    await harness.start();
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    const deadline = "x-jackdawbank-deadline-ms: 200\r\n";
+    socket.write(
+      renderRequest(ROUTES.order, "one") +
+        renderRequest(ROUTES.order, "two", deadline) +
+        renderRequest(ROUTES.order, "three"),
+    );
+    await kernel.sleep(1_400);
+    socket.destroy();
+    const text = await received;
+    const statuses = [...text.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, s]) => s);
+    t.deepEqual(statuses, ["200", "504", "200"]);
+    t.regex(text, /"not_run":true/);
+    t.deepEqual(listRuns(desk), ["one", "three"]);
+  }));
+
+// Guards against GONE: a request that waits for its turn is not passed on after its caller has left.
+test("a request that waits for its turn is not passed on once its connection is closed", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica("i-1", "desk", () => ({
+      type: "ok",
+      delayMs: 300,
+    }));
+    await harness.start();
+    const socket = await harness.connect();
+    socket.write(
+      renderRequest(ROUTES.order, "one") + renderRequest(ROUTES.order, "two"),
+    );
+    while (desk.received.length < 1) await kernel.sleep(5);
+    socket.destroy();
+    await kernel.sleep(600);
+    t.deepEqual(listRuns(desk), ["one"]);
+    t.is(harness.router.isReady, true);
+  }));
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -144,7 +144,8 @@
     const state = this.#states.get(socket);
     if (state === undefined || !state.onClosed.delete(onClosed)) return;
     state.onTurn.delete(onClosed);
-    if (socket.destroyed) return;
+    // Nothing is written after a response that ends the connection.
+    if (socket.destroyed || socket.writableEnded) return;
     const [next] = state.onClosed;
     if (next !== undefined) runTurn(state, next);
     if (state.endsWhenAnswered) this.#endIfAnswered(socket);
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -23,6 +23,7 @@
 import * as writers from "./response_writer.ts";
 import * as streamExchanges from "./stream_exchange.ts";
 import * as telemetry from "./telemetry.ts";
+import * as turns from "./request_turn.ts";
 import type * as watchdogs from "./watchdog.ts";
 
 /** Longest wait of a request for the first control plane view after a start. */
@@ -171,9 +172,11 @@
       request.resume();
       return;
     }
+    const waitForTurn = (callback: () => void) =>
+      connections.waitForTurn(socket, end, callback);
     if (expectsContinue) {
       // The runtime would write it after the head of a response that waits for its turn.
-      connections.waitForTurn(socket, end, () => {
+      waitForTurn(() => {
         if (!response.headersSent) response.writeContinue();
       });
     }
@@ -196,7 +199,7 @@
       hold,
       shouldClose: () =>
         this.#isDraining && connections.beginLastResponse(socket, end),
-      waitForTurn: (callback) => connections.waitForTurn(socket, end, callback),
+      waitForTurn,
       onCut: (reason) =>
         this.#options.log.addNotable("caller.cut", { requestId, reason }),
     });
@@ -209,17 +212,23 @@
       );
       requestId = fields.attemptId ?? requestId;
       if (isOverBudget) throw bodies.makeOverBudgetError();
-      const body = await bodies.readBody(request, hold, {
+      const received = await bodies.readBody(request, hold, {
         ...this.#limits,
         deadlineMs: fields.deadlineMs,
         smallChunkBodies: this.#resources.smallChunkBodies,
       }).finally(() => this.#resources.connections.endBody(socket));
+      const { signal } = callerAbort;
+      const body = await turns.holdUntilTurn(received, {
+        hold,
+        signal,
+        waitForTurn,
+      });
       const incoming = incomingRequests.buildIncomingRequest(request, {
         requestId,
         fields,
         body,
         receivedAtMs,
-        signal: callerAbort.signal,
+        signal,
       });
       if (await disconnects.hasCallerDisconnected(incoming.signal)) {
         this.#recordOutcome(
