Too many requests in a row do not take the answers to those before

What callers saw: a 33rd request in a row, one for which there was no memory behind another one, or a body in small chunks behind another request, closed the connection at once, and what had been passed on was lost: LOST, at any time.

Cause: three places destroyed the connection because of its newest request.

Why it works: such a connection takes no further request and ends after the answers to those before. A request that is refused behind another is given up before its turn; the end of a connection no longer takes one that was given up for one that is still being read. After 8 ignored requests the connection is closed at once, as each of them costs memory.

--- a/packages/bench/src/platform_turn_test.ts
+++ b/packages/bench/src/platform_turn_test.ts
@@ -117,3 +117,56 @@
     t.deepEqual(listRuns(desk), ["one"]);
     t.is(harness.router.isReady, true);
   }));
+
+// Guards against LOST: a request beyond the limit of those in a row closed the connection at once,
+// though the requests before it had been read and passed on.
+test("more requests in a row than are read end the connection after the answers to the others", (t) =>
+  withHarness(async (harness) => {
+    const desk = await harness.addReplica("i-1", "desk", ({ headers }) => ({
+      type: "ok",
+      body: `answer to ${headers[ATTEMPT_ID]}.`,
+      delayMs: headers[ATTEMPT_ID] === "r0" ? 400 : 0,
+    }));
+    const { routes, ...rest } = harnesses.buildConfiguration() as {
+      readonly routes: readonly Readonly<Record<string, unknown>>[];
+    };
+    harness.store.putConfiguration({
+      ...rest,
+      routes: routes.map((route) => ({ ...route, timeoutMs: 8_000 })),
+    });
+    await harness.start();
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    const ids = Array.from({ length: 35 }, (_, index) => `r${index}`);
+    for (const id of ids) {
+      socket.write(renderRequest(ROUTES.order, id));
+      if (id === "r31") await kernel.sleep(100);
+    }
+    const text = await received;
+    t.is([...text.matchAll(/answer to r\d+\./g)].length, 32);
+    t.deepEqual(listRuns(desk), ids.slice(0, 32));
+  }));
+
+// Guards against LOST: a body in small chunks that had to give way closed its connection at once,
+// though the request before it had been passed on.
+test("a body in small chunks that gives way does not take the answer before it", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({
+      type: "ok",
+      body: "answer",
+      delayMs: 500,
+    }));
+    await harness.start();
+    const smallChunks = renderRequest(ROUTES.order, "small").replace(
+      /content-length: 6\r\n\r\ncrates$/,
+      "transfer-encoding: chunked\r\n\r\n",
+    ) + "1\r\nx\r\n".repeat(5_000);
+    const others = [await harness.connect(), await harness.connect()];
+    for (const other of others) other.write(smallChunks);
+    await kernel.sleep(100);
+    const socket = await harness.connect();
+    const received = harnesses.readToEnd(socket);
+    socket.write(renderRequest(ROUTES.order, "one") + smallChunks);
+    t.regex(await received, /answer[^]*HTTP\/1\.1 503 /);
+    for (const other of others) other.destroy();
+  }));
--- a/packages/router/src/body_reader.ts
+++ b/packages/router/src/body_reader.ts
@@ -157,6 +157,8 @@
   hold: budgets.RequestHold,
   limits: BodyLimits & {
     readonly smallChunkBodies: smallChunks.SmallChunkBodies;
+    /** Whether no answer to another request is lost if the connection is closed. */
+    readonly mayCloseAtOnce: () => boolean;
   },
 ): Promise<Buffer> {
   checkHead(request, hold, limits);
@@ -187,7 +189,9 @@
       collector.clear();
       // What still arrives is discarded, not queued, until the connection is closed.
       request.on("data", discard);
-      if (options.mustCloseAtOnce === true) request.socket.destroy();
+      if (options.mustCloseAtOnce === true && limits.mayCloseAtOnce()) {
+        request.socket.destroy();
+      }
       reject(new RequestReadError(kind, message, options));
     };
     const failForSmallChunks = () =>
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -8,8 +8,10 @@
 const LINGER_MS = 1_000;
 /** Requests of one connection that are read before their answers are written. */
 const MAX_PIPELINED_REQUESTS = 32;
+/** Requests of one connection that are ignored before it is closed at once. */
+const MAX_IGNORED_REQUESTS = 8;
 
-/** Why a connection was closed. */
+/** Why a connection is closed. */
 export type CloseReason = "idle-longest" | "none-idle" | "pipelined";
 
 export interface CallerConnectionsOptions {
@@ -98,9 +100,9 @@
 
   /**
    * Records a request; returns false if it must not be handled: the connection ends
-   * before it could be answered, or had too many and was closed. `onClosed` is called
-   * if it closes before the end of the response: the runtime reports that for the
-   * response that is being written only.
+   * before it could be answered, or has too many and ends after these. `onClosed` is
+   * called if it closes before the end of the response: the runtime reports that for
+   * the response that is being written only.
    */
   startRequest(
     socket: net.Socket,
@@ -110,12 +112,12 @@
     const state = this.#states.get(socket);
     if (state === undefined) return !socket.destroyed;
     const { maxRequests = MAX_PIPELINED_REQUESTS } = this.#options;
-    if (state.onClosed.size + state.ignoredRequests >= maxRequests) {
-      this.#refusePipelined(socket);
-      return false;
+    if (!state.isLast && state.onClosed.size >= maxRequests) {
+      this.#endPipelined(socket);
     }
     if (state.isLast) {
       state.ignoredRequests += 1;
+      if (state.ignoredRequests > MAX_IGNORED_REQUESTS) socket.destroy();
       return false;
     }
     state.onClosed.add(onClosed);
@@ -126,10 +128,15 @@
     return true;
   }
 
-  /** Closes the connection if another of its requests has no complete response; returns whether it had. */
+  /** Whether another request of the connection has no complete response. */
+  isBehindOthers(socket: net.Socket): boolean {
+    return (this.#states.get(socket)?.onClosed.size ?? 0) > 1;
+  }
+
+  /** Ends the connection after the answers to the requests before; false if there are none. */
   refuseBehindOthers(socket: net.Socket): boolean {
-    const isBehind = (this.#states.get(socket)?.onClosed.size ?? 0) > 1;
-    if (isBehind) this.#refusePipelined(socket);
+    const isBehind = this.isBehindOthers(socket);
+    if (isBehind) this.#endPipelined(socket);
     return isBehind;
   }
 
@@ -144,6 +151,7 @@
     const state = this.#states.get(socket);
     if (state === undefined || !state.onClosed.delete(onClosed)) return;
     state.onTurn.delete(onClosed);
+    if (state.newest === onClosed) state.isReading = false;
     // Nothing is written after a response that ends the connection.
     if (socket.destroyed || socket.writableEnded) return;
     const [next] = state.onClosed;
@@ -222,9 +230,9 @@
     if (!this.isAnswering(socket)) this.endSoon(socket);
   }
 
-  #refusePipelined(socket: net.Socket): void {
+  #endPipelined(socket: net.Socket): void {
     this.#options.onRefused("pipelined");
-    socket.destroy();
+    this.endWhenAnswered(socket);
   }
 
   #remove(socket: net.Socket): void {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -188,7 +188,11 @@
     response.once("close", end);
     const isOverBudget = budget.isExceeded;
     // Its refusal would be held until those before it are answered.
-    if (isOverBudget && connections.refuseBehindOthers(socket)) return;
+    if (isOverBudget && connections.refuseBehindOthers(socket)) {
+      end();
+      request.resume();
+      return;
+    }
     request.once("aborted", () => callerAbort.abort());
     // The close event reports a lost connection; the write error adds no information.
     response.on("error", () => callerAbort.abort());
@@ -216,7 +220,8 @@
         ...this.#limits,
         deadlineMs: fields.deadlineMs,
         smallChunkBodies: this.#resources.smallChunkBodies,
-      }).finally(() => this.#resources.connections.endBody(socket));
+        mayCloseAtOnce: () => !connections.isBehindOthers(socket),
+      }).finally(() => connections.endBody(socket));
       const { signal } = callerAbort;
       const body = await turns.holdUntilTurn(received, {
         hold,
--- a/packages/router/src/request_guard.ts
+++ b/packages/router/src/request_guard.ts
@@ -83,6 +83,8 @@
     response.once("close", end);
     const isOverBudget = budget.isExceeded;
     if (isOverBudget && connections.refuseBehindOthers(socket)) {
+      end();
+      request.resume();
       return neverthrow.err(undefined);
     }
     watchResponse(response, hold);
@@ -93,6 +95,7 @@
         maxBodyBytes: this.#limits.getMaxBodyBytes(),
         deadlineMs: undefined,
         smallChunkBodies,
+        mayCloseAtOnce: () => !connections.isBehindOthers(socket),
       }).finally(() => connections.endBody(socket));
       return neverthrow.ok(body);
     } catch (thrown) {
