A connection that becomes idle after the process accepts no more is ended

What callers saw: a connection whose answer was under way when the process stopped accepting, and whose head said keep-alive, was kept open behind it until the process was gone; its caller's next request met the close.

Cause: idle connections were closed once, and those busy then never.

Why it works: from that moment on a connection ends as soon as it is idle. Requests that arrive behind an answer are still answered before.

Evidence, before: two streams of 2.4 and 3.0 s; their connections ended 0.02 ms apart, with the process.

--- a/packages/bench/src/platform_turn_test.ts
+++ b/packages/bench/src/platform_turn_test.ts
@@ -170,3 +170,43 @@
     t.regex(await received, /answer[^]*HTTP\/1\.1 503 /);
     for (const other of others) other.destroy();
   }));
+
+// Guards against LOST: a connection that had a running request when the process accepted no more was
+// kept open behind its answer, whose head had been written before, until the process was gone.
+test("a connection ends with its answer once the process accepts no more", (t) =>
+  withHarness(async (harness) => {
+    const llm = await harness.addReplica("i-2", "llm", ({ headers }) => ({
+      type: "stream",
+      events: headers[ATTEMPT_ID] === "short" ? 24 : 30,
+      confidence: 100,
+      eventIntervalMs: 100,
+    }));
+    await harness.start({ graceMs: 4_000 });
+    const ends: Promise<{ readonly text: string; readonly atMs: number }>[] =
+      [];
+    for (const id of ["short", "long"]) {
+      const socket = await harness.connect();
+      ends.push(
+        harnesses.readToEnd(socket).then((text) => ({
+          text,
+          atMs: performance.now(),
+        })),
+      );
+      socket.write(
+        renderRequest(
+          ROUTES.draft,
+          id,
+          "x-jackdawbank-model: *\r\nx-jackdawbank-token-usage: 600,80\r\n",
+        ),
+      );
+    }
+    while (llm.received.length < 2) await kernel.sleep(5);
+    await kernel.sleep(150);
+    const stopped = harness.router.stop("SIGTERM");
+    const [short, long] = await Promise.all(ends);
+    t.regex(short?.text ?? "", /piece 24\n[^]*\r\n0\r\n\r\n$/);
+    t.regex(long?.text ?? "", /piece 30\n[^]*\r\n0\r\n\r\n$/);
+    const apartMs = Number(long?.atMs) - Number(short?.atMs);
+    t.true(apartMs > 300, `${apartMs} ms`);
+    await stopped;
+  }));
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -56,6 +56,7 @@
   readonly #states = new Map<net.Socket, ConnectionState>();
   /** Connections without a request, longest idle first. */
   readonly #idle = new Set<net.Socket>();
+  #endsIdle = false;
 
   constructor(options: CallerConnectionsOptions) {
     this.#options = options;
@@ -157,7 +158,7 @@
     const [next] = state.onClosed;
     if (next !== undefined) runTurn(state, next);
     if (state.endsWhenAnswered) this.#endIfAnswered(socket);
-    else if (state.onClosed.size === 0) this.#idle.add(socket);
+    else if (state.onClosed.size === 0) this.#becomeIdle(socket);
   }
 
   /** Calls back once the responses before that of a request are written, or now if they are. */
@@ -221,9 +222,15 @@
     this.#endIfAnswered(socket);
   }
 
-  /** Ends all idle connections. */
-  closeIdle(): void {
-    for (const socket of this.#idle) socket.end();
+  /** Ends all idle connections, and from now on each one that becomes idle. */
+  endIdle(): void {
+    this.#endsIdle = true;
+    for (const socket of this.#idle) this.endSoon(socket);
+  }
+
+  #becomeIdle(socket: net.Socket): void {
+    this.#idle.add(socket);
+    if (this.#endsIdle) this.endSoon(socket);
   }
 
   #endIfAnswered(socket: net.Socket): void {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -131,12 +131,12 @@
     this.#isDraining = true;
   }
 
-  /** Refuses further requests and closes idle connections. */
+  /** Refuses further requests, and ends connections that are idle or become so. */
   stopAccepting(): void {
     this.#isRefusing = true;
     // http.Server.close would also close connections whose responses are still being written.
     net.Server.prototype.close.call(this.#server);
-    this.#resources.connections.closeIdle();
+    this.#resources.connections.endIdle();
   }
 
   /** Closes all connections, also those with requests in flight. */
