The head of a stream does not close the connection of a stopping process

What callers saw: after SIGTERM a stream began with "connection: close"; a whole request behind it, sent while the process still accepted, was ignored and its connection ended with the stream, up to seconds later: LOST.

Cause: whether a response closes its connection was decided at its head, which for a stream comes long before its end.

Why it works: only responses that are ended at once close their connection; one that becomes idle after the process accepts no more is ended anyway.

Evidence: platform_pipeline "a request behind a stream of a stopping process is answered", before: nothing after the last piece.

Tests changed: "a request behind an answer that closes the connection is not passed on" used a stream, whose head closes nothing any more. With a stream the request behind must now be answered; that nothing is passed on behind a close is asserted with an ordinary answer and a half-open caller.

--- a/packages/bench/src/platform_pipeline_test.ts
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -1,5 +1,5 @@
 /** Tests what becomes of requests on kept connections that are closed, around a stop above all. */
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as ava from "ava";
 import * as fakes from "@jackdawbank/fakes";
 import * as kernel from "@jackdawbank/kernel";
@@ -86,6 +86,22 @@
     }));
 }
 
+/** Connects a caller that goes on sending after the end of its connection. */
+async function connectHalfOpen(
+  harness: harnesses.PlatformHarness,
+): Promise<net.Socket> {
+  const probe = await harness.connect();
+  const { remotePort, remoteAddress } = probe;
+  probe.destroy();
+  const socket = net.connect({
+    port: Number(remotePort),
+    host: String(remoteAddress),
+    allowHalfOpen: true,
+  });
+  await new Promise((resolve) => socket.once("connect", resolve));
+  return socket;
+}
+
 function readUntil(socket: net.Socket, pattern: RegExp): Promise<void> {
   return new Promise((resolve) => {
     let text = "";
@@ -96,9 +112,9 @@
   });
 }
 
-// Guards against LOST: a request that came behind an answer that closes its connection was passed
-// on, though it could not be answered any more.
-test("a request behind an answer that closes the connection is not passed on", (t) =>
+// Guards against LOST: the head of a stream closed the connection, so that a request that came behind it
+// while the process still accepted was lost with the connection.
+test("a request behind a stream of a stopping process is answered", (t) =>
   withHarness(async (harness) => {
     const desk = await addDesk(harness);
     await harness.addReplica("i-2", "llm", () => ({
@@ -107,6 +123,7 @@
       confidence: 100,
       eventIntervalMs: 100,
     }));
+    extendTimeouts(harness);
     await harness.start({ graceMs: 4_000 });
     const stopped = harness.router.stop("SIGTERM");
     const socket = await harness.connect();
@@ -115,10 +132,32 @@
     socket.write(renderDraft("draft"));
     await begun;
     socket.write(renderRequest(ROUTES.order, "behind"));
-    const text = await received;
-    t.regex(text, /piece 6[\s\S]*\r\n0\r\n\r\n$/);
-    t.deepEqual(listRuns(desk), []);
+    t.regex(
+      await received,
+      /piece 6[^]*\r\n0\r\n\r\nHTTP\/1\.1 200 [^]*answer to behind\.$/,
+    );
+    t.deepEqual(listRuns(desk), ["behind"]);
+    await stopped;
+  }));
+
+// Guards against LOST: a request that came behind an answer that closes its connection was passed
+// on, though it could not be answered any more.
+test("a request behind an answer that closes the connection is not passed on", (t) =>
+  withHarness(async (harness) => {
+    const desk = await addDesk(harness, { one: 50 });
+    await harness.start({ graceMs: 4_000 });
+    const stopped = harness.router.stop("SIGTERM");
+    const socket = await connectHalfOpen(harness);
+    const received = harnesses.readToEnd(socket);
+    const answered = readUntil(socket, /connection: close[^]*answer to one\./i);
+    socket.write(renderRequest(ROUTES.order, "one"));
+    await answered;
+    socket.write(renderRequest(ROUTES.order, "behind"));
+    await kernel.sleep(300);
+    socket.destroy();
+    t.deepEqual(listAnswered(await received), ["one"]);
     await stopped;
+    t.deepEqual(listRuns(desk), ["one"]);
   }));
 
 // Guards against LOST: a request with a body that is too large ended its connection at once, though
--- a/packages/router/src/response_writer.ts
+++ b/packages/router/src/response_writer.ts
@@ -82,7 +82,8 @@
   }
 
   start(status: number, rawHeaders: readonly string[]): void {
-    this.#writeHead(status, listForwardedHeaders(rawHeaders));
+    // What arrives behind a response that takes time is answered, too.
+    this.#response.writeHead(status, listForwardedHeaders(rawHeaders));
   }
 
   /** Sets for how long the caller may take no part of the response: as long as it waits for one. */
@@ -209,6 +210,7 @@
     this.#response.destroy();
   }
 
+  /** Writes the head of a response that is ended at once. */
   #writeHead(status: number, headers: string[]): void {
     if (this.#shouldClose()) headers.push("connection", "close");
     this.#response.writeHead(status, headers);
