A refusal that ends its connection says so, and nothing behind it is passed on

What callers saw: a refused request (413, 431, 408, over the memory budget) was answered with "Connection: keep-alive", and its connection ended. An ordinary keep-alive client lost its next call; one that crossed the end was passed on and not answered: LOST, at any time.

Cause: the connection was ended beside the response, which did not know of it, and an ended connection still took requests.

Why it works: such a refusal closes its connection as every last response does, unless further requests are behind it; an ended connection takes no request. The runtime destroys a connection after its last response, which resets it if bytes are unread; it is ended instead, and what still arrives is discarded for up to a second, as was done after refusals.

Evidence: platform_pipeline "a refusal that ends its connection says so", before: 431 with "Connection: keep-alive".

--- a/packages/bench/src/platform_pipeline_test.ts
+++ b/packages/bench/src/platform_pipeline_test.ts
@@ -288,3 +288,26 @@
     );
     t.is(harness.findLogLines("caller.cut").length, 0);
   }));
+
+// Guards against LOST: a refusal said keep-alive and ended its connection; a request that crossed the
+// end was passed on, and not answered.
+test("a refusal that ends its connection says so, and nothing behind it is passed on", (t) =>
+  withHarness(async (harness) => {
+    const desk = await addDesk(harness);
+    await harness.start();
+    const socket = await connectHalfOpen(harness);
+    const received = harnesses.readToEnd(socket);
+    const refused = readUntil(socket, /HTTP\/1\.1 431 /);
+    socket.write(
+      renderRequest(ROUTES.order, "one").replace(
+        "content-length",
+        `x-long: ${"x".repeat(9_000)}\r\ncontent-length`,
+      ),
+    );
+    await refused;
+    socket.write(renderRequest(ROUTES.order, "two"));
+    await kernel.sleep(300);
+    socket.destroy();
+    t.regex(await received, /^HTTP\/1\.1 431 [^]*\r\nconnection: close\r\n/i);
+    t.deepEqual(listRuns(desk), []);
+  }));
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -91,6 +91,9 @@
     };
     this.#states.set(socket, state);
     this.#idle.add(socket);
+    // The runtime calls this after a last response; to close a connection with
+    // unread bytes would reset it, and could take the end of the response.
+    socket.destroySoon = () => this.endSoon(socket);
     onOpened();
     socket.once("close", () => {
       this.#remove(socket);
@@ -153,8 +156,12 @@
     if (state === undefined || !state.onClosed.delete(onClosed)) return;
     state.onTurn.delete(onClosed);
     if (state.newest === onClosed) state.isReading = false;
+    if (socket.destroyed) return;
     // Nothing is written after a response that ends the connection.
-    if (socket.destroyed || socket.writableEnded) return;
+    if (socket.writableEnded) {
+      if (state.onClosed.size === 0) this.#idle.add(socket);
+      return;
+    }
     const [next] = state.onClosed;
     if (next !== undefined) runTurn(state, next);
     if (state.endsWhenAnswered) this.#endIfAnswered(socket);
@@ -196,6 +203,8 @@
 
   /** Ends a connection after what was written; its caller may not keep it open. */
   endSoon(socket: net.Socket): void {
+    const state = this.#states.get(socket);
+    if (state !== undefined) state.isLast = true;
     socket.end();
     const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
     socket.once("close", () => clearTimeout(timer));
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -202,11 +202,13 @@
       codec: this.#options.codec,
       hold,
       shouldClose: () =>
-        this.#isDraining && connections.beginLastResponse(socket, end),
+        (this.#isDraining || isUnread) &&
+        connections.beginLastResponse(socket, end),
       waitForTurn,
       onCut: (reason) =>
         this.#options.log.addNotable("caller.cut", { requestId, reason }),
     });
+    let isUnread = false;
     let outcome: requests.RequestOutcome;
     let route = "none";
     try {
@@ -248,12 +250,10 @@
       outcome = exchanged.outcome;
       route = exchanged.route;
     } catch (thrown) {
-      outcome = this.#handleFailure(thrown, {
-        requestId,
-        writer,
-        socket,
-        signal: callerAbort.signal,
-      });
+      // The rest of the request is not read, so the connection cannot be reused.
+      isUnread = thrown instanceof bodies.RequestReadError;
+      const { signal } = callerAbort;
+      outcome = this.#handleFailure(thrown, { requestId, writer, signal });
       // What is left of the exchange must not go on.
       callerAbort.abort();
     }
@@ -313,17 +313,14 @@
 
   #handleFailure(
     thrown: unknown,
-    { requestId, writer, socket, signal }: {
+    { requestId, writer, signal }: {
       readonly requestId: string;
       readonly writer: requests.CallerResponseWriter;
-      readonly socket: net.Socket;
       readonly signal: AbortSignal;
     },
   ): requests.RequestOutcome {
     const reason = kernel.describeThrown(thrown);
     if (thrown instanceof bodies.RequestReadError) {
-      // The rest of the request is not read, so the connection cannot be reused.
-      setImmediate(() => this.#resources.connections.endAfterRefusal(socket));
       writer.refuse(
         kernel.makeError(thrown.kind, reason),
         kernel.findErrorResponse(thrown.kind).retry === "later"
