The guard of own listeners discards the bodies of ignored requests

As the callers' server does, so that an ignored request does not stop the reading of its connection. Found by reading; its test asserts that such a connection is not reset and all 32 answers before are received, and did not fail before (tried with 1, 4 and 30 MB), so that no caller is shown to have met it.

--- a/packages/router/src/request_guard.ts
+++ b/packages/router/src/request_guard.ts
@@ -75,7 +75,8 @@
       hold.close();
       connections.endRequest(socket, end);
     };
-    if (!connections.startRequest(socket, end)) {
+    if (!connections.startRequest(socket, end, () => request.complete)) {
+      request.resume();
       return neverthrow.err(undefined);
     }
     const headBytes = bodies.measureHead(request);
