Own listeners write an interim response in its turn

Why it works: the listener handles such requests itself and writes the interim response when the answers before are written, or not at all if the final one has begun. The drain of the listener counts these requests, too.

--- a/packages/admin/src/connection_drain.ts
+++ b/packages/admin/src/connection_drain.ts
@@ -18,10 +18,15 @@
       this.#unwritten.set(socket, 0);
       socket.once("close", () => this.#unwritten.delete(socket));
     });
-    server.on("request", (request, response) => {
-      this.#add(request.socket, 1);
-      response.once("close", () => this.#add(request.socket, -1));
-    });
+    const record = (
+      { socket }: http.IncomingMessage,
+      response: http.ServerResponse,
+    ) => {
+      this.#add(socket, 1);
+      response.once("close", () => this.#add(socket, -1));
+    };
+    server.on("request", record);
+    server.on("checkContinue", record);
   }
 
   /** Accepts no more connections; resolves when all are closed. */
--- a/packages/admin/src/server.ts
+++ b/packages/admin/src/server.ts
@@ -123,6 +123,7 @@
   readBody(
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    expectsContinue?: boolean,
   ): Promise<neverthrow.Result<Buffer, kernel.AppError | undefined>>;
 }
 
@@ -149,8 +150,9 @@
   const handle = async (
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    expectsContinue: boolean,
   ) => {
-    const body = await guard.readBody(request, response);
+    const body = await guard.readBody(request, response, expectsContinue);
     if (body.isOk()) {
       // The adapter takes the body from here, as the request has been read.
       await pass(Object.assign(request, { rawBody: body.value }), response);
@@ -165,8 +167,11 @@
   };
   const server = http.createServer(
     guard.serverOptions,
-    (request, response) => void handle(request, response),
+    (request, response) => void handle(request, response, false),
   );
+  server.on("checkContinue", (request, response) => {
+    void handle(request, response, true);
+  });
   server.on("connection", (socket: net.Socket) => guard.accept(socket));
   return server;
 }
--- a/packages/router/src/request_guard.ts
+++ b/packages/router/src/request_guard.ts
@@ -65,6 +65,7 @@
   async readBody(
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    expectsContinue = false,
   ): Promise<neverthrow.Result<Buffer, kernel.AppError | undefined>> {
     const { socket } = request;
     const { budget, connections, smallChunkBodies } = this.#resources;
@@ -79,6 +80,12 @@
       request.resume();
       return neverthrow.err(undefined);
     }
+    if (expectsContinue) {
+      // The runtime would write it after the head of a response that waits for its turn.
+      connections.waitForTurn(socket, end, () => {
+        if (!response.headersSent) response.writeContinue();
+      });
+    }
     const headBytes = bodies.measureHead(request);
     const hold = budget.open(socket.remoteAddress ?? "", headBytes);
     response.once("close", end);
