--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -8,8 +8,10 @@
 const LINGER_MS = 1_000;
 /** Requests of one connection that are read before their answers are written. */
 const MAX_PIPELINED_REQUESTS = 32;
+/** Requests of one connection that are ignored before it is closed at once. */
+const MAX_IGNORED_REQUESTS = 8;
 
-/** Why a connection was closed. */
+/** Why a connection is closed. */
 export type CloseReason = "idle-longest" | "none-idle" | "pipelined";
 
 export interface CallerConnectionsOptions {
@@ -54,6 +56,7 @@
   readonly #states = new Map<net.Socket, ConnectionState>();
   /** Connections without a request, longest idle first. */
   readonly #idle = new Set<net.Socket>();
+  #endsIdle = false;
 
   constructor(options: CallerConnectionsOptions) {
     this.#options = options;
@@ -88,6 +91,9 @@
     };
     this.#states.set(socket, state);
     this.#idle.add(socket);
+    // The runtime calls this after a last response; to close a connection with
+    // unread bytes would reset it, and could take the end of the response.
+    socket.destroySoon = () => this.endSoon(socket);
     onOpened();
     socket.once("close", () => {
       this.#remove(socket);
@@ -98,9 +104,9 @@
 
   /**
    * Records a request; returns false if it must not be handled: the connection ends
-   * before it could be answered, or had too many and was closed. `onClosed` is called
-   * if it closes before the end of the response: the runtime reports that for the
-   * response that is being written only.
+   * before it could be answered, or has too many and ends after these. `onClosed` is
+   * called if it closes before the end of the response: the runtime reports that for
+   * the response that is being written only.
    */
   startRequest(
     socket: net.Socket,
@@ -110,12 +116,12 @@
     const state = this.#states.get(socket);
     if (state === undefined) return !socket.destroyed;
     const { maxRequests = MAX_PIPELINED_REQUESTS } = this.#options;
-    if (state.onClosed.size + state.ignoredRequests >= maxRequests) {
-      this.#refusePipelined(socket);
-      return false;
+    if (!state.isLast && state.onClosed.size >= maxRequests) {
+      this.#endPipelined(socket);
     }
     if (state.isLast) {
       state.ignoredRequests += 1;
+      if (state.ignoredRequests > MAX_IGNORED_REQUESTS) socket.destroy();
       return false;
     }
     state.onClosed.add(onClosed);
@@ -126,10 +132,15 @@
     return true;
   }
 
-  /** Closes the connection if another of its requests has no complete response; returns whether it had. */
+  /** Whether another request of the connection has no complete response. */
+  isBehindOthers(socket: net.Socket): boolean {
+    return (this.#states.get(socket)?.onClosed.size ?? 0) > 1;
+  }
+
+  /** Ends the connection after the answers to the requests before; false if there are none. */
   refuseBehindOthers(socket: net.Socket): boolean {
-    const isBehind = (this.#states.get(socket)?.onClosed.size ?? 0) > 1;
-    if (isBehind) this.#refusePipelined(socket);
+    const isBehind = this.isBehindOthers(socket);
+    if (isBehind) this.#endPipelined(socket);
     return isBehind;
   }
 
@@ -144,11 +155,17 @@
     const state = this.#states.get(socket);
     if (state === undefined || !state.onClosed.delete(onClosed)) return;
     state.onTurn.delete(onClosed);
+    if (state.newest === onClosed) state.isReading = false;
     if (socket.destroyed) return;
+    // Nothing is written after a response that ends the connection.
+    if (socket.writableEnded) {
+      if (state.onClosed.size === 0) this.#idle.add(socket);
+      return;
+    }
     const [next] = state.onClosed;
     if (next !== undefined) runTurn(state, next);
     if (state.endsWhenAnswered) this.#endIfAnswered(socket);
-    else if (state.onClosed.size === 0) this.#idle.add(socket);
+    else if (state.onClosed.size === 0) this.#becomeIdle(socket);
   }
 
   /** Calls back once the responses before that of a request are written, or now if they are. */
@@ -186,6 +203,8 @@
 
   /** Ends a connection after what was written; its caller may not keep it open. */
   endSoon(socket: net.Socket): void {
+    const state = this.#states.get(socket);
+    if (state !== undefined) state.isLast = true;
     socket.end();
     const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
     socket.once("close", () => clearTimeout(timer));
@@ -212,18 +231,24 @@
     this.#endIfAnswered(socket);
   }
 
-  /** Ends all idle connections. */
-  closeIdle(): void {
-    for (const socket of this.#idle) socket.end();
+  /** Ends all idle connections, and from now on each one that becomes idle. */
+  endIdle(): void {
+    this.#endsIdle = true;
+    for (const socket of this.#idle) this.endSoon(socket);
+  }
+
+  #becomeIdle(socket: net.Socket): void {
+    this.#idle.add(socket);
+    if (this.#endsIdle) this.endSoon(socket);
   }
 
   #endIfAnswered(socket: net.Socket): void {
     if (!this.isAnswering(socket)) this.endSoon(socket);
   }
 
-  #refusePipelined(socket: net.Socket): void {
+  #endPipelined(socket: net.Socket): void {
     this.#options.onRefused("pipelined");
-    socket.destroy();
+    this.endWhenAnswered(socket);
   }
 
   #remove(socket: net.Socket): void {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -23,6 +23,7 @@
 import * as writers from "./response_writer.ts";
 import * as streamExchanges from "./stream_exchange.ts";
 import * as telemetry from "./telemetry.ts";
+import * as turns from "./request_turn.ts";
 import type * as watchdogs from "./watchdog.ts";
 
 /** Longest wait of a request for the first control plane view after a start. */
@@ -130,12 +131,12 @@
     this.#isDraining = true;
   }
 
-  /** Refuses further requests and closes idle connections. */
+  /** Refuses further requests, and ends connections that are idle or become so. */
   stopAccepting(): void {
     this.#isRefusing = true;
     // http.Server.close would also close connections whose responses are still being written.
     net.Server.prototype.close.call(this.#server);
-    this.#resources.connections.closeIdle();
+    this.#resources.connections.endIdle();
   }
 
   /** Closes all connections, also those with requests in flight. */
@@ -171,9 +172,11 @@
       request.resume();
       return;
     }
+    const waitForTurn = (callback: () => void) =>
+      connections.waitForTurn(socket, end, callback);
     if (expectsContinue) {
       // The runtime would write it after the head of a response that waits for its turn.
-      connections.waitForTurn(socket, end, () => {
+      waitForTurn(() => {
         if (!response.headersSent) response.writeContinue();
       });
     }
@@ -185,7 +188,11 @@
     response.once("close", end);
     const isOverBudget = budget.isExceeded;
     // Its refusal would be held until those before it are answered.
-    if (isOverBudget && connections.refuseBehindOthers(socket)) return;
+    if (isOverBudget && connections.refuseBehindOthers(socket)) {
+      end();
+      request.resume();
+      return;
+    }
     request.once("aborted", () => callerAbort.abort());
     // The close event reports a lost connection; the write error adds no information.
     response.on("error", () => callerAbort.abort());
@@ -195,11 +202,13 @@
       codec: this.#options.codec,
       hold,
       shouldClose: () =>
-        this.#isDraining && connections.beginLastResponse(socket, end),
-      waitForTurn: (callback) => connections.waitForTurn(socket, end, callback),
+        (this.#isDraining || isUnread) &&
+        connections.beginLastResponse(socket, end),
+      waitForTurn,
       onCut: (reason) =>
         this.#options.log.addNotable("caller.cut", { requestId, reason }),
     });
+    let isUnread = false;
     let outcome: requests.RequestOutcome;
     let route = "none";
     try {
@@ -209,20 +218,24 @@
       );
       requestId = fields.attemptId ?? requestId;
       if (isOverBudget) throw bodies.makeOverBudgetError();
-      const body = await bodies.readBody(request, hold, {
+      const received = await bodies.readBody(request, hold, {
         ...this.#limits,
         deadlineMs: fields.deadlineMs,
         smallChunkBodies: this.#resources.smallChunkBodies,
+        mayCloseAtOnce: () => !connections.isBehindOthers(socket),
       }).finally(() => connections.endBody(socket));
-      // Undeclared; the runtime would close the connection after a response without an
-      // interim one, as it cannot know whether the body comes. It has come.
-      Object.assign(response, { _expect_continue: false });
+      const { signal } = callerAbort;
+      const body = await turns.holdUntilTurn(received, {
+        hold,
+        signal,
+        waitForTurn,
+      });
       const incoming = incomingRequests.buildIncomingRequest(request, {
         requestId,
         fields,
         body,
         receivedAtMs,
-        signal: callerAbort.signal,
+        signal,
       });
       if (await disconnects.hasCallerDisconnected(incoming.signal)) {
         this.#recordOutcome(
@@ -237,12 +250,10 @@
       outcome = exchanged.outcome;
       route = exchanged.route;
     } catch (thrown) {
-      outcome = this.#handleFailure(thrown, {
-        requestId,
-        writer,
-        socket,
-        signal: callerAbort.signal,
-      });
+      // The rest of the request is not read, so the connection cannot be reused.
+      isUnread = thrown instanceof bodies.RequestReadError;
+      const { signal } = callerAbort;
+      outcome = this.#handleFailure(thrown, { requestId, writer, signal });
       // What is left of the exchange must not go on.
       callerAbort.abort();
     }
@@ -302,17 +313,14 @@
 
   #handleFailure(
     thrown: unknown,
-    { requestId, writer, socket, signal }: {
+    { requestId, writer, signal }: {
       readonly requestId: string;
       readonly writer: requests.CallerResponseWriter;
-      readonly socket: net.Socket;
       readonly signal: AbortSignal;
     },
   ): requests.RequestOutcome {
     const reason = kernel.describeThrown(thrown);
     if (thrown instanceof bodies.RequestReadError) {
-      // The rest of the request is not read, so the connection cannot be reused.
-      setImmediate(() => this.#resources.connections.endAfterRefusal(socket));
       writer.refuse(
         kernel.makeError(thrown.kind, reason),
         kernel.findErrorResponse(thrown.kind).retry === "later"
--- a/packages/router/src/request_guard.ts
+++ b/packages/router/src/request_guard.ts
@@ -65,6 +65,7 @@
   async readBody(
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    expectsContinue = false,
   ): Promise<neverthrow.Result<Buffer, kernel.AppError | undefined>> {
     const { socket } = request;
     const { budget, connections, smallChunkBodies } = this.#resources;
@@ -75,14 +76,23 @@
       hold.close();
       connections.endRequest(socket, end);
     };
-    if (!connections.startRequest(socket, end)) {
+    if (!connections.startRequest(socket, end, () => request.complete)) {
+      request.resume();
       return neverthrow.err(undefined);
     }
+    if (expectsContinue) {
+      // The runtime would write it after the head of a response that waits for its turn.
+      connections.waitForTurn(socket, end, () => {
+        if (!response.headersSent) response.writeContinue();
+      });
+    }
     const headBytes = bodies.measureHead(request);
     const hold = budget.open(socket.remoteAddress ?? "", headBytes);
     response.once("close", end);
     const isOverBudget = budget.isExceeded;
     if (isOverBudget && connections.refuseBehindOthers(socket)) {
+      end();
+      request.resume();
       return neverthrow.err(undefined);
     }
     watchResponse(response, hold);
@@ -93,6 +103,7 @@
         maxBodyBytes: this.#limits.getMaxBodyBytes(),
         deadlineMs: undefined,
         smallChunkBodies,
+        mayCloseAtOnce: () => !connections.isBehindOthers(socket),
       }).finally(() => connections.endBody(socket));
       return neverthrow.ok(body);
     } catch (thrown) {
