--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -10,6 +10,7 @@
 import * as fleets from "./fleet.ts";
 import * as bodyRooms from "./body_rooms.ts";
 import * as callerServers from "./caller_server.ts";
+import * as gauges from "./router_gauges.ts";
 import * as places from "./places.ts";
 import * as colds from "./cold_replicas.ts";
 import * as quarantines from "./prompt_quarantine.ts";
@@ -28,8 +29,6 @@
 const SESSION_TTL_GAPS = 3;
 /** The process reports not ready if its view is older than this share of the revocation bound. */
 const READY_MAX_AGE_SHARE = 0.7;
-/** The view age is infinite before the first read; the gauge is capped. */
-const MAX_VIEW_AGE_GAUGE_MS = 3_600_000;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_NOT_FOUND = 404;
@@ -237,7 +236,11 @@
       new telemetry.MetricsServer(
         this.#telemetry,
         options.metrics.path,
-        () => this.#updateGauges(),
+        () =>
+          gauges.updateGauges({
+            ...dispatcher.dependencies,
+            callerServer: this.#callerServer,
+          }),
         new explainEndpoints.ExplainEndpoint(
           new explanations.Explainer(dispatcher, this.#control),
         ),
@@ -372,29 +375,6 @@
     }
     response.writeHead(isReady ? HTTP_OK : HTTP_UNAVAILABLE).end();
   }
-
-  #updateGauges(): void {
-    const { droppedLines } = this.#options.log;
-    const viewAgeMs = Math.min(MAX_VIEW_AGE_GAUGE_MS, this.#control.viewAgeMs);
-    const gauges = {
-      ...this.#callerServer.readGauges(),
-      ...this.#table.speeds.readGauges(
-        this.#control.routeIndex?.serviceByName.keys() ?? [],
-        this.#options.clock.monotonicMs(),
-      ),
-      requests_in_flight: this.#callerServer.inFlight,
-      replicas: this.#table.size,
-      cold_replicas: this.#fleet.countCold(),
-      quarantined_parts: this.#quarantine.size,
-      evacuated_data_centres: this.#places.evacuatedCount,
-      view_age_ms: viewAgeMs,
-      table_revision: this.#control.routeIndex?.table.revision ?? 0,
-      log_dropped_lines: droppedLines,
-    };
-    for (const [name, value] of Object.entries(gauges)) {
-      this.#telemetry.setGauge(name, value);
-    }
-  }
 }
 
 /** Starts a router and registers its tear-down with a kernel. */
--- /dev/null
+++ b/packages/router/src/router_gauges.ts
@@ -0,0 +1,51 @@
+/** Gauges of a router process, read when its metrics are asked for. */
+import type * as callerServers from "./caller_server.ts";
+import type * as parts from "./dispatcher_dependencies.ts";
+
+/** The view age is infinite before the first read; the gauge is capped. */
+const MAX_VIEW_AGE_GAUGE_MS = 3_600_000;
+
+/** Parts of the router whose state the gauges show. */
+export interface GaugeSources extends
+  Pick<
+    parts.DispatcherDependencies,
+    | "clock"
+    | "control"
+    | "fleet"
+    | "log"
+    | "places"
+    | "quarantine"
+    | "table"
+    | "telemetry"
+  > {
+  readonly callerServer: Pick<
+    callerServers.CallerServer,
+    "inFlight" | "readGauges"
+  >;
+}
+
+/** Sets all gauges to their current values. */
+export function updateGauges(
+  { clock, control, fleet, log, places, quarantine, table, ...rest }:
+    GaugeSources,
+): void {
+  const { callerServer, telemetry } = rest;
+  const gauges = {
+    ...callerServer.readGauges(),
+    ...table.speeds.readGauges(
+      control.routeIndex?.serviceByName.keys() ?? [],
+      clock.monotonicMs(),
+    ),
+    requests_in_flight: callerServer.inFlight,
+    replicas: table.size,
+    cold_replicas: fleet.countCold(),
+    quarantined_parts: quarantine.size,
+    evacuated_data_centres: places.evacuatedCount,
+    view_age_ms: Math.min(MAX_VIEW_AGE_GAUGE_MS, control.viewAgeMs),
+    table_revision: control.routeIndex?.table.revision ?? 0,
+    log_dropped_lines: log.droppedLines,
+  };
+  for (const [name, value] of Object.entries(gauges)) {
+    telemetry.setGauge(name, value);
+  }
+}
