--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -157,6 +157,7 @@
   async close(): Promise<void> {
     this.#abort.abort();
     this.#replicas.close();
+    this.#rollouts.close();
     await this.#options.controlPlane.close();
     await this.#loop;
   }
