--- a/packages/bench/src/soak/entry_machine.ts
+++ b/packages/bench/src/soak/entry_machine.ts
@@ -11,7 +11,6 @@
 export const CALLERS_PORT = 8_227;
 const READINESS_PORT = 8_220;
 const INTERNAL_PORTS = [7_340, 7_355] as const;
-const READINESS_PATH = "/-/readyz";
 const READINESS_TIMEOUT_MS = 900;
 const HEAP_LIMIT_MB = 96;
 const STARTED_EVENT = '"event":"process.started"';
@@ -204,7 +203,7 @@
       const request = http.get({
         host: this.ip,
         port: READINESS_PORT,
-        path: READINESS_PATH,
+        path: fakes.samples.READINESS_PATH,
         agent: false,
         timeout: READINESS_TIMEOUT_MS,
       }, (response) => {
--- a/packages/fakes/src/platform_sample.ts
+++ b/packages/fakes/src/platform_sample.ts
@@ -4,6 +4,8 @@
 export const HOST = "shop.example";
 export const KEY = "key-of-lodge";
 export const ACCOUNT = "lodge";
+/** Path of the platform's readiness probe. */
+export const READINESS_PATH = "/-/readyz";
 
 /**
  * Path prefixes of the sample routes. `order` must not be repeated, `check` and
