A stop accepts the connections that wait before it ends idle ones

Cause: the runtime accepts one connection in each turn of its event loop.

Fix: waiting connections are accepted first, for at most 200 ms; then the listening socket is closed, what has arrived is read, and refused; then idle connections are ended, so that none is unread.

--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -57,6 +57,7 @@
   /** Connections without a request, longest idle first. */
   readonly #idle = new Set<net.Socket>();
   #endsIdle = false;
+  #acceptedCount = 0;
 
   constructor(options: CallerConnectionsOptions) {
     this.#options = options;
@@ -66,9 +67,15 @@
     return this.#states.size;
   }
 
+  /** Connections that were accepted so far. */
+  get acceptedCount(): number {
+    return this.#acceptedCount;
+  }
+
   /** Registers a new connection, or closes it if there are too many and none is idle. */
   accept(socket: net.Socket): void {
     const { maxConnections, onOpened, onClosed, onRefused } = this.#options;
+    this.#acceptedCount += 1;
     if (this.size >= maxConnections) {
       const [longestIdle] = this.#idle;
       onRefused(longestIdle === undefined ? "none-idle" : "idle-longest");
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -8,6 +8,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as admissions from "./admission.ts";
 import * as bodies from "./body_reader.ts";
+import type * as callerConnections from "./caller_connections.ts";
 import * as disconnects from "./caller_disconnect.ts";
 import * as resources from "./caller_resources.ts";
 import type * as control from "./control_task.ts";
@@ -131,12 +132,15 @@
     this.#isDraining = true;
   }
 
-  /** Refuses further requests, and ends connections that are idle or become so. */
+  get connections(): callerConnections.CallerConnections {
+    return this.#resources.connections;
+  }
+
+  /** Refuses further requests, and accepts no connections. */
   stopAccepting(): void {
     this.#isRefusing = true;
     // http.Server.close would also close connections whose responses are still being written.
     net.Server.prototype.close.call(this.#server);
-    this.#resources.connections.endIdle();
   }
 
   /** Closes all connections, also those with requests in flight. */
@@ -388,10 +392,8 @@
       connections.endWhenAnswered(socket);
       return;
     }
-    const text = http.STATUS_CODES[status] ?? "Bad Request";
-    socket.write(
-      `HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
-    );
+    const line = `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`;
+    socket.write(`${line}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
     connections.endSoon(socket);
   }
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -303,8 +303,12 @@
     this.#callerServer.startDraining();
     void this.#fleet.withdrawAnnouncement();
     await kernel.sleep(acceptUntilMs - startedAtMs);
-    await shutdowns.readPending();
+    const { connections } = this.#callerServer;
+    await shutdowns.acceptPending(() => connections.acceptedCount, clock);
     this.#callerServer.stopAccepting();
+    // Requests on the connections accepted last are read, and refused, before these count as idle.
+    await shutdowns.readPending();
+    connections.endIdle();
     const hasDrained = () => this.#callerServer.inFlight === 0;
     await shutdowns.waitFor(hasDrained, closeAtMs, clock);
     log.addNotable("process.stopped", {
--- a/packages/router/src/shutdown.ts
+++ b/packages/router/src/shutdown.ts
@@ -19,6 +19,8 @@
 const CLOSE_SHARE = 0.75;
 
 const POLL_MS = 50;
+/** Longest time for which connections that wait already are accepted at the end of accepting. */
+const MAX_ACCEPT_PENDING_MS = 200;
 /** Turns of the event loop in which a connection is accepted, and its request read. */
 const READ_TURNS = 3;
 
@@ -114,3 +116,19 @@
     await new Promise((resolve) => setImmediate(resolve));
   }
 }
+
+/**
+ * Resolves when no connection waits to be accepted, at the latest after some time. The
+ * runtime accepts one in each turn of its event loop.
+ */
+export async function acceptPending(
+  countAccepted: () => number,
+  clock: kernel.Clock,
+): Promise<void> {
+  const untilMs = clock.monotonicMs() + MAX_ACCEPT_PENDING_MS;
+  let accepted: number;
+  do {
+    accepted = countAccepted();
+    await readPending();
+  } while (countAccepted() > accepted && clock.monotonicMs() < untilMs);
+}
--- a/packages/router/src/shutdown_test.ts
+++ b/packages/router/src/shutdown_test.ts
@@ -68,3 +68,27 @@
   t.true(shutdown.canSend(shutdown.endAtMs - 1, Infinity, true));
   t.false(shutdown.canSend(shutdown.endAtMs, Infinity, true));
 });
+
+// Guards against LOST: connections that waited to be accepted when the process stopped accepting were
+// accepted one in a turn, and the last ones ended unread.
+test("connections that wait to be accepted are accepted, one in each turn", async (t) => {
+  let waiting = 30;
+  let accepted = 0;
+  const accept = () => {
+    if (waiting === 0) return;
+    waiting -= 1;
+    accepted += 1;
+    setImmediate(accept);
+  };
+  setImmediate(accept);
+  await shutdowns.acceptPending(() => accepted, new kernel.SystemClock());
+  t.is(waiting, 0);
+});
+
+test("a process to which connections come without end accepts them for a bounded time", async (t) => {
+  let accepted = 0;
+  let nowMs = NOW_MS;
+  const clock = { monotonicMs: () => nowMs += 10, wallMs: () => NOW_MS };
+  await shutdowns.acceptPending(() => accepted += 1, clock);
+  t.true(nowMs - NOW_MS < 500, `${nowMs - NOW_MS} ms`);
+});
