Tests of own listeners share their set-up

The tests of the close and of the interim responses of an own listener built the same resources, guard and listener. No assertion changed.

--- a/packages/bench/src/listener_close_test.ts
+++ b/packages/bench/src/listener_close_test.ts
@@ -2,9 +2,8 @@
 import * as net from "node:net";
 import * as ava from "ava";
 import * as hono from "hono";
-import * as admin from "@jackdawbank/admin";
 import * as kernel from "@jackdawbank/kernel";
-import * as router from "@jackdawbank/router";
+import * as listeners from "./listener_harness.ts";
 import * as harnesses from "./platform_harness.ts";
 
 const BODY = "x".repeat(8_000_000);
@@ -14,24 +13,9 @@
 ava.default(
   "an answer that is still being written is not cut when its listener closes",
   async (t) => {
-    const resources = new router.CallerResources({
-      clock: new kernel.SystemClock(),
-      telemetry: { countEvent: () => {} },
-    });
-    const guard = new router.RequestGuard(resources, {
-      maxHeaderBytes: 8_192,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 3_000,
-      getMaxBodyBytes: () => 0,
-    });
     const app = new hono.Hono();
     app.get("/", (context) => context.text(BODY));
-    const listener = (await admin.listenHttp(
-      app,
-      { host: "127.0.0.1", port: 0 },
-      { guard, renderRefusal: admin.renderAdminRefusal },
-    ))._unsafeUnwrap();
-    t.teardown(() => resources.close());
+    const listener = await listeners.listenGuarded(t, app, 0);
     const socket = net.connect(listener.port, "127.0.0.1");
     socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
     socket.pause();
--- a/packages/bench/src/listener_continue_test.ts
+++ b/packages/bench/src/listener_continue_test.ts
@@ -2,9 +2,8 @@
 import * as net from "node:net";
 import * as ava from "ava";
 import * as hono from "hono";
-import * as admin from "@jackdawbank/admin";
 import * as kernel from "@jackdawbank/kernel";
-import * as router from "@jackdawbank/router";
+import * as listeners from "./listener_harness.ts";
 import * as harnesses from "./platform_harness.ts";
 
 const HEAD = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n";
@@ -14,16 +13,6 @@
 ava.default(
   "an interim response of an own listener comes before the head of the final one",
   async (t) => {
-    const resources = new router.CallerResources({
-      clock: new kernel.SystemClock(),
-      telemetry: { countEvent: () => {} },
-    });
-    const guard = new router.RequestGuard(resources, {
-      maxHeaderBytes: 8_192,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 3_000,
-      getMaxBodyBytes: () => 100,
-    });
     let count = 0;
     const app = new hono.Hono();
     app.post("/", async (context) => {
@@ -31,12 +20,7 @@
       if (count === 1) await kernel.sleep(200);
       return context.body(new TextEncoder().encode("answer"));
     });
-    const listener = (await admin.listenHttp(
-      app,
-      { host: "127.0.0.1", port: 0 },
-      { guard, renderRefusal: admin.renderAdminRefusal },
-    ))._unsafeUnwrap();
-    t.teardown(() => resources.close());
+    const listener = await listeners.listenGuarded(t, app, 100);
     const socket = net.connect(listener.port, "127.0.0.1");
     const received = harnesses.readToEnd(socket);
     socket.write(`${HEAD}\r\nx${HEAD}expect: 100-continue\r\n\r\nx`);
