The log tells how a stream was framed, and how often a failed request ran

attempt.ended of a stream tells whether a length or chunks marked its end, and request.ended of a failure the attempts that ran. No decision changes.

--- a/packages/router/src/attempt_recorder.ts
+++ b/packages/router/src/attempt_recorder.ts
@@ -91,6 +91,8 @@
       readonly headMs?: number | undefined;
       /** Longest time between two of these events, or between the head and the first. */
       readonly longestGapMs?: number;
+      /** Whether a length or chunks mark the end of the response. */
+      readonly isFramed?: boolean | undefined;
     },
   ): void {
     const { log, telemetry, settings } = this.#options;
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -281,7 +281,7 @@
         ? DEADLINE_RETRY_AFTER_MS
         : OVERLOADED_RETRY_AFTER_MS,
     );
-    return { outcome: kind, reason: result.reason };
+    return { outcome: kind, reason: result.reason, runs: this.#runCount };
   }
 }
 
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -62,4 +62,6 @@
   readonly outcome: string;
   readonly status?: number;
   readonly reason?: string;
+  /** Attempts that ran, or may have run; told of a failure. */
+  readonly runs?: number;
 }
--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -153,13 +153,15 @@
 
 /** Progress of an attempt for the log, in whole milliseconds. */
 export function describeTimes(
-  { headAtMs, startedAtMs, longestGapMs, splitter }: StreamAttempt,
+  { head, headAtMs, startedAtMs, longestGapMs, splitter }: StreamAttempt,
 ): {
   /** Complete events. */
   readonly events: number;
   /** Time from the start to the head of the response. */
   readonly headMs: number | undefined;
   readonly longestGapMs: number;
+  /** Whether a length or chunks mark the end of the response; absent without a head. */
+  readonly isFramed: boolean | undefined;
 } {
   return {
     events: splitter.count,
@@ -167,6 +169,7 @@
       ? undefined
       : Math.round(headAtMs - startedAtMs),
     longestGapMs: Math.round(longestGapMs),
+    isFramed: head?.isFramed,
   };
 }
 
--- a/packages/router/src/stream_exchange.ts
+++ b/packages/router/src/stream_exchange.ts
@@ -378,7 +378,7 @@
     const reason = "reason" in result ? result.reason : result.type;
     if (this.#writer.isStarted) {
       this.#writer.abort();
-      return { outcome: "answer-incomplete", reason };
+      return { outcome: "answer-incomplete", reason, runs: this.#runCount };
     }
     if (result.type === "failed") {
       const { status, rawHeaders, isFramed } = result.head;
@@ -394,6 +394,6 @@
       kernel.makeError(kind, reason),
       hasRun ? undefined : OVERLOADED_RETRY_AFTER_MS,
     );
-    return { outcome: kind, reason };
+    return { outcome: kind, reason, runs: this.#runCount };
   }
 }
