Reproduced: a whole stream that ends with its connection is cut (failing tests)

The stand-in of a replica can end a stream with its connection, and the soak does so in a fifth of its streams.

--- /dev/null
+++ b/packages/bench/src/platform_close_end_test.ts
@@ -0,0 +1,110 @@
+/** Tests streams without length or chunks, whose end is that of their connection. */
+import * as ava from "ava";
+import * as fakes from "@jackdawbank/fakes";
+import * as harnesses from "./platform_harness.ts";
+
+const { DRAFT, ROUTES, withHarness } = harnesses;
+// Serial, because concurrent tests would distort the delays that they check.
+const test = ava.default.serial;
+
+const ALL_IDS = [1, 2, 3, 4, 5, 6];
+const REPLICAS = ["i-1", "i-2", "i-3"];
+
+/** Adds replicas whose streams end with their connection; returns all requests that they receive. */
+async function addReplicas(
+  harness: harnesses.PlatformHarness,
+  behave: (
+    request: fakes.ReceivedRequest,
+  ) => Partial<Extract<fakes.ReplicaBehaviour, { type: "stream" }>>,
+): Promise<() => readonly fakes.ReceivedRequest[]> {
+  for (const id of REPLICAS) {
+    await harness.addReplica(id, "llm", (request) => ({
+      type: "stream",
+      events: ALL_IDS.length,
+      confidence: 90,
+      endsByClose: true,
+      ...behave(request),
+    }));
+  }
+  return () =>
+    [...harness.replicas.values()].flatMap(({ received }) => received);
+}
+
+// Guards against LOST: a whole stream without a length was taken for one that its replica broke off,
+// and was cut at its end where no further attempt could be made.
+test("a stream that ends with its connection after an event is whole, and runs once", (t) =>
+  withHarness(async (harness) => {
+    const listReceived = await addReplicas(harness, () => ({}));
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(fakes.listEventIds(got.body), ALL_IDS);
+    t.false(got.isTruncated);
+    t.is(listReceived().length, 1);
+  }));
+
+// Guards against LOST: as above, in a stop; the dropped answer of the smaller model had used up a run.
+test("a stream of the largest model that ends with its connection is whole in a stop", (t) =>
+  withHarness(async (harness) => {
+    const listReceived = await addReplicas(harness, (request) => ({
+      eventIntervalMs: 100,
+      confidence: harnesses.isSmallModel(request) ? 5 : 90,
+    }));
+    await harness.start({ graceMs: 4_000 });
+    const call = harness.call(ROUTES.draft, DRAFT);
+    await harness.waitFor(() => listReceived().length === 2);
+    const stopped = harness.router.stop("SIGTERM");
+    const got = await call;
+    await stopped;
+    t.deepEqual(fakes.listEventIds(got.body), ALL_IDS);
+    t.false(got.isTruncated);
+    t.is(listReceived().length, 2);
+  }));
+
+// Guards against LOST: as above, where an attempt may be the only one.
+test("a stream that may not be resumed and ends with its connection is whole", (t) =>
+  withHarness(async (harness) => {
+    const configuration = harnesses.buildConfiguration();
+    const routes = configuration["routes"] as Record<string, unknown>[];
+    harness.store.putConfiguration({
+      ...configuration,
+      routes: routes.map((route) => ({ ...route, streamResume: false })),
+    });
+    await addReplicas(harness, () => ({}));
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(fakes.listEventIds(got.body), ALL_IDS);
+    t.false(got.isTruncated);
+  }));
+
+// Guards against ORDER: a stream that its replica broke off must not be taken for a whole one.
+test("a stream whose connection ends within an event goes on at another replica, or is cut", (t) =>
+  withHarness(async (harness) => {
+    let isBroken = true;
+    const listReceived = await addReplicas(harness, (request) => {
+      const isFirst = request.headers["last-event-id"] === undefined;
+      return isFirst || isBroken ? { disconnectAfterEvents: 3 } : {};
+    });
+    await harness.start();
+    const cut = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(fakes.listEventIds(cut.body), [1, 2, 3]);
+    t.true(cut.isTruncated);
+    isBroken = false;
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(fakes.listEventIds(got.body), ALL_IDS);
+    t.false(got.isTruncated);
+    t.true(listReceived().length > REPLICAS.length);
+  }));
+
+// Guards against ORDER: a replica that ends with no event has told nothing about the stream's end.
+test("a stream that ends with its connection before any event is sent again", (t) =>
+  withHarness(async (harness) => {
+    let sends = 0;
+    await addReplicas(harness, () => {
+      sends += 1;
+      return sends === 1 ? { events: 0 } : {};
+    });
+    await harness.start();
+    const got = await harness.call(ROUTES.draft, DRAFT);
+    t.deepEqual(fakes.listEventIds(got.body), ALL_IDS);
+    t.is(sends, 2);
+  }));
--- a/packages/bench/src/soak/stand_ins.ts
+++ b/packages/bench/src/soak/stand_ins.ts
@@ -8,6 +8,8 @@
 const SLOTS = 64;
 /** Model that larger ones are asked after. */
 const SMALL_MODEL = "small";
+/** Share of streams that end with their connection. */
+const CLOSE_SHARE = 0.2;
 /** Share of prompts that are too hard for the small model. */
 const HARD_SHARE = 0.2;
 const LOW_CONFIDENCE = 10;
@@ -238,6 +240,7 @@
       label,
       eventIntervalMs: content.eventIntervalMs,
       delayMs: content.delayMs,
+      endsByClose: contents.drawFromText(`close ${attemptId}`) < CLOSE_SHARE,
       confidence: isHard && readModel(request) === SMALL_MODEL
         ? LOW_CONFIDENCE
         : HIGH_CONFIDENCE,
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -53,6 +53,8 @@
     /** Added to the data of each event. */
     readonly label?: string;
     readonly confidence?: number;
+    /** Marks the end of the response by the connection's close, without length or chunks. */
+    readonly endsByClose?: boolean;
     readonly eventIntervalMs?: number;
     /** Time before the head. */
     readonly delayMs?: number;
@@ -270,8 +272,7 @@
         return;
       case "unframed-truncated":
         received.wasBrokenOff = true;
-        response.useChunkedEncodingByDefault = false;
-        response.shouldKeepAlive = false;
+        endByClose(response);
         response.writeHead(200, signedHeaders);
         response.end("only part");
         return;
@@ -336,6 +337,7 @@
     signedHeaders: Readonly<Record<string, string>>,
   ): Promise<void> {
     if (behaviour.delayMs !== undefined) await sleep(behaviour.delayMs);
+    if (behaviour.endsByClose === true) endByClose(response);
     response.writeHead(200, {
       ...signedHeaders,
       "content-type": "text/event-stream",
@@ -365,6 +367,12 @@
   }
 }
 
+/** Lets a response have neither length nor chunks. */
+function endByClose(response: http.ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+}
+
 /** Writes beside the server's response, which is never used. */
 async function sendRaw(
   response: http.ServerResponse,
