A stream that ends with its connection is whole unless another replica adds to it

What callers saw: a stream without length or chunks, which its replica had sent and ended whole, was cut behind its last event (LOST around a stop; at other times a broken answer): always where it may not be resumed, else where no attempt was left, as dropped answers of smaller models count, or where the next replica's empty rest had no length either.

Cause: the exchange took each end by the connection for a loss, and so did it with the empty rest of a resumed attempt. The same cause counted such answers as failures of the replica and of its version, and empty rests as crashes on the prompt.

Fix: such an end, between two events, is asked to be confirmed by one other replica, as before by resuming; if that one adds nothing, or can't be asked in the time for a first byte, the stream ends. An end within an event stays a loss, and an empty rest behind one tells nothing.

--- a/packages/router/src/stream_attempt.ts
+++ b/packages/router/src/stream_attempt.ts
@@ -19,6 +19,11 @@
 /** Result of one attempt. */
 export type StreamAttemptResult =
   | { readonly type: "complete" }
+  /**
+   * The connection ended between two events. That is the end of a stream without length
+   * or chunks, unless its replica was stopped there.
+   */
+  | { readonly type: "unconfirmed" }
   | { readonly type: "escalate"; readonly model: string }
   | {
     readonly type: "failed";
@@ -121,7 +126,7 @@
   return result?.type === "lost" && isBrokenOff && splitter.count === 0;
 }
 
-/** Classifies the end of an attempt; a possibly truncated stream counts as lost. */
+/** Classifies the end of an attempt. */
 export function classifyEnd(
   current: StreamAttempt,
   end: attempts.AttemptEnd,
@@ -136,9 +141,22 @@
   if (current.splitter.hasPartialEvent) {
     return { type: "lost", reason: "the stream ended within an event" };
   }
-  return head.isFramed
-    ? { type: "complete" }
-    : { type: "lost", reason: "unframed response; it may be truncated" };
+  if (head.isFramed) return { type: "complete" };
+  return current.splitter.count > 0 ||
+      current.isResumed && verdict === "success"
+    ? { type: "unconfirmed" }
+    : { type: "lost", reason: "the connection ended before any event" };
+}
+
+/** Whether an attempt received all that its replica sent, up to an orderly end. */
+export function isWhole({ type }: StreamAttemptResult): boolean {
+  return type === "complete" || type === "unconfirmed";
+}
+
+/** Why a stream does not go on after an attempt. */
+export function describeResult(result: StreamAttemptResult): string {
+  if (result.type === "unconfirmed") return "the connection ended";
+  return "reason" in result ? result.reason : result.type;
 }
 
 /** What the result of an attempt that ran says about its replica. */
