A retry for a better answer does not lose the one that is there

What callers saw: an idempotent request whose answer had neither length nor chunks, or was a failure of its replica, is sent to another replica. If that one was silent, broke off, failed or was full, the caller got 504, 502 or 500 of ours in place of the answer that had been there; late in a stop, too.

Evidence: platform_close_end_test, the five new tests, red before: 504, 500, 502 and 502 where 200 had been received, 502 for the replica's 500.

Fix: the best answer so far is kept, counted to the memory of its request, and passed on as its replica marked it unless another replica has a better one in the time for a response. The same five tests are green.

--- a/packages/bench/src/platform_close_end_test.ts
+++ b/packages/bench/src/platform_close_end_test.ts
@@ -1,4 +1,4 @@
-/** Tests streams without length or chunks, whose end is that of their connection. */
+/** Tests answers without length or chunks, whose end is that of their connection. */
 import * as ava from "ava";
 import * as fakes from "@jackdawbank/fakes";
 import * as harnesses from "./platform_harness.ts";
@@ -10,6 +10,7 @@
 const ALL_IDS = [1, 2, 3, 4, 5, 6];
 const REPLICAS = ["i-1", "i-2", "i-3"];
 const ROUTE_TIMEOUT_MS = 5_000;
+const CHECK_TIMEOUT_MS = 800;
 
 /** Adds replicas whose streams end with their connection; returns all requests that they receive. */
 async function addReplicas(
@@ -207,3 +208,53 @@
     t.is(got.body, "");
     t.false(got.isTruncated);
   }));
+
+// Guards against an answer lost to a retry: the answer to an idempotent request ended with its
+// connection, and was dropped for that of another replica, which never came.
+for (
+  const [what, behaviour] of [
+    ["silent", { type: "hang" }],
+    ["failing", { type: "failure", status: 500 }],
+    ["broken", { type: "reset" }],
+    ["full", { type: "not-run", status: 503 }],
+  ] as const
+) {
+  test(`an answer without a length is passed on where the other replica is ${what}`, (t) =>
+    withHarness(async (harness) => {
+      let sends = 0;
+      for (const id of REPLICAS) {
+        await harness.addReplica(id, "desk", () => {
+          sends += 1;
+          return sends === 1 ? { type: "unframed-truncated" } : behaviour;
+        });
+      }
+      await harness.start();
+      const startedAtMs = Date.now();
+      const got = await harness.call(ROUTES.check);
+      t.true(sends > 1);
+      t.is(got.status, 200);
+      t.is(got.body, "only part");
+      t.is(got.headers["content-length"], undefined);
+      t.is(got.headers["transfer-encoding"], undefined);
+      t.true(Date.now() - startedAtMs < CHECK_TIMEOUT_MS);
+    }));
+}
+
+// Guards against an answer lost to a retry: a replica's own failure was replaced by one of ours.
+test("the failure of a replica is passed on where no other one answers", (t) =>
+  withHarness(async (harness) => {
+    let sends = 0;
+    for (const id of REPLICAS) {
+      await harness.addReplica(id, "desk", () => {
+        sends += 1;
+        return sends === 1
+          ? { type: "failure", status: 500 }
+          : { type: "reset" };
+      });
+    }
+    await harness.start();
+    const got = await harness.call(ROUTES.check);
+    t.true(sends > 1);
+    t.is(got.status, 500);
+    t.is(got.body, "failed");
+  }));
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -23,14 +23,15 @@
 const OVERLOADED_RETRY_AFTER_MS = 200;
 const DEADLINE_RETRY_AFTER_MS = 300;
 
+/** A response of a replica. */
+interface Answer {
+  readonly type: "answered";
+  readonly head: attempts.ResponseHead;
+  readonly bodyParts: readonly Buffer[];
+}
+
 /** Result of one attempt. */
-type AttemptResult =
-  | {
-    readonly type: "answered";
-    readonly head: attempts.ResponseHead;
-    readonly bodyParts: readonly Buffer[];
-  }
-  | check.NoResponseResult;
+type AttemptResult = Answer | check.NoResponseResult;
 
 /** Exchange of one request with a buffered response. */
 export class BufferedExchange {
@@ -42,6 +43,8 @@
   readonly #refusedBy = new Set<string>();
   #sendCount = 0;
   #runCount = 0;
+  /** Best answer so far, forwarded unless another replica has a better one. */
+  #kept: Answer | undefined;
 
   constructor(
     dispatcher: dispatchers.Dispatcher,
@@ -68,21 +71,35 @@
       }
       last = tried.result;
       if (request.signal.aborted) return { outcome: "caller-gone" };
-      if (
-        last.type === "answered" && !this.#shouldRetryResponse(last)
-      ) {
-        return this.#forwardResponse(last);
-      }
-      if (!this.#canRetry(last)) {
-        if (last.type === "answered") return this.#forwardResponse(last);
-        return this.#fail(last, route.kind);
+      if (last.type === "answered") {
+        if (!this.#shouldRetryResponse(last)) {
+          return this.#forwardResponse(last);
+        }
+        this.#keep(last);
       }
+      if (!this.#canRetry(last)) return this.#fail(last, route.kind);
     }
   }
 
-  #shouldRetryResponse(
-    result: Extract<AttemptResult, { type: "answered" }>,
-  ): boolean {
+  #keep(answer: Answer): void {
+    const isFailure = check.isServerError(answer.head.status);
+    if (!(isFailure && this.#hasSuccess)) this.#kept = answer;
+  }
+
+  /** Whether there is an answer already that is no failure. */
+  get #hasSuccess(): boolean {
+    return this.#kept !== undefined &&
+      !check.isServerError(this.#kept.head.status);
+  }
+
+  get #keptBytes(): number {
+    return (this.#kept?.bodyParts ?? []).reduce(
+      (sum, part) => sum + part.length,
+      0,
+    );
+  }
+
+  #shouldRetryResponse(result: Answer): boolean {
     return this.#request.route.kind === "idempotent" &&
       (check.isServerError(result.head.status) ||
         !result.head.isFramed);
@@ -145,7 +162,9 @@
           collector.push(chunk);
           if (collector.byteCount > MAX_RESPONSE_BYTES) {
             sent?.attempt.giveUp("long-body");
-          } else if (!this.#writer.reserve(collector.heldBytes)) {
+          } else if (
+            !this.#writer.reserve(this.#keptBytes + collector.heldBytes)
+          ) {
             sent?.attempt.cancel("too many bytes are held for callers");
           }
         },
@@ -153,7 +172,9 @@
           stopWatching?.();
           if (sent === undefined) return;
           const result = buildResult(end, verdict, head, collector);
-          if (result.type !== "answered") this.#writer.reserve(0);
+          if (result.type !== "answered") {
+            this.#writer.reserve(this.#keptBytes);
+          }
           resolve({ sent, result });
         },
       });
@@ -183,7 +204,11 @@
       if (signal.aborted) return sent.attempt.cancel("the caller disconnected");
       const expiry = this.#dispatcher.findExpiry(this.#request, nowMs);
       if (expiry !== undefined) return sent.attempt.cancel(expiry);
-      if (!hasRunsLeft || nowMs < responseTimeoutAtMs) return;
+      if (nowMs < responseTimeoutAtMs) return;
+      if (this.#hasSuccess) {
+        return sent.attempt.cancel("no better response within the time-out");
+      }
+      if (!hasRunsLeft) return;
       const excluded = new Set([...this.#triedReplicaIds, sent.state.entry.id]);
       if (this.#dispatcher.canReroute(this.#request, excluded)) {
         sent.attempt.cancel("no response within the time-out");
@@ -235,9 +260,7 @@
     });
   }
 
-  #forwardResponse(
-    result: Extract<AttemptResult, { type: "answered" }>,
-  ): requests.RequestOutcome {
+  #forwardResponse(result: Answer): requests.RequestOutcome {
     const { status, rawHeaders, isFramed } = result.head;
     this.#writer.answer(status, rawHeaders, result.bodyParts, isFramed);
     return {
@@ -250,7 +273,6 @@
     refusal: admissions.Refusal,
     last: AttemptResult | undefined,
   ): requests.RequestOutcome {
-    if (last?.type === "answered") return this.#forwardResponse(last);
     // A request that may have run must not be refused as "not run".
     if (last !== undefined && this.#runCount > 0) {
       return this.#fail(last, this.#request.route.kind);
@@ -260,9 +282,12 @@
   }
 
   #fail(
-    result: Exclude<AttemptResult, { type: "answered" }>,
+    result: AttemptResult,
     routeKind: string,
   ): requests.RequestOutcome {
+    const answer = this.#kept;
+    if (answer !== undefined) return this.#forwardResponse(answer);
+    if (result.type === "answered") return this.#forwardResponse(result);
     const isLate = this.#dispatcher.nowMs >= this.#request.deadlineAtMs;
     const hasRun = this.#runCount > 0;
     const kind: kernel.ErrorKind = hasRun
