--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -18,6 +18,7 @@
 import * as incomingRequests from "./incoming_request.ts";
 import * as headerMaps from "./header_map.ts";
 import * as bufferedExchanges from "./buffered_exchange.ts";
+import * as malformedRequests from "./malformed_request.ts";
 import type * as budgets from "./memory_budget.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
@@ -44,9 +45,6 @@
 };
 /** Interval at which the server checks connections for header and request time-outs. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
-const HTTP_BAD_REQUEST = 400;
-const HTTP_REQUEST_TIMEOUT = 408;
-const HTTP_HEADERS_TOO_LARGE = 431;
 const YIELD_RETRY_AFTER_MS = 1_000;
 
 /** Dependencies of the caller server. */
@@ -371,11 +369,6 @@
     error: Error & { code?: string },
     socket: net.Socket,
   ): void {
-    const status = error.code === "HPE_HEADER_OVERFLOW"
-      ? HTTP_HEADERS_TOO_LARGE
-      : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
-      ? HTTP_REQUEST_TIMEOUT
-      : HTTP_BAD_REQUEST;
     const { connections } = this.#resources;
     // What follows a malformed request is malformed, too.
     if (connections.isEnding(socket)) return;
@@ -392,8 +385,7 @@
       connections.endWhenAnswered(socket);
       return;
     }
-    const line = `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`;
-    socket.write(`${line}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+    socket.write(malformedRequests.renderRefusal(error.code));
     connections.endSoon(socket);
   }
 }
