An answer without a length that is cut is reset

What callers saw: an answer with neither length nor chunks, cut by the end of a stop or because its caller did not read it, ended in order, as a whole one does (MIXED).

Such an answer ends with its connection, and a cut closed that like an end.

Evidence: the two new tests of platform_close_end_test, 8 MB that nobody reads: red before (an orderly end after a part), green now.

Fix: a cut of such a response resets its connection at once. The runtime's own reset writes the rest first.

--- a/packages/bench/src/platform_close_end_test.ts
+++ b/packages/bench/src/platform_close_end_test.ts
@@ -1,6 +1,8 @@
 /** Tests answers without length or chunks, whose end is that of their connection. */
+import type * as net from "node:net";
 import * as ava from "ava";
 import * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
 import * as harnesses from "./platform_harness.ts";
 
 const { DRAFT, ROUTES, withHarness } = harnesses;
@@ -11,6 +13,8 @@
 const REPLICAS = ["i-1", "i-2", "i-3"];
 const ROUTE_TIMEOUT_MS = 5_000;
 const CHECK_TIMEOUT_MS = 800;
+/** No caller may pause for so long. */
+const LONG_PAUSE_MS = 15_000;
 
 /** Adds replicas whose streams end with their connection; returns all requests that they receive. */
 async function addReplicas(
@@ -258,3 +262,71 @@
     t.is(got.status, 500);
     t.is(got.body, "failed");
   }));
+
+const LONG_BODY_BYTES = 8_000_000;
+
+/** Calls for a long answer without a length, and reads none of it before `cut` has ended. */
+async function readCutAnswer(
+  harness: harnesses.PlatformHarness,
+  cut: () => Promise<void>,
+): Promise<{ readonly bytes: number; readonly wasReset: boolean }> {
+  const body = "x".repeat(LONG_BODY_BYTES);
+  await harness.addReplica("i-1", "desk", () => ({
+    type: "raw",
+    text: "HTTP/1.1 200 OK\r\nx-jackdawbank-attempt-id: ATTEMPT\r\n" +
+      `x-jackdawbank-response-signature: RECEIPT\r\n\r\n${body}`,
+    then: "close",
+  }));
+  await harness.start({ graceMs: 1_500 });
+  const socket = await harness.connect();
+  socket.pause();
+  socket.write(
+    `${fakes.renderHead(ROUTES.order)}content-length: 0\r\n\r\n`,
+  );
+  await harness.waitFor(() =>
+    harness.findLogLines("attempt.ended").length === 1
+  );
+  await kernel.sleep(100);
+  await cut();
+  return await readAll(socket);
+}
+
+function readAll(socket: net.Socket) {
+  return new Promise<{ bytes: number; wasReset: boolean }>((resolve) => {
+    let bytes = 0;
+    let wasReset = false;
+    socket.on("data", (chunk: Buffer) => bytes += chunk.length);
+    socket.on("error", () => wasReset = true);
+    // The runtime reports an end if the reset comes with data; the socket has no peer then.
+    socket.on("end", () => wasReset ||= socket.remoteAddress === undefined);
+    socket.on("close", () => resolve({ bytes, wasReset }));
+    socket.resume();
+  });
+}
+
+// Guards against MIXED: an answer without a length that this process cut had an orderly end, which
+// its caller takes for the end of the whole answer.
+test("an answer without a length that a stop cuts is reset", (t) =>
+  withHarness(async (harness) => {
+    const { bytes, wasReset } = await readCutAnswer(
+      harness,
+      () => harness.router.stop("SIGTERM"),
+    );
+    t.true(bytes < LONG_BODY_BYTES);
+    t.true(wasReset);
+  }));
+
+// Guards against MIXED: as above, where the caller does not read its answer for too long.
+test("an answer without a length that is cut because nobody reads it is reset", (t) =>
+  withHarness(async (harness) => {
+    const { bytes, wasReset } = await readCutAnswer(
+      harness,
+      () =>
+        harness.waitFor(
+          () => harness.findLogLines("caller.cut").length === 1,
+          LONG_PAUSE_MS,
+        ),
+    );
+    t.true(bytes < LONG_BODY_BYTES);
+    t.true(wasReset);
+  }));
--- a/packages/router/src/caller_connections.ts
+++ b/packages/router/src/caller_connections.ts
@@ -50,6 +50,13 @@
   for (const callback of waiting) callback();
 }
 
+/** Resets a connection at once, even with bytes that were not sent. */
+export function reset(socket: net.Socket): void {
+  // The runtime calls this first, to write the rest.
+  socket.destroySoon = () => socket.destroy();
+  socket.resetAndDestroy();
+}
+
 /** Open connections of callers. */
 export class CallerConnections {
   readonly #options: CallerConnectionsOptions;
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -66,6 +66,8 @@
   #isRefusing = false;
   /** What is held for the requests without a complete response. */
   readonly #holds = new Set<budgets.RequestHold>();
+  /** Those without a complete response. */
+  readonly #writers = new Set<writers.ResponseWriter>();
   /** Requests so far; used to generate IDs for requests without one. */
   #count = 0;
 
@@ -144,6 +146,7 @@
   /** Closes all connections, also those with requests in flight. */
   close(): void {
     this.#server.close();
+    for (const writer of this.#writers) writer.abort();
     this.#server.closeAllConnections();
     this.#resources.close();
   }
@@ -210,6 +213,8 @@
       onCut: (reason) =>
         this.#options.log.addNotable("caller.cut", { requestId, reason }),
     });
+    this.#writers.add(writer);
+    response.once("close", () => this.#writers.delete(writer));
     let isUnread = false;
     let outcome: requests.RequestOutcome;
     let route = "none";
--- a/packages/router/src/response_writer.ts
+++ b/packages/router/src/response_writer.ts
@@ -5,6 +5,7 @@
 import type * as http from "node:http";
 import type * as bundle from "@jackdawbank/bundle";
 import * as kernel from "@jackdawbank/kernel";
+import * as connections from "./caller_connections.ts";
 import type * as budgets from "./memory_budget.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
@@ -59,6 +60,8 @@
   readonly #waitForTurn: (callback: () => void) => void;
   readonly #onCut: (reason: budgets.YieldReason) => void;
   #maxPauseMs = DEFAULT_MAX_PAUSE_MS;
+  /** The response has neither length nor chunks. */
+  #endsByClose = false;
 
   constructor(response: http.ServerResponse, options: {
     readonly codec: ports.MessageCodec;
@@ -132,6 +135,7 @@
     if (isFramed) headers.push("content-length", String(bodyBytes));
     else {
       // The body may be truncated; a content length would make it look complete.
+      this.#endsByClose = true;
       this.#response.useChunkedEncodingByDefault = false;
       this.#response.shouldKeepAlive = false;
     }
@@ -142,6 +146,8 @@
   }
 
   abort(): void {
+    // An orderly close would be the end of such a response.
+    if (this.#endsByClose) connections.reset(this.#response.req.socket);
     this.#response.destroy();
   }
 
@@ -205,9 +211,9 @@
 
   #cut(reason: budgets.YieldReason): void {
     this.#onCut(reason);
+    this.abort();
     // A response that waits for an earlier one has no socket of its own yet.
     this.#response.req.socket.destroy();
-    this.#response.destroy();
   }
 
   /** Writes the head of a response that is ended at once. */
