A cut stream to a caller of HTTP/1.0 is reset

What callers saw: a caller that knows no chunks gets a stream without them; one that broke off ended in order, as a whole one does (MIXED).

Evidence: the new test of platform_close_end_test (stream cut within its fourth event), red before, green now.

--- a/packages/bench/src/platform_close_end_test.ts
+++ b/packages/bench/src/platform_close_end_test.ts
@@ -330,3 +330,22 @@
     t.true(bytes < LONG_BODY_BYTES);
     t.true(wasReset);
   }));
+
+// Guards against MIXED: as above, for a caller of HTTP/1.0, who knows no chunks.
+test("a stream to a caller without chunks is reset where it is cut", (t) =>
+  withHarness(async (harness) => {
+    await addReplicas(harness, () => ({ disconnectAfterEvents: 3 }));
+    await harness.start();
+    const socket = await harness.connect();
+    const { headers, body } = DRAFT;
+    const lines = Object.entries(headers).map(([name, value]) =>
+      `${name}: ${value}\r\n`
+    );
+    socket.write(
+      fakes.renderHead(ROUTES.draft, lines.join("")).replace("1.1", "1.0") +
+        `content-length: ${body.length}\r\n\r\n${body}`,
+    );
+    const { bytes, wasReset } = await readAll(socket);
+    t.true(bytes > 0);
+    t.true(wasReset);
+  }));
--- a/packages/router/src/response_writer.ts
+++ b/packages/router/src/response_writer.ts
@@ -85,6 +85,8 @@
   }
 
   start(status: number, rawHeaders: readonly string[]): void {
+    // Callers of HTTP/1.0 know no chunks.
+    this.#endsByClose = !this.#response.useChunkedEncodingByDefault;
     // What arrives behind a response that takes time is answered, too.
     this.#response.writeHead(status, listForwardedHeaders(rawHeaders));
   }
