--- a/packages/bench/src/platform_quarantine_test.ts
+++ b/packages/bench/src/platform_quarantine_test.ts
@@ -1,6 +1,7 @@
 /** Tests that a part of prompts which crashes replicas is kept away from them, by all entries. */
 import * as ava from "ava";
 import type * as fakes from "@jackdawbank/fakes";
+import * as kernel from "@jackdawbank/kernel";
 import * as harnesses from "./platform_harness.ts";
 
 const test = ava.default.serial;
@@ -9,6 +10,7 @@
 const PARTS_HEADER = "x-jackdawbank-prefix-hash";
 /** Sends that all entries together may make after the fifth crash. */
 const MAX_LATER_SENDS = 3;
+const SHORTEST_LEASE_MS = 1_000;
 
 function buildPrompt(sharedParts: string, own: number) {
   const parts = `${sharedParts},${(0xc000 + own).toString(16)}:100`;
@@ -85,3 +87,23 @@
     }
     t.is(countDeadly(), crashes);
   }));
+
+// Guards against BUDGET: the lease of a verdict was asked for with a fraction of a millisecond, which
+// the store takes for the shortest one, and its end lifted the quarantine everywhere.
+test("a verdict that is stored is in force for longer than the shortest lease", (t) =>
+  withHarness(async (harness) => {
+    for (const id of ["i-1", "i-2", "i-3", "i-4", "i-5"]) {
+      await harness.addReplica(id, "llm", answer);
+    }
+    await harness.start();
+    const isStored = () =>
+      harness.store.list("jackdawbank/quarantine/").length === 1;
+    for (let own = 0; !isStored() && own < 4; own += 1) {
+      await harness.call(ROUTES.draft, buildPrompt("a1:100,dead:300", own));
+      await kernel.sleep(50);
+    }
+    await harness.waitFor(isStored);
+    await kernel.sleep(SHORTEST_LEASE_MS + 500);
+    t.true(isStored());
+    t.deepEqual(harness.findLogLines("prompt.released"), []);
+  }));
--- a/packages/fakes/src/platform_store.ts
+++ b/packages/fakes/src/platform_store.ts
@@ -56,6 +56,9 @@
   readonly remove?: readonly string[];
 }
 
+/** Shortest lease that the store grants. */
+const SHORTEST_TTL_MS = 1_000;
+
 /** Tests also put and remove items directly, without HTTP. */
 export class FakePlatformStore {
   mode: PlatformStoreMode = "up";
@@ -269,7 +272,13 @@
   #serveLease(url: URL, body: string, response: http.ServerResponse): void {
     if (url.pathname === "/-/kv-lease") {
       const { ttlMs } = JSON.parse(body) as { readonly ttlMs: number };
-      return send(response, 200, { lease: this.grantLease(), ttlMs });
+      const lease = this.grantLease();
+      if (Number.isInteger(ttlMs)) {
+        return send(response, 200, { lease, ttlMs });
+      }
+      // The store takes a time with a fraction for the shortest one.
+      setTimeout(() => this.endLease(lease), SHORTEST_TTL_MS).unref();
+      return send(response, 200, { lease, ttlMs: SHORTEST_TTL_MS });
     }
     const lease = Number(url.pathname.split("/").at(-1));
     const wasFound = url.pathname.startsWith("/-/kv-lease-end/")
