The log tells which lost attempts were of the same request

attempt.ended of a lost attempt names by sameRequest the requests of one caller with the same path and body, so that a request on which replicas crash can be told from its neighbours. No decision changes.

--- a/packages/router/src/attempt_recorder.ts
+++ b/packages/router/src/attempt_recorder.ts
@@ -5,6 +5,7 @@
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 import type * as groups from "./replica_group.ts";
+import * as identities from "./request_identity.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as requests from "./request.ts";
 import type * as rollouts from "./rollout_task.ts";
@@ -113,6 +114,9 @@
       const promptParts = request.fields.promptParts.map(({ id }) => id);
       log.addNotable("attempt.ended", {
         ...fields,
+        ...(result.outcome === "lost"
+          ? { sameRequest: identities.identifyRequest(request) }
+          : {}),
         ...answerBytes,
         ...(fault === undefined ? {} : { fault }),
         ...(promptParts.length === 0 ? {} : { promptParts }),
