Blame for crashes and its quarantine are named for more than prompts

Renames only: crash_blame (CrashBlame, CrashEvidence) and crash_quarantine (CrashQuarantine), as whole requests are to be judged like parts of prompts. Their tests and those of the exchange between peers are green.

--- a/packages/decisions/src/prompt_blame.ts
+++ b/packages/decisions/src/crash_blame.ts
@@ -17,7 +17,7 @@
 }
 
 /** What one process knows of a part. Times are monotonic times of the reader. */
-export interface PartEvidence {
+export interface CrashEvidence {
   readonly crashes: readonly BlamedCrash[];
   /** Decayed number of answers that began. */
   readonly begun: number;
@@ -42,7 +42,7 @@
 const MAX_PARTS = 8_192;
 const MAX_PEERS = 4_096;
 
-const NO_EVIDENCE: PartEvidence = {
+const NO_EVIDENCE: CrashEvidence = {
   crashes: [],
   begun: 0,
   lastBegunAtMs: -Infinity,
@@ -80,7 +80,7 @@
 
 /** Whether pooled evidence shows that replicas crash on a part. */
 function isPartDeadly(
-  evidence: readonly PartEvidence[],
+  evidence: readonly CrashEvidence[],
   nowMs: number,
   isExplained: (crash: BlamedCrash) => boolean,
 ): boolean {
@@ -98,10 +98,10 @@
 }
 
 /** Evidence of one process, with what its peers told it. */
-export class PromptBlame {
+export class CrashBlame {
   /** Least recently used first. */
   readonly #records = new Map<string, PartRecord>();
-  readonly #peerEvidence = new Map<string, Map<string, PartEvidence>>();
+  readonly #peerEvidence = new Map<string, Map<string, CrashEvidence>>();
   /** Crashes of condemned parts; they alone do not condemn the parts beside them. */
   #explained: readonly BlamedCrash[] = [];
 
@@ -150,7 +150,7 @@
   }
 
   /** Replaces what a peer knows of a part. */
-  recordPeer(peer: string, partId: string, evidence: PartEvidence): void {
+  recordPeer(peer: string, partId: string, evidence: CrashEvidence): void {
     const byPeer = this.#peerEvidence.get(partId) ?? new Map();
     if (byPeer.size >= MAX_PEERS && !byPeer.has(peer)) return;
     byPeer.set(peer, evidence);
@@ -160,7 +160,7 @@
   }
 
   /** What this process itself knows of a part. */
-  readOwn(partId: string, nowMs: number): PartEvidence {
+  readOwn(partId: string, nowMs: number): CrashEvidence {
     const record = this.#records.get(partId);
     return record === undefined ? NO_EVIDENCE : {
       crashes: record.crashes.filter(({ atMs }) =>
@@ -171,7 +171,7 @@
     };
   }
 
-  #pool(partId: string, nowMs: number): readonly PartEvidence[] {
+  #pool(partId: string, nowMs: number): readonly CrashEvidence[] {
     const peers = [...this.#peerEvidence.get(partId)?.values() ?? []].map((
       each,
     ) => ({ ...each, begun: decay(each.begun, nowMs - each.lastBegunAtMs) }));
--- a/packages/decisions/src/prompt_blame_test.ts
+++ b/packages/decisions/src/crash_blame_test.ts
@@ -1,6 +1,6 @@
 /** Tests which part of a prompt is blamed for crashes of replicas. */
 import * as ava from "ava";
-import * as blames from "./prompt_blame.ts";
+import * as blames from "./crash_blame.ts";
 
 const test = ava.default;
 
@@ -17,7 +17,7 @@
 // Guards against BUDGET: nothing connected a crash with the prompt, so each request with the
 // deadly part, its repeats included, ended three more replicas.
 test("three replicas that crash as an answer begins condemn the part that they share", (t) => {
-  const blame = new blames.PromptBlame();
+  const blame = new blames.CrashBlame();
   blame.recordBegun([SHARED, "sound"], 900);
   const prompt = [SHARED, "deadly"];
   t.is(blame.recordCrash(prompt, makeCrash(1, 1_000)), undefined);
@@ -30,7 +30,7 @@
 
 // Guards against LOST: sound requests that share the first part must go on.
 test("a first part that many sound prompts share is not blamed, also while most replicas are down", (t) => {
-  const blame = new blames.PromptBlame();
+  const blame = new blames.CrashBlame();
   let nowMs = 0;
   for (let answer = 0; answer < 60; answer += 1) {
     nowMs += 70;
@@ -44,7 +44,7 @@
 });
 
 test("requests that a crash ended in passing are not blamed for it", (t) => {
-  const blame = new blames.PromptBlame();
+  const blame = new blames.CrashBlame();
   for (let crash = 1; crash <= 5; crash += 1) {
     const deadly = blame.recordCrash(
       [SHARED, "deadly"],
@@ -63,7 +63,7 @@
 });
 
 test("several requests at one replica, or several reports, count one crash", (t) => {
-  const blame = new blames.PromptBlame();
+  const blame = new blames.CrashBlame();
   for (let request = 0; request < 6; request += 1) {
     const crash = makeCrash(1, 1_000 + request * 100);
     t.is(blame.recordCrash([SHARED, "part"], crash), undefined);
@@ -78,7 +78,7 @@
 
 // Guards against BUDGET at size: five crashes over dozens of entries are one or none at each.
 test("crashes that each process saw once are pooled", (t) => {
-  const blame = new blames.PromptBlame();
+  const blame = new blames.CrashBlame();
   blame.recordCrash([SHARED, "deadly"], makeCrash(1, 1_000));
   for (const [at, peer] of ["edge-2", "edge-3"].entries()) {
     blame.recordPeer(peer, "deadly", {
@@ -91,7 +91,7 @@
 });
 
 test("an answer that begins, here or at a peer, clears the part of earlier crashes", (t) => {
-  const blame = new blames.PromptBlame();
+  const blame = new blames.CrashBlame();
   for (let crash = 1; crash <= 2; crash += 1) {
     blame.recordCrash([SHARED, "part"], makeCrash(crash, crash * 1_000));
   }
@@ -109,7 +109,7 @@
 });
 
 test("crashes without a head, as when replicas are reset, need more of them", (t) => {
-  const blame = new blames.PromptBlame();
+  const blame = new blames.CrashBlame();
   const verdicts = [1, 2, 3, 4, 5].map((crash) =>
     blame.recordCrash(["part"], makeCrash(crash, crash * 1_000, false))
   );
@@ -117,7 +117,7 @@
 });
 
 test("the most specific part is blamed first, and its company once crashes go on without it", (t) => {
-  const blame = new blames.PromptBlame();
+  const blame = new blames.CrashBlame();
   for (let crash = 1; crash <= 3; crash += 1) {
     blame.recordCrash(["deadly", "page"], makeCrash(crash, crash * 1_000));
   }
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -30,7 +30,7 @@
 export * from "./memory/mod.ts";
 export * from "./model_choice.ts";
 export * from "./places/mod.ts";
-export * from "./prompt_blame.ts";
+export * from "./crash_blame.ts";
 export * from "./rate_account.ts";
 export * from "./replica_choice.ts";
 export * from "./replica_demands.ts";
--- a/packages/peers/src/prompt_message.ts
+++ b/packages/peers/src/prompt_message.ts
@@ -104,7 +104,7 @@
 /** Converts evidence to a tally. */
 export function buildTally(
   partId: string,
-  evidence: decisions.PartEvidence,
+  evidence: decisions.CrashEvidence,
   nowMs: number,
 ): PartTally {
   return {
@@ -123,7 +123,7 @@
 export function readTally(
   tally: PartTally,
   nowMs: number,
-): decisions.PartEvidence {
+): decisions.CrashEvidence {
   return {
     crashes: tally.crashes.map(({ replicaKey, ageMs, hadHead }) => ({
       replicaKey,
--- a/packages/router/src/prompt_quarantine.ts
+++ b/packages/router/src/crash_quarantine.ts
@@ -35,7 +35,7 @@
 }
 
 /** Dependencies of the quarantine. */
-export interface PromptQuarantineOptions {
+export interface CrashQuarantineOptions {
   readonly clock: kernel.Clock;
   readonly controlPlane: Pick<ports.ControlPlane, "writeQuarantine">;
   readonly log: logs.DecisionLog;
@@ -56,16 +56,16 @@
 }
 
 /** The quarantined parts, and the evidence on suspected ones. */
-export class PromptQuarantine {
-  readonly #options: PromptQuarantineOptions;
-  readonly #blame = new decisions.PromptBlame();
+export class CrashQuarantine {
+  readonly #options: CrashQuarantineOptions;
+  readonly #blame = new decisions.CrashBlame();
   /** Monotonic time of the newest suspicion by part, newest last. */
   readonly #suspects = new Map<string, number>();
   readonly #parts = new Map<string, QuarantinedPart>();
   #writeTimer: NodeJS.Timeout | undefined;
   #isClosed = false;
 
-  constructor(options: PromptQuarantineOptions) {
+  constructor(options: CrashQuarantineOptions) {
     this.#options = options;
   }
 
--- a/packages/router/src/prompt_quarantine_test.ts
+++ b/packages/router/src/crash_quarantine_test.ts
@@ -4,7 +4,7 @@
 import type * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
 import * as logs from "./decision_log.ts";
-import * as quarantines from "./prompt_quarantine.ts";
+import * as quarantines from "./crash_quarantine.ts";
 import type * as requests from "./request.ts";
 import * as telemetry from "./telemetry.ts";
 
@@ -21,7 +21,7 @@
     isStoreUp: true,
     suspicions: 0,
   };
-  const quarantine = new quarantines.PromptQuarantine({
+  const quarantine = new quarantines.CrashQuarantine({
     clock,
     log,
     telemetry: new telemetry.Telemetry(),
--- a/packages/router/src/dispatcher_dependencies.ts
+++ b/packages/router/src/dispatcher_dependencies.ts
@@ -6,7 +6,7 @@
 import type * as logs from "./decision_log.ts";
 import type * as places from "./places.ts";
 import type * as ports from "./ports.ts";
-import type * as quarantines from "./prompt_quarantine.ts";
+import type * as quarantines from "./crash_quarantine.ts";
 import type * as replicas from "./replica_table.ts";
 import type * as rollouts from "./rollout_task.ts";
 import type * as sessions from "./sessions.ts";
@@ -23,7 +23,7 @@
   readonly table: replicas.ReplicaTable;
   readonly places: places.Places;
   readonly rollouts: rollouts.RolloutTask;
-  readonly quarantine: quarantines.PromptQuarantine;
+  readonly quarantine: quarantines.CrashQuarantine;
   readonly fleet: fleets.Fleet;
   readonly sessions: sessions.SessionTable;
   readonly shutdown: shutdowns.ShutdownSchedule;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -13,7 +13,7 @@
 import * as gauges from "./router_gauges.ts";
 import * as places from "./places.ts";
 import * as colds from "./cold_replicas.ts";
-import * as quarantines from "./prompt_quarantine.ts";
+import * as quarantines from "./crash_quarantine.ts";
 import * as relays from "./relayed_control.ts";
 import * as replicas from "./replica_table.ts";
 import * as rollouts from "./rollout_task.ts";
@@ -44,7 +44,7 @@
   readonly #controlPlane: relays.RelayedControlPlane;
   readonly #rollouts: rollouts.RolloutTask;
   readonly #fleet: fleets.Fleet;
-  readonly #quarantine: quarantines.PromptQuarantine;
+  readonly #quarantine: quarantines.CrashQuarantine;
   readonly #sessions: sessions.SessionTable;
   readonly #shutdown: shutdowns.ShutdownSchedule;
   readonly #signalAge: signalAges.SignalAge;
@@ -105,7 +105,7 @@
         this.#fleet.recordCold(key, remainingMs),
       isCold: (key) => this.#fleet.isCold(key),
     });
-    this.#quarantine = new quarantines.PromptQuarantine({
+    this.#quarantine = new quarantines.CrashQuarantine({
       clock,
       controlPlane,
       log,
