A request on which replicas crash is kept away from them

What callers saw: a request that crashes each replica that begins to run it was sent on, at once to a second replica and with each repeat of its caller, by any entry (BUDGET); with three replicas of a service, all other requests were refused for three seconds each time, and those that ran beside it were lost.

Cause: a lost answer counted against its replica and its version, and against the shared parts of a prompt; nothing connected it with the request.

Fix: a request is known by its account, method, host, path and body. Crashes before its answer began are pooled over the entries, like those of prompt parts; after three without an answer it is refused as not run, everywhere, and the verdict is stored. An answer clears it, so that requests that are often asked for take more crashes. As a sound request may have been near three crashes, the first quarantine lasts a minute; one more crash then renews it, for twice as long.

--- a/packages/bench/src/platform_quarantine_test.ts
+++ b/packages/bench/src/platform_quarantine_test.ts
@@ -16,6 +16,7 @@
   const parts = `${sharedParts},${(0xc000 + own).toString(16)}:100`;
   return {
     ...harnesses.DRAFT,
+    body: `prompt ${own}`,
     headers: { ...harnesses.DRAFT.headers, [PARTS_HEADER]: parts },
   };
 }
--- a/packages/decisions/src/crash_blame.ts
+++ b/packages/decisions/src/crash_blame.ts
@@ -1,5 +1,5 @@
 /**
- * Finds the parts of prompts on which replicas crash. A crash ends every request at
+ * Finds what replicas crash on: parts of prompts, or whole requests. A crash ends every request at
  * its replica, so a count of crashes alone would blame parts that many requests
  * share. A part is blamed only for crashes that came before its answer began, at
  * several replicas, and since its last answer that did begin; recent answers raise
@@ -24,12 +24,28 @@
   readonly lastBegunAtMs: number;
 }
 
-/** Crashes since the last answer that began which suffice for a part without recent answers. */
-const MIN_CRASHES = 3;
-/** Number of them that must have come between the head and the first event. */
-const MIN_CRASHES_AFTER_HEAD = 2;
-/** Crashes that suffice if no head arrived before them, as when responses are held back. */
-const MIN_CRASHES_WITHOUT_HEAD = 5;
+/** What suffices to blame something that has no recent answers. */
+export interface BlameLimits {
+  /** Crashes since the last answer that began. */
+  readonly crashes: number;
+  /** Number of them that must have come between the head and the first event. */
+  readonly crashesAfterHead: number;
+  /** Crashes that suffice if no head arrived before them, as when responses are held back. */
+  readonly crashesWithoutHead: number;
+}
+
+/** Limits for parts of prompts, which many sound requests share. */
+export const PART_LIMITS: BlameLimits = {
+  crashes: 3,
+  crashesAfterHead: 2,
+  crashesWithoutHead: 5,
+};
+/** Limits for whole requests, which have no answer at all if replicas crash on them. */
+export const REQUEST_LIMITS: BlameLimits = {
+  crashes: 3,
+  crashesAfterHead: 0,
+  crashesWithoutHead: 3,
+};
 /** Reports of one replica's crash by several processes, or requests, lie within this time. */
 const SAME_CRASH_MS = 1_500;
 /** Time constant of the decay of answers that began. */
@@ -78,11 +94,14 @@
   return merged;
 }
 
-/** Whether pooled evidence shows that replicas crash on a part. */
-function isPartDeadly(
+/** Whether pooled evidence shows that replicas crash on something. */
+function isDeadly(
   evidence: readonly CrashEvidence[],
   nowMs: number,
-  isExplained: (crash: BlamedCrash) => boolean,
+  { limits, isExplained }: {
+    readonly limits: BlameLimits;
+    readonly isExplained: (crash: BlamedCrash) => boolean;
+  },
 ): boolean {
   const lastBegunAtMs = Math.max(
     ...evidence.map((each) => each.lastBegunAtMs),
@@ -91,20 +110,25 @@
     .filter(({ atMs }) => atMs > lastBegunAtMs && nowMs - atMs <= CRASH_TTL_MS);
   const begun = evidence.reduce((sum, each) => sum + each.begun, 0);
   const afterHead = crashes.filter(({ hadHead }) => hadHead).length;
-  const needed = afterHead >= MIN_CRASHES_AFTER_HEAD
-    ? MIN_CRASHES
-    : MIN_CRASHES_WITHOUT_HEAD;
+  const needed = afterHead >= limits.crashesAfterHead
+    ? limits.crashes
+    : limits.crashesWithoutHead;
   return crashes.length >= needed + begun && !crashes.every(isExplained);
 }
 
 /** Evidence of one process, with what its peers told it. */
 export class CrashBlame {
+  readonly #limits: BlameLimits;
   /** Least recently used first. */
   readonly #records = new Map<string, PartRecord>();
   readonly #peerEvidence = new Map<string, Map<string, CrashEvidence>>();
   /** Crashes of condemned parts; they alone do not condemn the parts beside them. */
   #explained: readonly BlamedCrash[] = [];
 
+  constructor(limits: BlameLimits = PART_LIMITS) {
+    this.#limits = limits;
+  }
+
   /** Records that the answer to a prompt with these shared parts began. */
   recordBegun(partIds: readonly string[], nowMs: number): void {
     for (const id of partIds) {
@@ -135,7 +159,10 @@
     const isExplained = (crash: BlamedCrash) =>
       this.#explained.some((other) => isSameCrash(crash, other));
     return partIds.findLast((id) =>
-      isPartDeadly(this.#pool(id, nowMs), nowMs, isExplained)
+      isDeadly(this.#pool(id, nowMs), nowMs, {
+        limits: this.#limits,
+        isExplained,
+      })
     );
   }
 
--- a/packages/kernel/src/errors.ts
+++ b/packages/kernel/src/errors.ts
@@ -35,6 +35,7 @@
   "overloaded": { status: 503, notRun: true, retry: "later" },
   "stale-configuration": { status: 503, notRun: true, retry: "later" },
   "prompt-quarantined": { status: 503, notRun: true, retry: "later" },
+  "request-quarantined": { status: 503, notRun: true, retry: "later" },
   "leaving": { status: 503, notRun: true, retry: "later" },
   "claim-unavailable": { status: 503, notRun: true, retry: "same-key" },
   "claim-moved": { status: 503, notRun: true, retry: "same-key" },
--- a/packages/router/src/buffered_exchange.ts
+++ b/packages/router/src/buffered_exchange.ts
@@ -133,7 +133,11 @@
     };
     const preparation = await dispatcher.prepare(request, options);
     const outcome = await new Promise<
-      | { sent: sends.SentAttempt; result: AttemptResult }
+      | {
+        sent: sends.SentAttempt;
+        result: AttemptResult;
+        wasBrokenOff: boolean;
+      }
       | admissions.Refusal
     >((resolve) => {
       let head: attempts.ResponseHead | undefined;
@@ -175,7 +179,9 @@
           if (result.type !== "answered") {
             this.#writer.reserve(this.#keptBytes);
           }
-          resolve({ sent, result });
+          const wasBrokenOff = end.type === "lost" && !end.isGivenUp &&
+            head === undefined;
+          resolve({ sent, result, wasBrokenOff });
         },
       });
       if (sendResult.isErr()) {
@@ -190,6 +196,7 @@
     });
     if ("error" in outcome) return { type: "refused", refusal: outcome };
     this.#recordResult(outcome.sent, outcome.result);
+    this.#recordEvidence(outcome);
     return { type: "attempted", result: outcome.result };
   }
 
@@ -237,6 +244,20 @@
     });
   }
 
+  /** Records whether the replica may have crashed on the request. */
+  #recordEvidence({ sent, result, wasBrokenOff }: {
+    readonly sent: sends.SentAttempt;
+    readonly result: AttemptResult;
+    readonly wasBrokenOff: boolean;
+  }): void {
+    const { quarantine } = this.#dispatcher.dependencies;
+    if (result.type === "answered") quarantine.recordBegun(this.#request);
+    else if (wasBrokenOff) {
+      const crash = { replicaKey: sent.state.key, hadHead: false };
+      quarantine.recordCrash(this.#request, crash);
+    }
+  }
+
   #recordRun(
     sent: sends.SentAttempt,
     result: Exclude<AttemptResult, { type: "not-run" }>,
--- a/packages/router/src/crash_quarantine.ts
+++ b/packages/router/src/crash_quarantine.ts
@@ -1,7 +1,8 @@
 /**
- * Keeps requests away from replicas if a part of their prompt crashes replicas. The
- * evidence is pooled with the peers'. A verdict is stored in the control plane, so
- * that processes that start later know it; it is in force before that.
+ * Keeps requests away from replicas that crash them: those that have a part of their
+ * prompt in common, and those that are one request, sent again. The evidence is pooled
+ * with the peers'. A verdict is stored in the control plane, so that processes that
+ * start later know it; it is in force before that.
  */
 import * as decisions from "@jackdawbank/decisions";
 import * as kernel from "@jackdawbank/kernel";
@@ -10,12 +11,15 @@
 import type * as logs from "./decision_log.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
+import * as identities from "./request_identity.ts";
 import type * as telemetry from "./telemetry.ts";
 
 /** Time for which a part is refused; operators mend engines and prompts in the meantime. */
 export const QUARANTINE_MS = 600_000;
-/** Retry-After of a refused request, which would be refused again sooner. */
-const RETRY_AFTER_MS = 60_000;
+/** The same for a request, doubled each time; a sound one may have been near the crashes. */
+export const FIRST_REQUEST_QUARANTINE_MS = 60_000;
+/** Longest Retry-After of a refused request, which would be refused again sooner. */
+const MAX_RETRY_AFTER_MS = 60_000;
 /** Time for which peers are told what is known of a suspected part. */
 const SUSPICION_MS = 15_000;
 /** Shortest time for which a verdict is stored again. */
@@ -28,8 +32,10 @@
 /** Bounds what many deadly parts of one caller could fill. */
 const MAX_QUARANTINED = 1_024;
 
-interface QuarantinedPart {
+/** A part of prompts, or a request, by its id. */
+interface Quarantined {
   readonly sinceMs: number;
+  readonly durationMs: number;
   writeAtMs: number;
   isStored: boolean;
 }
@@ -51,17 +57,26 @@
 /** IDs of the parts that other requests may share: all but the last. */
 function listSharedIds(request: requests.AdmittedRequest): readonly string[] {
   return request.fields.promptParts.slice(0, -1).map(({ id }) =>
-    id.length <= MAX_ID_CHARS ? id : `${decisions.hashText(id)}-${id.length}`
+    id.length <= MAX_ID_CHARS && !isRequestId(id)
+      ? id
+      : `${decisions.hashText(id)}-${id.length}`
   );
 }
 
-/** The quarantined parts, and the evidence on suspected ones. */
+function isRequestId(id: string): boolean {
+  return id.startsWith(identities.REQUEST_ID_PREFIX);
+}
+
+/** What is quarantined, and the evidence on what is suspected. */
 export class CrashQuarantine {
   readonly #options: CrashQuarantineOptions;
   readonly #blame = new decisions.CrashBlame();
-  /** Monotonic time of the newest suspicion by part, newest last. */
+  readonly #requestBlame = new decisions.CrashBlame(decisions.REQUEST_LIMITS);
+  /** Monotonic time of the newest suspicion by id, newest last. */
   readonly #suspects = new Map<string, number>();
-  readonly #parts = new Map<string, QuarantinedPart>();
+  readonly #quarantined = new Map<string, Quarantined>();
+  /** Requests that were quarantined and not answered since, with the time for the next crash. */
+  readonly #relapses = new Map<string, number>();
   #writeTimer: NodeJS.Timeout | undefined;
   #isClosed = false;
 
@@ -69,28 +84,44 @@
     this.#options = options;
   }
 
-  get size(): number {
-    return this.#parts.size;
+  countParts(): number {
+    return this.#quarantined.size - this.countRequests();
+  }
+
+  countRequests(): number {
+    return [...this.#quarantined.keys()].filter(isRequestId).length;
   }
 
-  /** Refuses a request with a quarantined part. */
+  /** Refuses a request that is quarantined, or has a part that is. */
   check(request: requests.AdmittedRequest): admissions.Refusal | undefined {
-    if (this.#parts.size === 0) return undefined;
-    const id = listSharedIds(request).find((each) => this.#isQuarantined(each));
+    if (this.#quarantined.size === 0) return undefined;
+    const ids = [
+      ...listSharedIds(request),
+      identities.identifyRequest(request),
+    ];
+    const id = ids.find((each) => this.#isQuarantined(each));
     if (id === undefined) return undefined;
     return {
-      error: kernel.makeError(
-        "prompt-quarantined",
-        `replicas crash on part '${id}' of the prompt`,
-      ),
-      retryAfterMs: RETRY_AFTER_MS,
+      error: isRequestId(id)
+        ? kernel.makeError(
+          "request-quarantined",
+          `replicas crash on this request, '${id}'`,
+        )
+        : kernel.makeError(
+          "prompt-quarantined",
+          `replicas crash on part '${id}' of the prompt`,
+        ),
+      retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, this.#findLeftMs(id)),
     };
   }
 
   /** Records that the answer to a request began. */
   recordBegun(request: requests.AdmittedRequest): void {
     const nowMs = this.#options.clock.monotonicMs();
+    const id = identities.identifyRequest(request);
     this.#blame.recordBegun(listSharedIds(request), nowMs);
+    this.#requestBlame.recordBegun([id], nowMs);
+    this.#relapses.delete(id);
   }
 
   /** Records that a replica broke off a request before its answer began. */
@@ -98,12 +129,22 @@
     request: requests.AdmittedRequest,
     crash: { readonly replicaKey: number; readonly hadHead: boolean },
   ): void {
-    const { clock, telemetry, onSuspicion } = this.#options;
-    const atMs = clock.monotonicMs();
+    const atMs = this.#options.clock.monotonicMs();
+    const isPartToBlame = this.#recordPartCrash(request, { ...crash, atMs });
+    if (!isPartToBlame) this.#recordRequestCrash(request, { ...crash, atMs });
+    this.#options.onSuspicion();
+  }
+
+  /** Returns whether a part of the prompt is quarantined. */
+  #recordPartCrash(
+    request: requests.AdmittedRequest,
+    crash: decisions.BlamedCrash,
+  ): boolean {
     const ids = listSharedIds(request);
-    if (ids.length === 0) return;
-    telemetry.countEvent("prompt.crash");
-    const deadly = this.#blame.recordCrash(ids, { ...crash, atMs });
+    if (ids.length === 0) return false;
+    const { atMs } = crash;
+    this.#options.telemetry.countEvent("prompt.crash");
+    const deadly = this.#blame.recordCrash(ids, crash);
     const known = ids.find((id) => this.#isQuarantined(id));
     if (known !== undefined) this.#blame.condemn(known, atMs);
     else if (deadly !== undefined) this.#quarantine(deadly, "crashes");
@@ -111,19 +152,42 @@
       crash.hadHead || this.#blame.readOwn(id, atMs).crashes.length > 1
     );
     for (const id of suspected) this.#suspect(id, atMs);
-    if (suspected.length > 0) onSuspicion();
+    return known !== undefined || deadly !== undefined;
   }
 
-  /** What peers should know, the newest suspicion last. */
+  /** Other processes may have seen the other crashes, so that peers are told of each. */
+  #recordRequestCrash(
+    request: requests.AdmittedRequest,
+    crash: decisions.BlamedCrash,
+  ): void {
+    const id = identities.identifyRequest(request);
+    this.#options.telemetry.countEvent("request.crash");
+    const isDeadly = this.#requestBlame.recordCrash([id], crash) !== undefined;
+    if (isDeadly) this.#quarantine(id, "crashes");
+    else if (this.#relapses.has(id)) this.#quarantine(id, "crashed again");
+    this.#suspect(id, crash.atMs);
+  }
+
+  /** What peers should know, the most important last: only so much is sent. */
   listTallies(): readonly peers.PartTally[] {
     const nowMs = this.#options.clock.monotonicMs();
-    return [...this.#suspects].flatMap(([id, suspectedAtMs]) => {
+    const tallies = [...this.#suspects].flatMap(([id, suspectedAtMs]) => {
       if (nowMs - suspectedAtMs > SUSPICION_MS) return [];
-      const evidence = this.#blame.readOwn(id, nowMs);
+      const evidence = this.#findBlame(id).readOwn(id, nowMs);
       return evidence.crashes.length === 0 && evidence.begun === 0
         ? []
         : [peers.buildTally(id, evidence, nowMs)];
     });
+    const parts = tallies.filter(({ partId }) => !isRequestId(partId));
+    // A crash ends many requests; the one that has caused it comes back.
+    const requestTallies = tallies.filter(({ partId }) => isRequestId(partId))
+      .toSorted((a, b) => a.crashes.length - b.crashes.length);
+    const share = peers.MAX_TALLIES / 2;
+    return [
+      ...parts.slice(0, -share),
+      ...requestTallies.slice(-share),
+      ...parts.slice(-share),
+    ];
   }
 
   /** Adds what a peer knows, and tells it in turn what is known here. */
@@ -132,17 +196,22 @@
     let isNew = false;
     for (const tally of tallies) {
       const { partId } = tally;
-      this.#blame.recordPeer(name, partId, peers.readTally(tally, nowMs));
-      if (this.#isQuarantined(partId)) this.#blame.condemn(partId, nowMs);
+      this.#findBlame(partId).recordPeer(
+        name,
+        partId,
+        peers.readTally(tally, nowMs),
+      );
+      if (this.#isQuarantined(partId)) this.#condemn(partId, nowMs);
     }
     // The most specific parts come last; those before them are judged by what is left.
     for (const { partId } of tallies.toReversed()) {
       const suspectedAtMs = this.#suspects.get(partId) ?? -Infinity;
+      const blame = this.#findBlame(partId);
       if (nowMs - suspectedAtMs > SUSPICION_MS) {
         this.#suspect(partId, nowMs);
-        isNew ||= this.#blame.readOwn(partId, nowMs).begun > 0;
+        isNew ||= blame.readOwn(partId, nowMs).begun > 0;
       }
-      if (this.#blame.findDeadly([partId], nowMs) !== undefined) {
+      if (blame.findDeadly([partId], nowMs) !== undefined) {
         this.#quarantine(partId, "crashes that peers saw");
       }
     }
@@ -152,14 +221,21 @@
   /** Applies a verdict that is stored in the control plane. */
   applyStored(partId: string): void {
     this.#quarantine(partId, "stored verdict");
-    const part = this.#parts.get(partId);
+    const part = this.#quarantined.get(partId);
     if (part !== undefined) part.isStored = true;
   }
 
   /** Lifts a quarantine whose stored verdict has expired or was removed. */
   lift(partId: string): void {
-    if (!this.#parts.delete(partId)) return;
-    this.#options.log.addNotable("prompt.released", { part: partId });
+    const lifted = this.#quarantined.get(partId);
+    if (lifted === undefined) return;
+    this.#quarantined.delete(partId);
+    if (isRequestId(partId)) {
+      const nextMs = Math.min(QUARANTINE_MS, 2 * lifted.durationMs);
+      this.#relapses.set(partId, nextMs);
+      decisions.trimOldest(this.#relapses, MAX_QUARANTINED);
+    }
+    this.#logVerdict("released", partId, {});
   }
 
   /** Writes the verdicts again that are missing after the control plane was restored. */
@@ -170,7 +246,7 @@
       ),
     );
     const { clock, random } = this.#options;
-    for (const [partId, part] of this.#parts) {
+    for (const [partId, part] of this.#quarantined) {
       if (stored.has(partId) || !part.isStored) continue;
       part.isStored = false;
       part.writeAtMs = clock.monotonicMs() + random() * OTHERS_WRITE_MS;
@@ -183,12 +259,34 @@
     clearTimeout(this.#writeTimer);
   }
 
-  #isQuarantined(partId: string): boolean {
-    const part = this.#parts.get(partId);
-    if (part === undefined) return false;
-    const ageMs = this.#options.clock.monotonicMs() - part.sinceMs;
-    if (ageMs <= QUARANTINE_MS) return true;
-    this.lift(partId);
+  #findBlame(id: string): decisions.CrashBlame {
+    return isRequestId(id) ? this.#requestBlame : this.#blame;
+  }
+
+  /** Two requests may be to blame for one crash each, so that none explains those of another. */
+  #condemn(id: string, nowMs: number): void {
+    if (!isRequestId(id)) this.#blame.condemn(id, nowMs);
+  }
+
+  #logVerdict(what: string, id: string, fields: logs.LogFields): void {
+    const isRequest = isRequestId(id);
+    this.#options.log.addNotable(
+      `${isRequest ? "request" : "prompt"}.${what}`,
+      { ...(isRequest ? { sameRequest: id } : { part: id }), ...fields },
+    );
+  }
+
+  #findLeftMs(id: string): number {
+    const quarantined = this.#quarantined.get(id);
+    if (quarantined === undefined) return 0;
+    const { sinceMs, durationMs } = quarantined;
+    return durationMs - (this.#options.clock.monotonicMs() - sinceMs);
+  }
+
+  #isQuarantined(id: string): boolean {
+    if (!this.#quarantined.has(id)) return false;
+    if (this.#findLeftMs(id) >= 0) return true;
+    this.lift(id);
     return false;
   }
 
@@ -198,21 +296,28 @@
     decisions.trimOldest(this.#suspects, MAX_SUSPECTS);
   }
 
-  #quarantine(partId: string, cause: string): void {
-    if (this.#isQuarantined(partId)) return;
-    const { clock, log } = this.#options;
-    const nowMs = clock.monotonicMs();
-    this.#blame.condemn(partId, nowMs);
-    const crashes = this.#blame.readOwn(partId, nowMs).crashes.length;
+  #quarantine(id: string, cause: string): void {
+    if (this.#isQuarantined(id)) return;
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#condemn(id, nowMs);
+    const crashes = this.#findBlame(id).readOwn(id, nowMs).crashes.length;
     const writeAtMs = nowMs + (crashes > 0 ? 0 : OTHERS_WRITE_MS);
-    this.#parts.set(partId, { sinceMs: nowMs, writeAtMs, isStored: false });
-    while (this.#parts.size > MAX_QUARANTINED) {
-      const [oldest] = this.#parts.keys();
+    const durationMs = isRequestId(id)
+      ? this.#relapses.get(id) ?? FIRST_REQUEST_QUARANTINE_MS
+      : QUARANTINE_MS;
+    this.#quarantined.set(id, {
+      sinceMs: nowMs,
+      durationMs,
+      writeAtMs,
+      isStored: false,
+    });
+    while (this.#quarantined.size > MAX_QUARANTINED) {
+      const [oldest] = this.#quarantined.keys();
       this.lift(oldest as string);
     }
-    log.addNotable("prompt.quarantined", {
-      part: partId,
+    this.#logVerdict("quarantined", id, {
       cause,
+      durationMs,
       crashesSeenHere: crashes,
     });
     // A stored verdict is marked as such before the timer runs.
@@ -229,19 +334,15 @@
   }
 
   async #writeDue(): Promise<void> {
-    const { clock, controlPlane, log } = this.#options;
+    const { clock, controlPlane } = this.#options;
     const nowMs = clock.monotonicMs();
-    const waiting = [...this.#parts].filter(([, part]) => !part.isStored);
+    const waiting = [...this.#quarantined].filter(([, part]) => !part.isStored);
     for (const [partId, part] of waiting) {
       if (part.isStored || part.writeAtMs > nowMs) continue;
-      const leftMs = Math.max(
-        MIN_STORED_MS,
-        QUARANTINE_MS - (nowMs - part.sinceMs),
-      );
+      const leftMs = Math.max(MIN_STORED_MS, this.#findLeftMs(partId));
       const written = await controlPlane.writeQuarantine(partId, leftMs);
       if (written.isOk()) part.isStored = true;
-      log.addNotable("prompt.verdict-written", {
-        part: partId,
+      this.#logVerdict("verdict-written", partId, {
         error: written.isErr() ? written.error.message : undefined,
       });
     }
--- a/packages/router/src/crash_quarantine_test.ts
+++ b/packages/router/src/crash_quarantine_test.ts
@@ -44,9 +44,16 @@
   return { state, quarantine };
 }
 
-/** A request with these shared parts, and one of its own. */
+let builtRequests = 0;
+
+/** A request like no other, with these shared parts and one of its own. */
 function buildRequest(...sharedIds: readonly string[]) {
+  builtRequests += 1;
   return {
+    method: "POST",
+    hostName: "shop.example",
+    target: `/${builtRequests}`,
+    body: Buffer.alloc(0),
     fields: {
       promptParts: [...sharedIds, "own"].map((id) => ({ id, tokens: 10 })),
     },
@@ -100,7 +107,7 @@
   }));
   quarantine.recordPeerTallies({ name: "edge-2", tallies });
   t.is(quarantine.check(buildRequest("company", "sound")), undefined);
-  t.is(quarantine.size, 1);
+  t.is(quarantine.countParts(), 1);
 });
 
 test("a verdict holds while the store is down, and is stored when it is back", async (t) => {
@@ -127,7 +134,7 @@
   quarantine.applyStored("other");
   state.clock.advance(quarantines.QUARANTINE_MS + 1);
   t.is(quarantine.check(buildRequest("other")), undefined);
-  t.is(quarantine.size, 0);
+  t.is(quarantine.countParts(), 0);
 });
 
 test("peers' crashes lead to a verdict, which is left to them to store", async (t) => {
@@ -144,7 +151,7 @@
     }) satisfies peers.PromptMessage;
   quarantine.recordPeerTallies(buildMessage("edge-2", 1));
   quarantine.recordPeerTallies(buildMessage("edge-3", 2));
-  t.is(quarantine.size, 0);
+  t.is(quarantine.countParts(), 0);
   quarantine.recordPeerTallies(buildMessage("edge-4", 3));
   t.truthy(quarantine.check(buildRequest("deadly")));
   await kernel.sleep(20);
@@ -179,6 +186,102 @@
   t.true(
     setting.quarantine.listTallies().every(({ partId }) => partId.length <= 48),
   );
-  t.true(setting.quarantine.size <= 1_024);
+  t.true(setting.quarantine.countParts() <= 1_024);
   t.true(setting.quarantine.listTallies().length <= 64);
 });
+
+function readRequestTallies(quarantine: quarantines.CrashQuarantine) {
+  return quarantine.listTallies().filter(({ partId }) =>
+    partId.startsWith("request-")
+  );
+}
+
+test("a request without shared parts is refused after three crashes, and no other one", async (t) => {
+  const setting = createQuarantine(t);
+  const { quarantine, state } = setting;
+  const request = buildRequest();
+  crash(setting, request, [1, 2]);
+  t.is(quarantine.check(request), undefined);
+  crash(setting, request, [3]);
+  const refusal = quarantine.check(request);
+  t.is(refusal?.error.kind, "request-quarantined");
+  t.true((refusal?.retryAfterMs ?? 0) > 0);
+  t.is(quarantine.check(buildRequest()), undefined);
+  t.is(quarantine.countRequests(), 1);
+  t.is(quarantine.countParts(), 0);
+  await kernel.sleep(20);
+  t.is(state.written.length, 1);
+});
+
+// Guards against BUDGET: each of several processes sees one crash of a request that comes to any of them.
+test("crashes of a request that each process saw once are pooled", (t) => {
+  const settings = [1, 2, 3].map(() => createQuarantine(t));
+  const request = buildRequest();
+  for (const [at, setting] of settings.entries()) {
+    crash(setting, request, [at]);
+    t.is(setting.state.suspicions, 1);
+  }
+  const [first, ...others] = settings.map(({ quarantine }) => quarantine);
+  for (const [at, other] of others.entries()) {
+    const tallies = readRequestTallies(other);
+    t.is(tallies.length, 1);
+    first?.recordPeerTallies({ name: `edge-${at}`, tallies });
+  }
+  t.truthy(first?.check(request));
+});
+
+test("an answer clears a request of the crashes before it, here or at a peer", (t) => {
+  const setting = createQuarantine(t);
+  const peer = createQuarantine(t);
+  const request = buildRequest();
+  crash(setting, request, [1, 2]);
+  setting.quarantine.recordBegun(request);
+  crash(setting, request, [3]);
+  t.is(setting.quarantine.check(request), undefined);
+  peer.state.clock.advance(10_000);
+  peer.quarantine.recordBegun(request);
+  const { quarantine } = setting;
+  peer.quarantine.recordPeerTallies({
+    name: "edge-1",
+    tallies: readRequestTallies(quarantine),
+  });
+  quarantine.recordPeerTallies({
+    name: "edge-2",
+    tallies: readRequestTallies(peer.quarantine),
+  });
+  crash(setting, request, [4, 5]);
+  t.is(quarantine.check(request), undefined);
+});
+
+// Guards against refusals of sound requests: one that was only near the crashes is tried again soon.
+test("a request is tried again after its quarantine, and refused for longer if it crashes another replica", (t) => {
+  const setting = createQuarantine(t);
+  const { quarantine, state } = setting;
+  const request = buildRequest();
+  crash(setting, request, [1, 2, 3]);
+  state.clock.advance(quarantines.FIRST_REQUEST_QUARANTINE_MS + 1);
+  t.is(quarantine.check(request), undefined);
+  crash(setting, request, [4]);
+  t.truthy(quarantine.check(request));
+  state.clock.advance(quarantines.FIRST_REQUEST_QUARANTINE_MS + 1);
+  t.truthy(quarantine.check(request));
+  state.clock.advance(quarantines.FIRST_REQUEST_QUARANTINE_MS);
+  t.is(quarantine.check(request), undefined);
+  quarantine.recordBegun(request);
+  state.clock.advance(60_000);
+  crash(setting, request, [5]);
+  t.is(quarantine.check(request), undefined);
+});
+
+// Guards against BUDGET: a crash ends many requests at once, and only so many are told to peers.
+test("peers are told first of the request that was lost in most crashes", (t) => {
+  const setting = createQuarantine(t);
+  const request = buildRequest();
+  crash(setting, request, [1, 2]);
+  for (let other = 0; other < 20; other += 1) {
+    crash(setting, buildRequest("shared", `part-${other}`), [3]);
+  }
+  const told = setting.quarantine.listTallies().slice(-8);
+  t.true(told.some(({ crashes }) => crashes.length === 2));
+  t.true(readRequestTallies(setting.quarantine).length <= 4);
+});
