Tests of a request on which replicas crash: these end, and peers get time to hear of it

Replicas end as they would now, and the test waits for the verdict at both entries. Bounds and checks are unchanged. (prompt parts: requests of the test of two entries come 1.6 s apart, in which a replica can be back.)

--- a/packages/bench/src/platform_crash_request_test.ts
+++ b/packages/bench/src/platform_crash_request_test.ts
@@ -24,15 +24,19 @@
   return path.includes("deadly") || body.includes("deadly");
 }
 
-/** Starts two entries before replicas that break off each deadly request before any byte. */
+/** Starts two entries before replicas that end as soon as they run a deadly request. */
 async function startEntries(
   t: ava.ExecutionContext,
   harness: harnesses.PlatformHarness,
 ): Promise<Setting> {
   for (let at = 1; at <= REPLICAS; at += 1) {
     for (const service of ["desk", "llm"]) {
-      await harness.addReplica(`${service}-${at}`, service, (request) => {
-        if (isDeadly(request)) return { type: "reset" };
+      const id = `${service}-${at}`;
+      await harness.addReplica(id, service, (request) => {
+        if (isDeadly(request)) {
+          void harness.replicas.get(id)?.close();
+          return { type: "hang" };
+        }
         return service === "llm"
           ? { type: "stream", events: 2, confidence: 90 }
           : { type: "ok" };
@@ -118,6 +122,9 @@
       await harness.call(ROUTES.check, deadly);
     }
     for (const entry of entries) {
+      await entry.waitFor(() =>
+        entry.findLogLines("request.quarantined").length > 0
+      );
       t.is((await entry.call(ROUTES.check, deadly)).status, 503);
       for (const body of ["", "sound"]) {
         const got = await entry.call(ROUTES.check, { ...deadly, body });
--- a/packages/bench/src/platform_quarantine_test.ts
+++ b/packages/bench/src/platform_quarantine_test.ts
@@ -11,6 +11,8 @@
 /** Sends that all entries together may make after the fifth crash. */
 const MAX_LATER_SENDS = 3;
 const SHORTEST_LEASE_MS = 1_000;
+/** Time after which a replica that has crashed can crash again. */
+const RESTART_MS = 1_600;
 
 function buildPrompt(sharedParts: string, own: number) {
   const parts = `${sharedParts},${(0xc000 + own).toString(16)}:100`;
@@ -59,6 +61,7 @@
     for (let own = 0; own < 3; own += 1) {
       const entry = own % 2 === 0 ? harness : otherEntry;
       await entry.call(ROUTES.draft, buildPrompt(deadly, own));
+      await kernel.sleep(RESTART_MS);
     }
     for (const entry of [harness, otherEntry]) {
       await entry.waitFor(() =>
@@ -101,7 +104,7 @@
       harness.store.list("jackdawbank/quarantine/").length === 1;
     for (let own = 0; !isStored() && own < 4; own += 1) {
       await harness.call(ROUTES.draft, buildPrompt("a1:100,dead:300", own));
-      await kernel.sleep(50);
+      await kernel.sleep(RESTART_MS);
     }
     await harness.waitFor(isStored);
     await kernel.sleep(SHORTEST_LEASE_MS + 500);
