A part of a prompt is to blame only if other requests crash on it, too

Cause: each crash of the one request counted against its parts, too, and three with a head suffice there.

Fix: the request is judged first, and its crashes are explained by its verdict, here and at peers; a part needs one that is not. Suspected requests no longer push suspected parts out of their table. A request that was quarantined before is refused at peers with the first new crash that they hear of.

--- a/packages/decisions/src/crash_blame.ts
+++ b/packages/decisions/src/crash_blame.ts
@@ -166,16 +166,25 @@
     );
   }
 
+  /** Records that a part is condemned; its crashes, so far as they are known, are explained. */
+  condemn(partId: string, nowMs: number): void {
+    this.explain(this.listCrashes(partId, nowMs));
+  }
+
   /**
-   * Records that a part is condemned: its crashes, so far as they are known, say
-   * nothing about other parts. Called again when more of them become known.
+   * Records crashes whose cause is known: they alone do not condemn anything else.
+   * Called again when more of them become known.
    */
-  condemn(partId: string, nowMs: number): void {
-    const crashes = this.#pool(partId, nowMs).flatMap((each) => each.crashes);
+  explain(crashes: readonly BlamedCrash[]): void {
     this.#explained = mergeCrashes([...this.#explained, ...crashes])
       .slice(-MAX_EXPLAINED);
   }
 
+  /** The crashes of something that are known here or from peers. */
+  listCrashes(id: string, nowMs: number): readonly BlamedCrash[] {
+    return this.#pool(id, nowMs).flatMap((each) => each.crashes);
+  }
+
   /** Replaces what a peer knows of a part. */
   recordPeer(peer: string, partId: string, evidence: CrashEvidence): void {
     const byPeer = this.#peerEvidence.get(partId) ?? new Map();
--- a/packages/router/src/crash_quarantine.ts
+++ b/packages/router/src/crash_quarantine.ts
@@ -72,8 +72,9 @@
   readonly #options: CrashQuarantineOptions;
   readonly #blame = new decisions.CrashBlame();
   readonly #requestBlame = new decisions.CrashBlame(decisions.REQUEST_LIMITS);
-  /** Monotonic time of the newest suspicion by id, newest last. */
-  readonly #suspects = new Map<string, number>();
+  /** Monotonic time of the newest suspicion by part, newest last. */
+  readonly #suspectedParts = new Map<string, number>();
+  readonly #suspectedRequests = new Map<string, number>();
   readonly #quarantined = new Map<string, Quarantined>();
   /** Requests that were quarantined and not answered since, with the time for the next crash. */
   readonly #relapses = new Map<string, number>();
@@ -130,29 +131,30 @@
     crash: { readonly replicaKey: number; readonly hadHead: boolean },
   ): void {
     const atMs = this.#options.clock.monotonicMs();
-    const isPartToBlame = this.#recordPartCrash(request, { ...crash, atMs });
-    if (!isPartToBlame) this.#recordRequestCrash(request, { ...crash, atMs });
+    const ids = listSharedIds(request);
+    const known = ids.find((id) => this.#isQuarantined(id));
+    // The request is judged first: a part is to blame only if others crash on it, too.
+    if (known === undefined) {
+      this.#recordRequestCrash(request, { ...crash, atMs });
+    }
+    if (ids.length > 0) this.#recordPartCrash(ids, known, { ...crash, atMs });
     this.#options.onSuspicion();
   }
 
-  /** Returns whether a part of the prompt is quarantined. */
   #recordPartCrash(
-    request: requests.AdmittedRequest,
+    ids: readonly string[],
+    known: string | undefined,
     crash: decisions.BlamedCrash,
-  ): boolean {
-    const ids = listSharedIds(request);
-    if (ids.length === 0) return false;
+  ): void {
     const { atMs } = crash;
     this.#options.telemetry.countEvent("prompt.crash");
     const deadly = this.#blame.recordCrash(ids, crash);
-    const known = ids.find((id) => this.#isQuarantined(id));
-    if (known !== undefined) this.#blame.condemn(known, atMs);
+    if (known !== undefined) this.#condemn(known, atMs);
     else if (deadly !== undefined) this.#quarantine(deadly, "crashes");
     const suspected = ids.filter((id) =>
       crash.hadHead || this.#blame.readOwn(id, atMs).crashes.length > 1
     );
     for (const id of suspected) this.#suspect(id, atMs);
-    return known !== undefined || deadly !== undefined;
   }
 
   /** Other processes may have seen the other crashes, so that peers are told of each. */
@@ -163,24 +165,17 @@
     const id = identities.identifyRequest(request);
     this.#options.telemetry.countEvent("request.crash");
     const isDeadly = this.#requestBlame.recordCrash([id], crash) !== undefined;
-    if (isDeadly) this.#quarantine(id, "crashes");
+    if (this.#isQuarantined(id)) this.#condemn(id, crash.atMs);
+    else if (isDeadly) this.#quarantine(id, "crashes");
     else if (this.#relapses.has(id)) this.#quarantine(id, "crashed again");
     this.#suspect(id, crash.atMs);
   }
 
   /** What peers should know, the most important last: only so much is sent. */
   listTallies(): readonly peers.PartTally[] {
-    const nowMs = this.#options.clock.monotonicMs();
-    const tallies = [...this.#suspects].flatMap(([id, suspectedAtMs]) => {
-      if (nowMs - suspectedAtMs > SUSPICION_MS) return [];
-      const evidence = this.#findBlame(id).readOwn(id, nowMs);
-      return evidence.crashes.length === 0 && evidence.begun === 0
-        ? []
-        : [peers.buildTally(id, evidence, nowMs)];
-    });
-    const parts = tallies.filter(({ partId }) => !isRequestId(partId));
+    const parts = this.#buildTallies(this.#suspectedParts);
     // A crash ends many requests; the one that has caused it comes back.
-    const requestTallies = tallies.filter(({ partId }) => isRequestId(partId))
+    const requestTallies = this.#buildTallies(this.#suspectedRequests)
       .toSorted((a, b) => a.crashes.length - b.crashes.length);
     const share = peers.MAX_TALLIES / 2;
     return [
@@ -190,6 +185,19 @@
     ];
   }
 
+  #buildTallies(
+    suspects: ReadonlyMap<string, number>,
+  ): readonly peers.PartTally[] {
+    const nowMs = this.#options.clock.monotonicMs();
+    return [...suspects].flatMap(([id, suspectedAtMs]) => {
+      if (nowMs - suspectedAtMs > SUSPICION_MS) return [];
+      const evidence = this.#findBlame(id).readOwn(id, nowMs);
+      return evidence.crashes.length === 0 && evidence.begun === 0
+        ? []
+        : [peers.buildTally(id, evidence, nowMs)];
+    });
+  }
+
   /** Adds what a peer knows, and tells it in turn what is known here. */
   recordPeerTallies({ name, tallies }: peers.PromptMessage): void {
     const nowMs = this.#options.clock.monotonicMs();
@@ -203,9 +211,14 @@
       );
       if (this.#isQuarantined(partId)) this.#condemn(partId, nowMs);
     }
-    // The most specific parts come last; those before them are judged by what is left.
-    for (const { partId } of tallies.toReversed()) {
-      const suspectedAtMs = this.#suspects.get(partId) ?? -Infinity;
+    // Requests first; then the most specific parts, which come last. The others are judged by
+    // what is left.
+    const judged = [
+      ...tallies.filter(({ partId }) => isRequestId(partId)),
+      ...tallies.filter(({ partId }) => !isRequestId(partId)).toReversed(),
+    ];
+    for (const { partId, crashes } of judged) {
+      const suspectedAtMs = this.#findSuspects(partId).get(partId) ?? -Infinity;
       const blame = this.#findBlame(partId);
       if (nowMs - suspectedAtMs > SUSPICION_MS) {
         this.#suspect(partId, nowMs);
@@ -214,6 +227,10 @@
       if (blame.findDeadly([partId], nowMs) !== undefined) {
         this.#quarantine(partId, "crashes that peers saw");
       }
+      const isNewCrash = crashes.some(({ ageMs }) => ageMs <= SUSPICION_MS);
+      if (isNewCrash && this.#relapses.has(partId)) {
+        this.#quarantine(partId, "crashed again, as peers saw");
+      }
     }
     if (isNew) this.#options.onSuspicion();
   }
@@ -263,9 +280,13 @@
     return isRequestId(id) ? this.#requestBlame : this.#blame;
   }
 
-  /** Two requests may be to blame for one crash each, so that none explains those of another. */
+  #findSuspects(id: string): Map<string, number> {
+    return isRequestId(id) ? this.#suspectedRequests : this.#suspectedParts;
+  }
+
+  /** Its crashes say nothing about other parts; about other requests at the same replica they do. */
   #condemn(id: string, nowMs: number): void {
-    if (!isRequestId(id)) this.#blame.condemn(id, nowMs);
+    this.#blame.explain(this.#findBlame(id).listCrashes(id, nowMs));
   }
 
   #logVerdict(what: string, id: string, fields: logs.LogFields): void {
@@ -290,10 +311,11 @@
     return false;
   }
 
-  #suspect(partId: string, nowMs: number): void {
-    this.#suspects.delete(partId);
-    this.#suspects.set(partId, nowMs);
-    decisions.trimOldest(this.#suspects, MAX_SUSPECTS);
+  #suspect(id: string, nowMs: number): void {
+    const suspects = this.#findSuspects(id);
+    suspects.delete(id);
+    suspects.set(id, nowMs);
+    decisions.trimOldest(suspects, MAX_SUSPECTS);
   }
 
   #quarantine(id: string, cause: string): void {
