--- a/packages/fakes/src/platform_store.ts
+++ b/packages/fakes/src/platform_store.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as responses from "./json_response.ts";
 
 /** How the store responds. */
 export type PlatformStoreMode =
@@ -274,23 +275,23 @@
       const { ttlMs } = JSON.parse(body) as { readonly ttlMs: number };
       const lease = this.grantLease();
       if (Number.isInteger(ttlMs)) {
-        return send(response, 200, { lease, ttlMs });
+        return responses.send(response, 200, { lease, ttlMs });
       }
       // The store takes a time with a fraction for the shortest one.
       setTimeout(() => this.endLease(lease), SHORTEST_TTL_MS).unref();
-      return send(response, 200, { lease, ttlMs: SHORTEST_TTL_MS });
+      return responses.send(response, 200, { lease, ttlMs: SHORTEST_TTL_MS });
     }
     const lease = Number(url.pathname.split("/").at(-1));
     const wasFound = url.pathname.startsWith("/-/kv-lease-end/")
       ? this.endLease(lease)
       : this.#leases.has(lease);
-    send(response, wasFound ? 200 : 404, {});
+    responses.send(response, wasFound ? 200 : 404, {});
   }
 
   #serveItem(url: URL, response: http.ServerResponse): void {
     const item = this.#items.get(url.searchParams.get("key") ?? "");
     if (item === undefined) response.writeHead(404).end();
-    else send(response, 200, item);
+    else responses.send(response, 200, item);
   }
 
   #serveRange(url: URL, response: http.ServerResponse): void {
@@ -302,7 +303,7 @@
     const matching = [...items.values()]
       .filter((item) => item.key.startsWith(prefix) && item.key > afterKey)
       .toSorted((a, b) => a.key < b.key ? -1 : 1);
-    send(response, 200, {
+    responses.send(response, 200, {
       items: matching.slice(0, PAGE_SIZE),
       hasMore: matching.length > PAGE_SIZE,
       at: revision,
@@ -331,7 +332,7 @@
       if (events.length > 0 || Date.now() >= deadlineMs) {
         // A watch that waited while the mode became a failure gets no response.
         if (this.mode !== "up" && this.mode !== "lost-writes") return;
-        await sendSlowly(response, this.watchTransferMs, {
+        await responses.sendSlowly(response, this.watchTransferMs, {
           events: events.map(({ key, revision, item }) =>
             item ?? { key, revision, deleted: true }
           ),
@@ -356,7 +357,7 @@
       (this.#items.get(key)?.revision ?? 0) === revision
     );
     if (!isCurrent) {
-      send(response, 412, {
+      responses.send(response, 412, {
         items: expected.flatMap(({ key }) => this.#items.get(key) ?? []),
       });
       return;
@@ -375,34 +376,6 @@
       response.destroy();
       return;
     }
-    send(response, 200, { revision: this.#revision });
+    responses.send(response, 200, { revision: this.#revision });
   }
 }
-
-function send(
-  response: http.ServerResponse,
-  status: number,
-  data: unknown,
-): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(data));
-}
-
-const PIECES = 20;
-
-/** Sends a body over `durationMs`; at once if that is 0. */
-async function sendSlowly(
-  response: http.ServerResponse,
-  durationMs: number,
-  data: unknown,
-): Promise<void> {
-  if (durationMs === 0) return send(response, 200, data);
-  const body = Buffer.from(JSON.stringify(data));
-  response.writeHead(200, { "content-type": "application/json" });
-  const size = Math.ceil(body.length / PIECES);
-  for (let at = 0; at < body.length && !response.destroyed; at += size) {
-    response.write(body.subarray(at, at + size));
-    await new Promise((resolve) => setTimeout(resolve, durationMs / PIECES));
-  }
-  response.end();
-}
--- a/packages/fakes/src/replica.ts
+++ b/packages/fakes/src/replica.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as endless from "./endless_bytes.ts";
+import * as rawAnswers from "./raw_answer.ts";
 
 /** How the replica handles one request. */
 export type ReplicaBehaviour =
@@ -102,7 +103,6 @@
 }
 
 const ATTEMPT_ID = "x-jackdawbank-attempt-id";
-const RESET_DELAY_MS = 5;
 
 /** Returns the id of the request's attempt; empty if it has none. */
 export function readAttemptId({ headers }: ReceivedRequest): string {
@@ -296,7 +296,7 @@
         );
         return;
       case "raw":
-        return sendRaw(response, behaviour, {
+        return rawAnswers.sendRaw(response, behaviour, {
           ATTEMPT: attemptId,
           RECEIPT: `receipt-${this.id}-${this.received.length}`,
         });
@@ -373,32 +373,6 @@
   response.shouldKeepAlive = false;
 }
 
-/** Writes beside the server's response, which is never used. */
-async function sendRaw(
-  response: http.ServerResponse,
-  behaviour: Extract<ReplicaBehaviour, { type: "raw" }>,
-  values: Readonly<Record<string, string>>,
-): Promise<void> {
-  const { socket } = response;
-  if (socket === null) return;
-  let text = behaviour.text;
-  for (const [name, value] of Object.entries(values)) {
-    text = text.replaceAll(name, value);
-  }
-  if (behaviour.then === "reset-at-once") {
-    socket.write(text, behaviour.encoding, () => socket.resetAndDestroy());
-    return;
-  }
-  socket.write(text, behaviour.encoding);
-  if (behaviour.then === "keep") return;
-  if (behaviour.then === "close") socket.end();
-  else {
-    // The bytes must have been received before the reset, which discards what is on its way.
-    await sleep(RESET_DELAY_MS);
-    socket.resetAndDestroy();
-  }
-}
-
 function sleep(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
