Peers are told of answers to requests that they suspect, also after many crashes

Found by reading the fix again: a message holds eight entries, and an answer that clears a request, with no crash of its own, came behind all requests that a crash had ended, so that a request that is often asked for could be refused at a peer that had not answered it lately.

--- a/packages/router/src/crash_quarantine.ts
+++ b/packages/router/src/crash_quarantine.ts
@@ -51,6 +51,8 @@
   readonly onSuspicion: () => void;
 }
 
+/** An answer counts as much as so many crashes: it clears a request that peers suspect. */
+const MIN_ANSWERED_RANK = 2;
 /** Longer IDs are replaced by a hash, since callers choose them. */
 const MAX_ID_CHARS = 48;
 
@@ -67,6 +69,13 @@
   return id.startsWith(identities.REQUEST_ID_PREFIX);
 }
 
+/** The higher, the more peers need to know it. */
+function rankTally({ crashes, begun }: peers.PartTally): number {
+  return begun > 0
+    ? Math.max(crashes.length, MIN_ANSWERED_RANK)
+    : crashes.length;
+}
+
 /** What is quarantined, and the evidence on what is suspected. */
 export class CrashQuarantine {
   readonly #options: CrashQuarantineOptions;
@@ -130,8 +139,10 @@
     request: requests.AdmittedRequest,
     crash: { readonly replicaKey: number; readonly hadHead: boolean },
   ): void {
-    const atMs = this.#options.clock.monotonicMs();
+    const { clock, telemetry } = this.#options;
+    const atMs = clock.monotonicMs();
     const ids = listSharedIds(request);
+    telemetry.countEvent("request.crash");
     const known = ids.find((id) => this.#isQuarantined(id));
     // The request is judged first: a part is to blame only if others crash on it, too.
     if (known === undefined) {
@@ -163,7 +174,6 @@
     crash: decisions.BlamedCrash,
   ): void {
     const id = identities.identifyRequest(request);
-    this.#options.telemetry.countEvent("request.crash");
     const isDeadly = this.#requestBlame.recordCrash([id], crash) !== undefined;
     if (this.#isQuarantined(id)) this.#condemn(id, crash.atMs);
     else if (isDeadly) this.#quarantine(id, "crashes");
@@ -174,14 +184,15 @@
   /** What peers should know, the most important last: only so much is sent. */
   listTallies(): readonly peers.PartTally[] {
     const parts = this.#buildTallies(this.#suspectedParts);
+    const lastParts = parts.slice(-peers.MAX_TALLIES / 2);
     // A crash ends many requests; the one that has caused it comes back.
     const requestTallies = this.#buildTallies(this.#suspectedRequests)
-      .toSorted((a, b) => a.crashes.length - b.crashes.length);
-    const share = peers.MAX_TALLIES / 2;
+      .toSorted((a, b) => rankTally(a) - rankTally(b))
+      .slice(lastParts.length - peers.MAX_TALLIES);
     return [
-      ...parts.slice(0, -share),
-      ...requestTallies.slice(-share),
-      ...parts.slice(-share),
+      ...parts.slice(0, parts.length - lastParts.length),
+      ...requestTallies,
+      ...lastParts,
     ];
   }
 
--- a/packages/router/src/crash_quarantine_test.ts
+++ b/packages/router/src/crash_quarantine_test.ts
@@ -348,3 +348,22 @@
   t.true(told.some(({ crashes }) => crashes.length === 2));
   t.true(readRequestTallies(setting.quarantine).length <= 4);
 });
+
+// Guards against refusals of sound requests: an answer that clears one was not told among many crashes.
+test("peers are told of an answer to a request that they suspect, also after many crashes", (t) => {
+  const setting = createQuarantine(t);
+  const { quarantine } = setting;
+  const request = buildRequest();
+  quarantine.recordBegun(request);
+  const peer = createQuarantine(t);
+  crash(peer, request, [1]);
+  quarantine.recordPeerTallies({
+    name: "edge-2",
+    tallies: readRequestTallies(peer.quarantine),
+  });
+  for (let other = 0; other < 20; other += 1) {
+    crash(setting, buildRequest(), [2]);
+  }
+  const told = quarantine.listTallies().slice(-8);
+  t.true(told.some(({ begun, crashes }) => begun > 0 && crashes.length === 0));
+});
