A success without a body by its status is whole

What callers saw: an idempotent request that a replica answered 204 was sent to a second replica, and its caller's connection was closed.

Evidence: the new test of platform_close_end_test, red before (2 sends). Fix: such a status marks the end; no length is added to it.

--- a/packages/bench/src/platform_close_end_test.ts
+++ b/packages/bench/src/platform_close_end_test.ts
@@ -349,3 +349,27 @@
     t.true(bytes > 0);
     t.true(wasReset);
   }));
+
+// Guards against needless retries: a success that has no body by its status was taken for one whose
+// end its replica had not marked.
+test("a success without a body is whole, and is not asked for again", (t) =>
+  withHarness(async (harness) => {
+    let sends = 0;
+    for (const id of REPLICAS) {
+      await harness.addReplica(id, "desk", () => {
+        sends += 1;
+        return {
+          type: "raw",
+          text:
+            "HTTP/1.1 204 No Content\r\nx-jackdawbank-attempt-id: ATTEMPT\r\n" +
+            "x-jackdawbank-response-signature: RECEIPT\r\n\r\n",
+          then: "keep",
+        };
+      });
+    }
+    await harness.start();
+    const got = await harness.call(ROUTES.check);
+    t.is(got.status, 204);
+    t.is(got.headers["transfer-encoding"], undefined);
+    t.is(sends, 1);
+  }));
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -6,6 +6,7 @@
 import * as headerMaps from "./header_map.ts";
 import type * as ports from "./ports.ts";
 import * as paces from "./read_pace.ts";
+import * as check from "./response_check.ts";
 
 /** Time-out for the connection; when it expires, no part of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -35,7 +36,7 @@
   readonly headers: ports.HeaderMap;
   /** Headers as the replica sent them; names and values alternate. */
   readonly rawHeaders: readonly string[];
-  /** The end is marked by a length or by chunks, not only by the connection's close. */
+  /** The end is marked by status, length or chunks, not only by the connection's close. */
   readonly isFramed: boolean;
   /** The connection has carried a request before, of which this may be a late response. */
   readonly isOnUsedConnection: boolean;
@@ -211,7 +212,8 @@
             headers: headerMaps.joinHeaders(headers),
             rawHeaders: listRawHeaders(controller),
             isOnUsedConnection: this.#connection.isUsed,
-            isFramed: headers["content-length"] !== undefined ||
+            isFramed: check.hasNoBody(status) ||
+              headers["content-length"] !== undefined ||
               headers["transfer-encoding"] !== undefined,
           });
         },
--- a/packages/router/src/response_check.ts
+++ b/packages/router/src/response_check.ts
@@ -6,6 +6,8 @@
 const MIN_SUCCESS_STATUS = 200;
 const MIN_FAILURE_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
+const HTTP_NO_CONTENT = 204;
+const HTTP_NOT_MODIFIED = 304;
 /** Statuses that tell a caller that its request was not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Status of another replica, which has the address now. */
@@ -25,6 +27,11 @@
   /** The response must not be forwarded. */
   | "unusable";
 
+/** Whether responses of a status never have a body, so that their head is all of them. */
+export function hasNoBody(status: number): boolean {
+  return status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED;
+}
+
 /** Classifies a response by its status and headers. */
 export function classifyHead(
   request: requests.IncomingRequest,
--- a/packages/router/src/response_writer.ts
+++ b/packages/router/src/response_writer.ts
@@ -9,6 +9,7 @@
 import type * as budgets from "./memory_budget.ts";
 import type * as ports from "./ports.ts";
 import type * as requests from "./request.ts";
+import * as check from "./response_check.ts";
 
 /** Longest pause of a caller that reads a refusal, or whose route is not known. */
 const DEFAULT_MAX_PAUSE_MS = 5_000;
@@ -134,8 +135,11 @@
   ): void {
     const bodyBytes = bodyParts.reduce((sum, part) => sum + part.length, 0);
     const headers = listForwardedHeaders(rawHeaders);
-    if (isFramed) headers.push("content-length", String(bodyBytes));
-    else {
+    if (isFramed) {
+      if (!check.hasNoBody(status)) {
+        headers.push("content-length", String(bodyBytes));
+      }
+    } else {
       // The body may be truncated; a content length would make it look complete.
       this.#endsByClose = true;
       this.#response.useChunkedEncodingByDefault = false;
