--- a/review/bench-2/scene.mjs
+++ b/review/bench-2/scene.mjs
@@ -149,6 +149,8 @@
       this.exits.push(end);
       const how = signal ?? `code ${code}`;
       record.add(`${this.name}: process ${started.pid} ended, ${how}`);
+      const fatal = /FATAL ERROR: .*/.exec(this.output)?.[0];
+      if (fatal !== undefined) record.add(`${this.name}: ${fatal}`);
       this.onExit?.(end);
     });
   }
