--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -141,11 +141,11 @@
     order.status === undefined && ran.has(order.id)
   );
   const exits = scene.entries.flatMap(({ exits }) => exits);
+  for (const { id, error } of lost) record.add(`lost: ${id}: ${error}`);
   record.add(
     `${orders.length} orders, ${lost.length} passed on and not answered`,
   );
   record.add(`${exits.length} processes ended by themselves`);
-  for (const { id, error } of lost) record.add(`lost: ${id}: ${error}`);
   return lost.length > ALLOWED_LOSSES || exits.length > 0 ? 1 : 0;
 }
 
