--- a/review/bench-2/scene.mjs
+++ b/review/bench-2/scene.mjs
@@ -341,6 +341,13 @@
     this.subnet = `${draw()}.${draw()}`;
     this.entries = [];
     this.replicas = [];
+    // However the script ends, its processes end with it.
+    process.once("exit", () => {
+      for (const entry of this.entries) entry.kill("SIGKILL");
+    });
+    for (const signal of ["SIGTERM", "SIGINT"]) {
+      process.once(signal, () => process.exit(2));
+    }
   }
 
   async start({ entries = 1, ...settings } = {}) {
