--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -3,7 +3,7 @@
 import * as http from "node:http";
 import * as path from "node:path";
 import * as url from "node:url";
-import * as scenes from "../bench-2/scene.mjs";
+import * as scenes from "../scene-2.mjs";
 
 const HAS_TROUBLE = process.env["TROUBLE"] !== "0";
 /** big_config: 1,400 routes more, three times; the value stays under valueBytes. */
@@ -20,7 +20,7 @@
 const ALLOWED_LOSSES = 3;
 
 const folder = path.dirname(url.fileURLToPath(import.meta.url));
-const scene = new scenes.Scene(folder);
+const scene = new scenes.Scene(path.join(folder, "record.txt"));
 const { record, store } = scene;
 
 const extraRoutes = [];
--- a/review/bench-2/scene.mjs
+++ b/review/scene-2.mjs
@@ -7,11 +7,11 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as url from "node:url";
-import { Store } from "./store.mjs";
+import { Store } from "./store-2.mjs";
 
 const ROOT = path.resolve(
   path.dirname(url.fileURLToPath(import.meta.url)),
-  "../..",
+  "..",
 );
 export const HOST = "shop.example";
 export const KEY = "key-of-lodge";
@@ -19,10 +19,10 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** Writes what is sent, answered and run to record.txt. */
+/** Writes what is sent, answered and run to a case's file. */
 export class Record {
-  constructor(folder) {
-    this.file = path.join(folder, "record.txt");
+  constructor(file) {
+    this.file = file;
     this.startedAtMs = performance.now();
     fs.writeFileSync(this.file, "");
   }
@@ -333,8 +333,8 @@
 
 /** All parts of one deployment; `close` ends them. */
 export class Scene {
-  constructor(folder) {
-    this.record = new Record(folder);
+  constructor(recordFile) {
+    this.record = new Record(recordFile);
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
     this.store = new Store();
     const draw = () => 1 + Math.floor(Math.random() * 250);
