Metrics of the heap, of kept changes, and of decoding the configuration

New: jackdaw_state heap_used_bytes, heap_limit_bytes, relay_kept_changes, relay_kept_chars and table_chars, the histogram jackdaw_control_decode_seconds, and storedChars in config.taken and control.read.

Tests of platform/, of the control task and the relays pass.

--- a/packages/bundle/src/routes.ts
+++ b/packages/bundle/src/routes.ts
@@ -97,6 +97,8 @@
   /** If there are no accounts, requests need no API key. */
   readonly accounts: readonly RouteTableAccount[];
   readonly limits: CallerLimits;
+  /** Length of the text from which the table was read, in characters; absent if unknown. */
+  readonly storedChars?: number;
 }
 
 /** Lookup indexes of a route table. */
--- a/packages/router/src/control_relay.ts
+++ b/packages/router/src/control_relay.ts
@@ -30,6 +30,12 @@
   readonly update: ports.ControlUpdate;
 }
 
+/** Number and size of the changes that are kept. */
+export interface KeptSize {
+  readonly count: number;
+  readonly chars: number;
+}
+
 export interface ControlRelayOptions {
   /** Whether a host is that of a process of the installation. */
   readonly isPeerHost: (host: string) => boolean;
@@ -86,6 +92,16 @@
     return telemetry.listen(this.#server, address);
   }
 
+  get keptSize(): KeptSize {
+    return {
+      count: this.#kept.length,
+      chars: this.#kept.reduce(
+        (sum, { update }) => sum + (update.storedChars ?? 0),
+        0,
+      ),
+    };
+  }
+
   /** Starts anew from a full read, after which earlier changes are not known; ends the polls. */
   reset(revision: number): void {
     this.#kept.length = 0;
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -368,6 +368,7 @@
       tableRevision: table.revision,
       replaced: Number.isFinite(heldRevision) ? heldRevision : undefined,
       routes: table.routes.length,
+      storedChars: table.storedChars,
       accounts: table.accounts.length,
     });
     this.#options.listener.onRouteTable(this.#routeIndex);
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -107,6 +107,10 @@
   readonly revision: number;
   /** It came from another process, and says nothing about how current it is. */
   readonly isRelayed?: boolean;
+  /** Length of the values from which it was decoded, in characters; absent if unknown. */
+  readonly storedChars?: number;
+  /** Time for which decoding the values held the event loop; absent if unknown. */
+  readonly decodeMs?: number;
 }
 
 /** Result of a conditional write: `changed` if the stored revision differed. */
--- a/packages/router/src/relayed_control.ts
+++ b/packages/router/src/relayed_control.ts
@@ -63,6 +63,11 @@
     });
   }
 
+  /** What is kept for peers that poll for changes. */
+  get keptChanges(): relays.KeptSize {
+    return this.#relay.keptSize;
+  }
+
   /** Whether the next changes will come from another process. */
   get isRelayed(): boolean {
     return this.#findRelay() !== undefined;
@@ -88,9 +93,11 @@
     const read = await controlPlane.readAll();
     if (read.isErr()) return read;
     const { items, revision } = read.value;
+    this.#observe(read.value);
     this.#relay.reset(revision);
     log.addNotable("control.read", {
       items: items.length,
+      storedChars: read.value.storedChars,
       revision: kernel.describePosition(revision),
       tookMs: Math.round(clock.monotonicMs() - startedAtMs),
     });
@@ -119,7 +126,9 @@
       waitMs,
       signal,
     );
-    if (changes.isOk()) this.#relay.record(afterRevision, changes.value);
+    if (changes.isErr()) return changes;
+    this.#observe(changes.value);
+    this.#relay.record(afterRevision, changes.value);
     return changes;
   }
 
@@ -156,6 +165,11 @@
     await this.#options.controlPlane.close();
   }
 
+  #observe({ decodeMs }: ports.ControlUpdate): void {
+    if (decodeMs === undefined) return;
+    this.#options.telemetry.observeControlDecode(decodeMs);
+  }
+
   #findRelay(): Relay | undefined {
     const nowMs = this.#options.clock.monotonicMs();
     return this.#options.listRelays().find(({ name }) =>
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -240,6 +240,7 @@
           gauges.updateGauges({
             ...dispatcher.dependencies,
             callerServer: this.#callerServer,
+            controlPlane: this.#controlPlane,
           }),
         new explainEndpoints.ExplainEndpoint(
           new explanations.Explainer(dispatcher, this.#control),
--- a/packages/router/src/router_gauges.ts
+++ b/packages/router/src/router_gauges.ts
@@ -1,6 +1,8 @@
 /** Gauges of a router process, read when its metrics are asked for. */
+import * as v8 from "node:v8";
 import type * as callerServers from "./caller_server.ts";
 import type * as parts from "./dispatcher_dependencies.ts";
+import type * as relayedControl from "./relayed_control.ts";
 
 /** The view age is infinite before the first read; the gauge is capped. */
 const MAX_VIEW_AGE_GAUGE_MS = 3_600_000;
@@ -22,6 +24,10 @@
     callerServers.CallerServer,
     "inFlight" | "readGauges"
   >;
+  readonly controlPlane: Pick<
+    relayedControl.RelayedControlPlane,
+    "keptChanges"
+  >;
 }
 
 /** Sets all gauges to their current values. */
@@ -29,7 +35,8 @@
   { clock, control, fleet, log, places, quarantine, table, ...rest }:
     GaugeSources,
 ): void {
-  const { callerServer, telemetry } = rest;
+  const { callerServer, controlPlane, telemetry } = rest;
+  const heap = v8.getHeapStatistics();
   const gauges = {
     ...callerServer.readGauges(),
     ...table.speeds.readGauges(
@@ -44,6 +51,11 @@
     evacuated_data_centres: places.evacuatedCount,
     view_age_ms: Math.min(MAX_VIEW_AGE_GAUGE_MS, control.viewAgeMs),
     table_revision: control.routeIndex?.table.revision ?? 0,
+    table_chars: control.routeIndex?.table.storedChars ?? 0,
+    relay_kept_changes: controlPlane.keptChanges.count,
+    relay_kept_chars: controlPlane.keptChanges.chars,
+    heap_used_bytes: heap.used_heap_size,
+    heap_limit_bytes: heap.heap_size_limit,
     log_dropped_lines: log.droppedLines,
   };
   for (const [name, value] of Object.entries(gauges)) {
--- a/packages/router/src/telemetry.ts
+++ b/packages/router/src/telemetry.ts
@@ -20,6 +20,8 @@
   16,
   32,
 ];
+/** Histogram buckets of work that holds the event loop. */
+const BUSY_BUCKETS_S = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25];
 const MS_PER_S = 1_000;
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -66,6 +68,12 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [this.#registry],
   });
+  readonly #controlDecode = new prom.Histogram({
+    name: "jackdaw_control_decode_seconds",
+    help: "Time for which decoding an answer of the control plane took the CPU",
+    buckets: BUSY_BUCKETS_S,
+    registers: [this.#registry],
+  });
   readonly #events = new prom.Counter({
     name: "jackdaw_events_total",
     help: "Other events: connections opened, control plane calls, peer reports",
@@ -108,6 +116,10 @@
     this.#roomWait.observe({ rank, reason }, durationMs / MS_PER_S);
   }
 
+  observeControlDecode(durationMs: number): void {
+    this.#controlDecode.observe(durationMs / MS_PER_S);
+  }
+
   setGauge(name: string, value: number): void {
     this.#gauges.set({ name }, value);
   }
