The relay keeps changes by size, encoded, and at most one answer's worth

Cause: each process keeps the latest changes of the control plane for peers that poll it, whether any does or not. They were bounded by number (1,024 items), not by size, and an item may be a whole parsed route table of 1.4 MB. None of these could be sent: an answer holds 32,768 characters.

The fix: changes are kept as JSON, and together they fit into one answer, as each poll gets all changes after its revision: more could never be sent. A change that is too long is not kept; earlier ones are forgotten with it, the polls that wait are refused at once, and their senders ask the control plane, as before. It isn't encoded to learn its size either: the adapter knows the length of the stored values. Polls share the encoded text, so that a change is not encoded once for each poll. Changes without items were kept without any bound; they only move the revision now.

Green before and after: polls that wait while a large change comes, changes without items.

--- a/packages/bench/src/memory_harness.ts
+++ b/packages/bench/src/memory_harness.ts
@@ -14,6 +14,7 @@
 import * as kernel from "@jackdawbank/kernel";
 import * as crowds from "./crowd.ts";
 import * as processes from "./processes.ts";
+import * as usages from "./process_usage.ts";
 
 const { ROUTES, buildConfiguration } = fakes.samples;
 const { renderHead } = fakes;
@@ -30,7 +31,7 @@
 /** Long enough that an answer does not depend on the machine's speed. */
 const ROUTE_TIMEOUT_MS = 10_000;
 export const METRICS_PATH = "/metrics";
-const SAMPLE_INTERVAL_MS = 20;
+const HOLD_SAMPLE_INTERVAL_MS = 20;
 /** A crowd that causes no further request for this time has done its part. */
 const SETTLE_MS = 1_500;
 
@@ -48,6 +49,13 @@
   readonly hasReplicaMemoryLimit?: boolean;
 }
 
+/** The machine's configuration, as far as it differs from the sample. */
+interface MachineConfiguration {
+  readonly routes: readonly unknown[];
+  readonly services: readonly unknown[];
+  readonly limits: Readonly<Record<string, number>>;
+}
+
 export async function findFreePort(): Promise<number> {
   const server = net.createServer();
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -56,51 +64,6 @@
   return port;
 }
 
-/** Largest number of open descriptors seen, and the peak of memory, of a process. */
-export class ProcessUsage {
-  readonly #pid: number;
-  readonly #timer: NodeJS.Timeout;
-  #peakDescriptors = 0;
-  #peakBytes = 0;
-
-  constructor(pid: number) {
-    this.#pid = pid;
-    this.#timer = setInterval(() => this.#sample(), SAMPLE_INTERVAL_MS);
-  }
-
-  get peakDescriptors(): number {
-    this.#sample();
-    return this.#peakDescriptors;
-  }
-
-  get peakMb(): number {
-    this.#sample();
-    return Math.round(this.#peakBytes / MB);
-  }
-
-  countDescriptors(): number {
-    return fs.readdirSync(`/proc/${this.#pid}/fd`).length;
-  }
-
-  close(): void {
-    clearInterval(this.#timer);
-  }
-
-  #sample(): void {
-    try {
-      const status = fs.readFileSync(`/proc/${this.#pid}/status`, "utf8");
-      const peakKb = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? 0);
-      this.#peakBytes = Math.max(this.#peakBytes, peakKb * KB);
-      this.#peakDescriptors = Math.max(
-        this.#peakDescriptors,
-        this.countDescriptors(),
-      );
-    } catch {
-      // The process has ended, which the test reports itself.
-    }
-  }
-}
-
 /** Waits for what a crowd has caused. */
 export function settle(): Promise<void> {
   return kernel.sleep(SETTLE_MS);
@@ -117,7 +80,7 @@
 /** One entry process with its store and replicas; `close` stops all of them. */
 export class SmallMachine {
   readonly entry: processes.TestProcess;
-  readonly usage: ProcessUsage;
+  readonly usage: usages.ProcessUsage;
   readonly crowd: crowds.Crowd;
   /** Crowds at the other listeners of the entry. */
   readonly metricsCrowd: crowds.Crowd;
@@ -126,7 +89,10 @@
   readonly engine: fakes.FakeReplica;
   readonly #store: fakes.FakePlatformStore;
   readonly #folder: string;
+  readonly #configuration: MachineConfiguration;
+  #configurationVersion = 1;
   readonly #caller: fakes.PlatformCaller;
+  readonly #metricsPort: number;
   readonly #holdTimer: NodeJS.Timeout;
   #peakHeldBytes = 0;
 
@@ -139,16 +105,19 @@
     readonly desk: fakes.FakeReplica;
     readonly engine: fakes.FakeReplica;
     readonly folder: string;
+    readonly configuration: MachineConfiguration;
   }) {
     this.entry = parts.entry;
-    this.usage = new ProcessUsage(parts.entry.pid);
+    this.usage = new usages.ProcessUsage(parts.entry.pid);
     this.crowd = new crowds.Crowd(parts.callersPort);
     this.metricsCrowd = new crowds.Crowd(parts.metricsPort);
     this.readinessCrowd = new crowds.Crowd(parts.readinessPort);
     this.desk = parts.desk;
     this.engine = parts.engine;
     this.#store = parts.store;
+    this.#metricsPort = parts.metricsPort;
     this.#folder = parts.folder;
+    this.#configuration = parts.configuration;
     this.#caller = new fakes.PlatformCaller(() => parts.callersPort);
     this.#holdTimer = setInterval(() => {
       const heldBytes = this.desk.received
@@ -156,7 +125,7 @@
           path === ROUTES.order && !wasCancelled
         ).reduce((sum, { body }) => sum + body.length, 0);
       this.#peakHeldBytes = Math.max(this.#peakHeldBytes, heldBytes);
-    }, SAMPLE_INTERVAL_MS);
+    }, HOLD_SAMPLE_INTERVAL_MS);
   }
 
   static async start(limits: MachineLimits): Promise<SmallMachine> {
@@ -178,7 +147,7 @@
       readonly routes: readonly Readonly<Record<string, unknown>>[];
       readonly services: readonly Readonly<Record<string, unknown>>[];
     };
-    store.putConfiguration(buildConfiguration({
+    const configuration = {
       routes: routes.map((route) => ({
         ...route,
         timeoutMs: ROUTE_TIMEOUT_MS,
@@ -193,7 +162,8 @@
         headerTimeoutMs: 3_000,
         idleTimeoutMs: 15_000,
       },
-    }));
+    };
+    store.putConfiguration(buildConfiguration(configuration));
     const callersPort = await findFreePort();
     const metricsPort = await findFreePort();
     const readinessPort = await findFreePort();
@@ -232,6 +202,7 @@
       desk,
       engine,
       folder,
+      configuration,
     });
     await machine.waitUntilServing();
     return machine;
@@ -259,6 +230,44 @@
     }
   }
 
+  /** Stores the next version of the configuration, with further routes; returns the version. */
+  putConfiguration(addedRoutes: readonly unknown[]): number {
+    this.#configurationVersion += 1;
+    const { routes } = this.#configuration;
+    this.#store.putConfiguration(buildConfiguration({
+      ...this.#configuration,
+      version: this.#configurationVersion,
+      routes: [...routes, ...addedRoutes],
+    }));
+    return this.#configurationVersion;
+  }
+
+  /** Reads one of the entry's gauges; `undefined` if it has no such gauge. */
+  async readGauge(name: string): Promise<number | undefined> {
+    const response = await fetch(
+      `http://127.0.0.1:${this.#metricsPort}${METRICS_PATH}`,
+    );
+    const lines = (await response.text()).split("\n");
+    const prefix = `jackdaw_state{name="${name}"} `;
+    const line = lines.find((line) => line.startsWith(prefix));
+    return line === undefined ? undefined : Number(line.slice(prefix.length));
+  }
+
+  /** Places one order; resolves with its status, or why there is none. */
+  async placeOrder(agent: http.Agent): Promise<number | string> {
+    try {
+      const response = await this.#caller.call(ROUTES.order, {
+        method: "POST",
+        body: "crates",
+        agent,
+        headers: fakes.PATIENT_HEADERS,
+      });
+      return response.status;
+    } catch (thrown) {
+      return kernel.describeThrown(thrown);
+    }
+  }
+
   /** Sends a prompt with further headers; resolves with its status, or why there is none. */
   async sendPrompt(
     agent: http.Agent,
--- a/packages/bench/src/own_memory_fault_test.ts
+++ b/packages/bench/src/own_memory_fault_test.ts
@@ -9,6 +9,7 @@
 import * as fixtures from "./fixture.ts";
 import * as crowds from "./crowd.ts";
 import * as memory from "./memory_harness.ts";
+import * as usages from "./process_usage.ts";
 import type * as processes from "./processes.ts";
 
 const { KB, MB } = memory;
@@ -48,7 +49,7 @@
   const deployment = await fixtures.deploy(t, fixtures.buildSmallPlan());
   const caller = fixtures.createCaller(t, deployment);
   const target = choose(deployment);
-  const usage = new memory.ProcessUsage(target.process.pid);
+  const usage = new usages.ProcessUsage(target.process.pid);
   const crowd = new crowds.Crowd(target.process.port(target.portName));
   try {
     await send(crowd);
--- a/packages/bench/src/run_tests.ts
+++ b/packages/bench/src/run_tests.ts
@@ -20,6 +20,7 @@
   "packages/bench/dist/own_memory_fault_test.js",
   "packages/bench/dist/sent_ahead_fault_test.js",
   "packages/bench/dist/kept_memory_fault_test.js",
+  "packages/bench/dist/change_memory_fault_test.js",
   "packages/bench/dist/stress_test.js",
   "packages/bench/dist/soak/soak_test.js",
 ];
--- a/packages/router/src/control_relay.ts
+++ b/packages/router/src/control_relay.ts
@@ -1,17 +1,22 @@
 /**
  * Passes changes of the control plane on to the processes that do not watch it
- * themselves. It keeps the latest changes and answers long polls over HTTP; how
- * current the answers are is not said here but in the peers' reports.
+ * themselves. It keeps the latest changes, encoded, and answers long polls over
+ * HTTP; how current the answers are is not said here but in the peers' reports.
+ * What is kept fits into one answer. A poll for more is refused, and its sender
+ * asks the control plane.
  */
 import type * as http from "node:http";
 import type * as ports from "./ports.ts";
 import * as sides from "./side_listener.ts";
 import * as telemetry from "./telemetry.ts";
 
-/** Changes with more items in total are not kept; who needs them asks the control plane. */
-const MAX_KEPT_ITEMS = 1_024;
 /** A longer answer would hold up a slow link; the receiver asks the control plane instead. */
 const MAX_ANSWER_CHARS = 32_768;
+/** Longest text of an answer beside its items. */
+const ENVELOPE_CHARS = 64;
+const MAX_KEPT_CHARS = MAX_ANSWER_CHARS - ENVELOPE_CHARS;
+/** A change that was longer where it is stored is not encoded, which would only show that it is too long. */
+const MAX_STORED_CHARS = 4 * MAX_ANSWER_CHARS;
 const MAX_WAIT_MS = 30_000;
 const MAX_CONNECTIONS = 256;
 /** Longer than the longest poll. */
@@ -24,16 +29,19 @@
 /** The answer to a poll that this process cannot serve. */
 const HTTP_GONE = 410;
 
-/** Changes after one revision, up to another. */
+/** Changes up to a revision. */
 interface KeptChanges {
-  readonly afterRevision: number;
-  readonly update: ports.ControlUpdate;
+  readonly revision: number;
+  /** Items as JSON, each followed by a comma. */
+  readonly text: string;
 }
 
-/** Number and size of the changes that are kept. */
-export interface KeptSize {
-  readonly count: number;
-  readonly chars: number;
+/** What a relay holds at the moment. */
+export interface RelayState {
+  readonly keptChanges: number;
+  readonly keptChars: number;
+  /** Polls that wait for a change. */
+  readonly polls: number;
 }
 
 export interface ControlRelayOptions {
@@ -71,13 +79,29 @@
   }
 }
 
+/** Encodes the items of an update; `undefined` if they are too long to be kept. */
+function encodeItems(
+  { items, storedChars = 0 }: ports.ControlUpdate,
+): string | undefined {
+  if (storedChars > MAX_STORED_CHARS) return undefined;
+  let text = "";
+  for (const item of items) {
+    text += `${JSON.stringify(item)},`;
+    if (text.length > MAX_KEPT_CHARS) return undefined;
+  }
+  return text;
+}
+
 /** Serves the changes that one process knows. */
 export class ControlRelay {
   readonly #options: ControlRelayOptions;
   readonly #server: http.Server;
   readonly #kept: KeptChanges[] = [];
-  #keptItems = 0;
+  #keptChars = 0;
+  /** Revision of the newest known change; absent before the first full read. */
   #revision: number | undefined;
+  /** All changes after this revision, up to the newest, are kept. */
+  #keptAfter = Infinity;
   readonly #waiting = new Set<() => void>();
 
   constructor(options: ControlRelayOptions) {
@@ -92,20 +116,19 @@
     return telemetry.listen(this.#server, address);
   }
 
-  get keptSize(): KeptSize {
+  get state(): RelayState {
     return {
-      count: this.#kept.length,
-      chars: this.#kept.reduce(
-        (sum, { update }) => sum + (update.storedChars ?? 0),
-        0,
-      ),
+      keptChanges: this.#kept.length,
+      keptChars: this.#keptChars,
+      polls: this.#waiting.size,
     };
   }
 
-  /** Starts anew from a full read, after which earlier changes are not known; ends the polls. */
+  /** Forgets all changes up to a revision, as after a full read; ends the polls. */
   reset(revision: number): void {
     this.#kept.length = 0;
-    this.#keptItems = 0;
+    this.#keptChars = 0;
+    this.#keptAfter = revision;
     this.#revision = revision;
     for (const answer of [...this.#waiting]) answer();
   }
@@ -115,17 +138,24 @@
     if (this.#revision === undefined || update.revision <= this.#revision) {
       return;
     }
-    if (afterRevision > this.#revision) return this.reset(update.revision);
-    this.#kept.push({ afterRevision, update });
-    this.#keptItems += update.items.length;
-    while (this.#keptItems > MAX_KEPT_ITEMS && this.#kept.length > 1) {
-      this.#keptItems -= this.#kept.shift()?.update.items.length ?? 0;
-    }
+    const isGap = afterRevision > this.#revision;
+    const text = isGap ? undefined : encodeItems(update);
+    if (text === undefined) return this.reset(update.revision);
     this.#revision = update.revision;
-    if (update.items.length === 0) return;
+    if (text === "") return;
+    this.#kept.push({ revision: update.revision, text });
+    this.#keptChars += text.length;
+    while (this.#keptChars > MAX_KEPT_CHARS) this.#forgetOldest();
     for (const answer of [...this.#waiting]) answer();
   }
 
+  #forgetOldest(): void {
+    const oldest = this.#kept.shift();
+    if (oldest === undefined) return;
+    this.#keptChars -= oldest.text.length;
+    this.#keptAfter = oldest.revision;
+  }
+
   close(): void {
     for (const answer of [...this.#waiting]) answer();
     this.#server.close();
@@ -172,31 +202,23 @@
 
   #hasChangesAfter(after: number): boolean {
     return this.#revision !== undefined &&
-      (this.#findChanges(after)?.length ?? 1) > 0;
+      this.#encodeChanges(after) !== "";
   }
 
-  /** Items after a revision; `undefined` if some of them are no longer known. */
-  #findChanges(after: number): readonly ports.ControlItem[] | undefined {
-    const changes = this.#kept.filter(({ update }) => update.revision > after);
-    const [first] = changes;
-    const isKnown = first === undefined
-      ? after >= (this.#revision ?? Infinity)
-      : first.afterRevision <= after;
-    return isKnown ? changes.flatMap(({ update }) => update.items) : undefined;
+  /** Items after a revision as JSON, separated by commas; `undefined` if some are not kept. */
+  #encodeChanges(after: number): string | undefined {
+    if (after < this.#keptAfter) return undefined;
+    return this.#kept.filter(({ revision }) => revision > after)
+      .map(({ text }) => text).join("").slice(0, -1);
   }
 
   #answer(response: http.ServerResponse, after: number): void {
-    const items = this.#findChanges(after);
-    const text = items === undefined ? "" : JSON.stringify({
-      items,
-      revision: Math.max(after, this.#revision ?? after),
-    });
-    if (items === undefined || text.length > MAX_ANSWER_CHARS) {
-      return this.#refuse(response, HTTP_GONE);
-    }
-    this.#options.onAnswer(items.length > 0 ? "changes" : "empty");
+    const items = this.#encodeChanges(after);
+    if (items === undefined) return this.#refuse(response, HTTP_GONE);
+    const revision = Math.max(after, this.#revision ?? after);
+    this.#options.onAnswer(items === "" ? "empty" : "changes");
     response.writeHead(HTTP_OK, { "content-type": "application/json" });
-    response.end(text);
+    response.end(`{"items":[${items}],"revision":${revision}}`);
   }
 
   #refuse(response: http.ServerResponse, status: number): void {
--- a/packages/router/src/relayed_control.ts
+++ b/packages/router/src/relayed_control.ts
@@ -63,9 +63,9 @@
     });
   }
 
-  /** What is kept for peers that poll for changes. */
-  get keptChanges(): relays.KeptSize {
-    return this.#relay.keptSize;
+  /** What is held for peers that poll for changes. */
+  get relayState(): relays.RelayState {
+    return this.#relay.state;
   }
 
   /** Whether the next changes will come from another process. */
--- a/packages/router/src/relayed_control_test.ts
+++ b/packages/router/src/relayed_control_test.ts
@@ -12,6 +12,8 @@
 const test = ava.default;
 const HOST = "127.0.0.1";
 const WAIT_MS = 2_000;
+/** Longest answer of a relay. */
+const MAX_ANSWER_CHARS = 32_768;
 
 /** A control plane that answers each wait with one change, or never. */
 class FakeControlPlane {
@@ -33,7 +35,12 @@
 
   change(revision: number, dataCentre = "a"): void {
     const items = [{ type: "evacuation", dataCentre }] as const;
-    this.#resolve?.({ items, revision });
+    this.#resolve?.({ items, revision, storedChars: dataCentre.length });
+  }
+
+  /** Answers a wait with a newer revision and no change. */
+  advance(revision: number): void {
+    this.#resolve?.({ items: [], revision });
   }
 
   close(): Promise<void> {
@@ -73,10 +80,14 @@
 
 function wait(
   { process }: Member,
-  options: { signal?: AbortSignal; isConfirmation?: boolean } = {},
+  options: {
+    signal?: AbortSignal;
+    isConfirmation?: boolean;
+    afterRevision?: number;
+  } = {},
 ): Promise<kernel.Outcome<ports.ControlUpdate>> {
   return process.waitForChanges(
-    10,
+    options.afterRevision ?? 10,
     WAIT_MS,
     options.signal ?? new AbortController().signal,
     options.isConfirmation,
@@ -190,6 +201,60 @@
   t.is((await followed)._unsafeUnwrap().isRelayed, undefined);
 });
 
+// Guards against LOST: changes were kept by number, whatever their size, until the heap was full.
+for (const chars of [300, 20_000, 800_000]) {
+  test(`what is kept of changes of ${chars} characters fits into one answer`, async (t) => {
+    const watcher = await startMember(t, () => []);
+    for (let revision = 11; revision <= 210; revision += 1) {
+      const watched = wait(watcher, { afterRevision: revision - 1 });
+      watcher.plane.change(revision, "x".repeat(chars));
+      await watched;
+    }
+    const { keptChanges, keptChars } = watcher.process.relayState;
+    t.true(keptChars <= MAX_ANSWER_CHARS, `${keptChars} characters`);
+    t.is(keptChanges > 0, chars < MAX_ANSWER_CHARS);
+  });
+}
+
+// Guards against CONFIG: a change that no relay can pass on must not leave a poll waiting.
+test("a poll that waits while a large change comes goes on at the control plane at once, and later changes are relayed", async (t) => {
+  const watcher = await startMember(t, () => []);
+  const relay = { name: "watcher", host: HOST, port: watcher.port };
+  const follower = await startMember(t, () => [relay]);
+  const followed = wait(follower);
+  while (watcher.process.relayState.polls === 0) await kernel.sleep(5);
+  const watched = wait(watcher);
+  watcher.plane.change(11, "x".repeat(800_000));
+  await watched;
+  while (follower.plane.waits === 0) await kernel.sleep(5);
+  follower.plane.change(11);
+  t.is((await followed)._unsafeUnwrap().isRelayed, undefined);
+  const later = await startMember(t, () => [relay]);
+  const laterFollowed = wait(later, { afterRevision: 11 });
+  const laterWatched = wait(watcher, { afterRevision: 11 });
+  watcher.plane.change(12);
+  await laterWatched;
+  const update = (await laterFollowed)._unsafeUnwrap();
+  t.true(update.isRelayed);
+  t.deepEqual(update.items, [{ type: "evacuation", dataCentre: "a" }]);
+  t.is(later.plane.waits, 0);
+});
+
+test("changes without items are relayed with the next change", async (t) => {
+  const watcher = await startMember(t, () => []);
+  const relay = { name: "watcher", host: HOST, port: watcher.port };
+  const watched = wait(watcher);
+  watcher.plane.advance(11);
+  await watched;
+  const follower = await startMember(t, () => [relay]);
+  const followed = wait(follower);
+  const watchedAgain = wait(watcher, { afterRevision: 11 });
+  watcher.plane.change(12);
+  await watchedAgain;
+  t.is((await followed)._unsafeUnwrap().revision, 12);
+  t.is(follower.plane.waits, 0);
+});
+
 test("a process that is not announced is not told", async (t) => {
   const watcher = await startMember(t, () => [], () => false);
   const relay = { name: "watcher", host: HOST, port: watcher.port };
--- a/packages/router/src/router_gauges.ts
+++ b/packages/router/src/router_gauges.ts
@@ -26,7 +26,7 @@
   >;
   readonly controlPlane: Pick<
     relayedControl.RelayedControlPlane,
-    "keptChanges"
+    "relayState"
   >;
 }
 
@@ -36,6 +36,7 @@
     GaugeSources,
 ): void {
   const { callerServer, controlPlane, telemetry } = rest;
+  const relay = controlPlane.relayState;
   const heap = v8.getHeapStatistics();
   const gauges = {
     ...callerServer.readGauges(),
@@ -52,8 +53,9 @@
     view_age_ms: Math.min(MAX_VIEW_AGE_GAUGE_MS, control.viewAgeMs),
     table_revision: control.routeIndex?.table.revision ?? 0,
     table_chars: control.routeIndex?.table.storedChars ?? 0,
-    relay_kept_changes: controlPlane.keptChanges.count,
-    relay_kept_chars: controlPlane.keptChanges.chars,
+    relay_kept_changes: relay.keptChanges,
+    relay_kept_chars: relay.keptChars,
+    relay_polls: relay.polls,
     heap_used_bytes: heap.used_heap_size,
     heap_limit_bytes: heap.heap_size_limit,
     log_dropped_lines: log.droppedLines,
