Of the configurations in one answer of a watch only the newest is decoded

The same cause as in the relay on a related path: what a watch's answer costs in memory was bounded by nothing but its number of changes. After a pause (a process that was suspended, or the pause after each change) the answer holds each version of the configuration since, up to 16 MiB of text; each was decoded to a table of 1.4 MB, and only the last one was used.

Now the newest readable one is decoded, and those before it are left out. An entry that is unreadable is reported as before, and the one before it counts.

The test of the decoded items was red before: three tables and one unreadable item in place of one and one.

--- a/packages/bench/src/platform_change_test.ts
+++ b/packages/bench/src/platform_change_test.ts
@@ -1,6 +1,7 @@
 /** Tests that changes of the control plane are in force within their bound. */
 import * as ava from "ava";
 import * as kernel from "@jackdawbank/kernel";
+import * as platform from "@jackdawbank/platform";
 import type * as router from "@jackdawbank/router";
 import * as harnesses from "./platform_harness.ts";
 
@@ -90,6 +91,39 @@
     t.is(staying.received.length, 1);
   }));
 
+// Guards against LOST: each of many large versions in one answer was decoded, and the heap ran full.
+test("of the versions of the configuration in one answer only the newest readable one is decoded", (t) =>
+  withHarness(async ({ store }) => {
+    const plane = new platform.PlatformStore({
+      host: "127.0.0.1",
+      port: store.port,
+    });
+    t.teardown(() => plane.close());
+    const { revision } = (await plane.readAll())._unsafeUnwrap();
+    const versions = [2, 3, 4].map((version) =>
+      harnesses.buildConfiguration({ version })
+    );
+    for (const configuration of versions) {
+      store.putConfiguration(configuration);
+      store.put("op/evacuate/a", {});
+    }
+    store.putConfiguration({ version: 5, routes: "none" });
+    const { signal } = new AbortController();
+    const update = (await plane.waitForChanges(revision, 100, signal))
+      ._unsafeUnwrap();
+    t.deepEqual(update.items.map(({ type }) => type), [
+      "evacuation",
+      "evacuation",
+      "route-table",
+      "evacuation",
+      "unreadable",
+    ]);
+    const tables = update.items.flatMap((item) =>
+      item.type === "route-table" ? [item.table.revision] : []
+    );
+    t.deepEqual(tables, [4]);
+  }));
+
 // Guards against DRAIN: a machine that had been cut off alone used a replica that had left in
 // the meantime for 2 s more, as if the store's outage had ended the replica's lease.
 test("a machine that was cut off alone sends nothing to a replica that left in the meantime", (t) =>
