--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -10,6 +10,7 @@
 import type * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
 import type * as listeners from "./control_listener.ts";
+import * as applied from "./item_applier.ts";
 import * as tables from "./lost_table.ts";
 import type * as ports from "./ports.ts";
 import * as entries from "./replica_entries.ts";
@@ -36,6 +37,7 @@
   readonly #abort = new AbortController();
   readonly #replicas: entries.ReplicaEntries;
   readonly #rollouts: rollouts.RolloutStates;
+  readonly #items: applied.ItemApplier;
   #routeIndex: bundle.RouteIndex | undefined;
   readonly #viewAge: ages.ViewAge;
   #failingSinceMs: number | undefined;
@@ -62,6 +64,12 @@
     this.#lostTable = new tables.LostTable(options.clock, options.log);
     this.#viewAge = new ages.ViewAge(options.clock);
     this.#replicas = new entries.ReplicaEntries(options);
+    this.#items = new applied.ItemApplier({
+      ...options,
+      replicas: this.#replicas,
+      rollouts: this.#rollouts,
+      applyRouteTable: (table) => this.#applyRouteTable(table),
+    });
     this.#supervisor = new supervisors.WatchSupervisor({
       ...options,
       readViewAgeMs: () => this.#viewAge.ageMs,
@@ -213,7 +221,7 @@
           item.type === "replica" ? [item.replica.id] : []
         ),
       );
-      for (const item of items) this.#tryApplyItem(item);
+      for (const item of items) this.#items.apply(item, this.#isRestored);
       this.#replicas.removeMissing(found);
       if (this.#isRestored) {
         this.#applyRestoration(items, previous ?? 0, revision);
@@ -276,7 +284,7 @@
       if (isRelayed) return this.#applyRelayed(afterRevision, items, revision);
       this.#recordSuccess();
       this.#needsConfirmation = false;
-      for (const item of items) this.#tryApplyItem(item);
+      for (const item of items) this.#items.apply(item, this.#isRestored);
       const waitedMs = decisions.readClocks(this.#options.clock).monotonicMs -
         sentAt.monotonicMs;
       const isFullWait = items.length === 0 && waitedMs >= waitMs;
@@ -295,7 +303,7 @@
     items: readonly ports.ControlItem[],
     revision: number,
   ): { readonly needsPause: boolean } {
-    for (const item of items) this.#tryApplyItem(item);
+    for (const item of items) this.#items.apply(item, this.#isRestored);
     this.#revision = Math.max(afterRevision, revision);
     this.#supervisor.recordAnswer(this.#revision);
     return { needsPause: false };
@@ -309,57 +317,6 @@
       : decisions.chooseWatchWaitMs(countConfirmingPeers(), random());
   }
 
-  /** Applies an item; one that cannot be applied does not affect the others. */
-  #tryApplyItem(item: ports.ControlItem): void {
-    try {
-      this.#applyItem(item);
-    } catch (thrown) {
-      this.#options.log.addNotable("control.item-refused", {
-        type: item.type,
-        reason: kernel.describeThrown(thrown),
-      });
-    }
-  }
-
-  #applyItem(item: ports.ControlItem): void {
-    const { log } = this.#options;
-    switch (item.type) {
-      case "route-table":
-        return this.#applyRouteTable(item.table);
-      case "replica":
-        return this.#replicas.apply(item.replica, this.#isRestored);
-      case "replica-gone":
-        return this.#replicas.remove(item.id, "its entry was removed");
-      case "unreadable-replica":
-        log.addNotable("replica.unreadable", {
-          replica: item.id,
-          reason: item.reason,
-        });
-        return this.#replicas.remove(item.id, "its entry is unreadable");
-      case "peer":
-        return this.#options.listener.onPeer(item.peer);
-      case "peer-gone":
-        return this.#options.listener.onPeerRemoved(item.name);
-      case "rollout-order":
-        return this.#rollouts.applyOrder(item.order, this.#isRestored);
-      case "rollout-record":
-        return this.applyRecord(item.record);
-      case "quarantined-part":
-        return this.#options.listener.onQuarantinedPart(item.partId);
-      case "quarantined-part-gone":
-        return this.#options.listener.onQuarantinedPartRemoved(item.partId);
-      case "evacuation":
-        return this.#options.listener.onEvacuation(item.dataCentre);
-      case "evacuation-gone":
-        return this.#options.listener.onEvacuationRemoved(item.dataCentre);
-      case "unreadable":
-        log.addNotable("control.unreadable", { reason: item.reason });
-        return;
-      case "other":
-        return;
-    }
-  }
-
   #applyRouteTable(table: bundle.RouteTable): void {
     const heldRevision = this.#tableRevision;
     if (table.revision <= heldRevision) return;
