Changes that are too long for one answer of a watch are replaced by a full read

Cause: a watch tells each version of an item since a revision. Its answer was read up to 16 MiB, then the connection was closed and the same watch sent again, whose answer is as long or longer. It ended only when the store had forgotten its history. The size of the items is the operator's choice.

The fix: such a watch fails with history-lost, which is followed by a full read; it brings each item once.

--- a/packages/bench/src/platform_change_test.ts
+++ b/packages/bench/src/platform_change_test.ts
@@ -124,6 +124,38 @@
     t.deepEqual(tables, [4]);
   }));
 
+// Guards against CONFIG: changes that were too long for one answer were asked for again and again,
+// until the store had forgotten them; meanwhile no change was in force.
+test("changes that are too long for one answer are in force within the bound", (t) =>
+  withHarness(async (harness) => {
+    await harness.addReplica("i-1", "desk", () => ({ type: "ok" }));
+    await harness.start({ changeBoundMs: CHANGE_BOUND_MS });
+    const { store } = harness;
+    const putVersion = (version: number, filler = "") =>
+      store.putConfiguration(
+        harnesses.buildConfiguration({ version, filler }),
+      );
+    const waitForVersion = (version: number) =>
+      harness.waitFor(() =>
+        harness.findLogLines("config.taken").some(({ tableRevision }) =>
+          tableRevision === version
+        )
+      );
+    for (let version = 2; version <= 20; version += 1) {
+      putVersion(version, "x".repeat(900_000));
+    }
+    const changedAtMs = performance.now();
+    await waitForVersion(20);
+    const tookMs = performance.now() - changedAtMs;
+    t.true(tookMs < CHANGE_BOUND_MS, `${Math.round(tookMs)} ms`);
+    t.is((await harness.call(ROUTES.check)).status, 200);
+    // Later changes come by a watch again.
+    const reads = store.callCounts.get("/-/kv-range");
+    putVersion(21);
+    await waitForVersion(21);
+    t.is(store.callCounts.get("/-/kv-range"), reads);
+  }));
+
 // Guards against DRAIN: a machine that had been cut off alone used a replica that had left in
 // the meantime for 2 s more, as if the store's outage had ended the replica's lease.
 test("a machine that was cut off alone sends nothing to a replica that left in the meantime", (t) =>
--- a/packages/kernel/src/answer_bound.ts
+++ b/packages/kernel/src/answer_bound.ts
@@ -3,7 +3,7 @@
 import type * as resets from "./reset_error.ts";
 
 /** Code of the error of a socket that has received more than its bound. */
-export const ANSWER_TOO_LONG_CODE = "ANSWER_TOO_LONG";
+const ANSWER_TOO_LONG_CODE = "ANSWER_TOO_LONG";
 
 /** Error of a socket that has received more than its bound since it last sent something. */
 class AnswerTooLongError extends Error {
@@ -14,6 +14,13 @@
   }
 }
 
+/** Whether a client's error means that an answer was longer than its bound. */
+export function isAnswerTooLong(thrown: unknown): boolean {
+  return thrown instanceof Error &&
+    ("code" in thrown && thrown.code === ANSWER_TOO_LONG_CODE ||
+      isAnswerTooLong(thrown.cause));
+}
+
 function boundSocket(socket: net.Socket, maxBytes: number): void {
   let receivedBytes = 0;
   const push = socket.push.bind(socket);
--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -189,6 +189,7 @@
       if (result.error.kind === "history-lost") {
         this.#options.log.addNotable("control.history-lost", {
           revision: kernel.describePosition(this.#revision ?? 0),
+          reason: result.error.message,
         });
         this.#lostRevision = this.#revision;
         this.#revision = undefined;
