At most one bundle waits to be sent to a peer

A peer that does not read, such as a suspended process, had every version of the bundle queued for it, in the sender's memory; only their number was bounded, by how often operators change them.

Now a connection has one bundle on its way; once it has left the process, the newest one follows, if it is another. Versions between them are left out, as a newer bundle replaces an older one. Nothing waits for a ping.

Not shown: a process that ends by it.

--- a/packages/config/src/distributor.ts
+++ b/packages/config/src/distributor.ts
@@ -1,6 +1,7 @@
 /**
  * Distributes the active bundle over mesh connections, except to peers that are
- * known to hold it already.
+ * known to hold it already. At most one bundle waits to be sent on a connection:
+ * a peer that reads slowly, or not at all, is sent the newest one after it.
  */
 import * as bundle from "@jackdawbank/bundle";
 import type * as mesh from "@jackdawbank/mesh";
@@ -12,6 +13,9 @@
   /** Digest of the last bundle exchanged with each peer, in either direction. */
   readonly #digests = new WeakMap<mesh.MeshConnection, string>();
 
+  /** Connections on which a bundle waits to be sent. */
+  readonly #sending = new WeakSet<mesh.MeshConnection>();
+
   constructor(holder: holders.BundleHolder) {
     this.#holder = holder;
   }
@@ -34,16 +38,25 @@
     if (peerRevision < ownRevision) this.send(connection);
   }
 
-  /** Sends the active bundle unless the peer holds it or has been sent it. */
+  /** Sends the active bundle unless the peer holds it, has been sent it, or must read another first. */
   send(connection: mesh.MeshConnection): void {
     const active = this.#holder.active?.verified;
     if (
-      active === undefined || this.#digests.get(connection) === active.digest
+      active === undefined || this.#sending.has(connection) ||
+      this.#digests.get(connection) === active.digest
     ) {
       return;
     }
+    const isSent = connection.send(
+      { type: "bundle", signed: active.signed },
+      () => {
+        this.#sending.delete(connection);
+        this.send(connection);
+      },
+    );
+    if (!isSent) return;
     this.#digests.set(connection, active.digest);
-    connection.send({ type: "bundle", signed: active.signed });
+    this.#sending.add(connection);
   }
 
   /** Sends the active bundle to a peer that requests a newer revision than its own. */
--- a/packages/mesh/src/connection.ts
+++ b/packages/mesh/src/connection.ts
@@ -98,8 +98,11 @@
     return this.#receivedBytes;
   }
 
-  /** Sends a frame; returns whether the connection was open. */
-  send(frame: frames.Frame): boolean {
+  /**
+   * Sends a frame; returns whether the connection was open. If it was, `onEnd` is
+   * called once the frame has left this process, or the connection has failed.
+   */
+  send(frame: frames.Frame, onEnd?: () => void): boolean {
     if (!this.isOpen) return false;
     const isTimestamped = frames.TIMESTAMPED_FRAME_TYPES.has(frame.type);
     const bytes = encodeFrame(
@@ -108,7 +111,7 @@
         : frame,
     );
     this.#sentBytes += bytes.byteLength;
-    this.#socket.send(bytes);
+    this.#socket.send(bytes, () => onEnd?.());
     return true;
   }
 
