--- a/packages/router/src/control_task.ts
+++ b/packages/router/src/control_task.ts
@@ -10,7 +10,7 @@
 import type * as peers from "@jackdawbank/peers";
 import * as neverthrow from "neverthrow";
 import type * as listeners from "./control_listener.ts";
-import * as applied from "./item_applier.ts";
+import * as appliers from "./item_applier.ts";
 import * as tables from "./lost_table.ts";
 import type * as ports from "./ports.ts";
 import * as entries from "./replica_entries.ts";
@@ -37,7 +37,7 @@
   readonly #abort = new AbortController();
   readonly #replicas: entries.ReplicaEntries;
   readonly #rollouts: rollouts.RolloutStates;
-  readonly #items: applied.ItemApplier;
+  readonly #items: appliers.ItemApplier;
   #routeIndex: bundle.RouteIndex | undefined;
   readonly #viewAge: ages.ViewAge;
   #failingSinceMs: number | undefined;
@@ -64,7 +64,7 @@
     this.#lostTable = new tables.LostTable(options.clock, options.log);
     this.#viewAge = new ages.ViewAge(options.clock);
     this.#replicas = new entries.ReplicaEntries(options);
-    this.#items = new applied.ItemApplier({
+    this.#items = new appliers.ItemApplier({
       ...options,
       replicas: this.#replicas,
       rollouts: this.#rollouts,
