--- a/review/15/run.mjs
+++ b/review/11/run.mjs
@@ -10,6 +10,10 @@
 const STABLE_WINDOW_MS = 3_000;
 const SEND_INTERVAL_MS = 1_500;
 const DURATION_MS = 30_000;
+/** A sound stream, and the time between two of them. */
+const SOUND_EVENTS = 50;
+const SOUND_GAP_MS = 100;
+const SOUND_INTERVAL_MS = 400;
 /** Events that the replica has sent when it crashes. */
 const EVENTS_BEFORE = Number(process.env.EVENTS_BEFORE ?? 1);
 /** The part, which no other prompt has. */
@@ -59,12 +63,13 @@
         "content-type": "text/event-stream",
       });
       response.flushHeaders();
-      for (let event = from + 1; event <= 6; event += 1) {
+      const events = isDeadly ? 6 : SOUND_EVENTS;
+      for (let event = from + 1; event <= events; event += 1) {
         if (isDeadly && hasTrouble && event > from + EVENTS_BEFORE) {
           return this.#crash(attempt);
         }
         response.write(`id: ${event}\ndata: piece ${event}\n\n`);
-        await scene.sleep(10);
+        await scene.sleep(isDeadly ? 10 : SOUND_GAP_MS);
         if (response.destroyed) return;
       }
       response.end();
@@ -95,8 +100,7 @@
   const entry = use(await scene.Entry.start(store));
   await entry.waitUntilReady();
   await scene.sleep(STABLE_WINDOW_MS);
-  const startedAtMs = performance.now();
-  while (performance.now() - startedAtMs < DURATION_MS) {
+  const send = (firstPart) => {
     // No two of them are alike.
     const body = `prompt ${Math.random()}`;
     const ownPart = Math.floor(Math.random() * 2 ** 32).toString(16);
@@ -104,19 +108,42 @@
       "X-Jackdawbank-Deadline-Ms": "20000",
       "X-Jackdawbank-Model": "m",
       "X-Jackdawbank-Token-Usage": "600,80",
-      "X-Jackdawbank-Prefix-Hash": `${DEADLY_PART}:200,${ownPart}:400`,
+      "X-Jackdawbank-Prefix-Hash": `${firstPart}:200,${ownPart}:400`,
       "Content-Length": String(body.length),
     });
-    const answer = scene.Answer.send(entry, request.text + body);
+    return {
+      id: request.id,
+      answer: scene.Answer.send(entry, request.text + body),
+    };
+  };
+  const sound = [];
+  const soundTimer = setInterval(
+    () => sound.push(send("a1")),
+    SOUND_INTERVAL_MS,
+  );
+  use({ close: () => clearInterval(soundTimer) });
+  const startedAtMs = performance.now();
+  while (performance.now() - startedAtMs < DURATION_MS) {
+    const { id, answer } = send(DEADLY_PART);
     await scene.sleep(SEND_INTERVAL_MS);
     const read = answer.readBody();
     record.add(
-      `${request.id}: the caller got status ${answer.status}, ` +
+      `${id}: the caller got status ${answer.status}, ` +
         `${read.body.toString().match(/^data: /gm)?.length ?? 0} events, ` +
         (read.isComplete ? "complete" : "not complete"),
     );
     answer.socket.destroy();
   }
+  clearInterval(soundTimer);
+  await scene.sleep(SOUND_EVENTS * SOUND_GAP_MS + 4_000);
+  const broken = sound.filter(({ answer }) => !answer.readBody().isComplete);
+  for (const { id, answer } of broken) {
+    const events = answer.readBody().body.toString().match(/^data: /gm);
+    record.add(
+      `sound ${id} was broken off after ${events?.length ?? 0} events`,
+    );
+  }
+  record.add(`${broken.length} of ${sound.length} sound streams not answered`);
   const fifth = crashes[4];
   const late = fifth === undefined
     ? []
