--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,10 +1,13 @@
 /** A part of prompts crashes each replica that begins to write an answer on it: with the first event. */
+import * as fs from "node:fs";
 import * as http from "node:http";
 import * as path from "node:path";
 import * as url from "node:url";
 import * as scene from "../scene-3.mjs";
 
 const FOLDER = path.dirname(url.fileURLToPath(import.meta.url));
+/** With TROUBLE=0 the same is played without the disruption. */
+const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const REPLICAS = 4;
 const RESTART_MS = 2_000;
 const STABLE_WINDOW_MS = 3_000;
@@ -19,7 +22,11 @@
 /** The part, which no other prompt has. */
 const DEADLY_PART = "dead01";
 
-await scene.runCase(FOLDER, async ({ record, hasTrouble, use }) => {
+function writeRecord(text) {
+  fs.writeFileSync(path.join(FOLDER, "record.txt"), text);
+}
+
+await scene.runCase(writeRecord, async ({ record, use }) => {
   const store = use(new scene.Store());
   await store.start();
   store.put("op/config", scene.buildConfiguration());
@@ -65,7 +72,7 @@
       response.flushHeaders();
       const events = isDeadly ? 6 : SOUND_EVENTS;
       for (let event = from + 1; event <= events; event += 1) {
-        if (isDeadly && hasTrouble && event > from + EVENTS_BEFORE) {
+        if (isDeadly && HAS_TROUBLE && event > from + EVENTS_BEFORE) {
           return this.#crash(attempt);
         }
         response.write(`id: ${event}\ndata: piece ${event}\n\n`);
--- a/review/scene-3.mjs
+++ b/review/scene-3.mjs
@@ -45,11 +45,8 @@
     this.#lines.push(`${String(atMs).padStart(7)} ms  ${text}`);
   }
 
-  write(folder) {
-    fs.writeFileSync(
-      path.join(folder, "record.txt"),
-      `${this.#lines.join("\n")}\n`,
-    );
+  render() {
+    return `${this.#lines.join("\n")}\n`;
   }
 }
 
@@ -437,22 +434,23 @@
   }
 }
 
-/** Runs a case; exits with 1 if it was broken, 0 if it held, 2 if it could not run. */
-export async function runCase(folder, run) {
+/**
+ * Runs a case, which writes its own record; exits with 1 if it was broken, 0 if it
+ * held, 2 if it could not run.
+ */
+export async function runCase(writeRecord, run) {
   const record = new Record();
   const closers = [];
-  const hasTrouble = process.env.TROUBLE !== "0";
   let code = 2;
   const limit = setTimeout(() => {
     record.add("the case took too long");
-    record.write(folder);
+    writeRecord(record.render());
     for (const close of closers) close();
     process.exit(2);
   }, 100_000);
   try {
     const isBroken = await run({
       record,
-      hasTrouble,
       use: (resource) => {
         closers.push(() => resource.close());
         return resource;
@@ -464,7 +462,7 @@
     record.add(`the case could not run: ${thrown.stack}`);
   }
   clearTimeout(limit);
-  record.write(folder);
+  writeRecord(record.render());
   for (const close of closers.toReversed()) {
     await Promise.race([
       Promise.resolve(close()).catch(() => {}),
